Serve a request end to end

Cause: the repository was empty. A thin path through all processes comes first, so that each later change is a change to something that runs.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,130 @@
+# Builds the workspace: one static library for each package, two binaries, the
+# tests and their stand-ins. VARIANT=asan builds with ASan and UBSan,
+# VARIANT=tsan with TSan.
+
+.DELETE_ON_ERROR:
+.SECONDARY:
+
+CC ?= gcc
+VARIANT ?= release
+B := build/$(VARIANT)
+
+LIBS := base sys route member claim config move slo peer platform front ops \
+    control model
+BINS := camphorhollowd camphorctl bench
+DEPS := liburcu libmicrohttpd neon glib-2.0 jansson libxxhash libcurl msgpack
+DEB := liburcu-dev libmsgpack-dev libmicrohttpd-dev libneon27-gnutls-dev \
+    libglib2.0-dev libcmocka-dev libjansson-dev libxxhash-dev \
+    libcurl4-gnutls-dev pkg-config gcc make clang-format clang-tidy cppcheck
+
+DEP_CFLAGS := $(shell pkg-config --cflags $(DEPS) 2>/dev/null)
+DEP_LIBS := $(shell pkg-config --libs $(DEPS) cmocka 2>/dev/null)
+CPPFLAGS := -D_GNU_SOURCE -Ipackages -Itests $(DEP_CFLAGS)
+CFLAGS := -std=gnu11 -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
+    -Wmissing-prototypes -fno-common -pthread -g
+LDLIBS := $(DEP_LIBS) -lm -pthread
+
+ifeq ($(VARIANT),asan)
+CFLAGS += -O1 -fsanitize=address,undefined -fno-sanitize-recover=all
+else ifeq ($(VARIANT),tsan)
+CFLAGS += -O1 -fsanitize=thread
+else
+CFLAGS += -O2
+endif
+
+SRCS := $(wildcard packages/*/*.c tests/*/*.c)
+HDRS := $(wildcard packages/*/*.h tests/*/*.h)
+OBJS := $(SRCS:%.c=$(B)/%.o)
+ARS := $(foreach p,$(LIBS),$(if $(wildcard packages/$(p)/*.c),$(B)/lib$(p).a))
+TESTLIB := $(patsubst %.c,$(B)/%.o,$(wildcard tests/lib/*.c))
+UNIT := $(patsubst tests/unit/%.c,$(B)/unit/%,$(wildcard tests/unit/*.c))
+STANDIN := $(patsubst tests/standin/%.c,$(B)/standin/%,\
+    $(wildcard tests/standin/*.c))
+BINS_HAVE := $(foreach b,$(BINS),$(if $(wildcard packages/$(b)/*.c),$(B)/$(b)))
+
+.PHONY: all build deps test unit scenario run bench format format-check lint \
+    clean
+
+all: build
+
+build: $(BINS_HAVE) $(UNIT) $(STANDIN)
+
+$(B)/%.o: %.c
+	@mkdir -p $(@D)
+	@$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
+
+define AR_RULE
+$(B)/lib$(1).a: $$(patsubst %.c,$(B)/%.o,$$(wildcard packages/$(1)/*.c))
+	@rm -f $$@
+	@ar rcs $$@ $$^
+endef
+$(foreach p,$(LIBS),$(eval $(call AR_RULE,$(p))))
+
+define BIN_RULE
+$(B)/$(1): $$(patsubst %.c,$(B)/%.o,$$(wildcard packages/$(1)/*.c)) $(ARS)
+	@$(CC) $(CFLAGS) -o $$@ $$(filter %.o,$$^) -Wl,--start-group $(ARS) \
+	    -Wl,--end-group $(LDLIBS)
+endef
+$(foreach b,$(BINS),$(eval $(call BIN_RULE,$(b))))
+
+$(B)/unit/%: $(B)/tests/unit/%.o $(TESTLIB) $(ARS)
+	@mkdir -p $(@D)
+	@$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) -Wl,--start-group $(ARS) \
+	    -Wl,--end-group $(LDLIBS)
+
+$(B)/standin/%: $(B)/tests/standin/%.o $(TESTLIB) $(ARS)
+	@mkdir -p $(@D)
+	@$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) -Wl,--start-group $(ARS) \
+	    -Wl,--end-group $(LDLIBS)
+
+# Installs what a new machine lacks.
+deps:
+	@pkg-config --exists $(DEPS) cmocka 2>/dev/null && \
+	    command -v clang-format clang-tidy cppcheck >/dev/null || \
+	    { apt-get update -q && apt-get install -y -q $(DEB); }
+
+unit: build
+	@tools/run-unit $(B)
+
+# The test command: installs, builds, runs unit and golden tests and the
+# scripts over real processes.
+test: deps
+	@$(MAKE) --no-print-directory build
+	@$(MAKE) --no-print-directory unit
+	@$(MAKE) --no-print-directory scenario
+
+scenario: build
+	@tools/run-scripts $(B)
+
+# The demonstration: stand-ins, 13 entry VMs, one pass over everything.
+run: deps
+	@$(MAKE) --no-print-directory build
+	@tests/script/demo.sh $(B)
+
+bench: deps
+	@$(MAKE) --no-print-directory build
+	@tools/bench $(B)
+
+format:
+	@clang-format -i $(SRCS) $(HDRS)
+
+format-check:
+	@clang-format --dry-run -Werror $(SRCS) $(HDRS)
+
+# clang-tidy results are cached by stamp files in the build folder.
+TIDY := $(SRCS:%.c=build/tidy/%.stamp)
+build/tidy/%.stamp: %.c $(HDRS) .clang-tidy
+	@mkdir -p $(@D)
+	@clang-tidy --quiet $< -- -std=gnu11 $(CPPFLAGS) 2>/dev/null
+	@touch $@
+
+lint: $(TIDY)
+	@tools/check-includes
+	@cppcheck --quiet --std=c11 --enable=warning,performance,portability \
+	    --inline-suppr --error-exitcode=1 --suppress=missingIncludeSystem \
+	    -j 8 -Ipackages packages tests
+
+clean:
+	rm -rf build
+
+-include $(OBJS:.o=.d)
--- /dev/null
+++ b/packages/base/bstr.h
@@ -0,0 +1,101 @@
+/*
+ * bstr - length-counted strings.
+ *
+ * A struct bstr is a view: it owns nothing and need not end in a zero byte. A
+ * struct bbuf is a growable buffer on caller-owned memory.
+ *
+ *	struct bbuf b;
+ *	bbuf_init(&b);
+ *	bbuf_add(&b, BSTR("answer "));
+ *	bbuf_addf(&b, "%d", 42);
+ *	use(bbuf_str(&b));
+ *	bbuf_finish(&b);
+ */
+#ifndef BASE_BSTR_H
+#define BASE_BSTR_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+/**
+ * struct bstr - view of n bytes
+ * @p: first byte, may be NULL when n is 0
+ * @n: length in bytes
+ */
+struct bstr {
+	const char *p;
+	size_t n;
+};
+
+/**
+ * struct bbuf - growable byte buffer
+ * @p: storage, always followed by a zero byte once anything was added
+ * @n: bytes in use
+ * @cap: bytes allocated
+ */
+struct bbuf {
+	char *p;
+	size_t n;
+	size_t cap;
+};
+
+#define BSTR(lit) ((struct bstr){.p = (lit), .n = sizeof(lit) - 1})
+
+/* printf arguments for a bstr with the format "%.*s". */
+#define BSTR_ARG(s) (int)(s).n, (s).p
+
+/** bstr_from() - view of a zero-terminated string; NULL gives an empty view */
+struct bstr bstr_from(const char *s);
+
+/** bstr_eq() - whether both views hold the same bytes */
+bool bstr_eq(struct bstr a, struct bstr b);
+
+/** bstr_caseeq() - like bstr_eq(), ignoring ASCII case */
+bool bstr_caseeq(struct bstr a, struct bstr b);
+
+/** bstr_has_prefix() - whether @s starts with @prefix */
+bool bstr_has_prefix(struct bstr s, struct bstr prefix);
+
+/** bstr_cmp() - byte order; negative, 0 or positive */
+int bstr_cmp(struct bstr a, struct bstr b);
+
+/**
+ * bstr_to_u64() - parse an unsigned decimal number
+ * @s: digits only, no sign or space
+ * @out: the value
+ *
+ * Return: false when @s is empty, holds another character or overflows.
+ */
+bool bstr_to_u64(struct bstr s, uint64_t *out);
+
+/** bstr_dup() - zero-terminated copy; the caller frees it with free() */
+char *bstr_dup(struct bstr s);
+
+/** bstr_hash() - 64-bit xxHash of the bytes with @seed */
+uint64_t bstr_hash(struct bstr s, uint64_t seed);
+
+/** bbuf_init() - empty buffer, allocates nothing */
+void bbuf_init(struct bbuf *b);
+
+/** bbuf_finish() - free the storage */
+void bbuf_finish(struct bbuf *b);
+
+/** bbuf_clear() - drop the content, keep the storage */
+void bbuf_clear(struct bbuf *b);
+
+/** bbuf_add() - append the bytes of @s */
+void bbuf_add(struct bbuf *b, struct bstr s);
+
+/** bbuf_addf() - append formatted text */
+void bbuf_addf(struct bbuf *b, const char *fmt, ...)
+    __attribute__((format(printf, 2, 3)));
+
+/** bbuf_drop_front() - remove the first @n bytes */
+void bbuf_drop_front(struct bbuf *b, size_t n);
+
+/** bbuf_str() - view of the content, valid until the next change */
+struct bstr bbuf_str(const struct bbuf *b);
+
+#endif
--- /dev/null
+++ b/packages/front/env.c
@@ -0,0 +1,19 @@
+#include "front/env.h"
+
+#include <urcu.h>
+
+const struct rt_table *
+env_table(const struct env *env)
+{
+	return (rcu_dereference(env->table));
+}
+
+void
+env_publish(struct env *env, struct rt_table *t)
+{
+	struct rt_table *old = env->table;
+
+	rcu_assign_pointer(env->table, t);
+	synchronize_rcu();
+	rt_table_free(old);
+}
--- /dev/null
+++ b/packages/front/env.h
@@ -0,0 +1,48 @@
+/*
+ * env - what the workers share with the control thread.
+ *
+ * The control thread publishes the routing table and the freshness limit here;
+ * workers only read them. All members except the table pointer are atomics or
+ * do not change after setup.
+ *
+ *	rcu_read_lock();
+ *	t = env_table(env);
+ *	...
+ *	rcu_read_unlock();
+ */
+#ifndef FRONT_ENV_H
+#define FRONT_ENV_H
+
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "ops/met.h"
+#include "route/rt.h"
+#include "sys/mq.h"
+
+/**
+ * struct env - shared environment
+ * @table: routing table, read with env_table() under the RCU read lock
+ * @fresh_until_us: boot-time limit after which this VM does not route
+ * @leaving: a graceful shutdown has begun
+ * @control: queue of the control thread, receives enum env_msg_type messages
+ * @met: counters
+ * @max_keyed_body: largest body of a keyed request in bytes
+ */
+struct env {
+	struct rt_table *table;
+	_Atomic int64_t fresh_until_us;
+	_Atomic bool leaving;
+	struct mq *control;
+	struct met *met;
+	size_t max_keyed_body;
+};
+
+/** env_table() - current table; only under the RCU read lock */
+const struct rt_table *env_table(const struct env *env);
+
+/** env_publish() - replace the table, free the old one after a grace period */
+void env_publish(struct env *env, struct rt_table *t);
+
+#endif
--- /dev/null
+++ b/packages/ops/set.c
@@ -0,0 +1,294 @@
+#include "ops/set.h"
+
+#include <jansson.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define MAX_PATH 128
+
+/** enum item_type - type of a settings item */
+enum item_type { IT_STRING, IT_INT, IT_BOOL, IT_STRINGS };
+
+/**
+ * struct item - one settings item
+ * @path: keys joined by dots
+ * @type: type
+ * @offset: place in struct set
+ * @required: has no default
+ * @min: least value, or least length of a string
+ * @max: greatest value, or greatest length of a string
+ * @def: default of an integer or boolean
+ */
+struct item {
+	const char *path;
+	enum item_type type;
+	size_t offset;
+	bool required;
+	int64_t min;
+	int64_t max;
+	int64_t def;
+};
+
+#define AT(member) offsetof(struct set, member)
+
+static const struct item items[] = {
+    {"id", IT_STRING, AT(id), true, 1, 63, 0},
+    {"zone", IT_STRING, AT(zone), true, 1, 63, 0},
+    {"listen.addr", IT_STRING, AT(listen.addr), true, 7, 15, 0},
+    {"listen.port", IT_INT, AT(listen.port), true, 1, 65535, 0},
+    {"peer.addr", IT_STRING, AT(peer.addr), true, 7, 15, 0},
+    {"peer.port", IT_INT, AT(peer.port), true, 1, 65535, 0},
+    {"peer.allow", IT_STRINGS, AT(peer_allow), false, 0, SET_MAX_ALLOW - 1, 0},
+    {"ops.addr", IT_STRING, AT(ops.addr), true, 7, 15, 0},
+    {"ops.port", IT_INT, AT(ops.port), true, 1, 65535, 0},
+    {"ops.token", IT_STRING, AT(token), false, 0, 255, 0},
+    {"ops.allow", IT_STRINGS, AT(ops_allow), false, 0, SET_MAX_ALLOW - 1, 0},
+    {"platform.addr", IT_STRING, AT(platform.addr), true, 7, 15, 0},
+    {"platform.port", IT_INT, AT(platform.port), true, 1, 65535, 0},
+    {"workers", IT_INT, AT(workers), false, 1, 64, 2},
+    {"seed", IT_INT, AT(seed), false, 0, INT64_MAX, 0},
+    {"max_keyed_body", IT_INT, AT(max_keyed_body), false, 1024, 16777216,
+	262144},
+    {"claim_retention_s", IT_INT, AT(claim_retention_s), false, 60, 604800,
+	3600},
+    {"drain_timeout_ms", IT_INT, AT(drain_timeout_ms), false, 1000, 600000,
+	30000},
+    {"log.json", IT_BOOL, AT(log_json), false, 0, 1, 0},
+    {"log.debug", IT_BOOL, AT(log_debug), false, 0, 1, 0},
+};
+
+#define N_ITEMS (sizeof(items) / sizeof(*items))
+
+static void *
+place(struct set *s, const struct item *it)
+{
+	return ((char *)s + it->offset);
+}
+
+static void
+report(struct bbuf *problems, const char *path, const json_t *v,
+    const char *permitted)
+{
+	char *text = v == NULL ? NULL : json_dumps(v, JSON_ENCODE_ANY);
+
+	bbuf_addf(problems, "%s: %.60s: %s\n", path,
+	    text == NULL ? "missing" : text, permitted);
+	free(text);
+}
+
+static void
+take_string(struct set *s, const struct item *it, const json_t *v,
+    struct bbuf *problems)
+{
+	char permitted[96];
+	size_t n = json_string_length(v);
+
+	if (!json_is_string(v) || (int64_t)n < it->min ||
+	    (int64_t)n > it->max) {
+		snprintf(permitted, sizeof(permitted),
+		    "must be a string of %lld to %lld bytes",
+		    (long long)it->min, (long long)it->max);
+		report(problems, it->path, v, permitted);
+		return;
+	}
+	*(char **)place(s, it) =
+	    bstr_dup((struct bstr){json_string_value(v), n});
+}
+
+static void
+take_int(struct set *s, const struct item *it, const json_t *v,
+    struct bbuf *problems)
+{
+	char permitted[96];
+	json_int_t n = json_integer_value(v);
+
+	if (!json_is_integer(v) || n < it->min || n > it->max) {
+		snprintf(permitted, sizeof(permitted),
+		    "must be an integer from %lld to %lld", (long long)it->min,
+		    (long long)it->max);
+		report(problems, it->path, v, permitted);
+		return;
+	}
+	*(int64_t *)place(s, it) = n;
+}
+
+static void
+take_strings(struct set *s, const struct item *it, const json_t *v,
+    struct bbuf *problems)
+{
+	char **out = place(s, it);
+	char permitted[96];
+	size_t i;
+	json_t *e;
+
+	snprintf(permitted, sizeof(permitted),
+	    "must be an array of at most %lld addresses", (long long)it->max);
+	if (!json_is_array(v) || (int64_t)json_array_size(v) > it->max) {
+		report(problems, it->path, v, permitted);
+		return;
+	}
+	json_array_foreach(v, i, e)
+	{
+		if (json_is_string(e))
+			out[i] = bstr_dup(bstr_from(json_string_value(e)));
+		else
+			report(problems, it->path, e, permitted);
+	}
+}
+
+static void
+take_item(struct set *s, const struct item *it, const json_t *v,
+    struct bbuf *problems)
+{
+	switch (it->type) {
+	case IT_STRING:
+		take_string(s, it, v, problems);
+		break;
+	case IT_INT:
+		take_int(s, it, v, problems);
+		break;
+	case IT_BOOL:
+		if (json_is_boolean(v))
+			*(bool *)place(s, it) = json_is_true(v);
+		else
+			report(problems, it->path, v, "must be true or false");
+		break;
+	case IT_STRINGS:
+		take_strings(s, it, v, problems);
+		break;
+	}
+}
+
+static const json_t *
+find(const json_t *root, const char *path)
+{
+	const char *dot = strchr(path, '.');
+	char key[MAX_PATH];
+
+	if (dot == NULL)
+		return (json_object_get(root, path));
+	snprintf(key, sizeof(key), "%.*s", (int)(dot - path), path);
+	return (json_object_get(json_object_get(root, key), dot + 1));
+}
+
+static bool
+is_group(const char *key)
+{
+	size_t n = strlen(key);
+
+	for (size_t i = 0; i < N_ITEMS; i++) {
+		if (strncmp(items[i].path, key, n) == 0 &&
+		    items[i].path[n] == '.')
+			return (true);
+	}
+	return (false);
+}
+
+static bool
+is_item(const char *path)
+{
+	for (size_t i = 0; i < N_ITEMS; i++) {
+		if (strcmp(items[i].path, path) == 0)
+			return (true);
+	}
+	return (false);
+}
+
+static void
+report_unknown(const json_t *root, const char *group, struct bbuf *problems)
+{
+	const char *key;
+	json_t *v;
+	char path[MAX_PATH];
+
+	json_object_foreach((json_t *)(uintptr_t)root, key, v)
+	{
+		snprintf(path, sizeof(path), "%s%s%s",
+		    group == NULL ? "" : group, group == NULL ? "" : ".", key);
+		if (group == NULL && is_group(key)) {
+			if (json_is_object(v))
+				report_unknown(v, key, problems);
+			else
+				report(problems, path, v, "must be an object");
+		} else if (!is_item(path)) {
+			report(problems, path, v, "unknown key");
+		}
+	}
+}
+
+static void
+set_defaults(struct set *s)
+{
+	*s = (struct set){0};
+	for (size_t i = 0; i < N_ITEMS; i++) {
+		if (items[i].type == IT_INT)
+			*(int64_t *)place(s, &items[i]) = items[i].def;
+	}
+}
+
+bool
+set_parse(struct set *s, struct bstr text, struct bbuf *problems)
+{
+	size_t before = problems->n;
+	json_error_t e;
+	json_t *root = json_loadb(text.p, text.n, JSON_REJECT_DUPLICATES, &e);
+
+	set_defaults(s);
+	if (!json_is_object(root)) {
+		bbuf_addf(problems, "line %d: %s\n", e.line,
+		    root == NULL ? e.text : "must be an object");
+		json_decref(root);
+		return (false);
+	}
+	report_unknown(root, NULL, problems);
+	for (size_t i = 0; i < N_ITEMS; i++) {
+		const json_t *v = find(root, items[i].path);
+
+		if (v != NULL)
+			take_item(s, &items[i], v, problems);
+		else if (items[i].required)
+			report(problems, items[i].path, NULL, "is required");
+	}
+	json_decref(root);
+	if (s->token == NULL)
+		s->token = bstr_dup(BSTR(""));
+	return (problems->n == before);
+}
+
+bool
+set_load(struct set *s, const char *path, struct bbuf *problems)
+{
+	FILE *f = fopen(path, "r");
+	struct bbuf text;
+	char block[4096];
+	size_t n;
+	bool ok;
+
+	if (f == NULL) {
+		*s = (struct set){0};
+		bbuf_addf(problems, "%s: cannot be read\n", path);
+		return (false);
+	}
+	bbuf_init(&text);
+	while ((n = fread(block, 1, sizeof(block), f)) > 0)
+		bbuf_add(&text, (struct bstr){block, n});
+	fclose(f);
+	ok = set_parse(s, bbuf_str(&text), problems);
+	bbuf_finish(&text);
+	return (ok);
+}
+
+void
+set_finish(struct set *s)
+{
+	for (size_t i = 0; i < N_ITEMS; i++) {
+		if (items[i].type == IT_STRING)
+			free(*(char **)place(s, &items[i]));
+		if (items[i].type != IT_STRINGS)
+			continue;
+		for (int k = 0; k < SET_MAX_ALLOW; k++)
+			free(((char **)place(s, &items[i]))[k]);
+	}
+	*s = (struct set){0};
+}
--- /dev/null
+++ b/packages/ops/set.h
@@ -0,0 +1,84 @@
+/*
+ * set - settings file of the daemon.
+ *
+ * The file is one JSON object. Every key is checked: unknown keys, wrong types
+ * and values outside their range are reported with the path in the file, the
+ * value and what is permitted.
+ *
+ *	struct set s;
+ *	struct bbuf problems;
+ *	bbuf_init(&problems);
+ *	if (!set_load(&s, path, &problems)) fputs(problems.p, stderr);
+ *	set_finish(&s);
+ */
+#ifndef OPS_SET_H
+#define OPS_SET_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/bstr.h"
+
+#define SET_MAX_ALLOW 64
+
+/** struct set_addr - IPv4 address and TCP port */
+struct set_addr {
+	char *addr;
+	int64_t port;
+};
+
+/**
+ * struct set - settings; strings owned
+ * @id: identity of this VM, unique in the fleet
+ * @zone: availability zone
+ * @listen: where callers connect
+ * @peer: where peers connect, also the address announced to them
+ * @ops: where operators and the platform's balancer connect
+ * @platform: address of the store
+ * @token: secret that operators send; empty allows none
+ * @peer_allow: addresses that may connect as peers, empty for loopback only
+ * @ops_allow: addresses that may use the operator API
+ * @workers: worker threads
+ * @seed: seed of random choices, 0 draws one at start
+ * @max_keyed_body: largest body of a keyed request in bytes
+ * @claim_retention_s: how long claim records are kept in seconds
+ * @drain_timeout_ms: longest graceful shutdown in milliseconds
+ * @log_json: log as JSON lines
+ * @log_debug: log at debug level
+ */
+struct set {
+	char *id;
+	char *zone;
+	struct set_addr listen;
+	struct set_addr peer;
+	struct set_addr ops;
+	struct set_addr platform;
+	char *token;
+	char *peer_allow[SET_MAX_ALLOW];
+	char *ops_allow[SET_MAX_ALLOW];
+	int64_t workers;
+	int64_t seed;
+	int64_t max_keyed_body;
+	int64_t claim_retention_s;
+	int64_t drain_timeout_ms;
+	bool log_json;
+	bool log_debug;
+};
+
+/**
+ * set_load() - read and check a settings file
+ * @s: receives the settings, defaults included
+ * @path: file
+ * @problems: one line for each problem found
+ *
+ * Return: true when there was no problem. set_finish() is needed either way.
+ */
+bool set_load(struct set *s, const char *path, struct bbuf *problems);
+
+/** set_parse() - like set_load() on JSON text */
+bool set_parse(struct set *s, struct bstr text, struct bbuf *problems);
+
+/** set_finish() - free the strings */
+void set_finish(struct set *s);
+
+#endif
--- /dev/null
+++ b/packages/platform/sto.c
@@ -0,0 +1,173 @@
+#include "platform/sto.h"
+
+#include <ne_request.h>
+#include <ne_socket.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "base/bstr.h"
+
+#define MAX_TARGET 512
+#define MAX_ANSWER (64 * 1024 * 1024)
+#define DEFAULT_CONNECT_TIMEOUT_S 1
+#define DEFAULT_READ_TIMEOUT_S 2
+
+void
+sto_init(struct sto *s, const struct sto_desc *desc)
+{
+	*s = (struct sto){0};
+	ne_sock_init();
+	s->session = ne_session_create("http", desc->addr, desc->port);
+	s->read_timeout_s = desc->read_timeout_s != 0 ? desc->read_timeout_s
+						      : DEFAULT_READ_TIMEOUT_S;
+	ne_set_connect_timeout(s->session,
+	    desc->connect_timeout_s != 0 ? desc->connect_timeout_s
+					 : DEFAULT_CONNECT_TIMEOUT_S);
+	ne_set_read_timeout(s->session, s->read_timeout_s);
+}
+
+void
+sto_finish(struct sto *s)
+{
+	ne_session_destroy(s->session);
+	s->session = NULL;
+}
+
+static int
+on_block(void *arg, const char *data, size_t n)
+{
+	struct bbuf *b = arg;
+
+	if (b->n + n > MAX_ANSWER)
+		return (-1);
+	bbuf_add(b, (struct bstr){data, n});
+	return (0);
+}
+
+static json_t *
+parse_answer(const struct bbuf *body, GError **error)
+{
+	json_error_t e;
+	json_t *v = json_loadb(body->p, body->n, JSON_DECODE_ANY, &e);
+
+	if (v == NULL)
+		g_set_error(error, ERR_QUARK, ERR_STORE,
+		    "answer does not parse: %s", e.text);
+	return (v);
+}
+
+static enum err_kind
+kind_of_status(int status)
+{
+	switch (status) {
+	case 404:
+		return (ERR_NOT_FOUND);
+	case 412:
+		return (ERR_CONFLICT);
+	default:
+		return (ERR_STORE);
+	}
+}
+
+/* Sends one request; @version, when not 0 or a write, is the If-Match value. */
+static json_t *
+request(struct sto *s, const char *method, const char *target, const char *body,
+    uint64_t version, GError **error)
+{
+	ne_request *r = ne_request_create(s->session, method, target);
+	struct bbuf answer;
+	json_t *v = NULL;
+	int rc, status;
+
+	bbuf_init(&answer);
+	if (body != NULL) {
+		ne_set_request_flag(r, NE_REQFLAG_IDEMPOTENT, 0);
+		ne_set_request_body_buffer(r, body, strlen(body));
+		ne_print_request_header(
+		    r, "If-Match", "%llu", (unsigned long long)version);
+		s->writes++;
+	} else {
+		s->reads++;
+	}
+	ne_add_response_body_reader(r, ne_accept_always, on_block, &answer);
+	rc = ne_request_dispatch(r);
+	status = ne_get_status(r)->code;
+	if (rc != NE_OK)
+		g_set_error(error, ERR_QUARK, ERR_STORE, "%s %s: %s", method,
+		    target, ne_get_error(s->session));
+	else if (status != 200)
+		g_set_error(error, ERR_QUARK, (int)kind_of_status(status),
+		    "%s %s: status %d", method, target, status);
+	else
+		v = parse_answer(&answer, error);
+	ne_request_destroy(r);
+	bbuf_finish(&answer);
+	return (v);
+}
+
+json_t *
+sto_get(struct sto *s, const char *key, uint64_t *version, GError **error)
+{
+	char target[MAX_TARGET];
+	json_t *answer, *value;
+
+	snprintf(target, sizeof(target), "/objects/%s", key);
+	answer = request(s, "GET", target, NULL, 0, error);
+	if (answer == NULL)
+		return (NULL);
+	value = json_incref(json_object_get(answer, "value"));
+	*version =
+	    (uint64_t)json_integer_value(json_object_get(answer, "version"));
+	json_decref(answer);
+	return (value);
+}
+
+bool
+sto_put(struct sto *s, const char *key, const json_t *value,
+    uint64_t if_version, uint64_t *version, GError **error)
+{
+	char target[MAX_TARGET];
+	char *body = json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY);
+	json_t *answer;
+
+	snprintf(target, sizeof(target), "/objects/%s", key);
+	answer = request(s, "PUT", target, body, if_version, error);
+	free(body);
+	if (answer == NULL)
+		return (false);
+	*version =
+	    (uint64_t)json_integer_value(json_object_get(answer, "version"));
+	json_decref(answer);
+	return (true);
+}
+
+json_t *
+sto_list(struct sto *s, const char *prefix, GError **error)
+{
+	char target[MAX_TARGET];
+
+	snprintf(target, sizeof(target), "/objects?prefix=%s", prefix);
+	return (request(s, "GET", target, NULL, 0, error));
+}
+
+json_t *
+sto_watch(struct sto *s, const char *prefix, uint64_t since, int wait_ms,
+    GError **error)
+{
+	char target[MAX_TARGET];
+	json_t *v;
+
+	snprintf(target, sizeof(target),
+	    "/watch?prefix=%s&since=%llu&wait_ms=%d", prefix,
+	    (unsigned long long)since, wait_ms);
+	ne_set_read_timeout(s->session, s->read_timeout_s + wait_ms / 1000);
+	v = request(s, "GET", target, NULL, 0, error);
+	ne_set_read_timeout(s->session, s->read_timeout_s);
+	return (v);
+}
+
+json_t *
+sto_vms(struct sto *s, GError **error)
+{
+	return (request(s, "GET", "/vms", NULL, 0, error));
+}
--- /dev/null
+++ b/packages/route/rt.c
@@ -0,0 +1,259 @@
+#include "route/rt.h"
+
+#include <stdlib.h>
+
+#define LATENCY_SHIFT 3
+#define FAIL_SHIFT 4
+#define PERMILLE 1000
+
+/**
+ * struct rt_table - services with one pool for all strings
+ */
+struct rt_table {
+	struct rt_service *services;
+	uint32_t n;
+};
+
+static void *
+xcalloc(size_t n, size_t size)
+{
+	void *p = calloc(n == 0 ? 1 : n, size);
+
+	if (p == NULL)
+		abort();
+	return (p);
+}
+
+static struct bstr
+copy_str(struct bstr s)
+{
+	return ((struct bstr){.p = bstr_dup(s), .n = s.n});
+}
+
+static void
+free_str(struct bstr s)
+{
+	free((char *)(uintptr_t)s.p);
+}
+
+struct rt_stat *
+rt_stat_new(void)
+{
+	struct rt_stat *s = xcalloc(1, sizeof(*s));
+
+	atomic_init(&s->refs, 1);
+	atomic_init(&s->reported, -1);
+	return (s);
+}
+
+struct rt_stat *
+rt_stat_ref(struct rt_stat *s)
+{
+	atomic_fetch_add(&s->refs, 1);
+	return (s);
+}
+
+void
+rt_stat_unref(struct rt_stat *s)
+{
+	if (atomic_fetch_sub(&s->refs, 1) == 1)
+		free(s);
+}
+
+static void
+copy_service(struct rt_service *to, const struct rt_service *from)
+{
+	*to = *from;
+	to->name = copy_str(from->name);
+	to->hosts = xcalloc(from->n_hosts, sizeof(*to->hosts));
+	for (uint32_t i = 0; i < from->n_hosts; i++)
+		to->hosts[i] = copy_str(from->hosts[i]);
+	to->routes = xcalloc(from->n_routes, sizeof(*to->routes));
+	for (uint32_t i = 0; i < from->n_routes; i++) {
+		to->routes[i] = from->routes[i];
+		to->routes[i].prefix = copy_str(from->routes[i].prefix);
+	}
+	to->versions = xcalloc(from->n_versions, sizeof(*to->versions));
+	for (uint32_t i = 0; i < from->n_versions; i++) {
+		to->versions[i] = from->versions[i];
+		to->versions[i].name = copy_str(from->versions[i].name);
+	}
+	to->upstreams = xcalloc(from->n_upstreams, sizeof(*to->upstreams));
+	for (uint32_t i = 0; i < from->n_upstreams; i++) {
+		to->upstreams[i] = from->upstreams[i];
+		to->upstreams[i].id = copy_str(from->upstreams[i].id);
+		to->upstreams[i].addr = copy_str(from->upstreams[i].addr);
+		to->upstreams[i].zone = copy_str(from->upstreams[i].zone);
+		rt_stat_ref(to->upstreams[i].stat);
+	}
+}
+
+static void
+free_service(struct rt_service *s)
+{
+	free_str(s->name);
+	for (uint32_t i = 0; i < s->n_hosts; i++)
+		free_str(s->hosts[i]);
+	for (uint32_t i = 0; i < s->n_routes; i++)
+		free_str(s->routes[i].prefix);
+	for (uint32_t i = 0; i < s->n_versions; i++)
+		free_str(s->versions[i].name);
+	for (uint32_t i = 0; i < s->n_upstreams; i++) {
+		free_str(s->upstreams[i].id);
+		free_str(s->upstreams[i].addr);
+		free_str(s->upstreams[i].zone);
+		rt_stat_unref(s->upstreams[i].stat);
+	}
+	free(s->hosts);
+	free(s->routes);
+	free(s->versions);
+	free(s->upstreams);
+}
+
+struct rt_table *
+rt_table_new(const struct rt_desc *desc)
+{
+	struct rt_table *t = xcalloc(1, sizeof(*t));
+
+	t->n = desc->n_services;
+	t->services = xcalloc(t->n, sizeof(*t->services));
+	for (uint32_t i = 0; i < t->n; i++)
+		copy_service(&t->services[i], &desc->services[i]);
+	return (t);
+}
+
+void
+rt_table_free(struct rt_table *t)
+{
+	if (t == NULL)
+		return;
+	for (uint32_t i = 0; i < t->n; i++)
+		free_service(&t->services[i]);
+	free(t->services);
+	free(t);
+}
+
+const struct rt_service *
+rt_services(const struct rt_table *t, uint32_t *n)
+{
+	*n = t->n;
+	return (t->services);
+}
+
+const struct rt_service *
+rt_find_host(const struct rt_table *t, struct bstr host)
+{
+	for (uint32_t i = 0; i < t->n; i++) {
+		const struct rt_service *s = &t->services[i];
+
+		for (uint32_t j = 0; j < s->n_hosts; j++) {
+			if (bstr_caseeq(s->hosts[j], host))
+				return (s);
+		}
+	}
+	return (NULL);
+}
+
+const struct rt_service *
+rt_find_service(const struct rt_table *t, struct bstr name)
+{
+	for (uint32_t i = 0; i < t->n; i++) {
+		if (bstr_eq(t->services[i].name, name))
+			return (&t->services[i]);
+	}
+	return (NULL);
+}
+
+const struct rt_route *
+rt_find_route(const struct rt_service *s, struct bstr path)
+{
+	const struct rt_route *best = NULL;
+
+	for (uint32_t i = 0; i < s->n_routes; i++) {
+		const struct rt_route *r = &s->routes[i];
+
+		if (!bstr_has_prefix(path, r->prefix))
+			continue;
+		if (best == NULL || r->prefix.n > best->prefix.n)
+			best = r;
+	}
+	return (best);
+}
+
+static uint32_t
+draw_version(const struct rt_service *s, struct rng *rng)
+{
+	uint32_t x = rng_below(rng, PERMILLE);
+
+	for (uint32_t v = 0; v < s->n_versions; v++) {
+		if (x < s->versions[v].share)
+			return (v);
+		x -= s->versions[v].share;
+	}
+	return (0);
+}
+
+static bool
+eligible(const struct rt_upstream *u, const struct rt_request *req)
+{
+	if (u->state != RT_READY)
+		return (false);
+	for (uint32_t i = 0; i < req->n_excluded; i++) {
+		if (req->excluded[i] == u->stat)
+			return (false);
+	}
+	return (true);
+}
+
+int
+rt_pick(const struct rt_service *s, const struct rt_request *req,
+    int64_t now_us, struct rng *rng)
+{
+	uint32_t version = draw_version(s, rng);
+	uint32_t start = rng_below(rng, s->n_upstreams);
+	int best = RT_NONE;
+	int32_t best_load = 0;
+
+	(void)now_us;
+	for (uint32_t k = 0; k < s->n_upstreams; k++) {
+		uint32_t i = (start + k) % s->n_upstreams;
+		const struct rt_upstream *u = &s->upstreams[i];
+		int32_t load;
+
+		if (u->version != version || !eligible(u, req))
+			continue;
+		load = atomic_load(&u->stat->in_flight);
+		if (best == RT_NONE || load < best_load) {
+			best = (int)i;
+			best_load = load;
+		}
+	}
+	return (best);
+}
+
+void
+rt_on_start(struct rt_stat *s, int64_t now_us)
+{
+	(void)now_us;
+	atomic_fetch_add(&s->in_flight, 1);
+	atomic_fetch_add(&s->started_since, 1);
+}
+
+void
+rt_on_finish(struct rt_stat *s, const struct rt_result *result, int64_t now_us)
+{
+	int64_t lat = atomic_load(&s->latency_us);
+	int32_t fail = atomic_load(&s->fail_permille);
+	int32_t sample = result->failed ? PERMILLE : 0;
+
+	atomic_fetch_sub(&s->in_flight, 1);
+	if (result->reported >= 0) {
+		atomic_store(&s->reported, result->reported);
+		atomic_store(&s->reported_us, now_us);
+		atomic_store(&s->started_since, 0);
+	}
+	lat += (result->latency_us - lat) >> LATENCY_SHIFT;
+	atomic_store(&s->latency_us, lat);
+	fail += (sample - fail) / (1 << FAIL_SHIFT);
+	atomic_store(&s->fail_permille, fail);
+}
--- /dev/null
+++ b/packages/route/rt.h
@@ -0,0 +1,169 @@
+/*
+ * rt - routing table and choice of an upstream.
+ *
+ * The control thread builds a table from the configuration, health and moves
+ * and publishes it; workers read it under RCU and never change it. The load
+ * statistics (struct rt_stat) outlive a table: tables share them by upstream id
+ * and workers update them with atomics.
+ *
+ *	struct rt_table *t = rt_table_new(&desc);
+ *	svc = rt_match(t, host, path, &route);
+ *	i = rt_pick(svc, &req, now_us, &rng);
+ *	rt_on_start(svc->upstreams[i].stat, now_us);
+ *	rt_on_finish(svc->upstreams[i].stat, &result, now_us);
+ *	rt_table_free(t);
+ */
+#ifndef ROUTE_RT_H
+#define ROUTE_RT_H
+
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/bstr.h"
+#include "base/rng.h"
+
+#define RT_NONE (-1)
+#define RT_MAX_EXCLUDED 4
+
+/** enum rt_state - what an upstream can take */
+enum rt_state {
+	RT_READY,
+	RT_COLD,     /* only under cold-start permits */
+	RT_DRAINING, /* no new work */
+	RT_DOWN,     /* no new work */
+};
+
+/**
+ * struct rt_stat - load of one upstream as this process sees it
+ * @refs: tables and calls that hold it
+ * @in_flight: own calls in flight
+ * @reported: last X-Load, requests in flight at the upstream
+ * @reported_us: when it came, boot-time microseconds
+ * @started_since: own calls started since then
+ * @latency_us: moving average of the time to the response head
+ * @fail_permille: moving average of failed calls
+ * @permits: own calls allowed in flight while the upstream is cold
+ */
+struct rt_stat {
+	_Atomic int32_t refs;
+	_Atomic int32_t in_flight;
+	_Atomic int32_t reported;
+	_Atomic int64_t reported_us;
+	_Atomic int32_t started_since;
+	_Atomic int64_t latency_us;
+	_Atomic int32_t fail_permille;
+	_Atomic int32_t permits;
+};
+
+/** struct rt_upstream - one upstream in a table; strings owned by the table */
+struct rt_upstream {
+	struct bstr id;
+	struct bstr addr;
+	struct bstr zone;
+	uint32_t version;
+	uint32_t slots;
+	enum rt_state state;
+	struct rt_stat *stat;
+};
+
+/** struct rt_version - name and share in permille */
+struct rt_version {
+	struct bstr name;
+	uint32_t share;
+};
+
+/** struct rt_route - longest prefix wins */
+struct rt_route {
+	struct bstr prefix;
+	bool idempotent;
+	uint32_t timeout_ms;
+};
+
+/** struct rt_service - one service; arrays owned by the table */
+struct rt_service {
+	struct bstr name;
+	struct bstr *hosts;
+	uint32_t n_hosts;
+	struct rt_route *routes;
+	uint32_t n_routes;
+	struct rt_version *versions;
+	uint32_t n_versions;
+	struct rt_upstream *upstreams;
+	uint32_t n_upstreams;
+	uint32_t slots;
+};
+
+struct rt_table;
+
+/** struct rt_desc - input of rt_table_new(); copied */
+struct rt_desc {
+	const struct rt_service *services;
+	uint32_t n_services;
+};
+
+/** struct rt_result - how a call to an upstream ended */
+struct rt_result {
+	int64_t latency_us;
+	bool failed;
+	int32_t reported; /* X-Load, -1 when absent */
+};
+
+/** struct rt_request - what the pick depends on */
+struct rt_request {
+	const struct rt_stat *excluded[RT_MAX_EXCLUDED]; /* already tried */
+	uint32_t n_excluded;
+};
+
+/** rt_stat_new() - zeroed statistics with one reference */
+struct rt_stat *rt_stat_new(void);
+
+/** rt_stat_ref() - take a reference; Return: @s */
+struct rt_stat *rt_stat_ref(struct rt_stat *s);
+
+/** rt_stat_unref() - drop a reference, free the last */
+void rt_stat_unref(struct rt_stat *s);
+
+/**
+ * rt_table_new() - deep copy of @desc; takes references on the statistics
+ */
+struct rt_table *rt_table_new(const struct rt_desc *desc);
+
+/** rt_table_free() - free; no reader may hold the table any more */
+void rt_table_free(struct rt_table *t);
+
+/** rt_services() - all services of the table and their number */
+const struct rt_service *rt_services(const struct rt_table *t, uint32_t *n);
+
+/** rt_find_host() - service of a Host value without port, or NULL */
+const struct rt_service *rt_find_host(
+    const struct rt_table *t, struct bstr host);
+
+/** rt_find_service() - service with this name, or NULL */
+const struct rt_service *rt_find_service(
+    const struct rt_table *t, struct bstr name);
+
+/** rt_find_route() - route with the longest matching prefix, or NULL */
+const struct rt_route *rt_find_route(
+    const struct rt_service *s, struct bstr path);
+
+/**
+ * rt_pick() - choose an upstream
+ * @s: service
+ * @req: upstreams to avoid
+ * @now_us: boot-time microseconds
+ * @rng: randomness
+ *
+ * Return: index into s->upstreams, or RT_NONE when none can take the call.
+ */
+int rt_pick(const struct rt_service *s, const struct rt_request *req,
+    int64_t now_us, struct rng *rng);
+
+/** rt_on_start() - a call to the upstream starts */
+void rt_on_start(struct rt_stat *s, int64_t now_us);
+
+/** rt_on_finish() - a call ended; learns load and latency from it */
+void rt_on_finish(
+    struct rt_stat *s, const struct rt_result *result, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/packages/sys/mq.c
@@ -0,0 +1,58 @@
+#include "sys/mq.h"
+
+#include <stdint.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+int
+mq_init(struct mq *q)
+{
+	cds_wfcq_init(&q->head, &q->tail);
+	q->fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+	return (q->fd < 0 ? -1 : 0);
+}
+
+void
+mq_finish(struct mq *q)
+{
+	cds_wfcq_destroy(&q->head, &q->tail);
+	close(q->fd);
+}
+
+void
+mq_push(struct mq *q, struct mq_msg *m)
+{
+	const uint64_t one = 1;
+
+	cds_wfcq_node_init(&m->node);
+	if (cds_wfcq_enqueue(&q->head, &q->tail, &m->node))
+		return; /* The queue was not empty: the event is pending. */
+	while (write(q->fd, &one, sizeof(one)) < 0)
+		continue;
+}
+
+struct mq_msg *
+mq_pop(struct mq *q)
+{
+	struct cds_wfcq_node *n =
+	    __cds_wfcq_dequeue_blocking(&q->head, &q->tail);
+
+	if (n == NULL)
+		return (NULL);
+	return (caa_container_of(n, struct mq_msg, node));
+}
+
+int
+mq_fd(const struct mq *q)
+{
+	return (q->fd);
+}
+
+void
+mq_clear_event(struct mq *q)
+{
+	uint64_t n;
+
+	if (read(q->fd, &n, sizeof(n)) < 0)
+		return;
+}
--- /dev/null
+++ b/tests/unit/test_base.c
@@ -0,0 +1,87 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "base/bstr.h"
+#include "base/err.h"
+#include "base/hist.h"
+#include "base/rng.h"
+
+/* Guards against accepting numbers with signs, spaces or overflow. */
+static void
+test_to_u64(void **state)
+{
+	uint64_t v;
+
+	(void)state;
+	assert_true(bstr_to_u64(BSTR("18446744073709551615"), &v));
+	assert_int_equal(v, UINT64_MAX);
+	assert_false(bstr_to_u64(BSTR("18446744073709551616"), &v));
+	assert_false(bstr_to_u64(BSTR("-1"), &v));
+	assert_false(bstr_to_u64(BSTR(" 1"), &v));
+	assert_false(bstr_to_u64(BSTR(""), &v));
+}
+
+/* Guards against a quantile that lies below the recorded value. */
+static void
+test_hist_bounds(void **state)
+{
+	static struct hist h;
+	struct rng r;
+
+	(void)state;
+	rng_init(&r, 1);
+	for (int i = 0; i < 1000; i++) {
+		uint64_t v = rng_next(&r) >> (24 + rng_below(&r, 39));
+		struct hist one = {0};
+
+		hist_add(&one, v);
+		assert_true(hist_quantile(&one, 0.5) >= v);
+		assert_true(hist_quantile(&one, 0.5) <= v + v / 16);
+		hist_merge(&h, &one);
+	}
+	assert_int_equal(hist_count(&h), 1000);
+}
+
+/* Guards against a kind without an answer or with a duplicate name. */
+static void
+test_err_table(void **state)
+{
+	(void)state;
+	for (int k = 0; k < ERR_KIND_COUNT; k++) {
+		const struct err_answer *a = err_answer((enum err_kind)k);
+
+		assert_non_null(a->name);
+		assert_in_range(a->status, 200, 599);
+		assert_int_equal(err_kind_from_name(a->name), k);
+	}
+}
+
+/* Guards against telling a keyed caller "not run" without the owner's word. */
+static void
+test_keyed_outcome(void **state)
+{
+	(void)state;
+	for (int k = 0; k < ERR_KIND_COUNT; k++) {
+		assert_int_not_equal(
+		    err_outcome((enum err_kind)k, true, false), ERR_NOT_RUN);
+	}
+	assert_int_equal(
+	    err_outcome(ERR_OVERLOADED, false, false), ERR_NOT_RUN);
+	assert_int_equal(err_outcome(ERR_REFUSED, true, true), ERR_NOT_RUN);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_to_u64),
+	    cmocka_unit_test(test_hist_bounds),
+	    cmocka_unit_test(test_err_table),
+	    cmocka_unit_test(test_keyed_outcome),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
