--- /dev/null
+++ b/packages/control/sth.c
@@ -0,0 +1,216 @@
+#include "control/sth.h"
+
+#include <poll.h>
+#include <pthread.h>
+#include <stdlib.h>
+
+#include "base/bstr.h"
+#include "platform/sto.h"
+#include "sys/clk.h"
+
+/* One call on its way to a store thread; becomes the result. */
+struct job {
+	struct sth_result r;
+	json_t *body;
+	uint64_t if_version;
+	int wait_ms;
+	bool quit;
+};
+
+/* One thread with its queue and its connection. */
+struct lane {
+	struct sth *s;
+	struct mq q;
+	struct sto sto;
+	pthread_t thread;
+};
+
+struct sth {
+	struct sth_desc desc;
+	struct lane calls;
+	struct lane watch;
+};
+
+static struct job *
+job_of(struct mq_msg *m)
+{
+	return (caa_container_of(m, struct job, r.m));
+}
+
+struct sth_result *
+sth_result_of(struct mq_msg *m)
+{
+	return (caa_container_of(m, struct sth_result, m));
+}
+
+void
+sth_result_free(struct sth_result *r)
+{
+	struct job *j = caa_container_of(r, struct job, r);
+
+	json_decref(r->value);
+	json_decref(j->body);
+	free(r->key);
+	free(j);
+}
+
+static void
+run_job(struct lane *l, struct job *j)
+{
+	struct sth_result *r = &j->r;
+	struct met *met = l->s->desc.met;
+	GError *error = NULL;
+
+	r->sent_ms = clk_mono_ms();
+	met_add(met, r->op == STH_PUT ? MET_STORE_WRITES : MET_STORE_READS, 1);
+	switch (r->op) {
+	case STH_GET:
+		r->value = sto_get(&l->sto, r->key, &r->version, &error);
+		break;
+	case STH_PUT:
+		sto_put(&l->sto, r->key, j->body, j->if_version, &r->version,
+		    &error);
+		break;
+	case STH_LIST:
+		r->value = sto_list(&l->sto, r->key, &error);
+		break;
+	case STH_WATCH:
+		r->value =
+		    sto_watch(&l->sto, r->key, r->version, j->wait_ms, &error);
+		break;
+	case STH_VMS:
+		r->value = sto_vms(&l->sto, &error);
+		break;
+	}
+	if (error == NULL)
+		return;
+	r->err = (enum err_kind)error->code;
+	if (r->err == ERR_STORE) {
+		met_add(met, MET_STORE_ERRORS, 1);
+		g_debug("store: %s", error->message);
+	}
+	g_error_free(error);
+}
+
+static void *
+run_lane(void *arg)
+{
+	struct lane *l = arg;
+	struct pollfd p = {.fd = mq_fd(&l->q), .events = POLLIN};
+	struct mq_msg *m;
+
+	for (;;) {
+		poll(&p, 1, -1);
+		mq_clear_event(&l->q);
+		while ((m = mq_pop(&l->q)) != NULL) {
+			struct job *j = job_of(m);
+
+			if (j->quit) {
+				sth_result_free(&j->r);
+				return (NULL);
+			}
+			run_job(l, j);
+			j->r.m.type = l->s->desc.msg_type;
+			mq_push(l->s->desc.control, &j->r.m);
+		}
+	}
+}
+
+static void
+start_lane(struct sth *s, struct lane *l)
+{
+	struct sto_desc desc = {.addr = s->desc.addr, .port = s->desc.port};
+
+	l->s = s;
+	if (mq_init(&l->q) != 0)
+		abort();
+	sto_init(&l->sto, &desc);
+	pthread_create(&l->thread, NULL, run_lane, l);
+}
+
+struct sth *
+sth_start(const struct sth_desc *desc)
+{
+	struct sth *s = calloc(1, sizeof(*s));
+
+	if (s == NULL)
+		abort();
+	s->desc = *desc;
+	start_lane(s, &s->calls);
+	start_lane(s, &s->watch);
+	return (s);
+}
+
+static struct job *
+job_new(enum sth_op op, const char *key, uint64_t tag)
+{
+	struct job *j = calloc(1, sizeof(*j));
+
+	if (j == NULL)
+		abort();
+	j->r.op = op;
+	j->r.key = bstr_dup(bstr_from(key));
+	j->r.tag = tag;
+	return (j);
+}
+
+static void
+stop_lane(struct lane *l)
+{
+	struct job *j = job_new(STH_GET, "", 0);
+
+	j->quit = true;
+	mq_push(&l->q, &j->r.m);
+	pthread_join(l->thread, NULL);
+	sto_finish(&l->sto);
+	mq_finish(&l->q);
+}
+
+void
+sth_stop(struct sth *s)
+{
+	stop_lane(&s->calls);
+	stop_lane(&s->watch);
+	free(s);
+}
+
+void
+sth_get(struct sth *s, const char *key, uint64_t tag)
+{
+	mq_push(&s->calls.q, &job_new(STH_GET, key, tag)->r.m);
+}
+
+void
+sth_put(struct sth *s, const char *key, json_t *value, uint64_t if_version,
+    uint64_t tag)
+{
+	struct job *j = job_new(STH_PUT, key, tag);
+
+	/* A copy: jansson's reference counts are not shared between threads. */
+	j->body = json_deep_copy(value);
+	j->if_version = if_version;
+	mq_push(&s->calls.q, &j->r.m);
+}
+
+void
+sth_list(struct sth *s, const char *prefix, uint64_t tag)
+{
+	mq_push(&s->calls.q, &job_new(STH_LIST, prefix, tag)->r.m);
+}
+
+void
+sth_vms(struct sth *s, uint64_t tag)
+{
+	mq_push(&s->calls.q, &job_new(STH_VMS, "", tag)->r.m);
+}
+
+void
+sth_watch(struct sth *s, const char *prefix, uint64_t since, int wait_ms,
+    uint64_t tag)
+{
+	struct job *j = job_new(STH_WATCH, prefix, tag);
+
+	j->r.version = since;
+	j->wait_ms = wait_ms;
+	mq_push(&s->watch.q, &j->r.m);
+}
