Choose upstreams by own load, reports and service time

Cause: the first pick read only the own calls in flight.

Ruled out: using X-Load as the load itself.

Change: a virtual-time model with a bench; the score is own calls in flight times a report factor that decays in four service times, times the square root of the service time without queueing, with a weight on failures; ejection at half of the calls failed; a limit on the load of an upstream.

--- /dev/null
+++ b/packages/control/pro.c
@@ -0,0 +1,228 @@
+#include "control/pro.h"
+
+#include <curl/curl.h>
+#include <jansson.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "sys/clk.h"
+
+#define DEFAULT_TIMEOUT_MS 500
+#define MAX_BODY 4096
+#define MAX_URL 96
+
+/* One probe; becomes its result. */
+struct probe {
+	struct pro_result r;
+	char url[MAX_URL];
+	struct bbuf body;
+	int64_t start_us;
+	bool quit;
+};
+
+struct pro {
+	struct pro_desc desc;
+	struct mq q;
+	CURLM *multi;
+	pthread_t thread;
+};
+
+struct pro_result *
+pro_result_of(struct mq_msg *m)
+{
+	return (caa_container_of(m, struct pro_result, m));
+}
+
+void
+pro_result_free(struct pro_result *r)
+{
+	struct probe *p = caa_container_of(r, struct probe, r);
+
+	free((char *)(uintptr_t)r->upstream.p);
+	bbuf_finish(&p->body);
+	free(p);
+}
+
+enum rt_state
+pro_state_from_name(struct bstr name)
+{
+	if (bstr_eq(name, BSTR("ready")))
+		return (RT_READY);
+	if (bstr_eq(name, BSTR("cold")))
+		return (RT_COLD);
+	if (bstr_eq(name, BSTR("draining")))
+		return (RT_DRAINING);
+	return (RT_DOWN);
+}
+
+static size_t
+on_body(char *data, size_t size, size_t n, void *arg)
+{
+	struct probe *p = arg;
+
+	if (p->body.n + size * n > MAX_BODY)
+		return (0);
+	bbuf_add(&p->body, (struct bstr){data, size * n});
+	return (size * n);
+}
+
+static size_t
+on_header(char *data, size_t size, size_t n, void *arg)
+{
+	static const struct bstr name = {"X-Load: ", 8};
+	struct probe *p = arg;
+	struct bstr line = {data, size * n};
+	uint64_t v;
+
+	if (line.n > name.n &&
+	    bstr_caseeq((struct bstr){line.p, name.n}, name)) {
+		line.p += name.n;
+		line.n -= name.n;
+		while (line.n > 0 && line.p[line.n - 1] < '0')
+			line.n--;
+		if (bstr_to_u64(line, &v) && v <= INT32_MAX)
+			p->r.load = (int32_t)v;
+	}
+	return (size * n);
+}
+
+static void
+start(struct pro *pro, struct probe *p)
+{
+	CURL *e = curl_easy_init();
+	long timeout = pro->desc.timeout_ms != 0 ? pro->desc.timeout_ms
+						 : DEFAULT_TIMEOUT_MS;
+
+	if (e == NULL)
+		abort();
+	p->start_us = clk_mono_us();
+	curl_easy_setopt(e, CURLOPT_URL, p->url);
+	curl_easy_setopt(e, CURLOPT_PROXY, "");
+	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, timeout);
+	curl_easy_setopt(e, CURLOPT_PRIVATE, p);
+	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(e, CURLOPT_WRITEDATA, p);
+	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(e, CURLOPT_HEADERDATA, p);
+	curl_multi_add_handle(pro->multi, e);
+}
+
+static void
+read_state(struct probe *p)
+{
+	json_t *v = json_loadb(p->body.p, p->body.n, 0, NULL);
+	const json_t *s = json_object_get(v, "state");
+
+	p->r.ok = json_is_string(s);
+	if (p->r.ok)
+		p->r.state =
+		    pro_state_from_name(bstr_from(json_string_value(s)));
+	json_decref(v);
+}
+
+static void
+finish(struct pro *pro, CURL *e, CURLcode rc)
+{
+	struct probe *p;
+	long status = 0;
+
+	curl_easy_getinfo(e, CURLINFO_PRIVATE, (char **)&p);
+	curl_easy_getinfo(e, CURLINFO_RESPONSE_CODE, &status);
+	p->r.latency_us = clk_mono_us() - p->start_us;
+	if (rc == CURLE_OK && status == 200 && p->body.n != 0)
+		read_state(p);
+	curl_multi_remove_handle(pro->multi, e);
+	curl_easy_cleanup(e);
+	p->r.m.type = pro->desc.msg_type;
+	mq_push(pro->desc.control, &p->r.m);
+}
+
+static bool
+take_jobs(struct pro *pro)
+{
+	struct mq_msg *m;
+
+	mq_clear_event(&pro->q);
+	while ((m = mq_pop(&pro->q)) != NULL) {
+		struct probe *p = caa_container_of(m, struct probe, r.m);
+
+		if (p->quit) {
+			pro_result_free(&p->r);
+			return (false);
+		}
+		start(pro, p);
+	}
+	return (true);
+}
+
+static void *
+run(void *arg)
+{
+	struct pro *pro = arg;
+	struct curl_waitfd w = {
+	    .fd = mq_fd(&pro->q), .events = CURL_WAIT_POLLIN};
+	int running, left;
+	CURLMsg *msg;
+
+	while (take_jobs(pro)) {
+		curl_multi_perform(pro->multi, &running);
+		while (
+		    (msg = curl_multi_info_read(pro->multi, &left)) != NULL) {
+			if (msg->msg == CURLMSG_DONE)
+				finish(pro, msg->easy_handle, msg->data.result);
+		}
+		curl_multi_poll(pro->multi, &w, 1, 1000, NULL);
+	}
+	return (NULL);
+}
+
+struct pro *
+pro_start(const struct pro_desc *desc)
+{
+	struct pro *p = calloc(1, sizeof(*p));
+
+	if (p == NULL || mq_init(&p->q) != 0)
+		abort();
+	p->desc = *desc;
+	p->multi = curl_multi_init();
+	pthread_create(&p->thread, NULL, run, p);
+	return (p);
+}
+
+static struct probe *
+probe_new(struct bstr upstream)
+{
+	struct probe *p = calloc(1, sizeof(*p));
+
+	if (p == NULL)
+		abort();
+	p->r.upstream = (struct bstr){bstr_dup(upstream), upstream.n};
+	p->r.state = RT_DOWN;
+	p->r.load = -1;
+	return (p);
+}
+
+void
+pro_stop(struct pro *p)
+{
+	struct probe *quit = probe_new(BSTR(""));
+
+	quit->quit = true;
+	mq_push(&p->q, &quit->r.m);
+	pthread_join(p->thread, NULL);
+	curl_multi_cleanup(p->multi);
+	mq_finish(&p->q);
+	free(p);
+}
+
+void
+pro_probe(struct pro *p, struct bstr upstream, struct bstr addr)
+{
+	struct probe *job = probe_new(upstream);
+
+	snprintf(
+	    job->url, sizeof(job->url), "http://%.*s/health", BSTR_ARG(addr));
+	mq_push(&p->q, &job->r.m);
+}
--- a/packages/front/call.h
+++ b/packages/front/call.h
@@ -50,6 +50,7 @@
  * @has_body: the request has a body
  * @suspended: the caller's connection is suspended
  * @upstream: chosen upstream statistics, a reference is held
+ * @slots: slots of that upstream
  * @service: name of the service, owned
  * @version: name of the version, owned
  * @attempts: attempts started
@@ -87,6 +88,7 @@
 	bool suspended;
 
 	struct rt_stat *upstream;
+	uint32_t slots;
 	struct rt_stat *excluded[RT_MAX_EXCLUDED];
 	uint32_t n_excluded;
 	struct bstr service;
--- a/packages/front/ups.c
+++ b/packages/front/ups.c
@@ -27,15 +27,16 @@
 	s = rt_find_service(env_table(wrk_env(c->w)), c->service);
 	if (s != NULL)
 		i = rt_pick(s, &req, now_us, wrk_rng(c->w));
-	if (i != RT_NONE) {
+	if (i >= 0) {
 		const struct rt_upstream *u = &s->upstreams[i];
 
 		c->upstream = rt_stat_ref(u->stat);
+		c->slots = u->slots;
 		free((char *)(uintptr_t)c->addr.p);
 		c->addr = (struct bstr){bstr_dup(u->addr), u->addr.n};
 	}
 	rcu_read_unlock();
-	return (i != RT_NONE);
+	return (i >= 0);
 }
 
 static void
@@ -47,7 +48,7 @@
 	    .reported = c->reported,
 	};
 
-	rt_on_finish(c->upstream, &result, clk_mono_us());
+	rt_on_finish(c->upstream, c->slots, &result, clk_mono_us());
 	if (failed && c->n_excluded < RT_MAX_EXCLUDED)
 		c->excluded[c->n_excluded++] = c->upstream;
 	else
--- /dev/null
+++ b/packages/model/mdl.c
@@ -0,0 +1,495 @@
+#include "model/mdl.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "base/rng.h"
+#include "route/rt.h"
+
+#define US_PER_S 1000000.0
+#define SHIFT_PERIOD_US 20000
+#define COLD_RAMP_US 10000000
+#define WARMUP_SHARE 5
+#define RETRY_US 2000
+#define MAX_PARK_US 50000
+
+/** enum event_kind - what happens at a point in time */
+enum event_kind {
+	EV_ARRIVE,
+	EV_REACH,
+	EV_SERVED,
+	EV_ANSWER,
+	EV_RETRY,
+	EV_SHIFT
+};
+
+/** struct job - one call */
+struct job {
+	int64_t start_us;
+	int64_t sent_us;
+	uint32_t vm;
+	int32_t up;
+	int32_t load;
+	bool failed;
+	bool measured;
+	struct job *next;
+};
+
+/** struct event - entry of the event heap */
+struct event {
+	int64_t at_us;
+	uint64_t order;
+	enum event_kind kind;
+	struct job *job;
+};
+
+/** struct server - one upstream */
+struct server {
+	uint32_t busy;
+	uint32_t in_flight;
+	struct job *head, **tail;
+	double speed;
+	bool faulty;
+	int64_t cold_since_us; /* -1 when not cold */
+};
+
+/** struct vm - one load balancer VM */
+struct vm {
+	struct rt_table *table;
+	struct rt_stat **stats;
+	uint32_t next;
+	struct rng rng;
+};
+
+struct mdl {
+	struct mdl_desc d;
+	struct rng rng;
+	int64_t now_us;
+	struct event *heap;
+	size_t n, cap;
+	uint64_t order;
+	struct server *servers;
+	struct vm *vms;
+	uint32_t arrivals;
+	uint32_t warmup;
+	uint64_t sent, sent_faulty;
+	int64_t first_us, last_us;
+	struct mdl_result *r;
+};
+
+static void *
+xcalloc(size_t n, size_t size)
+{
+	void *p = calloc(n, size);
+
+	if (p == NULL)
+		abort();
+	return (p);
+}
+
+static bool
+earlier(const struct event *a, const struct event *b)
+{
+	return (
+	    a->at_us != b->at_us ? a->at_us < b->at_us : a->order < b->order);
+}
+
+static void
+push(struct mdl *m, int64_t at_us, enum event_kind kind, struct job *job)
+{
+	size_t i;
+
+	if (m->n == m->cap) {
+		m->cap = m->cap == 0 ? 1024 : m->cap * 2;
+		m->heap = realloc(m->heap, m->cap * sizeof(*m->heap));
+		if (m->heap == NULL)
+			abort();
+	}
+	i = m->n++;
+	m->heap[i] = (struct event){at_us, m->order++, kind, job};
+	while (i > 0 && earlier(&m->heap[i], &m->heap[(i - 1) / 2])) {
+		struct event e = m->heap[i];
+
+		m->heap[i] = m->heap[(i - 1) / 2];
+		m->heap[(i - 1) / 2] = e;
+		i = (i - 1) / 2;
+	}
+}
+
+static struct event
+pop(struct mdl *m)
+{
+	struct event top = m->heap[0];
+	size_t i = 0;
+
+	m->heap[0] = m->heap[--m->n];
+	for (;;) {
+		size_t k = 2 * i + 1;
+		struct event e;
+
+		if (k >= m->n)
+			break;
+		if (k + 1 < m->n && earlier(&m->heap[k + 1], &m->heap[k]))
+			k++;
+		if (!earlier(&m->heap[k], &m->heap[i]))
+			break;
+		e = m->heap[i];
+		m->heap[i] = m->heap[k];
+		m->heap[k] = e;
+		i = k;
+	}
+	return (top);
+}
+
+static double
+exponential(struct rng *r, double mean)
+{
+	return (-mean * log(1.0 - rng_unit(r)));
+}
+
+static bool
+in_service(const struct mdl *m, uint32_t i)
+{
+	return (m->d.fault != MDL_ZONE_GONE || i % 3 != 0);
+}
+
+static uint32_t
+slots_now(const struct mdl *m, const struct server *s)
+{
+	int64_t age = m->now_us - s->cold_since_us;
+	uint32_t n;
+
+	if (s->cold_since_us < 0 || age >= COLD_RAMP_US)
+		return (m->d.slots);
+	n = 1 + (uint32_t)((int64_t)(m->d.slots - 1) * age / COLD_RAMP_US);
+	return (n);
+}
+
+static void
+setup_vm(struct mdl *m, struct vm *v, uint64_t seed)
+{
+	struct rt_upstream *ups = xcalloc(m->d.upstreams, sizeof(*ups));
+	struct rt_version version = {BSTR("v1"), 1000};
+	struct rt_service s = {.name = BSTR("s"),
+	    .versions = &version,
+	    .n_versions = 1,
+	    .upstreams = ups,
+	    .n_upstreams = m->d.upstreams,
+	    .slots = m->d.slots};
+	struct rt_desc desc = {&s, 1};
+
+	rng_init(&v->rng, seed);
+	v->stats = xcalloc(m->d.upstreams, sizeof(struct rt_stat *));
+	for (uint32_t i = 0; i < m->d.upstreams; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "u%u", i);
+		v->stats[i] = rt_stat_new();
+		ups[i].id = (struct bstr){bstr_dup(bstr_from(id)), strlen(id)};
+		ups[i].slots = m->d.slots;
+		ups[i].state = in_service(m, i) ? RT_READY : RT_DRAINING;
+		ups[i].stat = v->stats[i];
+	}
+	v->table = rt_table_new(&desc);
+	for (uint32_t i = 0; i < m->d.upstreams; i++)
+		free((char *)(uintptr_t)ups[i].id.p);
+	free(ups);
+	v->next = rng_below(&v->rng, m->d.upstreams);
+}
+
+static void
+setup(struct mdl *m)
+{
+	m->servers = xcalloc(m->d.upstreams, sizeof(*m->servers));
+	for (uint32_t i = 0; i < m->d.upstreams; i++) {
+		struct server *s = &m->servers[i];
+
+		s->tail = &s->head;
+		s->speed = 1;
+		s->cold_since_us = -1;
+		if (m->d.fault == MDL_COLD && i % 3 == 0) {
+			s->cold_since_us = 0;
+			s->faulty = true;
+		}
+	}
+	m->servers[0].faulty = true;
+	if (m->d.fault == MDL_SLOW)
+		m->servers[0].speed = 1.0 / m->d.slow_factor;
+	m->vms = xcalloc(m->d.vms, sizeof(*m->vms));
+	for (uint32_t i = 0; i < m->d.vms; i++)
+		setup_vm(m, &m->vms[i], m->d.seed * 1000 + i);
+}
+
+static int
+pick_random(struct mdl *m, struct vm *v)
+{
+	uint32_t i;
+
+	do {
+		i = rng_below(&v->rng, m->d.upstreams);
+	} while (!in_service(m, i));
+	return ((int)i);
+}
+
+static int
+pick(struct mdl *m, struct vm *v)
+{
+	static const struct rt_request none;
+	uint32_t n;
+	int a, b;
+
+	switch (m->d.policy) {
+	case MDL_RANDOM:
+		return (pick_random(m, v));
+	case MDL_ROUND_ROBIN:
+		do {
+			v->next = (v->next + 1) % m->d.upstreams;
+		} while (!in_service(m, v->next));
+		return ((int)v->next);
+	case MDL_TWO_CHOICES:
+		a = pick_random(m, v);
+		b = pick_random(m, v);
+		return (atomic_load(&v->stats[b]->in_flight) <
+			    atomic_load(&v->stats[a]->in_flight)
+			? b
+			: a);
+	default:
+		return (rt_pick(
+		    rt_services(v->table, &n), &none, m->now_us, &v->rng));
+	}
+}
+
+static void
+dispatch(struct mdl *m, struct job *j)
+{
+	struct vm *v = &m->vms[j->vm];
+	int i = pick(m, v);
+
+	if (i < 0) {
+		if (m->now_us - j->start_us < MAX_PARK_US) {
+			push(m, m->now_us + RETRY_US, EV_RETRY, j);
+			return;
+		}
+		m->r->refused += j->measured;
+		free(j);
+		return;
+	}
+	j->up = i;
+	j->sent_us = m->now_us;
+	rt_on_start(v->stats[i], m->now_us);
+	if (j->measured) {
+		m->sent++;
+		m->sent_faulty += m->servers[i].faulty;
+	}
+	push(m, m->now_us + m->d.one_way_us, EV_REACH, j);
+}
+
+static void
+on_arrive(struct mdl *m)
+{
+	double rate = m->d.load * m->d.upstreams * m->d.slots * US_PER_S /
+	    m->d.service_us;
+	struct job *j = xcalloc(1, sizeof(*j));
+
+	j->start_us = m->now_us;
+	j->vm = m->arrivals % m->d.vms;
+	j->measured = m->arrivals >= m->warmup;
+	if (m->arrivals == m->warmup)
+		m->first_us = m->now_us;
+	m->arrivals++;
+	m->last_us = m->now_us;
+	if (m->arrivals < m->warmup + m->d.calls)
+		push(m,
+		    m->now_us +
+			(int64_t)(exponential(&m->rng, US_PER_S / rate) + 0.5),
+		    EV_ARRIVE, NULL);
+	dispatch(m, j);
+}
+
+static void
+start_service(struct mdl *m, struct server *s, struct job *j)
+{
+	double t = exponential(&m->rng, m->d.service_us) / s->speed;
+
+	s->busy++;
+	push(m, m->now_us + (int64_t)t, EV_SERVED, j);
+}
+
+static void
+on_reach(struct mdl *m, struct job *j)
+{
+	struct server *s = &m->servers[j->up];
+
+	if (m->d.fault == MDL_FAIL_FAST && j->up == 0) {
+		j->failed = true;
+		j->load = 0;
+		push(m, m->now_us + m->d.one_way_us, EV_ANSWER, j);
+		return;
+	}
+	s->in_flight++;
+	if (s->cold_since_us >= 0 && s->in_flight > 2 * slots_now(m, s) &&
+	    slots_now(m, s) < m->d.slots)
+		m->r->cold_overload += j->measured;
+	if (s->busy < slots_now(m, s)) {
+		start_service(m, s, j);
+		return;
+	}
+	j->next = NULL;
+	*s->tail = j;
+	s->tail = &j->next;
+}
+
+static void
+on_served(struct mdl *m, struct job *j)
+{
+	struct server *s = &m->servers[j->up];
+
+	s->busy--;
+	s->in_flight--;
+	j->load = (int32_t)s->in_flight;
+	push(m, m->now_us + m->d.one_way_us, EV_ANSWER, j);
+	while (s->head != NULL && s->busy < slots_now(m, s)) {
+		struct job *next = s->head;
+
+		s->head = next->next;
+		if (s->head == NULL)
+			s->tail = &s->head;
+		start_service(m, s, next);
+	}
+}
+
+static void
+on_answer(struct mdl *m, struct job *j)
+{
+	struct rt_result result = {
+	    .latency_us = m->now_us - j->sent_us,
+	    .failed = j->failed,
+	    .reported = j->load,
+	};
+	int64_t t = m->now_us - j->start_us;
+
+	rt_on_finish(
+	    m->vms[j->vm].stats[j->up], m->d.slots, &result, m->now_us);
+	if (j->measured && j->failed) {
+		m->r->failed++;
+	} else if (j->measured && t > m->d.deadline_us) {
+		m->r->late++;
+		hist_add(&m->r->latency, (uint64_t)t);
+	} else if (j->measured) {
+		m->r->good++;
+		hist_add(&m->r->latency, (uint64_t)t);
+	}
+	free(j);
+}
+
+static void
+on_shift(struct mdl *m)
+{
+	for (uint32_t i = 0; i < m->d.upstreams; i++)
+		m->servers[i].speed = 0.5 + rng_unit(&m->rng);
+	if (m->n > 0)
+		push(m, m->now_us + SHIFT_PERIOD_US, EV_SHIFT, NULL);
+}
+
+static void
+set_defaults(struct mdl_desc *d)
+{
+#define DEF(field, value) d->field = d->field == 0 ? (value) : d->field
+	DEF(load, 0.85);
+	DEF(vms, 13);
+	DEF(upstreams, 20);
+	DEF(slots, 6);
+	DEF(service_us, 5000);
+	DEF(one_way_us, 700);
+	DEF(slow_factor, 5);
+	DEF(calls, 200000);
+	DEF(deadline_us, 1000000);
+	DEF(seed, 1);
+#undef DEF
+}
+
+static void
+run_event(struct mdl *m, const struct event *e)
+{
+	switch (e->kind) {
+	case EV_ARRIVE:
+		on_arrive(m);
+		break;
+	case EV_REACH:
+		on_reach(m, e->job);
+		break;
+	case EV_SERVED:
+		on_served(m, e->job);
+		break;
+	case EV_ANSWER:
+		on_answer(m, e->job);
+		break;
+	case EV_RETRY:
+		dispatch(m, e->job);
+		break;
+	case EV_SHIFT:
+		on_shift(m);
+		break;
+	}
+}
+
+static void
+teardown(struct mdl *m)
+{
+	for (uint32_t i = 0; i < m->d.vms; i++) {
+		rt_table_free(m->vms[i].table);
+		for (uint32_t k = 0; k < m->d.upstreams; k++)
+			rt_stat_unref(m->vms[i].stats[k]);
+		free(m->vms[i].stats);
+	}
+	free(m->vms);
+	free(m->servers);
+	free(m->heap);
+}
+
+void
+mdl_run(const struct mdl_desc *desc, struct mdl_result *result)
+{
+	struct mdl m = {.d = *desc, .r = result};
+	double capacity;
+
+	*result = (struct mdl_result){0};
+	set_defaults(&m.d);
+	rng_init(&m.rng, m.d.seed);
+	m.warmup = m.d.calls / WARMUP_SHARE;
+	setup(&m);
+	push(&m, 0, EV_ARRIVE, NULL);
+	if (m.d.fault == MDL_SHIFT)
+		push(&m, 0, EV_SHIFT, NULL);
+	while (m.n > 0) {
+		struct event e = pop(&m);
+
+		m.now_us = e.at_us;
+		run_event(&m, &e);
+	}
+	capacity = m.d.upstreams * m.d.slots * US_PER_S / m.d.service_us;
+	result->goodput = (double)result->good /
+	    ((double)(m.last_us - m.first_us) / US_PER_S) / capacity;
+	result->faulty_share =
+	    m.sent == 0 ? 0 : (double)m.sent_faulty / (double)m.sent;
+	teardown(&m);
+}
+
+const char *
+mdl_policy_name(enum mdl_policy p)
+{
+	static const char *const names[] = {
+	    "product", "random", "round-robin", "two-choices"};
+
+	return (names[p]);
+}
+
+const char *
+mdl_fault_name(enum mdl_fault f)
+{
+	static const char *const names[] = {
+	    "none", "slow", "fail-fast", "zone-gone", "cold", "shift"};
+
+	return (names[f]);
+}
--- /dev/null
+++ b/packages/route/lim.c
@@ -0,0 +1,35 @@
+#include "route/lim.h"
+
+#include "route/rt.h"
+
+/*
+ * Requests in flight per slot at which an upstream counts as full. A queue of
+ * one and a half times the slots keeps all slots busy between two reports.
+ */
+#define FULL_NUM 5
+#define FULL_DEN 2
+/* A report counts this many service times; calls move the load that fast. */
+#define REPORT_FRESH_SERVICES 20
+#define REPORT_FRESH_MIN_US 20000
+
+bool
+lim_is_full(const struct rt_stat *s, uint32_t slots, int64_t now_us)
+{
+	int64_t limit = (int64_t)slots * FULL_NUM / FULL_DEN;
+	int32_t own = atomic_load_explicit(&s->in_flight, memory_order_relaxed);
+	int32_t load = atomic_load_explicit(&s->reported, memory_order_relaxed);
+	int64_t at =
+	    atomic_load_explicit(&s->reported_us, memory_order_relaxed);
+
+	int64_t fresh = REPORT_FRESH_SERVICES *
+	    atomic_load_explicit(&s->service_us, memory_order_relaxed);
+
+	if (fresh < REPORT_FRESH_MIN_US)
+		fresh = REPORT_FRESH_MIN_US;
+	if (own >= limit)
+		return (true);
+	if (load < 0 || now_us - at > fresh)
+		return (false);
+	load += atomic_load_explicit(&s->started_since, memory_order_relaxed);
+	return (load >= limit);
+}
--- a/packages/route/rt.c
+++ b/packages/route/rt.c
@@ -1,10 +1,34 @@
 #include "route/rt.h"
 
+#include <math.h>
 #include <stdlib.h>
 
-#define LATENCY_SHIFT 3
+#include "route/lim.h"
+
+#define SERVICE_SHIFT 4
 #define FAIL_SHIFT 4
 #define PERMILLE 1000
+#define MIN_SERVICE_US 100.0
+
+/* Above this number of upstreams a pick samples instead of reading all. */
+#define SCAN_ALL 32
+#define SAMPLES 16
+
+/* Weight of a reported load falls by e in this many service times. */
+#define REPORT_DECAY_SERVICES 4.0
+/* A call to an upstream whose calls all fail scores this many calls more. */
+#define FAIL_WEIGHT 20.0
+/*
+ * What is known of a slow or failing upstream counts half after this time
+ * without a call, so that a recovered one is tried again.
+ */
+#define FORGET_US 1000000.0
+/*
+ * An upstream that fails this share of its calls gets one call at a time, and
+ * the next only after the pause.
+ */
+#define EJECT_PERMILLE 500
+#define EJECT_PAUSE_US 200000
 
 /**
  * struct rt_table - services with one pool for all strings
@@ -193,42 +217,134 @@
 	return (0);
 }
 
+static bool
+ejected(const struct rt_stat *s, int64_t now_us)
+{
+	if (atomic_load(&s->fail_permille) < EJECT_PERMILLE)
+		return (false);
+	return (atomic_load(&s->in_flight) > 0 ||
+	    now_us - atomic_load(&s->updated_us) < EJECT_PAUSE_US);
+}
+
 static bool
 eligible(const struct rt_upstream *u, const struct rt_request *req)
 {
+	const struct rt_stat *s = u->stat;
+
+	if (u->state == RT_COLD)
+		return (atomic_load(&s->in_flight) < atomic_load(&s->permits));
 	if (u->state != RT_READY)
 		return (false);
 	for (uint32_t i = 0; i < req->n_excluded; i++) {
-		if (req->excluded[i] == u->stat)
+		if (req->excluded[i] == s)
 			return (false);
 	}
 	return (true);
 }
 
-int
-rt_pick(const struct rt_service *s, const struct rt_request *req,
-    int64_t now_us, struct rng *rng)
+/*
+ * Expected cost of one more call. Own calls in flight are exact and come first.
+ * A load report is older than the load it shows and every VM sees much the same
+ * one, so it only scales the score. The square root of the service time keeps
+ * small differences between equal upstreams from attracting all calls.
+ */
+static double
+score(const struct rt_upstream *u, int64_t now_us)
 {
-	uint32_t version = draw_version(s, rng);
-	uint32_t start = rng_below(rng, s->n_upstreams);
-	int best = RT_NONE;
-	int32_t best_load = 0;
+	struct rt_stat *s = u->stat;
+	int32_t reported = atomic_load(&s->reported);
+	double age = (double)(now_us - atomic_load(&s->reported_us));
+	double idle = (double)(now_us - atomic_load(&s->updated_us));
+	double known = exp2(-idle / FORGET_US);
+	double service = (double)atomic_load(&s->service_us);
+	double fail = atomic_load(&s->fail_permille) * known / PERMILLE;
+	double x = atomic_load(&s->in_flight) + 1;
+
+	if (service < MIN_SERVICE_US)
+		service = MIN_SERVICE_US;
+	if (reported > 0)
+		x *= 1 +
+		    exp(-age / (REPORT_DECAY_SERVICES * service)) * reported /
+			u->slots;
+	x *= sqrt(fmax(service * known, MIN_SERVICE_US));
+	return (x * (1 + FAIL_WEIGHT * fail));
+}
 
-	(void)now_us;
-	for (uint32_t k = 0; k < s->n_upstreams; k++) {
-		uint32_t i = (start + k) % s->n_upstreams;
+/* Best candidate so far. */
+struct choice {
+	int best;
+	double score;
+};
+
+static void
+consider(
+    struct choice *c, const struct rt_service *s, uint32_t i, int64_t now_us)
+{
+	const struct rt_upstream *u = &s->upstreams[i];
+	double x;
+
+	if (lim_is_full(u->stat, u->slots, now_us)) {
+		if (c->best == RT_NONE)
+			c->best = RT_FULL;
+		return;
+	}
+	x = score(u, now_us);
+	if (c->best < 0 || x < c->score) {
+		c->best = (int)i;
+		c->score = x;
+	}
+}
+
+static int
+pick_version(const struct rt_service *s, uint32_t version,
+    const struct rt_request *req, bool all, int64_t now_us, struct rng *rng)
+{
+	struct choice c = {.best = RT_NONE};
+	uint32_t n = s->n_upstreams;
+	uint32_t start = rng_below(rng, n);
+	uint32_t want = n > SCAN_ALL ? SAMPLES : n;
+	/* An odd step that shares no factor with n visits each index once. */
+	uint32_t step = 1 + rng_below(rng, n == 0 ? 1 : n);
+	uint32_t a = n, b = step;
+
+	while (b != 0) {
+		uint32_t r = a % b;
+
+		a = b;
+		b = r;
+	}
+	if (a != 1)
+		step = 1;
+	for (uint32_t k = 0, i = start; k < n && want > 0; k++) {
 		const struct rt_upstream *u = &s->upstreams[i];
-		int32_t load;
 
+		i = (i + step) % n;
 		if (u->version != version || !eligible(u, req))
 			continue;
-		load = atomic_load(&u->stat->in_flight);
-		if (best == RT_NONE || load < best_load) {
-			best = (int)i;
-			best_load = load;
-		}
+		if (!all && ejected(u->stat, now_us))
+			continue;
+		consider(&c, s, (uint32_t)(u - s->upstreams), now_us);
+		want -= c.best != RT_FULL;
 	}
-	return (best);
+	return (c.best);
+}
+
+int
+rt_pick(const struct rt_service *s, const struct rt_request *req,
+    int64_t now_us, struct rng *rng)
+{
+	uint32_t version = draw_version(s, rng);
+	int i = pick_version(s, version, req, false, now_us, rng);
+
+	/* A version without a usable upstream must not fail its share. */
+	for (uint32_t v = 0; i == RT_NONE && v < s->n_versions; v++) {
+		if (v != version && s->versions[v].share > 0)
+			i = pick_version(s, v, req, false, now_us, rng);
+	}
+	/* When all are ejected the fault is likely elsewhere: use them all. */
+	if (i == RT_NONE)
+		i = pick_version(s, version, req, true, now_us, rng);
+	return (i);
 }
 
 void
@@ -239,10 +355,25 @@
 	atomic_fetch_add(&s->started_since, 1);
 }
 
+/*
+ * Service time without queueing: the upstream worked on its whole load with all
+ * slots, so a call that met a queue took that much longer.
+ */
+static int64_t
+service_time(const struct rt_result *r, uint32_t slots)
+{
+	int64_t load = (int64_t)r->reported + 1;
+
+	if (load <= (int64_t)slots)
+		return (r->latency_us);
+	return (r->latency_us * (int64_t)slots / load);
+}
+
 void
-rt_on_finish(struct rt_stat *s, const struct rt_result *result, int64_t now_us)
+rt_on_finish(struct rt_stat *s, uint32_t slots, const struct rt_result *result,
+    int64_t now_us)
 {
-	int64_t lat = atomic_load(&s->latency_us);
+	int64_t service = atomic_load(&s->service_us);
 	int32_t fail = atomic_load(&s->fail_permille);
 	int32_t sample = result->failed ? PERMILLE : 0;
 
@@ -252,8 +383,9 @@
 		atomic_store(&s->reported_us, now_us);
 		atomic_store(&s->started_since, 0);
 	}
-	lat += (result->latency_us - lat) >> LATENCY_SHIFT;
-	atomic_store(&s->latency_us, lat);
+	service += (service_time(result, slots) - service) >> SERVICE_SHIFT;
+	atomic_store(&s->service_us, service);
 	fail += (sample - fail) / (1 << FAIL_SHIFT);
 	atomic_store(&s->fail_permille, fail);
+	atomic_store(&s->updated_us, now_us);
 }
--- a/packages/route/rt.h
+++ b/packages/route/rt.h
@@ -23,7 +23,8 @@
 #include "base/bstr.h"
 #include "base/rng.h"
 
-#define RT_NONE (-1)
+#define RT_NONE (-1) /* no upstream may take the call */
+#define RT_FULL (-2) /* all upstreams that may take it are at their limit */
 #define RT_MAX_EXCLUDED 4
 
 /** enum rt_state - what an upstream can take */
@@ -41,7 +42,8 @@
  * @reported: last X-Load, requests in flight at the upstream
  * @reported_us: when it came, boot-time microseconds
  * @started_since: own calls started since then
- * @latency_us: moving average of the time to the response head
+ * @service_us: moving average of the service time without queueing
+ * @updated_us: when a call last finished
  * @fail_permille: moving average of failed calls
  * @permits: own calls allowed in flight while the upstream is cold
  */
@@ -51,7 +53,8 @@
 	_Atomic int32_t reported;
 	_Atomic int64_t reported_us;
 	_Atomic int32_t started_since;
-	_Atomic int64_t latency_us;
+	_Atomic int64_t service_us;
+	_Atomic int64_t updated_us;
 	_Atomic int32_t fail_permille;
 	_Atomic int32_t permits;
 };
@@ -154,7 +157,7 @@
  * @now_us: boot-time microseconds
  * @rng: randomness
  *
- * Return: index into s->upstreams, or RT_NONE when none can take the call.
+ * Return: index into s->upstreams, RT_FULL or RT_NONE.
  */
 int rt_pick(const struct rt_service *s, const struct rt_request *req,
     int64_t now_us, struct rng *rng);
@@ -162,8 +165,11 @@
 /** rt_on_start() - a call to the upstream starts */
 void rt_on_start(struct rt_stat *s, int64_t now_us);
 
-/** rt_on_finish() - a call ended; learns load and latency from it */
-void rt_on_finish(
-    struct rt_stat *s, const struct rt_result *result, int64_t now_us);
+/**
+ * rt_on_finish() - a call ended; learns load and service time from it
+ * @slots: slots of the upstream
+ */
+void rt_on_finish(struct rt_stat *s, uint32_t slots,
+    const struct rt_result *result, int64_t now_us);
 
 #endif
--- /dev/null
+++ b/tests/unit/test_mdl.c
@@ -0,0 +1,127 @@
+/*
+ * Goals of the upstream selection in the virtual-time model. Every run is a
+ * function of its seed.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <cmocka.h>
+
+#include "model/mdl.h"
+
+#define CALLS 60000
+#define SEEDS 3
+
+static struct mdl_result results[MDL_POLICY_COUNT];
+
+static void
+run_all(enum mdl_fault fault, double load, uint64_t seed)
+{
+	for (int p = 0; p < MDL_POLICY_COUNT; p++) {
+		struct mdl_desc d = {.policy = (enum mdl_policy)p,
+		    .fault = fault,
+		    .load = load,
+		    .calls = CALLS,
+		    .seed = seed};
+
+		mdl_run(&d, &results[p]);
+	}
+	printf("seed %llu fault %s load %.2f\n", (unsigned long long)seed,
+	    mdl_fault_name(fault), load);
+}
+
+static uint64_t
+p99(enum mdl_policy p)
+{
+	return (hist_quantile(&results[p].latency, 0.99));
+}
+
+static uint64_t
+best_baseline_p99(void)
+{
+	uint64_t best = p99(MDL_RANDOM);
+
+	if (p99(MDL_ROUND_ROBIN) < best)
+		best = p99(MDL_ROUND_ROBIN);
+	if (p99(MDL_TWO_CHOICES) < best)
+		best = p99(MDL_TWO_CHOICES);
+	return (best);
+}
+
+/* Guards against a slow upstream that dominates the tail at 85% load. */
+static void
+test_slow_upstream(void **state)
+{
+	(void)state;
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		run_all(MDL_SLOW, 0.85, seed);
+		assert_true(p99(MDL_PRODUCT) * 2 <= best_baseline_p99());
+		assert_true(results[MDL_PRODUCT].goodput >= 0.84);
+	}
+}
+
+/* Guards against congestion collapse at 150% offered load. */
+static void
+test_overload_goodput(void **state)
+{
+	(void)state;
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		run_all(MDL_NO_FAULT, 1.5, seed);
+		assert_true(results[MDL_PRODUCT].goodput >= 0.95);
+	}
+}
+
+/* Guards against an upstream that attracts calls by failing them fast. */
+static void
+test_fail_fast_attracts_nothing(void **state)
+{
+	(void)state;
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		run_all(MDL_FAIL_FAST, 0.85, seed);
+		assert_true(results[MDL_PRODUCT].faulty_share < 0.01);
+		run_all(MDL_FAIL_FAST, 1.5, seed);
+		assert_true(results[MDL_PRODUCT].faulty_share < 0.02);
+	}
+}
+
+/* Guards against herding: equal VMs that read the same reports. */
+static void
+test_no_herd(void **state)
+{
+	(void)state;
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		run_all(MDL_NO_FAULT, 0.85, seed);
+		assert_true(p99(MDL_PRODUCT) <= best_baseline_p99());
+		run_all(MDL_SHIFT, 0.85, seed);
+		assert_true(p99(MDL_PRODUCT) <= best_baseline_p99());
+	}
+}
+
+/* Guards against a run that depends on anything but its seed. */
+static void
+test_replays(void **state)
+{
+	struct mdl_desc d = {.fault = MDL_SHIFT, .calls = 5000, .seed = 7};
+	static struct mdl_result a, b;
+
+	(void)state;
+	mdl_run(&d, &a);
+	mdl_run(&d, &b);
+	assert_memory_equal(&a, &b, sizeof(a));
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_slow_upstream),
+	    cmocka_unit_test(test_overload_goodput),
+	    cmocka_unit_test(test_fail_fast_attracts_nothing),
+	    cmocka_unit_test(test_no_herd),
+	    cmocka_unit_test(test_replays),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
