Add frames and connections between processes

The control thread needs messages to other processes of the daemon. frm frames and checks them, lnk keeps one connection for each known address over epoll, with bounded queues and an allow list.

Closing a duplicate connection at once was ruled out, because messages already on it would be lost; the side that gives way keeps reading for one second. on_drop names type and receiver of each message that did not fit into a send queue.

--- a/packages/peer/pmsg.h
+++ b/packages/peer/pmsg.h
@@ -8,6 +8,9 @@
 #ifndef PEER_PMSG_H
 #define PEER_PMSG_H
 
+#include <stdbool.h>
+#include <stdint.h>
+
 #define PMSG_PROTOCOL 1
 
 /** enum pmsg_type - message types; the numbers are part of the protocol */
@@ -33,4 +36,7 @@
 	PMSG_TYPE_MAX = 63
 };
 
+/** pmsg_known() - whether @type is a message type of this version */
+bool pmsg_known(uint64_t type);
+
 #endif
--- /dev/null
+++ b/tests/unit/test_lnk.c
@@ -0,0 +1,321 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <arpa/inet.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "peer/frm.h"
+#include "peer/lnk.h"
+#include "sys/clk.h"
+
+/* Limit for each wait; only a hang reaches it. */
+#define WAIT_ROUNDS 20000
+#define MAX_NODES 3
+
+struct node {
+	struct lnk l;
+	struct vmid id;
+	uint32_t ups;
+	uint32_t downs;
+	uint32_t messages;
+	uint32_t drops;
+	size_t last_n;
+};
+
+static void
+on_message(
+    void *arg, enum pmsg_type type, const struct vmid *from, struct bstr body)
+{
+	struct node *n = arg;
+
+	assert_int_equal(type, PMSG_GOSSIP);
+	assert_false(vmid_eq(from, &n->id));
+	n->messages++;
+	n->last_n = body.n;
+}
+
+static void
+on_up(void *arg, const struct vmid *id)
+{
+	struct node *n = arg;
+
+	(void)id;
+	n->ups++;
+}
+
+static void
+on_down(void *arg, const struct vmid *id)
+{
+	struct node *n = arg;
+
+	(void)id;
+	n->downs++;
+}
+
+static void
+on_drop(void *arg, enum pmsg_type type, const struct vmid *to)
+{
+	struct node *n = arg;
+
+	(void)to;
+	assert_int_equal(type, PMSG_GOSSIP);
+	n->drops++;
+}
+
+static const struct lnk_ops ops = {on_message, on_up, on_down, on_drop};
+
+static void
+start(struct node *n, const char *id, const char *listen)
+{
+	*n = (struct node){.id = vmid_from(bstr_from(id))};
+	assert_int_equal(lnk_init(&n->l,
+			     &(struct lnk_desc){.listen = listen,
+				 .self = n->id,
+				 .ops = &ops,
+				 .arg = n,
+				 .queue_bytes = 100000}),
+	    0);
+}
+
+static void
+run_all(struct node *nodes, int count, int64_t now_ms)
+{
+	struct pollfd fds[MAX_NODES];
+
+	for (int i = 0; i < count; i++) {
+		fds[i] = (struct pollfd){lnk_fd(&nodes[i].l), POLLIN, 0};
+	}
+	poll(fds, (nfds_t)count, 1);
+	for (int i = 0; i < count; i++)
+		lnk_run(&nodes[i].l, now_ms);
+}
+
+/* Runs with virtual time until @cond holds. */
+#define RUN_UNTIL(nodes, count, now, cond)                                     \
+	do {                                                                   \
+		int rounds_ = 0;                                               \
+		while (!(cond) && rounds_++ < WAIT_ROUNDS)                     \
+			run_all(nodes, count, (now)++);                        \
+		assert_true(cond);                                             \
+	} while (0)
+
+/* Guards against lost messages, double "up" events and double connections. */
+static void
+test_pair(void **state)
+{
+	struct node n[2];
+	int64_t now = 1;
+
+	(void)state;
+	start(&n[0], "a@1", "127.0.0.1:0");
+	start(&n[1], "b@1", "127.0.0.1:0");
+	assert_true(lnk_add_peer(&n[0].l, lnk_addr(&n[1].l)));
+	assert_true(lnk_add_peer(&n[1].l, lnk_addr(&n[0].l)));
+	assert_false(lnk_add_peer(&n[0].l, lnk_addr(&n[0].l)));
+	assert_false(lnk_add_peer(&n[0].l, BSTR("nowhere")));
+	RUN_UNTIL(n, 2, now, n[0].ups == 1 && n[1].ups == 1);
+	assert_true(lnk_send(&n[0].l, &n[1].id, PMSG_GOSSIP, BSTR("to b")));
+	assert_int_equal(lnk_broadcast(&n[1].l, PMSG_GOSSIP, BSTR("all")), 1);
+	assert_true(lnk_send_addr(
+	    &n[1].l, lnk_addr(&n[0].l), PMSG_GOSSIP, BSTR("to a")));
+	RUN_UNTIL(n, 2, now, n[0].messages == 2 && n[1].messages == 1);
+	/* Long after the duplicate was closed the pair is still connected. */
+	for (int i = 0; i < 100; i++)
+		run_all(n, 2, now += LNK_DUPLICATE_LINGER_MS / 10);
+	assert_int_equal(n[0].l.conns->len, 1);
+	assert_int_equal(n[1].l.conns->len, 1);
+	assert_int_equal(n[0].downs + n[1].downs, 0);
+	assert_true(lnk_stats(&n[1].l)->connects <= 1);
+	assert_true(lnk_send(&n[0].l, &n[1].id, PMSG_GOSSIP, BSTR("b")));
+	assert_true(lnk_send(&n[1].l, &n[0].id, PMSG_GOSSIP, BSTR("a")));
+	RUN_UNTIL(n, 2, now, n[0].messages == 3 && n[1].messages == 2);
+	assert_true(lnk_stats(&n[0].l)->bytes_in > 0);
+	lnk_finish(&n[0].l);
+	lnk_finish(&n[1].l);
+}
+
+/* Guards against connecting again and again when the address comes late. */
+static void
+test_add_after_incoming(void **state)
+{
+	struct node n[2];
+	int64_t now = 1;
+
+	(void)state;
+	start(&n[0], "a@1", "127.0.0.1:0");
+	start(&n[1], "b@1", "127.0.0.1:0");
+	lnk_add_peer(&n[0].l, lnk_addr(&n[1].l));
+	RUN_UNTIL(n, 2, now, n[0].ups == 1 && n[1].ups == 1);
+	lnk_add_peer(&n[1].l, lnk_addr(&n[0].l));
+	for (int i = 0; i < 100; i++)
+		run_all(n, 2, now += LNK_DUPLICATE_LINGER_MS / 10);
+	assert_int_equal(lnk_stats(&n[1].l)->connects, 0);
+	lnk_finish(&n[0].l);
+	lnk_finish(&n[1].l);
+}
+
+/* Guards against a restarted peer that is not found again. */
+static void
+test_restart(void **state)
+{
+	struct node n[2];
+	char addr[LNK_ADDR_MAX + 1];
+	int64_t now = 1;
+
+	(void)state;
+	start(&n[0], "a@1", "127.0.0.1:0");
+	start(&n[1], "b@1", "127.0.0.1:0");
+	snprintf(addr, sizeof(addr), "%.*s", BSTR_ARG(lnk_addr(&n[1].l)));
+	lnk_add_peer(&n[0].l, bstr_from(addr));
+	RUN_UNTIL(n, 2, now, n[0].ups == 1 && n[1].ups == 1);
+	lnk_finish(&n[1].l);
+	RUN_UNTIL(n, 1, now, n[0].downs == 1);
+	start(&n[1], "b@2", addr);
+	RUN_UNTIL(n, 2, now, n[0].ups == 2);
+	assert_true(lnk_is_up(&n[0].l, &n[1].id));
+	lnk_remove_peer(&n[0].l, bstr_from(addr));
+	RUN_UNTIL(n, 2, now, n[0].downs == 2 && n[1].downs == 1);
+	lnk_finish(&n[0].l);
+	lnk_finish(&n[1].l);
+}
+
+static int
+raw_connect(const struct node *n)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET};
+	struct bstr a = lnk_addr(&n->l);
+	const char *colon = memchr(a.p, ':', a.n);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	sin.sin_port = htons((uint16_t)atoi(colon + 1));
+	assert_int_equal(connect(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	return (fd);
+}
+
+static void
+raw_send(int fd, enum pmsg_type type, const char *id)
+{
+	struct vmid from = vmid_from(bstr_from(id));
+	struct bbuf b;
+
+	bbuf_init(&b);
+	frm_encode(&b, type, &from, BSTR("127.0.0.1:1"));
+	assert_int_equal(send(fd, b.p, b.n, MSG_NOSIGNAL), b.n);
+	bbuf_finish(&b);
+}
+
+/* Guards against strangers, impostors and garbage that stay connected. */
+static void
+test_bad_peers(void **state)
+{
+	struct node n;
+	int64_t now = 1;
+	int fd;
+
+	(void)state;
+	start(&n, "a@1", "127.0.0.1:0");
+	fd = raw_connect(&n);
+	raw_send(fd, PMSG_GOSSIP, "x@1"); /* before HELLO */
+	RUN_UNTIL(&n, 1, now, lnk_stats(&n.l)->bad == 1);
+	close(fd);
+	fd = raw_connect(&n);
+	raw_send(fd, PMSG_HELLO, "a@1"); /* our own identity */
+	RUN_UNTIL(&n, 1, now, lnk_stats(&n.l)->bad == 2);
+	close(fd);
+	fd = raw_connect(&n);
+	assert_int_equal(send(fd, "GET / HTTP/1.1\r\n", 16, 0), 16);
+	RUN_UNTIL(&n, 1, now, lnk_stats(&n.l)->bad == 3);
+	close(fd);
+	fd = raw_connect(&n); /* silent until the HELLO deadline */
+	RUN_UNTIL(&n, 1, now, n.l.conns->len == 1);
+	now += 3000;
+	RUN_UNTIL(&n, 1, now, n.l.conns->len == 0);
+	close(fd);
+	fd = raw_connect(&n);
+	raw_send(fd, PMSG_HELLO, "x@1");
+	raw_send(fd, PMSG_GOSSIP, "y@1"); /* another sender than in HELLO */
+	RUN_UNTIL(&n, 1, now, lnk_stats(&n.l)->bad == 4);
+	assert_int_equal(n.ups, 1);
+	assert_int_equal(n.downs, 1);
+	assert_int_equal(n.messages, 0);
+	close(fd);
+	lnk_finish(&n.l);
+}
+
+/* Guards against an address outside the allow list that gets in. */
+static void
+test_allow_list(void **state)
+{
+	const char *allow[] = {"127.0.0.9"};
+	struct node n = {.id = vmid_from(BSTR("a@1"))};
+	int64_t now = 1;
+	int fd;
+
+	(void)state;
+	assert_int_equal(lnk_init(&n.l,
+			     &(struct lnk_desc){.listen = "127.0.0.1:0",
+				 .self = n.id,
+				 .allow = allow,
+				 .n_allow = 1,
+				 .ops = &ops,
+				 .arg = &n}),
+	    0);
+	fd = raw_connect(&n);
+	RUN_UNTIL(&n, 1, now, lnk_stats(&n.l)->refused == 1);
+	assert_int_equal(n.l.conns->len, 0);
+	close(fd);
+	lnk_finish(&n.l);
+}
+
+/* Guards against a stuck peer that blocks the others or takes all memory. */
+static void
+test_stuck_peer(void **state)
+{
+	static char big[50000];
+	struct vmid x = vmid_from(BSTR("x@1"));
+	struct node n[2];
+	int64_t now = 1;
+	int fd;
+
+	(void)state;
+	start(&n[0], "a@1", "127.0.0.1:0");
+	start(&n[1], "b@1", "127.0.0.1:0");
+	lnk_add_peer(&n[1].l, lnk_addr(&n[0].l));
+	fd = raw_connect(&n[0]); /* never reads */
+	raw_send(fd, PMSG_HELLO, "x@1");
+	RUN_UNTIL(n, 2, now, n[0].ups == 2);
+	for (int i = 0; i < 1000; i++) {
+		lnk_send(
+		    &n[0].l, &x, PMSG_GOSSIP, (struct bstr){big, sizeof(big)});
+	}
+	assert_true(n[0].drops > 0);
+	assert_int_equal(n[0].drops, lnk_stats(&n[0].l)->dropped);
+	assert_true(lnk_send(&n[0].l, &n[1].id, PMSG_GOSSIP, BSTR("hi")));
+	RUN_UNTIL(n, 2, now, n[1].messages == 1);
+	close(fd);
+	RUN_UNTIL(n, 2, now, n[0].downs == 1);
+	lnk_finish(&n[0].l);
+	lnk_finish(&n[1].l);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_pair),
+	    cmocka_unit_test(test_add_after_incoming),
+	    cmocka_unit_test(test_restart),
+	    cmocka_unit_test(test_bad_peers),
+	    cmocka_unit_test(test_allow_list),
+	    cmocka_unit_test(test_stuck_peer),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
