--- /dev/null
+++ b/packages/member/frs.c
@@ -0,0 +1,557 @@
+#include "member/frs.h"
+
+#include <stdlib.h>
+
+#define LIMIT_MS 3000
+#define PULL_MS 250
+#define WATCH_MS 500
+#define RETRY_MS 250
+#define STORE_DOWN_MS 1000
+#define ROUND_MS 500
+#define ANSWER_MS 3000
+#define SETTLE_MS 3000
+/* A fetch without a result for this long is tried again, elsewhere. */
+#define FETCH_RETRY_MS 500
+/* Above these ages a pull goes to watchers of any zone, and to any member. */
+#define WIDEN_MS 1500
+#define ANY_MEMBER_MS 2000
+#define WATCHERS_PER_ZONE 2
+/* Rounds of a full fleet within the time answers are accepted. */
+#define MAX_PULLS (FRS_MAX_ROUNDS * MBR_MAX_MEMBERS)
+/* Key of the rendezvous choice of watchers. */
+#define WATCH_KEY 0x77617463680aULL
+
+static struct frs_effect *
+emit(struct frs_out *out, enum frs_kind kind)
+{
+	if (out->n == out->cap) {
+		out->cap = out->cap == 0 ? 8 : out->cap * 2;
+		out->e = realloc(out->e, out->cap * sizeof(*out->e));
+		if (out->e == NULL)
+			abort();
+	}
+	out->e[out->n] = (struct frs_effect){.kind = kind};
+	return (&out->e[out->n++]);
+}
+
+void
+frs_out_clear(struct frs_out *out)
+{
+	free(out->e);
+	*out = (struct frs_out){0};
+}
+
+bool
+frs_digest_eq(const struct frs_digest *a, const struct frs_digest *b)
+{
+	return (a->highest == b->highest && a->set == b->set);
+}
+
+static void
+start_clock(struct frs *f, int64_t now_ms)
+{
+	if (f->started)
+		return;
+	f->started = true;
+	f->start_ms = now_ms;
+}
+
+static void
+advance(struct frs *f, int64_t as_of)
+{
+	if (as_of <= f->fresh_as_of)
+		return;
+	f->fresh_as_of = as_of;
+	f->settled |= f->started && as_of >= f->start_ms + f->desc.settle_ms;
+}
+
+static int64_t
+age(const struct frs *f, int64_t now_ms)
+{
+	if (f->fresh_as_of == FRS_NEVER ||
+	    now_ms - f->fresh_as_of > f->desc.limit_ms)
+		return (FRS_LAPSED);
+	return (now_ms - f->fresh_as_of);
+}
+
+/* Whether the age exceeds @limit_ms; true when never or no longer fresh. */
+static bool
+older_than(const struct frs *f, int64_t limit_ms, int64_t now_ms)
+{
+	int64_t a = age(f, now_ms);
+
+	return (a == FRS_LAPSED || a > limit_ms);
+}
+
+/* All that one answer showed is in effect here. */
+static void
+agree(struct frs *f, int64_t as_of, uint64_t round)
+{
+	struct frs_round *r = &f->rounds[round % FRS_MAX_ROUNDS];
+
+	if (as_of != FRS_NEVER)
+		advance(f, as_of);
+	if (round == 0 || r->id != round)
+		return;
+	r->agreed++;
+	if (f->majority != 0 && r->agreed >= f->majority)
+		advance(f, r->sent_ms);
+}
+
+static void
+remove_candidate(struct frs *f, uint32_t i)
+{
+	f->candidates[i] = f->candidates[--f->n_candidates];
+}
+
+/* Drops candidates that could no longer make this process fresh. */
+static void
+expire_candidates(struct frs *f, int64_t now_ms)
+{
+	for (uint32_t i = f->n_candidates; i-- > 0;) {
+		const struct frs_candidate *c = &f->candidates[i];
+
+		if (now_ms - c->sent_ms > f->desc.limit_ms)
+			remove_candidate(f, i);
+	}
+}
+
+/* Whether a fetch from @from with digest @fetched gave all that @c showed. */
+static bool
+covers(const struct frs_candidate *c, const struct vmid *from,
+    const struct frs_digest *fetched)
+{
+	bool equal = frs_digest_eq(&c->digest, fetched);
+
+	if (equal && fetched->set != 0)
+		return (true);
+	return (vmid_eq(&c->from, from) &&
+	    (equal || fetched->highest > c->digest.highest));
+}
+
+static void
+settle_candidates(
+    struct frs *f, const struct vmid *from, const struct frs_digest *fetched)
+{
+	for (uint32_t i = f->n_candidates; i-- > 0;) {
+		struct frs_candidate c = f->candidates[i];
+
+		if (!frs_digest_eq(&c.digest, &f->held) &&
+		    (from == NULL || !covers(&c, from, fetched)))
+			continue;
+		remove_candidate(f, i);
+		agree(f, c.as_of, c.round);
+	}
+}
+
+/* One fetch at a time for each set of objects. */
+static bool
+is_fetching(
+    const struct frs *f, const struct frs_digest *digest, int64_t now_ms)
+{
+	for (uint32_t i = 0; i < f->n_candidates; i++) {
+		const struct frs_candidate *c = &f->candidates[i];
+
+		if (digest->set != 0 && frs_digest_eq(&c->digest, digest) &&
+		    now_ms - c->fetch_ms < FETCH_RETRY_MS)
+			return (true);
+	}
+	return (false);
+}
+
+static void
+add_candidate(struct frs *f, const struct frs_candidate *c, int64_t now_ms,
+    struct frs_out *out)
+{
+	struct frs_effect *e;
+	bool fetching = is_fetching(f, &c->digest, now_ms);
+
+	if (f->n_candidates == FRS_MAX_CANDIDATES) {
+		uint32_t oldest = 0;
+
+		for (uint32_t i = 1; i < f->n_candidates; i++) {
+			if (f->candidates[i].sent_ms <
+			    f->candidates[oldest].sent_ms)
+				oldest = i;
+		}
+		remove_candidate(f, oldest);
+	}
+	f->candidates[f->n_candidates] = *c;
+	f->candidates[f->n_candidates].fetch_ms = FRS_NEVER / 2;
+	if (!fetching) {
+		f->candidates[f->n_candidates].fetch_ms = now_ms;
+		e = emit(out, FRS_FETCH);
+		e->to = c->from;
+		e->digest = c->digest;
+	}
+	f->n_candidates++;
+}
+
+static void
+send_pull(struct frs *f, const struct vmid *to, uint64_t round, int64_t now_ms,
+    struct frs_out *out)
+{
+	struct frs_effect *e;
+
+	if (f->n_pulls == MAX_PULLS)
+		return;
+	e = emit(out, FRS_SEND);
+	e->to = *to;
+	e->msg.kind = FRS_PULL;
+	e->msg.token = ++f->tokens;
+	e->msg.digest = f->held;
+	f->pulls[f->n_pulls++] = (struct frs_pull){
+	    .token = f->tokens,
+	    .to = *to,
+	    .sent_ms = now_ms,
+	    .round = round,
+	};
+}
+
+static void
+expire_pulls(struct frs *f, int64_t now_ms)
+{
+	uint32_t n = 0;
+
+	/* Pulls are in the order of their sending and of their tokens. */
+	while (
+	    n < f->n_pulls && now_ms - f->pulls[n].sent_ms > f->desc.answer_ms)
+		n++;
+	if (n == 0)
+		return;
+	f->n_pulls -= n;
+	memmove(f->pulls, f->pulls + n, f->n_pulls * sizeof(*f->pulls));
+}
+
+static bool
+is_self(const struct frs *f, const struct mbr_info *m)
+{
+	return (vmid_eq(&m->id, &f->desc.self));
+}
+
+/* Pulls from one random other watcher; of the own zone unless @any. */
+static bool
+pull_from_watcher(struct frs *f, bool any, int64_t now_ms, struct frs_out *out)
+{
+	uint32_t pick[FRS_MAX_WATCHERS];
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < f->n_watchers; i++) {
+		const struct mbr_info *w = &f->watchers[i];
+		bool near = bstr_eq(mbr_str(&w->zone), mbr_str(&f->desc.zone));
+
+		if (!is_self(f, w) && (any || near))
+			pick[n++] = i;
+	}
+	if (n == 0)
+		return (false);
+	send_pull(
+	    f, &f->watchers[pick[rng_below(&f->rng, n)]].id, 0, now_ms, out);
+	return (true);
+}
+
+static void
+pull_from_member(struct frs *f, int64_t now_ms, struct frs_out *out)
+{
+	const struct mbr_info *m;
+
+	if (f->n_members == 0)
+		return;
+	m = &f->members[rng_below(&f->rng, f->n_members)];
+	if (!is_self(f, m))
+		send_pull(f, &m->id, 0, now_ms, out);
+}
+
+static bool
+store_is_down(const struct frs *f, int64_t now_ms)
+{
+	return (
+	    f->store_failed || now_ms - f->store_ok_ms > f->desc.store_down_ms);
+}
+
+static void
+pull(struct frs *f, int64_t now_ms, struct frs_out *out)
+{
+	if (now_ms < f->pull_next_ms)
+		return;
+	f->pull_next_ms = now_ms + f->desc.pull_ms;
+	if (f->watching && !store_is_down(f, now_ms))
+		return;
+	if (f->watching || older_than(f, WIDEN_MS, now_ms)) {
+		pull_from_watcher(f, true, now_ms, out);
+		if (older_than(f, ANY_MEMBER_MS, now_ms))
+			pull_from_member(f, now_ms, out);
+	}
+	if (!f->watching && !pull_from_watcher(f, false, now_ms, out))
+		pull_from_watcher(f, true, now_ms, out);
+}
+
+/* Asks all members; the answers of a majority replace a store read. */
+static void
+start_round(struct frs *f, int64_t now_ms, struct frs_out *out)
+{
+	uint64_t id;
+
+	if (now_ms < f->round_next_ms || !f->watching ||
+	    !store_is_down(f, now_ms) || f->majority == 0)
+		return;
+	f->round_next_ms = now_ms + f->desc.round_ms;
+	id = ++f->n_rounds;
+	f->rounds[id % FRS_MAX_ROUNDS] =
+	    (struct frs_round){.id = id, .sent_ms = now_ms};
+	for (uint32_t i = 0; i < f->n_members; i++) {
+		if (!is_self(f, &f->members[i]))
+			send_pull(f, &f->members[i].id, id, now_ms, out);
+	}
+	if (f->settled)
+		agree(f, FRS_NEVER, id);
+}
+
+static void
+read_store(struct frs *f, int64_t now_ms, struct frs_out *out)
+{
+	if (!f->watching || f->store_busy || now_ms < f->store_next_ms)
+		return;
+	f->store_busy = true;
+	/* A watch that waits is only for a process that is fresh already. */
+	emit(out, FRS_STORE)->wait_ms =
+	    store_is_down(f, now_ms) ? 0 : f->desc.watch_ms;
+}
+
+/* Adds the two best members of a zone, unless the zone was seen before. */
+static void
+add_zone(struct frs *f, uint32_t first)
+{
+	const struct mbr_text *zone = &f->members[first].zone;
+	const struct mbr_info *best[WATCHERS_PER_ZONE] = {0};
+
+	for (uint32_t i = 0; i < f->n_watchers; i++) {
+		if (bstr_eq(mbr_str(&f->watchers[i].zone), mbr_str(zone)))
+			return;
+	}
+	for (uint32_t i = first; i < f->n_members; i++) {
+		const struct mbr_info *m = &f->members[i];
+
+		if (!bstr_eq(mbr_str(&m->zone), mbr_str(zone)))
+			continue;
+		for (int b = 0; b < WATCHERS_PER_ZONE; b++) {
+			const struct mbr_info *other = best[b];
+
+			if (other != NULL &&
+			    vmid_score(&other->id, WATCH_KEY) >=
+				vmid_score(&m->id, WATCH_KEY))
+				continue;
+			best[b] = m;
+			m = other;
+			if (m == NULL)
+				break;
+		}
+	}
+	for (int b = 0; b < WATCHERS_PER_ZONE; b++) {
+		if (best[b] != NULL && f->n_watchers < FRS_MAX_WATCHERS)
+			f->watchers[f->n_watchers++] = *best[b];
+	}
+}
+
+static void
+choose_watchers(struct frs *f)
+{
+	f->n_watchers = 0;
+	for (uint32_t i = 0; i < f->n_members; i++)
+		add_zone(f, i);
+	f->watching = false;
+	for (uint32_t i = 0; i < f->n_watchers; i++)
+		f->watching |= is_self(f, &f->watchers[i]);
+}
+
+void
+frs_init(struct frs *f, const struct frs_desc *desc)
+{
+	struct frs_desc *d = &f->desc;
+
+	*f = (struct frs){.desc = *desc, .fresh_as_of = FRS_NEVER};
+	d->limit_ms = d->limit_ms == 0 ? LIMIT_MS : d->limit_ms;
+	d->pull_ms = d->pull_ms == 0 ? PULL_MS : d->pull_ms;
+	d->watch_ms = d->watch_ms == 0 ? WATCH_MS : d->watch_ms;
+	d->retry_ms = d->retry_ms == 0 ? RETRY_MS : d->retry_ms;
+	d->store_down_ms =
+	    d->store_down_ms == 0 ? STORE_DOWN_MS : d->store_down_ms;
+	d->round_ms = d->round_ms == 0 ? ROUND_MS : d->round_ms;
+	d->answer_ms = d->answer_ms == 0 ? ANSWER_MS : d->answer_ms;
+	d->settle_ms = d->settle_ms == 0 ? SETTLE_MS : d->settle_ms;
+	rng_init(&f->rng, desc->seed);
+	f->tokens = rng_next(&f->rng) >> 1;
+	f->store_failed = true;
+	f->members = calloc(MBR_MAX_MEMBERS, sizeof(*f->members));
+	f->pulls = calloc(MAX_PULLS, sizeof(*f->pulls));
+	if (f->members == NULL || f->pulls == NULL)
+		abort();
+}
+
+void
+frs_finish(struct frs *f)
+{
+	free(f->members);
+	free(f->pulls);
+	*f = (struct frs){0};
+}
+
+void
+frs_tick(struct frs *f, int64_t now_ms, struct frs_out *out)
+{
+	start_clock(f, now_ms);
+	expire_pulls(f, now_ms);
+	expire_candidates(f, now_ms);
+	read_store(f, now_ms, out);
+	start_round(f, now_ms, out);
+	pull(f, now_ms, out);
+}
+
+void
+frs_on_members(struct frs *f, const struct mbr_info *live, uint32_t n,
+    uint32_t majority, int64_t now_ms, struct frs_out *out)
+{
+	bool was = f->watching;
+
+	start_clock(f, now_ms);
+	f->n_members = n < MBR_MAX_MEMBERS ? n : MBR_MAX_MEMBERS;
+	memcpy(f->members, live, f->n_members * sizeof(*live));
+	f->majority = majority;
+	choose_watchers(f);
+	if (f->watching && !was) {
+		/* Nothing is known yet about the store. */
+		f->store_failed = true;
+		read_store(f, now_ms, out);
+	}
+}
+
+static void
+on_pull(struct frs *f, const struct vmid *from, const struct frs_msg *msg,
+    int64_t now_ms, struct frs_out *out)
+{
+	struct frs_effect *e = emit(out, FRS_SEND);
+
+	e->to = *from;
+	e->msg.kind = FRS_ANSWER;
+	e->msg.token = msg->token;
+	e->msg.digest = f->held;
+	e->msg.age_ms = age(f, now_ms);
+	e->msg.settled = f->settled;
+}
+
+/* Takes the pull that @msg answers; duplicates and strangers find none. */
+static bool
+take_pull(struct frs *f, const struct vmid *from, uint64_t token,
+    struct frs_pull *pull_out)
+{
+	uint32_t lo = 0, hi = f->n_pulls;
+	struct frs_pull *p;
+
+	while (lo < hi) {
+		uint32_t mid = (lo + hi) / 2;
+
+		if (f->pulls[mid].token < token)
+			lo = mid + 1;
+		else
+			hi = mid;
+	}
+	p = &f->pulls[lo];
+	if (lo == f->n_pulls || p->token != token || p->answered ||
+	    !vmid_eq(&p->to, from))
+		return (false);
+	p->answered = true;
+	*pull_out = *p;
+	return (true);
+}
+
+static void
+on_answer(struct frs *f, const struct vmid *from, const struct frs_msg *msg,
+    int64_t now_ms, struct frs_out *out)
+{
+	struct frs_candidate c = {.from = *from, .digest = msg->digest};
+	struct frs_pull p;
+
+	expire_pulls(f, now_ms);
+	if (!take_pull(f, from, msg->token, &p))
+		return;
+	c.round = msg->settled ? p.round : 0;
+	c.sent_ms = p.sent_ms;
+	c.as_of = FRS_NEVER;
+	if (msg->age_ms >= 0 && msg->age_ms <= f->desc.limit_ms)
+		c.as_of = p.sent_ms - msg->age_ms;
+	if (c.as_of == FRS_NEVER && c.round == 0)
+		return;
+	if (frs_digest_eq(&f->held, &msg->digest)) {
+		agree(f, c.as_of, c.round);
+		return;
+	}
+	/* What the answer cannot improve needs no fetch. */
+	if (c.as_of <= f->fresh_as_of && c.round == 0)
+		return;
+	add_candidate(f, &c, now_ms, out);
+}
+
+void
+frs_on_message(struct frs *f, const struct vmid *from,
+    const struct frs_msg *msg, int64_t now_ms, struct frs_out *out)
+{
+	if (msg->kind == FRS_PULL)
+		on_pull(f, from, msg, now_ms, out);
+	else
+		on_answer(f, from, msg, now_ms, out);
+}
+
+void
+frs_on_store(struct frs *f, int64_t sent_ms, const struct frs_digest *held,
+    int64_t now_ms, struct frs_out *out)
+{
+	f->store_busy = false;
+	f->store_failed = false;
+	f->store_ok_ms = now_ms;
+	f->held = *held;
+	advance(f, sent_ms);
+	settle_candidates(f, NULL, NULL);
+	f->store_next_ms = now_ms;
+	read_store(f, now_ms, out);
+}
+
+void
+frs_on_store_failed(struct frs *f, int64_t now_ms, struct frs_out *out)
+{
+	f->store_busy = false;
+	f->store_failed = true;
+	f->store_next_ms = now_ms + f->desc.retry_ms / 2 +
+	    rng_below(&f->rng, (uint32_t)f->desc.retry_ms);
+	start_round(f, now_ms, out);
+}
+
+void
+frs_on_applied(struct frs *f, const struct vmid *from,
+    const struct frs_digest *fetched, const struct frs_digest *held,
+    int64_t now_ms, struct frs_out *out)
+{
+	(void)out;
+	f->held = *held;
+	expire_candidates(f, now_ms);
+	settle_candidates(f, from, from == NULL ? NULL : fetched);
+}
+
+int64_t
+frs_fresh_as_of(const struct frs *f)
+{
+	return (f->fresh_as_of);
+}
+
+int64_t
+frs_fresh_until(const struct frs *f)
+{
+	if (f->fresh_as_of == FRS_NEVER)
+		return (FRS_NEVER);
+	return (f->fresh_as_of + f->desc.limit_ms);
+}
+
+bool
+frs_is_watcher(const struct frs *f)
+{
+	return (f->watching);
+}
--- a/packages/peer/mpk.c
+++ b/packages/peer/mpk.c
@@ -54,6 +54,87 @@
 	mpk_put_str(w, vmid_str(id));
 }
 
+/* Big-endian number in the @width bytes at @p. */
+static uint64_t
+get_be(const char *p, unsigned width)
+{
+	uint64_t v = 0;
+
+	for (unsigned i = 0; i < width; i++)
+		v = v << 8 | (unsigned char)p[i];
+	return (v);
+}
+
+/**
+ * struct head - first bytes of a value
+ * @width: bytes of its length field
+ * @skip: bytes of its content
+ * @items: values in it, for an array
+ */
+struct head {
+	unsigned width;
+	uint64_t skip;
+	uint64_t items;
+};
+
+/* Reads the head at @p, which has @n bytes. Only types that mpk writes pass. */
+static bool
+get_head(const char *p, size_t n, struct head *h)
+{
+	unsigned char t = (unsigned char)*p;
+	bool bin = t >= 0xc4 && t <= 0xc6;
+	bool array = t == 0xdc || t == 0xdd;
+
+	*h = (struct head){0};
+	if (t < 0x80 || t >= 0xe0 || t == 0xc2 || t == 0xc3)
+		return (true);
+	if (t >= 0x90 && t <= 0x9f) {
+		h->items = t & 0x0f;
+		return (true);
+	}
+	if ((t >= 0xcc && t <= 0xcf) || (t >= 0xd0 && t <= 0xd3)) {
+		h->skip = 1U << (t & 3);
+		return (true);
+	}
+	if (!bin && !array)
+		return (false);
+	h->width = bin ? 1U << (t - 0xc4) : 2U << (t - 0xdc);
+	if (n <= h->width)
+		return (false);
+	if (bin)
+		h->skip = get_be(p + 1, h->width);
+	else
+		h->items = get_be(p + 1, h->width);
+	return (true);
+}
+
+/*
+ * Whether @bytes are one complete value. msgpack-c allocates an array before it
+ * reads the items, up to 64 GB for a head of five bytes, so that the number of
+ * items is compared with the bytes that are left first.
+ */
+static bool
+is_complete(struct bstr bytes)
+{
+	size_t off = 0;
+	uint64_t pending = 1;
+
+	while (pending > 0) {
+		struct head h;
+		size_t left = bytes.n - off;
+
+		if (left == 0 || !get_head(bytes.p + off, left, &h) ||
+		    h.skip > left - 1 - h.width)
+			return (false);
+		off += 1 + h.width + h.skip;
+		pending += h.items;
+		pending--;
+		if (pending > bytes.n - off)
+			return (false);
+	}
+	return (off == bytes.n);
+}
+
 void
 mpk_reader_init(struct mpk_reader *r, struct bstr bytes)
 {
@@ -61,7 +142,7 @@
 
 	*r = (struct mpk_reader){0};
 	msgpack_unpacked_init(&r->unpacked);
-	r->ok = bytes.n != 0 &&
+	r->ok = is_complete(bytes) &&
 	    msgpack_unpack_next(&r->unpacked, bytes.p, bytes.n, &off) ==
 		MSGPACK_UNPACK_SUCCESS &&
 	    off == bytes.n;
--- a/packages/peer/mpk.h
+++ b/packages/peer/mpk.h
@@ -72,7 +72,11 @@
 /** mpk_put_vmid() - identity of a process */
 void mpk_put_vmid(struct mpk_writer *w, const struct vmid *id);
 
-/** mpk_reader_init() - parse @bytes, which must hold exactly one value */
+/**
+ * mpk_reader_init() - parse @bytes, which must hold exactly one value
+ *
+ * The memory used is at most a constant multiple of the size of @bytes.
+ */
 void mpk_reader_init(struct mpk_reader *r, struct bstr bytes);
 
 /** mpk_reader_finish() - free; strings that were read are gone */
--- /dev/null
+++ b/packages/peer/pmbr.h
@@ -0,0 +1,32 @@
+/*
+ * pmbr - msgpack codec of the messages of mbr and frs.
+ *
+ * PMSG_GOSSIP carries a struct mbr_msg, PMSG_PULL and PMSG_PULL_ANSWER carry a
+ * struct frs_msg. Decoders return false for anything that is not exactly one
+ * valid message; @msg is then undefined.
+ *
+ *	pmbr_put_gossip(&body, &msg);
+ *	ok = pmbr_get_gossip(bytes, &msg);
+ */
+#ifndef PEER_PMBR_H
+#define PEER_PMBR_H
+
+#include <stdbool.h>
+
+#include "base/bstr.h"
+#include "member/frs.h"
+#include "member/mbr.h"
+
+/** pmbr_put_gossip() - append the encoded message to @out */
+void pmbr_put_gossip(struct bbuf *out, const struct mbr_msg *msg);
+
+/** pmbr_get_gossip() - decode; Return: false when malformed */
+bool pmbr_get_gossip(struct bstr bytes, struct mbr_msg *msg);
+
+/** pmbr_put_frs() - append the encoded pull or answer to @out */
+void pmbr_put_frs(struct bbuf *out, const struct frs_msg *msg);
+
+/** pmbr_get_frs() - decode; Return: false when malformed */
+bool pmbr_get_frs(struct bstr bytes, struct frs_msg *msg);
+
+#endif
--- /dev/null
+++ b/tests/lib/fleet.c
@@ -0,0 +1,562 @@
+#include "lib/fleet.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "peer/frm.h"
+#include "peer/pmbr.h"
+
+#define MAX_DELAY_MS 5000
+#define STORE_ERROR_MS 200
+#define LIST_PERIOD_MS 2000
+#define ACCEPT_MS 2000
+
+/* Beside the peer types: what the caller of frs and the store exchange. */
+enum mail_kind {
+	MAIL_GOSSIP,
+	MAIL_FRS,
+	MAIL_FETCH,
+	MAIL_OBJECTS,
+	MAIL_PUSH,
+	MAIL_ACK,
+	MAIL_STORE,
+};
+
+struct fleet_mail {
+	struct fleet_mail *next;
+	enum mail_kind kind;
+	int to;
+	int from;
+	uint64_t incarnation; /* of the receiver, 0 for any */
+	struct vmid from_id;
+	struct bbuf body;
+	struct frs_digest digest;
+	uint64_t held[FLEET_KEYS];
+	int64_t sent_ms;
+	int change;
+	bool ok;
+};
+
+static struct fleet_mail *
+new_mail(struct fleet *f, enum mail_kind kind, int from, int to)
+{
+	struct fleet_mail *m = calloc(1, sizeof(*m));
+
+	if (m == NULL)
+		abort();
+	m->kind = kind;
+	m->from = from;
+	m->to = to;
+	m->from_id = f->nodes[from].id;
+	m->incarnation = f->nodes[to].incarnation;
+	m->sent_ms = f->now;
+	return (m);
+}
+
+static void
+free_mail(struct fleet_mail *m)
+{
+	bbuf_finish(&m->body);
+	free(m);
+}
+
+static void
+post(struct fleet *f, struct fleet_mail *m, int64_t delay_ms)
+{
+	int64_t at =
+	    f->now + (delay_ms < FLEET_STEP_MS ? FLEET_STEP_MS : delay_ms);
+	int slot = (int)(at / FLEET_STEP_MS % FLEET_SLOTS);
+
+	m->next = NULL;
+	if (f->slots[slot] == NULL)
+		f->slots[slot] = m;
+	else
+		f->tails[slot]->next = m;
+	f->tails[slot] = m;
+}
+
+static bool
+connected(const struct fleet *f, int a, int b)
+{
+	return (f->nodes[a].group == f->nodes[b].group);
+}
+
+/* Sends over the network; the message may be lost. */
+static void
+send_mail(struct fleet *f, struct fleet_mail *m)
+{
+	struct fleet_node *from = &f->nodes[m->from];
+
+	if (m->body.n != 0) {
+		struct bbuf frame;
+
+		bbuf_init(&frame);
+		frm_encode(&frame, PMSG_GOSSIP, &from->id, bbuf_str(&m->body));
+		from->bytes += frame.n;
+		bbuf_finish(&frame);
+	}
+	if (!connected(f, m->from, m->to) ||
+	    (int)rng_below(&f->rng, 100) < f->loss_percent) {
+		free_mail(m);
+		return;
+	}
+	post(f, m, 1 + rng_below(&f->rng, (uint32_t)f->delay_ms * 2));
+}
+
+static struct frs_digest
+digest(const struct fleet_node *n)
+{
+	struct frs_digest d = {0};
+
+	for (int k = 0; k < FLEET_KEYS; k++) {
+		uint64_t pair[2] = {(uint64_t)k, n->held[k]};
+
+		if (n->held[k] == 0)
+			continue;
+		d.highest = n->held[k] > d.highest ? n->held[k] : d.highest;
+		d.set ^= bstr_hash(
+		    (struct bstr){(const char *)pair, sizeof(pair)}, 0);
+	}
+	return (d);
+}
+
+static bool
+apply(struct fleet_node *n, const uint64_t *objects)
+{
+	bool changed = false;
+
+	for (int k = 0; k < FLEET_KEYS; k++) {
+		if (objects[k] <= n->held[k])
+			continue;
+		n->held[k] = objects[k];
+		changed = true;
+	}
+	return (changed);
+}
+
+static int
+by_addr(const struct fleet *f, const struct mbr_text *addr)
+{
+	for (int i = 0; i < f->n; i++) {
+		if (bstr_eq(mbr_str(&f->nodes[i].addr), mbr_str(addr)))
+			return (i);
+	}
+	return (-1);
+}
+
+/* VM that hosts the process: the text before '@' is "n<index>". */
+static int
+by_id(const struct fleet *f, const struct vmid *id)
+{
+	int i = atoi(id->s + 1);
+
+	return (i < f->n ? i : -1);
+}
+
+static void
+carry_out_mbr(struct fleet *f, int i, struct mbr_out *out)
+{
+	struct fleet_node *n = &f->nodes[i];
+
+	for (uint32_t x = 0; x < out->n; x++) {
+		const struct mbr_effect *e = &out->e[x];
+		struct fleet_mail *m;
+		int to;
+
+		n->events[e->kind]++;
+		if (e->kind != MBR_SEND)
+			continue;
+		to = vmid_is_none(&e->id) ? by_addr(f, &e->addr)
+					  : by_id(f, &e->id);
+		if (to < 0)
+			continue;
+		m = new_mail(f, MAIL_GOSSIP, i, to);
+		if (!vmid_is_none(&e->id) && !vmid_eq(&f->nodes[to].id, &e->id))
+			m->incarnation = UINT64_MAX; /* of the past */
+		pmbr_put_gossip(&m->body, &e->msg);
+		send_mail(f, m);
+	}
+	mbr_out_clear(out);
+}
+
+static void
+carry_out_frs(struct fleet *f, int i, struct frs_out *out)
+{
+	for (uint32_t x = 0; x < out->n; x++) {
+		const struct frs_effect *e = &out->e[x];
+		struct fleet_mail *m;
+		int to = by_id(f, &e->to);
+
+		if (e->kind == FRS_STORE) {
+			m = new_mail(f, MAIL_STORE, i, i);
+			post(f, m,
+			    e->wait_ms + 1 +
+				rng_below(&f->rng, (uint32_t)f->delay_ms * 2));
+			continue;
+		}
+		if (to < 0 || !vmid_eq(&f->nodes[to].id, &e->to))
+			continue;
+		m = new_mail(
+		    f, e->kind == FRS_FETCH ? MAIL_FETCH : MAIL_FRS, i, to);
+		if (e->kind == FRS_SEND)
+			pmbr_put_frs(&m->body, &e->msg);
+		send_mail(f, m);
+	}
+	frs_out_clear(out);
+}
+
+static bool
+store_reachable(const struct fleet *f, int i)
+{
+	const struct fleet_node *n = &f->nodes[i];
+
+	return (!f->store_down && !n->store_cut &&
+	    (f->store_group < 0 || f->store_group == n->group));
+}
+
+/* First arrival: the store answers. Second arrival: the answer is here. */
+static void
+on_store_mail(struct fleet *f, struct fleet_mail *m, struct frs_out *out)
+{
+	struct fleet_node *n = &f->nodes[m->to];
+	struct frs_digest d;
+
+	if (m->digest.set == 0) {
+		m->digest.set = 1;
+		m->ok = store_reachable(f, m->to);
+		memcpy(m->held, f->store, sizeof(m->held));
+		post(f, m,
+		    m->ok ? 1 + rng_below(&f->rng, (uint32_t)f->delay_ms * 2)
+			  : STORE_ERROR_MS);
+		return;
+	}
+	if (m->ok) {
+		apply(n, m->held);
+		d = digest(n);
+		frs_on_store(&n->frs, m->sent_ms, &d, f->now, out);
+	} else {
+		frs_on_store_failed(&n->frs, f->now, out);
+	}
+	free_mail(m);
+}
+
+static void
+send_objects(struct fleet *f, int from, int to)
+{
+	struct fleet_mail *m = new_mail(f, MAIL_OBJECTS, from, to);
+
+	m->digest = digest(&f->nodes[from]);
+	memcpy(m->held, f->nodes[from].held, sizeof(m->held));
+	send_mail(f, m);
+}
+
+static void
+on_objects(struct fleet *f, const struct fleet_mail *m, struct frs_out *out)
+{
+	struct fleet_node *n = &f->nodes[m->to];
+	struct frs_digest d;
+	struct fleet_mail *ack;
+
+	apply(n, m->held);
+	d = digest(n);
+	frs_on_applied(&n->frs, m->kind == MAIL_OBJECTS ? &m->from_id : NULL,
+	    &m->digest, &d, f->now, out);
+	if (m->kind != MAIL_PUSH)
+		return;
+	ack = new_mail(f, MAIL_ACK, m->to, m->from);
+	ack->change = m->change;
+	send_mail(f, ack);
+}
+
+static void
+on_ack(struct fleet *f, int change, int from)
+{
+	struct fleet_change *c = &f->changes[change];
+	uint32_t majority = mbr_majority(&f->nodes[c->author].mbr);
+	uint32_t acks = 0;
+
+	c->acked[from] = true;
+	for (int i = 0; i < f->n; i++)
+		acks += c->acked[i];
+	if (c->accepted_ms == 0 && f->now - c->sent_ms <= ACCEPT_MS &&
+	    majority != 0 && acks >= majority)
+		c->accepted_ms = f->now;
+}
+
+static void
+deliver(struct fleet *f, struct fleet_mail *m)
+{
+	struct fleet_node *n = &f->nodes[m->to];
+	struct mbr_out mout = {0};
+	struct frs_out fout = {0};
+	struct mbr_msg gossip;
+	struct frs_msg msg;
+
+	if (!n->running || m->incarnation != n->incarnation) {
+		free_mail(m);
+		return;
+	}
+	if (n->frozen) {
+		post(f, m, FLEET_STEP_MS);
+		return;
+	}
+	if (m->kind == MAIL_GOSSIP &&
+	    pmbr_get_gossip(bbuf_str(&m->body), &gossip))
+		mbr_on_gossip(&n->mbr, &m->from_id, &gossip, f->now, &mout);
+	if (m->kind == MAIL_FRS && pmbr_get_frs(bbuf_str(&m->body), &msg))
+		frs_on_message(&n->frs, &m->from_id, &msg, f->now, &fout);
+	if (m->kind == MAIL_FETCH)
+		send_objects(f, m->to, m->from);
+	if (m->kind == MAIL_OBJECTS || m->kind == MAIL_PUSH)
+		on_objects(f, m, &fout);
+	if (m->kind == MAIL_ACK)
+		on_ack(f, m->change, m->from);
+	if (m->kind == MAIL_STORE)
+		on_store_mail(f, m, &fout);
+	else
+		free_mail(m);
+	carry_out_mbr(f, (int)(n - f->nodes), &mout);
+	carry_out_frs(f, (int)(n - f->nodes), &fout);
+}
+
+static void
+read_vm_list(struct fleet *f, int i, struct mbr_out *out)
+{
+	struct mbr_text addrs[FLEET_MAX];
+	uint32_t n = 0;
+
+	for (int x = 0; x < f->n; x++) {
+		const struct fleet_node *o = &f->nodes[x];
+
+		if (o->used &&
+		    (o->running || f->now - o->gone_ms < f->list_lag_ms))
+			addrs[n++] = o->addr;
+	}
+	mbr_on_vm_list(&f->nodes[i].mbr, addrs, n, true, f->now, out);
+}
+
+static void
+tick(struct fleet *f, int i)
+{
+	struct fleet_node *n = &f->nodes[i];
+	static struct mbr_info live[MBR_MAX_MEMBERS];
+	struct mbr_out mout = {0};
+	struct frs_out fout = {0};
+	uint32_t n_live;
+
+	if (f->now / FLEET_TICK_MS % (LIST_PERIOD_MS / FLEET_TICK_MS) ==
+		i % (LIST_PERIOD_MS / FLEET_TICK_MS) &&
+	    store_reachable(f, i))
+		read_vm_list(f, i, &mout);
+	mbr_tick(&n->mbr, f->now, &mout);
+	n_live = mbr_live(&n->mbr, BSTR(""), live, MBR_MAX_MEMBERS);
+	frs_on_members(
+	    &n->frs, live, n_live, mbr_majority(&n->mbr), f->now, &fout);
+	frs_tick(&n->frs, f->now, &fout);
+	carry_out_mbr(f, i, &mout);
+	carry_out_frs(f, i, &fout);
+}
+
+static void
+check(struct fleet *f)
+{
+	for (int i = 0; i < f->n; i++) {
+		const struct fleet_node *n = &f->nodes[i];
+		int64_t as_of = frs_fresh_as_of(&n->frs);
+
+		for (int c = 0; n->running && c < f->n_changes; c++) {
+			const struct fleet_change *ch = &f->changes[c];
+
+			if (ch->accepted_ms == 0 || ch->accepted_ms >= as_of ||
+			    n->held[ch->key] >= ch->version ||
+			    f->violation[0] != '\0')
+				continue;
+			snprintf(f->violation, sizeof(f->violation),
+			    "t=%lld n%d fresh as of %lld misses version %llu "
+			    "accepted at %lld",
+			    (long long)f->now, i, (long long)as_of,
+			    (unsigned long long)ch->version,
+			    (long long)ch->accepted_ms);
+		}
+	}
+}
+
+void
+fleet_run(struct fleet *f, int64_t ms)
+{
+	int64_t end = f->now + ms;
+
+	while (f->now < end) {
+		int slot;
+		struct fleet_mail *m;
+
+		f->now += FLEET_STEP_MS;
+		slot = (int)(f->now / FLEET_STEP_MS % FLEET_SLOTS);
+		m = f->slots[slot];
+		f->slots[slot] = NULL;
+		while (m != NULL) {
+			struct fleet_mail *next = m->next;
+
+			deliver(f, m);
+			m = next;
+		}
+		for (int i = 0; i < f->n; i++) {
+			const struct fleet_node *n = &f->nodes[i];
+
+			if (n->running && !n->frozen &&
+			    (f->now / FLEET_STEP_MS + i) %
+				    (FLEET_TICK_MS / FLEET_STEP_MS) ==
+				0)
+				tick(f, i);
+		}
+		check(f);
+	}
+}
+
+static void
+finish_node(struct fleet_node *n)
+{
+	if (!n->running)
+		return;
+	mbr_finish(&n->mbr);
+	frs_finish(&n->frs);
+	n->running = false;
+}
+
+void
+fleet_start(struct fleet *f, int i)
+{
+	struct fleet_node *n = &f->nodes[i];
+	struct mbr_out out = {0};
+	char text[VMID_MAX];
+
+	finish_node(n);
+	n->incarnation++;
+	snprintf(text, sizeof(text), "n%d@%lld", i, (long long)f->now + 1);
+	n->id = vmid_from(bstr_from(text));
+	n->running = n->used = true;
+	n->frozen = false;
+	n->steady_ms = f->now;
+	memset(n->held, 0, sizeof(n->held));
+	mbr_init(&n->mbr,
+	    &(struct mbr_desc){.self = n->id,
+		.zone = n->zone,
+		.addr = n->addr,
+		.seed = rng_next(&f->rng)});
+	frs_init(&n->frs,
+	    &(struct frs_desc){
+		.self = n->id, .zone = n->zone, .seed = rng_next(&f->rng)});
+	/* Addresses from the settings, as when the store is down. */
+	mbr_on_vm_list(&n->mbr,
+	    (const struct mbr_text[]){
+		f->nodes[0].addr, f->nodes[1].addr, f->nodes[2].addr},
+	    3, false, f->now, &out);
+	mbr_out_clear(&out);
+}
+
+void
+fleet_kill(struct fleet *f, int i)
+{
+	finish_node(&f->nodes[i]);
+	f->nodes[i].gone_ms = f->now;
+}
+
+void
+fleet_freeze(struct fleet *f, int i, bool frozen)
+{
+	if (!frozen && f->nodes[i].frozen)
+		f->disturbed_ms = f->now;
+	f->nodes[i].frozen = frozen;
+	f->nodes[i].steady_ms = f->now;
+}
+
+void
+fleet_group(struct fleet *f, int i, int group)
+{
+	if (f->nodes[i].group != group)
+		f->disturbed_ms = f->now;
+	f->nodes[i].group = group;
+	f->nodes[i].steady_ms = f->now;
+}
+
+void
+fleet_write(struct fleet *f, int key, int author)
+{
+	struct fleet_change *c = &f->changes[f->n_changes];
+	struct fleet_node *a = &f->nodes[author];
+	struct frs_out out = {0};
+	struct frs_digest d;
+
+	if (!store_reachable(f, author) || !a->running || a->frozen ||
+	    f->n_changes == FLEET_MAX_CHANGES)
+		return;
+	*c = (struct fleet_change){
+	    .key = key,
+	    .version = ++f->revision,
+	    .author = author,
+	    .sent_ms = f->now,
+	};
+	f->store[key] = c->version;
+	a->held[key] = c->version;
+	d = digest(a);
+	frs_on_applied(&a->frs, NULL, NULL, &d, f->now, &out);
+	frs_out_clear(&out);
+	f->n_changes++;
+	on_ack(f, f->n_changes - 1, author);
+	for (int i = 0; i < f->n; i++) {
+		struct fleet_mail *m;
+
+		if (i == author || !f->nodes[i].running)
+			continue;
+		m = new_mail(f, MAIL_PUSH, author, i);
+		m->held[key] = c->version;
+		m->change = f->n_changes - 1;
+		send_mail(f, m);
+	}
+}
+
+bool
+fleet_fresh(const struct fleet *f, int i)
+{
+	const struct fleet_node *n = &f->nodes[i];
+
+	return (n->running && !n->frozen && f->now <= frs_fresh_until(&n->frs));
+}
+
+void
+fleet_init(struct fleet *f, int n, int zones, uint64_t seed)
+{
+	*f = (struct fleet){.n = n, .store_group = -1, .delay_ms = 2};
+	f->list_lag_ms = MAX_DELAY_MS;
+	rng_init(&f->rng, seed);
+	f->nodes = calloc((size_t)n, sizeof(*f->nodes));
+	if (f->nodes == NULL)
+		abort();
+	for (int i = 0; i < n; i++) {
+		char text[MBR_TEXT_MAX];
+
+		snprintf(text, sizeof(text), "10.0.%d.%d:7100", i / 250,
+		    i % 250 + 1);
+		f->nodes[i].addr = mbr_text(bstr_from(text));
+		snprintf(text, sizeof(text), "z%d", i % zones);
+		f->nodes[i].zone = mbr_text(bstr_from(text));
+	}
+	for (int i = 0; i < n; i++)
+		fleet_start(f, i);
+}
+
+void
+fleet_finish(struct fleet *f)
+{
+	for (int s = 0; s < FLEET_SLOTS; s++) {
+		while (f->slots[s] != NULL) {
+			struct fleet_mail *m = f->slots[s];
+
+			f->slots[s] = m->next;
+			free_mail(m);
+		}
+	}
+	for (int i = 0; i < f->n; i++)
+		finish_node(&f->nodes[i]);
+	free(f->nodes);
+}
--- /dev/null
+++ b/tests/lib/fleet.h
@@ -0,0 +1,106 @@
+/*
+ * fleet - many instances of mbr and frs in one process under virtual time.
+ *
+ * Messages pass through their codecs and an in-memory network with delay, loss
+ * and partitions. A store, a VM list that lags and the push of changes are
+ * simulated. Everything derives from one seed.
+ */
+#ifndef TESTS_FLEET_H
+#define TESTS_FLEET_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/rng.h"
+#include "member/frs.h"
+#include "member/mbr.h"
+
+#define FLEET_MAX 512
+#define FLEET_KEYS 8
+#define FLEET_MAX_CHANGES 256
+#define FLEET_STEP_MS 10
+#define FLEET_TICK_MS 50
+#define FLEET_SLOTS 1024
+
+struct fleet_mail;
+
+/** struct fleet_node - one VM; a restarted process is another incarnation */
+struct fleet_node {
+	struct mbr mbr;
+	struct frs frs;
+	struct vmid id;
+	struct mbr_text addr;
+	struct mbr_text zone;
+	uint64_t held[FLEET_KEYS];
+	uint64_t incarnation;
+	bool running;
+	bool frozen;
+	bool used;
+	bool store_cut;
+	int group;
+	int64_t gone_ms;   /* when it was killed */
+	int64_t steady_ms; /* since when it runs without freeze or new group */
+	uint64_t bytes;    /* sent, with frame heads */
+	uint32_t events[MBR_PAUSED + 1];
+};
+
+/** struct fleet_change - a change and who has acknowledged it */
+struct fleet_change {
+	int key;
+	uint64_t version;
+	int author;
+	int64_t sent_ms;
+	int64_t accepted_ms; /* 0 while not accepted */
+	bool acked[FLEET_MAX];
+};
+
+/** struct fleet - the simulation */
+struct fleet {
+	struct rng rng;
+	int64_t now;
+	int n;
+	struct fleet_node *nodes;
+	struct fleet_mail *slots[FLEET_SLOTS];
+	struct fleet_mail *tails[FLEET_SLOTS];
+	uint64_t store[FLEET_KEYS];
+	uint64_t revision;
+	bool store_down;
+	int64_t disturbed_ms; /* last resume or change of a group */
+	int store_group; /* partition group that reaches the store, -1 for all
+			  */
+	int32_t delay_ms;
+	int32_t loss_percent;
+	int32_t list_lag_ms;
+	struct fleet_change changes[FLEET_MAX_CHANGES];
+	int n_changes;
+	char violation[256]; /* first one, empty while there is none */
+};
+
+/** fleet_init() - @n VMs in @zones zones, all started at time 0 */
+void fleet_init(struct fleet *f, int n, int zones, uint64_t seed);
+
+/** fleet_finish() - free */
+void fleet_finish(struct fleet *f);
+
+/** fleet_run() - advance virtual time, checking freshness at each step */
+void fleet_run(struct fleet *f, int64_t ms);
+
+/** fleet_start() - start a process on VM @i */
+void fleet_start(struct fleet *f, int i);
+
+/** fleet_kill() - end the process on VM @i without notice */
+void fleet_kill(struct fleet *f, int i);
+
+/** fleet_freeze() - stop or resume the process on VM @i */
+void fleet_freeze(struct fleet *f, int i, bool frozen);
+
+/** fleet_group() - put VM @i into partition group @group */
+void fleet_group(struct fleet *f, int i, int group);
+
+/** fleet_write() - write an object through VM @author and push it */
+void fleet_write(struct fleet *f, int key, int author);
+
+/** fleet_fresh() - whether VM @i would route now */
+bool fleet_fresh(const struct fleet *f, int i);
+
+#endif
--- /dev/null
+++ b/tests/unit/test_frs.c
@@ -0,0 +1,420 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lib/fleet.h"
+#include "lib/fleet_script.h"
+#include "lib/golden.h"
+
+#define RANDOM_SEEDS 60
+#define RANDOM_STEPS 150
+#define LIMIT_MS 3000
+/* Detection of a kill, and refutation by a member that is well. */
+#define DEAD_BOUND_MS 3500
+#define REFUTE_BOUND_MS 4000
+#define REFUTE_MS 1500
+#define FRESH_BOUND_MS 3000
+#define BYTES_RUN_MS 20000
+/* Limit of the control overhead per member, in bytes a second. */
+#define BYTES_LIMIT 30000
+
+/* Guards against any change of behavior in the scripted sessions. */
+static void
+test_golden(void **state)
+{
+	(void)state;
+	assert_int_equal(golden_check("frs", fleet_script), 0);
+}
+
+struct unit {
+	struct frs f;
+	struct frs_out out;
+	struct vmid self;
+	struct vmid peer[2];
+};
+
+/* A process in a zone of its own whose two peers are watchers elsewhere. */
+static void
+unit_init(struct unit *u, bool watcher)
+{
+	struct mbr_info m[3] = {0};
+
+	*u = (struct unit){.self = vmid_from(BSTR("s@1"))};
+	u->peer[0] = vmid_from(BSTR("p@1"));
+	u->peer[1] = vmid_from(BSTR("q@1"));
+	frs_init(&u->f,
+	    &(struct frs_desc){.self = u->self, .zone = mbr_text(BSTR("a"))});
+	for (int i = 0; i < 3; i++) {
+		m[i].id = i == 0 ? u->self : u->peer[i - 1];
+		m[i].zone = mbr_text(watcher && i == 0 ? BSTR("a") : BSTR("b"));
+	}
+	/* Without itself in the list it is not a watcher. */
+	frs_on_members(
+	    &u->f, watcher ? m : m + 1, watcher ? 3 : 2, 2, 0, &u->out);
+	frs_out_clear(&u->out);
+}
+
+static void
+unit_finish(struct unit *u)
+{
+	frs_out_clear(&u->out);
+	frs_finish(&u->f);
+}
+
+static struct frs_effect
+unit_pull(struct unit *u, int64_t now)
+{
+	struct frs_effect e = {0};
+
+	frs_out_clear(&u->out);
+	frs_tick(&u->f, now, &u->out);
+	for (uint32_t i = 0; i < u->out.n; i++) {
+		if (u->out.e[i].kind == FRS_SEND)
+			e = u->out.e[i];
+	}
+	assert_false(vmid_is_none(&e.to));
+	return (e);
+}
+
+static void
+unit_answer(struct unit *u, const struct frs_effect *pull, int64_t age,
+    uint64_t version, int64_t now)
+{
+	struct frs_msg m = {.kind = FRS_ANSWER,
+	    .token = pull->msg.token,
+	    .age_ms = age,
+	    .digest = {version, version}};
+
+	frs_out_clear(&u->out);
+	frs_on_message(&u->f, &pull->to, &m, now, &u->out);
+}
+
+/* Guards against counting from the answer instead of from the pull. */
+static void
+test_ages(void **state)
+{
+	struct unit u;
+	struct frs_effect p, q;
+
+	(void)state;
+	unit_init(&u, false);
+	p = unit_pull(&u, 1000);
+	/* The process stood still; the answer is handled late. */
+	unit_answer(&u, &p, 200, 0, 3900);
+	assert_int_equal(frs_fresh_as_of(&u.f), 800);
+	assert_true(frs_fresh_until(&u.f) < 3900);
+	q = unit_pull(&u, 4000);
+	unit_answer(&u, &q, 0, 0, 7100); /* too late */
+	assert_int_equal(frs_fresh_as_of(&u.f), 800);
+	q = unit_pull(&u, 8000);
+	unit_answer(&u, &q, FRS_LAPSED, 0, 8001);
+	assert_int_equal(frs_fresh_as_of(&u.f), 800);
+	unit_answer(&u, &q, 0, 0, 8002); /* duplicate */
+	assert_int_equal(frs_fresh_as_of(&u.f), 800);
+	q = unit_pull(&u, 9000);
+	q.to = u.self; /* not the process that was asked */
+	unit_answer(&u, &q, 0, 0, 9001);
+	assert_int_equal(frs_fresh_as_of(&u.f), 800);
+	unit_finish(&u);
+}
+
+/* Guards against freshness while an object is missing. */
+static void
+test_applied(void **state)
+{
+	struct frs_digest seven = {7, 7}, eight = {8, 8}, nine = {9, 9};
+	struct unit u;
+	struct frs_effect p;
+
+	(void)state;
+	unit_init(&u, false);
+	p = unit_pull(&u, 1000);
+	unit_answer(&u, &p, 100, 7, 1010);
+	assert_int_equal(frs_fresh_as_of(&u.f), FRS_NEVER);
+	assert_int_equal(u.out.n, 1);
+	assert_int_equal(u.out.e[0].kind, FRS_FETCH);
+	/* A push of another object does not stand in for it. */
+	frs_on_applied(&u.f, NULL, NULL, &eight, 1020, &u.out);
+	assert_int_equal(frs_fresh_as_of(&u.f), FRS_NEVER);
+	frs_on_applied(&u.f, &p.to, &seven, &nine, 1030, &u.out);
+	assert_int_equal(frs_fresh_as_of(&u.f), 900);
+	unit_finish(&u);
+}
+
+/* Guards against a majority of restarted processes, which hold nothing. */
+static void
+test_unsettled(void **state)
+{
+	struct unit u;
+	struct frs_effect p;
+
+	(void)state;
+	unit_init(&u, true);
+	frs_on_store_failed(&u.f, 900, &u.out);
+	p = unit_pull(&u, 1000);
+	unit_answer(&u, &p, FRS_LAPSED, 0, 1001);
+	for (uint32_t t = 1500; t < 9000; t += 500) {
+		p = unit_pull(&u, t);
+		unit_answer(&u, &p, FRS_LAPSED, 0, t + 1);
+	}
+	assert_int_equal(frs_fresh_as_of(&u.f), FRS_NEVER);
+	unit_finish(&u);
+}
+
+static bool
+may_be_fresh(const struct fleet *f, int64_t cut_ms, int i)
+{
+	const struct fleet_node *n = &f->nodes[i];
+
+	return (n->group == 0 || f->now - cut_ms <= LIMIT_MS);
+}
+
+/* When each VM was first seen dead by each other while it was well. */
+static int64_t dead_since[FLEET_MAX][FLEET_MAX];
+static uint32_t false_deaths;
+
+/* Whether VM @i still takes the ended process of VM @j for alive. A VM that
+ * resumes or returns may bring newer counters, so its return counts. */
+static bool
+missed_death(const struct fleet *f, int i, int j)
+{
+	const struct fleet_node *b = &f->nodes[j];
+	int64_t since =
+	    b->gone_ms > f->disturbed_ms ? b->gone_ms : f->disturbed_ms;
+
+	return (!b->running && f->now - since > DEAD_BOUND_MS &&
+	    mbr_state(&f->nodes[i].mbr, &b->id) != MBR_DEAD);
+}
+
+/* Whether VM @i of the majority takes the well VM @j for dead for too long. */
+static bool
+missed_refutation(const struct fleet *f, int i, int j)
+{
+	const struct fleet_node *a = &f->nodes[i], *b = &f->nodes[j];
+	int64_t *since = &dead_since[i][j];
+	int64_t steady =
+	    a->steady_ms > b->steady_ms ? a->steady_ms : b->steady_ms;
+
+	if (!b->running || b->frozen || a->group != 0 || b->group != 0 ||
+	    f->now - steady <= REFUTE_BOUND_MS ||
+	    mbr_state(&a->mbr, &b->id) != MBR_DEAD) {
+		*since = 0;
+		return (false);
+	}
+	if (*since == 0) {
+		*since = f->now;
+		false_deaths++;
+	}
+	return (f->now - *since > REFUTE_MS);
+}
+
+static bool
+check_members(const struct fleet *f, char *why, size_t size)
+{
+	for (int i = 0; i < f->n; i++) {
+		const struct fleet_node *a = &f->nodes[i];
+
+		for (int j = 0; j < f->n && a->running && !a->frozen; j++) {
+			bool alive = missed_death(f, i, j);
+
+			if (!alive && !missed_refutation(f, i, j))
+				continue;
+			snprintf(why, size, "t=%lld n%d sees n%d %s",
+			    (long long)f->now, i, j, alive ? "alive" : "dead");
+			return (false);
+		}
+	}
+	return (true);
+}
+
+/*
+ * One random disturbance; at most a minority is cut, down or frozen. A VM that
+ * joins the minority brings its freshness along, so the last cut counts.
+ */
+static void
+disturb(struct fleet *f, int64_t *cut_ms)
+{
+	int i = (int)rng_below(&f->rng, (uint32_t)f->n);
+	struct fleet_node *n = &f->nodes[i];
+	int off = 0;
+
+	for (int x = 0; x < f->n; x++) {
+		const struct fleet_node *o = &f->nodes[x];
+
+		off += !o->running || o->frozen || o->group != 0;
+	}
+	switch (rng_below(&f->rng, 8)) {
+	case 0:
+		if (n->running && off < f->n / 2)
+			fleet_kill(f, i);
+		break;
+	case 1:
+		if (!n->running)
+			fleet_start(f, i);
+		break;
+	case 2:
+		if (n->running && !n->frozen && off < f->n / 2)
+			fleet_freeze(f, i, true);
+		break;
+	case 3:
+		for (int x = 0; x < f->n; x++) {
+			if (f->nodes[x].frozen)
+				fleet_freeze(f, x, false);
+		}
+		break;
+	case 4:
+		if (n->group == 0 && off < f->n / 2) {
+			fleet_group(f, i, 1);
+			*cut_ms = f->now;
+		}
+		break;
+	case 5:
+		for (int x = 0; x < f->n; x++)
+			fleet_group(f, x, 0);
+		break;
+	case 6:
+		f->store_down = !f->store_down;
+		break;
+	default:
+		fleet_write(f, (int)rng_below(&f->rng, FLEET_KEYS), i);
+		break;
+	}
+}
+
+static bool
+run_seed(uint64_t seed, char *why, size_t size)
+{
+	struct fleet *f = calloc(1, sizeof(*f));
+	int64_t cut_ms = 0;
+	bool ok = true;
+
+	memset(dead_since, 0, sizeof(dead_since));
+
+	assert_non_null(f);
+	fleet_init(f, 3 + (int)(seed % 17), 3, seed);
+	f->store_group = 0;
+	f->delay_ms = 1 + (int32_t)rng_below(&f->rng, 30);
+	f->loss_percent = (int32_t)rng_below(&f->rng, 4);
+	fleet_run(f, 4000);
+	for (int step = 0; step < RANDOM_STEPS && ok; step++) {
+		disturb(f, &cut_ms);
+		fleet_run(f, 50 * (1 + rng_below(&f->rng, 20)));
+		ok = check_members(f, why, size);
+		for (int i = 0; i < f->n && ok; i++) {
+			if (!fleet_fresh(f, i) || may_be_fresh(f, cut_ms, i))
+				continue;
+			snprintf(why, size, "t=%lld n%d fresh in a minority",
+			    (long long)f->now, i);
+			ok = false;
+		}
+		if (f->violation[0] != '\0') {
+			snprintf(why, size, "%s", f->violation);
+			ok = false;
+		}
+	}
+	/* With all well again everyone becomes fresh. */
+	f->store_down = false;
+	f->loss_percent = 0;
+	for (int i = 0; i < f->n; i++) {
+		fleet_group(f, i, 0);
+		if (!f->nodes[i].running)
+			fleet_start(f, i);
+		fleet_freeze(f, i, false);
+	}
+	fleet_run(f, FRESH_BOUND_MS);
+	for (int i = 0; i < f->n && ok; i++) {
+		ok = fleet_fresh(f, i);
+		if (!ok)
+			snprintf(why, size, "n%d not fresh at the end", i);
+	}
+	fleet_finish(f);
+	free(f);
+	return (ok);
+}
+
+/* Guards the bounds of membership and freshness under random disturbances. */
+static void
+test_random(void **state)
+{
+	const char *only = getenv("SEED");
+	const char *count = getenv("SEEDS");
+	uint64_t first = only == NULL ? 1 : strtoull(only, NULL, 10);
+	uint64_t n = count == NULL ? RANDOM_SEEDS : strtoull(count, NULL, 10);
+	int bad = 0;
+
+	(void)state;
+	for (uint64_t s = first; s < first + (only == NULL ? n : 1); s++) {
+		char why[256] = "";
+
+		if (run_seed(s, why, sizeof(why)))
+			continue;
+		printf("seed %llu: %s\n  replay: SEED=%llu test_frs\n",
+		    (unsigned long long)s, why, (unsigned long long)s);
+		bad++;
+	}
+	printf("%u times a member that was well was seen dead\n", false_deaths);
+	assert_int_equal(bad, 0);
+}
+
+/* Guards against a cost per member that grows with the fleet. */
+static void
+test_bytes(void **state)
+{
+	const int sizes[] = {13, 19, 50, 150, 500};
+	int n_sizes = getenv("FLEET_SIZES") == NULL ? 3 : 5;
+
+	(void)state;
+	for (int s = 0; s < n_sizes; s++) {
+		struct fleet *f = calloc(1, sizeof(*f));
+		uint64_t before = 0, sum = 0, max = 0, suspected = 0;
+
+		assert_non_null(f);
+		fleet_init(f, sizes[s], 3, 1);
+		fleet_run(f, 10000);
+		for (int i = 0; i < f->n; i++) {
+			before += f->nodes[i].bytes;
+			f->nodes[i].bytes = 0;
+			f->nodes[i].events[MBR_SUSPECTED] = 0;
+		}
+		fleet_run(f, BYTES_RUN_MS);
+		for (int i = 0; i < f->n; i++) {
+			uint64_t b = f->nodes[i].bytes;
+
+			sum += b;
+			max = b > max ? b : max;
+			suspected += f->nodes[i].events[MBR_SUSPECTED];
+		}
+		printf("%d members: %llu bytes/s sent per member, at most "
+		       "%llu; %llu suspicions; base %u\n",
+		    sizes[s],
+		    (unsigned long long)(sum * 1000 / BYTES_RUN_MS /
+			(uint64_t)f->n),
+		    (unsigned long long)(max * 1000 / BYTES_RUN_MS),
+		    (unsigned long long)suspected, mbr_base(&f->nodes[0].mbr));
+		assert_true(before > 0);
+		assert_true(max * 1000 / BYTES_RUN_MS < BYTES_LIMIT);
+		assert_int_equal(suspected, 0);
+		fleet_finish(f);
+		free(f);
+	}
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_golden),
+	    cmocka_unit_test(test_ages),
+	    cmocka_unit_test(test_applied),
+	    cmocka_unit_test(test_unsettled),
+	    cmocka_unit_test(test_bytes),
+	    cmocka_unit_test(test_random),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
--- /dev/null
+++ b/tests/unit/test_mpk.c
@@ -0,0 +1,256 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "base/rng.h"
+#include "peer/mpk.h"
+#include "peer/pmbr.h"
+
+#define FUZZ_ROUNDS 20000
+#define ROUND_TRIPS 2000
+
+static uint64_t
+test_seed(void)
+{
+	const char *s = getenv("SEED");
+	uint64_t seed = s == NULL ? 1 : strtoull(s, NULL, 10);
+
+	printf("seed %llu, replay with SEED=%llu\n", (unsigned long long)seed,
+	    (unsigned long long)seed);
+	return (seed);
+}
+
+static struct mbr_msg
+random_gossip(struct rng *r)
+{
+	struct mbr_msg m = {.base = rng_below(r, MBR_MAX_BASE),
+	    .ask = rng_below(r, 2) == 1,
+	    .n = rng_below(r, MBR_MAX_ENTRIES + 1)};
+
+	for (uint32_t i = 0; i < m.n; i++) {
+		struct mbr_entry *e = &m.entries[i];
+		char text[MBR_TEXT_MAX];
+
+		snprintf(text, sizeof(text), "vm%u@%u", rng_below(r, 99),
+		    rng_below(r, 9999));
+		e->id = vmid_from(bstr_from(text));
+		e->addr = mbr_text(bstr_from(text));
+		if (rng_below(r, 4) != 0)
+			e->zone = mbr_text(BSTR("zone"));
+		e->heartbeat = rng_next(r) % MBR_MAX_HEARTBEAT;
+		e->health = (enum mbr_health)rng_below(r, 3);
+		e->leaving = rng_below(r, 2) == 1;
+	}
+	return (m);
+}
+
+static struct frs_msg
+random_frs(struct rng *r)
+{
+	return ((struct frs_msg){
+	    .kind = (enum frs_msg_kind)rng_below(r, 2),
+	    .token = rng_next(r),
+	    .age_ms = (int64_t)rng_below(r, 4000) - 1,
+	    .digest = {rng_next(r), rng_next(r)},
+	    .settled = rng_below(r, 2) == 1,
+	});
+}
+
+/* Guards against a field that is lost or changed on the way. */
+static void
+test_round_trip(void **state)
+{
+	struct rng r;
+
+	(void)state;
+	rng_init(&r, test_seed());
+	for (int round = 0; round < ROUND_TRIPS; round++) {
+		struct mbr_msg m = random_gossip(&r), got;
+		struct frs_msg f = random_frs(&r), got_f;
+		struct bbuf b, again;
+
+		bbuf_init(&b);
+		bbuf_init(&again);
+		pmbr_put_gossip(&b, &m);
+		assert_true(pmbr_get_gossip(bbuf_str(&b), &got));
+		assert_int_equal(got.n, m.n);
+		assert_int_equal(got.ask, m.ask);
+		pmbr_put_gossip(&again, &got);
+		assert_true(bstr_eq(bbuf_str(&b), bbuf_str(&again)));
+		bbuf_clear(&b);
+		pmbr_put_frs(&b, &f);
+		assert_true(pmbr_get_frs(bbuf_str(&b), &got_f));
+		assert_int_equal(got_f.kind, f.kind);
+		assert_int_equal(got_f.token, f.token);
+		assert_int_equal(got_f.age_ms, f.age_ms);
+		assert_true(frs_digest_eq(&got_f.digest, &f.digest));
+		assert_int_equal(got_f.settled, f.settled);
+		bbuf_finish(&b);
+		bbuf_finish(&again);
+	}
+}
+
+static bool
+decode_frs(uint64_t kind, int64_t age, bool extra)
+{
+	struct mpk_writer w;
+	struct frs_msg m;
+	struct bbuf b;
+	bool ok;
+
+	bbuf_init(&b);
+	mpk_writer_init(&w, &b);
+	mpk_put_array(&w, 6);
+	mpk_put_uint(&w, kind);
+	mpk_put_uint(&w, 1);
+	mpk_put_int(&w, age);
+	mpk_put_uint(&w, 1);
+	mpk_put_uint(&w, 1);
+	mpk_put_bool(&w, true);
+	if (extra)
+		mpk_put_bool(&w, true);
+	ok = pmbr_get_frs(bbuf_str(&b), &m);
+	bbuf_finish(&b);
+	return (ok);
+}
+
+/* Guards against values out of range, trailing data and too many entries. */
+static void
+test_refused(void **state)
+{
+	struct mpk_writer w;
+	struct mbr_msg m;
+	struct bbuf b;
+
+	(void)state;
+	assert_true(decode_frs(1, -1, false));
+	assert_false(decode_frs(2, 0, false));
+	assert_false(decode_frs(1, -2, false));
+	assert_false(decode_frs(1, 0, true));
+	bbuf_init(&b);
+	mpk_writer_init(&w, &b);
+	mpk_put_array(&w, 3);
+	mpk_put_uint(&w, 1);
+	mpk_put_bool(&w, false);
+	mpk_put_array(&w, MBR_MAX_ENTRIES + 1);
+	for (int i = 0; i <= MBR_MAX_ENTRIES; i++)
+		mpk_put_uint(&w, 1);
+	assert_false(pmbr_get_gossip(bbuf_str(&b), &m));
+	assert_false(pmbr_get_gossip(BSTR(""), &m));
+	bbuf_finish(&b);
+}
+
+/* Guards against crashes and overreads on damaged bodies. */
+static void
+test_fuzz(void **state)
+{
+	struct rng r;
+
+	(void)state;
+	rng_init(&r, test_seed());
+	for (int round = 0; round < FUZZ_ROUNDS; round++) {
+		struct mbr_msg m = random_gossip(&r);
+		struct frs_msg f = random_frs(&r);
+		uint32_t flips = 1 + rng_below(&r, 5);
+		struct bbuf b;
+		char *copy;
+		size_t n;
+
+		bbuf_init(&b);
+		if (round % 2 == 0)
+			pmbr_put_gossip(&b, &m);
+		else
+			pmbr_put_frs(&b, &f);
+		for (uint32_t i = 0; i < flips; i++)
+			b.p[rng_below(&r, (uint32_t)b.n)] ^=
+			    (char)(1 << rng_below(&r, 8));
+		/* An exact copy, so that ASan sees a read behind the end. */
+		n = rng_below(&r, 4) == 0 ? rng_below(&r, (uint32_t)b.n) : b.n;
+		copy = malloc(n == 0 ? 1 : n);
+		assert_non_null(copy);
+		memcpy(copy, b.p, n);
+		if (pmbr_get_gossip((struct bstr){copy, n}, &m))
+			assert_true(m.n <= MBR_MAX_ENTRIES);
+		if (pmbr_get_frs((struct bstr){copy, n}, &f))
+			assert_true(f.age_ms >= FRS_LAPSED);
+		free(copy);
+		bbuf_finish(&b);
+	}
+}
+
+/* Guards against reading past an array or a depth that is not allowed. */
+static void
+test_reader(void **state)
+{
+	struct mpk_reader r;
+	struct mpk_writer w;
+	struct bbuf b;
+
+	(void)state;
+	bbuf_init(&b);
+	mpk_writer_init(&w, &b);
+	mpk_put_array(&w, 2);
+	mpk_put_uint(&w, 7);
+	mpk_put_int(&w, -3);
+	mpk_reader_init(&r, bbuf_str(&b));
+	mpk_enter(&r, 2);
+	assert_int_equal(mpk_uint(&r, 7), 7);
+	assert_int_equal(mpk_int(&r), -3);
+	assert_true(mpk_ok(&r));
+	assert_int_equal(mpk_uint(&r, 7), 0);
+	assert_false(mpk_ok(&r));
+	mpk_reader_finish(&r);
+	bbuf_clear(&b);
+	for (int i = 0; i <= MPK_MAX_DEPTH; i++)
+		mpk_put_array(&w, 1);
+	mpk_put_uint(&w, 1);
+	mpk_reader_init(&r, bbuf_str(&b));
+	for (int i = 0; i <= MPK_MAX_DEPTH; i++)
+		mpk_enter(&r, 1);
+	assert_false(mpk_ok(&r));
+	mpk_reader_finish(&r);
+	bbuf_finish(&b);
+}
+
+/* Guards against an allocation as large as a short head claims. */
+static void
+test_claimed_size(void **state)
+{
+	const struct bstr bad[] = {
+	    BSTR("\xdd\xff\xff\xff\xff"),
+	    BSTR("\x91\xdd\xff\xff\xff\xf0\x01"),
+	    BSTR("\xdc\xff\xff\x01"),
+	    BSTR("\xc6\xff\xff\xff\xff"),
+	    BSTR("\xdf\xff\xff\xff\xff"),
+	    BSTR("\xcf\x01"),
+	    BSTR("\xc4"),
+	    BSTR("\x01\x02"),
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+		struct mpk_reader r;
+
+		mpk_reader_init(&r, bad[i]);
+		assert_false(mpk_ok(&r));
+		mpk_reader_finish(&r);
+	}
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_round_trip),
+	    cmocka_unit_test(test_refused),
+	    cmocka_unit_test(test_fuzz),
+	    cmocka_unit_test(test_reader),
+	    cmocka_unit_test(test_claimed_size),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
