--- a/packages/peer/frm.c
+++ b/packages/peer/frm.c
@@ -71,6 +71,8 @@
 	end_message(d);
 	bbuf_drop_front(&d->in, d->off);
 	d->off = 0;
+	if (d->in.n == 0 && d->in.cap > FRM_KEEP_BYTES)
+		bbuf_finish(&d->in);
 	bbuf_add(&d->in, bytes);
 }
 
--- a/packages/peer/frm.h
+++ b/packages/peer/frm.h
@@ -28,6 +28,8 @@
 #define FRM_HEAD_BYTES 4
 /* Longest frame including its head. */
 #define FRM_MAX_BYTES (1024 * 1024)
+/* Larger buffers are freed when empty: a fleet has many idle connections. */
+#define FRM_KEEP_BYTES (128 * 1024)
 
 /** enum frm_err - result of frm_dec_next() */
 enum frm_err {
--- a/packages/peer/lnk.c
+++ b/packages/peer/lnk.c
@@ -1,16 +1,13 @@
-#include "peer/lnk.h"
+#include "peer/lnk_priv.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
-#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "peer/frm.h"
-
 #define CONNECT_MS 2000
 #define BACKOFF_MIN_MS 100
 #define BACKOFF_MAX_MS 5000
@@ -19,50 +16,6 @@
 #define MAX_EVENTS 64
 #define MAX_INCOMING 2048
 #define BACKLOG 128
-/* Bytes the peer does not acknowledge for this long break the connection. */
-#define USER_TIMEOUT_MS 5000
-/* Written bytes are dropped from the send queue once they exceed this. */
-#define COMPACT_BYTES 65536
-
-enum conn_state {
-	CONN_CONNECTING,
-	CONN_HELLO, /* waits for the peer's HELLO */
-	CONN_UP,
-	CONN_CLOSED, /* freed at the end of lnk_run() */
-};
-
-struct lnk_conn;
-
-/* A known address. */
-struct lnk_peer {
-	char addr[LNK_ADDR_MAX + 1];
-	struct sockaddr_in sin;
-	struct lnk_conn *conn;    /* own connection */
-	struct lnk_conn *covered; /* incoming connection from this address */
-	int64_t retry_ms;
-	int32_t backoff_ms;
-};
-
-struct lnk_conn {
-	int fd;
-	enum conn_state state;
-	struct lnk_peer *peer; /* NULL for an incoming connection */
-	bool outgoing;
-	bool want_write;
-	struct vmid id;
-	char addr[LNK_ADDR_MAX + 1]; /* from HELLO, of an incoming one */
-	struct frm_dec in;
-	struct bbuf out;
-	size_t out_off;
-	int64_t deadline_ms; /* for HELLO, or of a duplicate; 0 for none */
-};
-
-/* A connected process: at most one connection in each direction. */
-struct lnk_link {
-	struct vmid id;
-	struct lnk_conn *in;
-	struct lnk_conn *out;
-};
 
 static guint
 id_hash(gconstpointer p)
@@ -76,119 +29,6 @@
 	return (vmid_eq(a, b));
 }
 
-static bool
-parse_addr(struct bstr addr, struct sockaddr_in *sin)
-{
-	char text[LNK_ADDR_MAX + 1] = {0};
-	char *colon;
-	uint64_t port;
-
-	if (addr.n == 0 || addr.n > LNK_ADDR_MAX)
-		return (false);
-	memcpy(text, addr.p, addr.n);
-	colon = strrchr(text, ':');
-	if (colon == NULL || !bstr_to_u64(bstr_from(colon + 1), &port) ||
-	    port > UINT16_MAX)
-		return (false);
-	*colon = '\0';
-	*sin = (struct sockaddr_in){.sin_family = AF_INET};
-	sin->sin_port = htons((uint16_t)port);
-	return (inet_pton(AF_INET, text, &sin->sin_addr) == 1);
-}
-
-static void
-watch(struct lnk *l, struct lnk_conn *c, int op)
-{
-	struct epoll_event ev = {.events = EPOLLIN, .data.ptr = c};
-
-	if (c->want_write)
-		ev.events |= EPOLLOUT;
-	if (epoll_ctl(l->epoll, op, c->fd, &ev) != 0)
-		g_warning("lnk: epoll_ctl: %s", g_strerror(errno));
-}
-
-static struct lnk_conn *
-preferred(const struct lnk *l, const struct lnk_link *k)
-{
-	bool own = vmid_cmp(&l->desc.self, &k->id) < 0;
-	struct lnk_conn *first = own ? k->out : k->in;
-
-	return (first != NULL ? first : own ? k->in : k->out);
-}
-
-/* Schedules the next attempt after a random part of the backoff. */
-static void
-schedule_retry(struct lnk *l, struct lnk_peer *p)
-{
-	int32_t half = p->backoff_ms / 2;
-
-	p->retry_ms = l->now_ms + half + rng_below(&l->rng, (uint32_t)half + 1);
-	p->backoff_ms *= 2;
-	if (p->backoff_ms > l->desc.backoff_max_ms)
-		p->backoff_ms = l->desc.backoff_max_ms;
-}
-
-static void
-detach_link(struct lnk *l, struct lnk_conn *c)
-{
-	struct lnk_link *k = g_hash_table_lookup(l->links, &c->id);
-	struct vmid id = c->id;
-
-	if (k == NULL || (k->in != c && k->out != c))
-		return;
-	if (k->in == c)
-		k->in = NULL;
-	if (k->out == c)
-		k->out = NULL;
-	if (k->in != NULL || k->out != NULL)
-		return;
-	g_hash_table_remove(l->links, &id);
-	l->desc.ops->on_down(l->desc.arg, &id);
-}
-
-/*
- * Takes the connection out of service. Its memory stays until reap() because
- * callers up the stack and pending epoll events may still refer to it.
- */
-static void
-close_conn(struct lnk *l, struct lnk_conn *c)
-{
-	bool was_up = c->state == CONN_UP;
-
-	if (c->state == CONN_CLOSED)
-		return;
-	c->state = CONN_CLOSED;
-	close(c->fd);
-	c->fd = -1;
-	for (guint i = 0; i < l->peers->len; i++) {
-		struct lnk_peer *p = g_ptr_array_index(l->peers, i);
-
-		if (p->covered == c)
-			p->covered = NULL;
-		if (p->conn == c) {
-			p->conn = NULL;
-			schedule_retry(l, p);
-		}
-	}
-	c->peer = NULL;
-	if (!c->outgoing)
-		l->n_incoming--;
-	if (was_up)
-		detach_link(l, c);
-}
-
-static void
-free_conn(void *arg)
-{
-	struct lnk_conn *c = arg;
-
-	if (c->fd >= 0)
-		close(c->fd);
-	frm_dec_finish(&c->in);
-	bbuf_finish(&c->out);
-	free(c);
-}
-
 static void
 reap(struct lnk *l)
 {
@@ -200,83 +40,10 @@
 	}
 }
 
-static void
-flush(struct lnk *l, struct lnk_conn *c)
-{
-	while (c->out_off < c->out.n) {
-		ssize_t n = send(c->fd, c->out.p + c->out_off,
-		    c->out.n - c->out_off, MSG_NOSIGNAL);
-
-		if (n < 0 && errno == EINTR)
-			continue;
-		if (n < 0)
-			break;
-		c->out_off += (size_t)n;
-		l->stats.bytes_out += (uint64_t)n;
-	}
-	if (c->out_off == c->out.n || c->out_off >= COMPACT_BYTES) {
-		bbuf_drop_front(&c->out, c->out_off);
-		c->out_off = 0;
-	}
-	/* A broken connection is reported by the next read. */
-	if (c->want_write != (c->out.n != 0)) {
-		c->want_write = c->out.n != 0;
-		watch(l, c, EPOLL_CTL_MOD);
-	}
-}
-
-static bool
-queue(struct lnk *l, struct lnk_conn *c, enum pmsg_type type, struct bstr body)
-{
-	size_t before = c->out.n;
-	size_t waiting = before - c->out_off;
-	bool full;
-
-	if (!frm_encode(&c->out, type, &l->desc.self, body))
-		return (false);
-	full = waiting + (c->out.n - before) > l->desc.queue_bytes;
-	if (full && waiting != 0) {
-		c->out.n = before;
-		l->stats.dropped++;
-		if (l->desc.ops->on_drop != NULL)
-			l->desc.ops->on_drop(l->desc.arg, type, &c->id);
-		return (false);
-	}
-	l->stats.messages_out++;
-	if (waiting == 0 && c->state != CONN_CONNECTING)
-		flush(l, c);
-	return (true);
-}
-
 static void
 send_hello(struct lnk *l, struct lnk_conn *c)
 {
-	queue(l, c, PMSG_HELLO, bstr_from(l->addr));
-}
-
-static struct lnk_conn *
-new_conn(struct lnk *l, int fd, struct lnk_peer *peer)
-{
-	struct lnk_conn *c = calloc(1, sizeof(*c));
-	const int on = 1;
-	const unsigned timeout = USER_TIMEOUT_MS;
-
-	if (c == NULL)
-		abort();
-	c->fd = fd;
-	c->peer = peer;
-	c->outgoing = peer != NULL;
-	c->state = c->outgoing ? CONN_CONNECTING : CONN_HELLO;
-	c->want_write = c->outgoing;
-	c->deadline_ms = l->now_ms + l->desc.connect_ms;
-	frm_dec_init(&c->in);
-	bbuf_init(&c->out);
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-	setsockopt(
-	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
-	g_ptr_array_add(l->conns, c);
-	watch(l, c, EPOLL_CTL_ADD);
-	return (c);
+	lnk_queue(l, c, PMSG_HELLO, bstr_from(l->addr));
 }
 
 static void
@@ -286,16 +53,16 @@
 
 	l->stats.connects++;
 	if (fd < 0) {
-		schedule_retry(l, p);
+		lnk_schedule_retry(l, p);
 		return;
 	}
 	if (connect(fd, (struct sockaddr *)&p->sin, sizeof(p->sin)) != 0 &&
 	    errno != EINPROGRESS) {
 		close(fd);
-		schedule_retry(l, p);
+		lnk_schedule_retry(l, p);
 		return;
 	}
-	p->conn = new_conn(l, fd, p);
+	p->conn = lnk_new_conn(l, fd, p);
 }
 
 static bool
@@ -329,7 +96,7 @@
 			continue;
 		}
 		l->n_incoming++;
-		send_hello(l, new_conn(l, fd, NULL));
+		send_hello(l, lnk_new_conn(l, fd, NULL));
 	}
 }
 
@@ -341,12 +108,12 @@
 
 	if (getsockopt(c->fd, SOL_SOCKET, SO_ERROR, &err, &n) != 0 ||
 	    err != 0) {
-		close_conn(l, c);
+		lnk_close_conn(l, c);
 		return;
 	}
 	c->state = CONN_HELLO;
 	send_hello(l, c);
-	flush(l, c);
+	lnk_flush(l, c);
 }
 
 static struct lnk_peer *
@@ -365,7 +132,7 @@
 static void
 settle_duplicate(struct lnk *l, struct lnk_link *k)
 {
-	if (k->in == NULL || k->out == NULL || preferred(l, k) != k->in)
+	if (k->in == NULL || k->out == NULL || lnk_preferred(l, k) != k->in)
 		return;
 	k->out->deadline_ms = l->now_ms + LNK_DUPLICATE_LINGER_MS;
 }
@@ -381,7 +148,7 @@
 		if (c->peer != NULL)
 			c->peer->backoff_ms = l->desc.backoff_max_ms;
 		l->stats.bad++;
-		close_conn(l, c);
+		lnk_close_conn(l, c);
 		return;
 	}
 	c->state = CONN_UP;
@@ -411,7 +178,7 @@
 		k->in = c;
 	/* The peer connected again: its older connection is dead. */
 	if (old != NULL && old != c)
-		close_conn(l, old);
+		lnk_close_conn(l, old);
 	settle_duplicate(l, k);
 	if (is_new)
 		l->desc.ops->on_up(l->desc.arg, &c->id);
@@ -428,7 +195,7 @@
 	}
 	if (c->state != CONN_UP || hello || !vmid_eq(&m->from, &c->id)) {
 		l->stats.bad++;
-		close_conn(l, c);
+		lnk_close_conn(l, c);
 		return;
 	}
 	l->stats.messages_in++;
@@ -449,7 +216,7 @@
 			l->stats.bad++;
 			g_message(
 			    "lnk: closing a connection: %s", frm_err_name(err));
-			close_conn(l, c);
+			lnk_close_conn(l, c);
 			return;
 		}
 		on_frame(l, c, &m);
@@ -468,7 +235,7 @@
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
 	if (n <= 0) {
-		close_conn(l, c);
+		lnk_close_conn(l, c);
 		return;
 	}
 	l->stats.bytes_in += (uint64_t)n;
@@ -484,7 +251,7 @@
 		return;
 	}
 	if (c->state != CONN_CLOSED && (events & EPOLLOUT) != 0)
-		flush(l, c);
+		lnk_flush(l, c);
 	if (c->state != CONN_CLOSED &&
 	    (events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0)
 		read_some(l, c);
@@ -497,7 +264,7 @@
 		struct lnk_conn *c = g_ptr_array_index(l->conns, i);
 
 		if (c->deadline_ms != 0 && l->now_ms >= c->deadline_ms)
-			close_conn(l, c);
+			lnk_close_conn(l, c);
 	}
 	for (guint i = 0; i < l->peers->len; i++) {
 		struct lnk_peer *p = g_ptr_array_index(l->peers, i);
@@ -559,7 +326,7 @@
 	const int on = 1;
 	char ip[INET_ADDRSTRLEN];
 
-	if (!parse_addr(bstr_from(l->desc.listen), &sin))
+	if (!lnk_parse_addr(bstr_from(l->desc.listen), &sin))
 		return (false);
 	l->listener =
 	    socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -584,7 +351,7 @@
 	set_defaults(&l->desc);
 	rng_init(&l->rng, l->desc.seed);
 	l->peers = g_ptr_array_new_with_free_func(free);
-	l->conns = g_ptr_array_new_with_free_func(free_conn);
+	l->conns = g_ptr_array_new_with_free_func(lnk_free_conn);
 	l->links = g_hash_table_new_full(id_hash, id_equal, NULL, g_free);
 	l->epoll = epoll_create1(EPOLL_CLOEXEC);
 	if (l->epoll >= 0 && copy_allow(l) && start_listener(l))
@@ -625,7 +392,7 @@
 	struct sockaddr_in sin;
 	struct lnk_peer *p;
 
-	if (!parse_addr(addr, &sin) || bstr_eq(addr, bstr_from(l->addr)))
+	if (!lnk_parse_addr(addr, &sin) || bstr_eq(addr, bstr_from(l->addr)))
 		return (false);
 	if (find_peer(l, addr) != NULL)
 		return (true);
@@ -653,7 +420,7 @@
 	if (p == NULL)
 		return;
 	if (p->conn != NULL)
-		close_conn(l, p->conn);
+		lnk_close_conn(l, p->conn);
 	g_ptr_array_remove_fast(l->peers, p);
 }
 
@@ -663,7 +430,7 @@
 {
 	struct lnk_link *k = g_hash_table_lookup(l->links, to);
 
-	return (k != NULL && queue(l, preferred(l, k), type, body));
+	return (k != NULL && lnk_queue(l, lnk_preferred(l, k), type, body));
 }
 
 bool
@@ -690,7 +457,7 @@
 
 	g_hash_table_iter_init(&it, l->links);
 	while (g_hash_table_iter_next(&it, NULL, &k))
-		n += queue(l, preferred(l, k), type, body);
+		n += lnk_queue(l, lnk_preferred(l, k), type, body);
 	return (n);
 }
 
--- a/tests/unit/test_lnk.c
+++ b/tests/unit/test_lnk.c
@@ -160,31 +160,6 @@
 	lnk_finish(&n[1].l);
 }
 
-/* Guards against a restarted peer that is not found again. */
-static void
-test_restart(void **state)
-{
-	struct node n[2];
-	char addr[LNK_ADDR_MAX + 1];
-	int64_t now = 1;
-
-	(void)state;
-	start(&n[0], "a@1", "127.0.0.1:0");
-	start(&n[1], "b@1", "127.0.0.1:0");
-	snprintf(addr, sizeof(addr), "%.*s", BSTR_ARG(lnk_addr(&n[1].l)));
-	lnk_add_peer(&n[0].l, bstr_from(addr));
-	RUN_UNTIL(n, 2, now, n[0].ups == 1 && n[1].ups == 1);
-	lnk_finish(&n[1].l);
-	RUN_UNTIL(n, 1, now, n[0].downs == 1);
-	start(&n[1], "b@2", addr);
-	RUN_UNTIL(n, 2, now, n[0].ups == 2);
-	assert_true(lnk_is_up(&n[0].l, &n[1].id));
-	lnk_remove_peer(&n[0].l, bstr_from(addr));
-	RUN_UNTIL(n, 2, now, n[0].downs == 2 && n[1].downs == 1);
-	lnk_finish(&n[0].l);
-	lnk_finish(&n[1].l);
-}
-
 static int
 raw_connect(const struct node *n)
 {
@@ -211,6 +186,71 @@
 	bbuf_finish(&b);
 }
 
+/* Guards against losing the peer when the connection in use breaks while the
+ * other one is about to be closed as a duplicate. */
+static void
+test_break_during_linger(void **state)
+{
+	struct node n;
+	int64_t now = 1;
+	int listener, in, accepted;
+	struct sockaddr_in sin = {.sin_family = AF_INET};
+	socklen_t len = sizeof(sin);
+	char addr[LNK_ADDR_MAX + 1];
+
+	(void)state;
+	start(&n, "b@1", "127.0.0.1:0");
+	listener = socket(AF_INET, SOCK_STREAM, 0);
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(bind(listener, (struct sockaddr *)&sin, len), 0);
+	assert_int_equal(listen(listener, 1), 0);
+	getsockname(listener, (struct sockaddr *)&sin, &len);
+	snprintf(addr, sizeof(addr), "127.0.0.1:%u", ntohs(sin.sin_port));
+	lnk_add_peer(&n.l, bstr_from(addr));
+	RUN_UNTIL(&n, 1, now, n.l.conns->len == 1);
+	accepted = accept(listener, NULL, NULL);
+	raw_send(accepted, PMSG_HELLO, "a@1");
+	in = raw_connect(&n);
+	raw_send(in, PMSG_HELLO, "a@1");
+	RUN_UNTIL(&n, 1, now, n.ups == 1 && n.l.conns->len == 2);
+	for (int i = 0; i < 50; i++)
+		run_all(&n, 1, now++);
+	close(in);
+	RUN_UNTIL(&n, 1, now, n.l.conns->len == 1);
+	for (int i = 0; i < 50; i++)
+		run_all(&n, 1, now += LNK_DUPLICATE_LINGER_MS / 10);
+	assert_int_equal(n.downs, 0);
+	assert_int_equal(n.l.conns->len, 1);
+	close(accepted);
+	close(listener);
+	lnk_finish(&n.l);
+}
+
+/* Guards against a restarted peer that is not found again. */
+static void
+test_restart(void **state)
+{
+	struct node n[2];
+	char addr[LNK_ADDR_MAX + 1];
+	int64_t now = 1;
+
+	(void)state;
+	start(&n[0], "a@1", "127.0.0.1:0");
+	start(&n[1], "b@1", "127.0.0.1:0");
+	snprintf(addr, sizeof(addr), "%.*s", BSTR_ARG(lnk_addr(&n[1].l)));
+	lnk_add_peer(&n[0].l, bstr_from(addr));
+	RUN_UNTIL(n, 2, now, n[0].ups == 1 && n[1].ups == 1);
+	lnk_finish(&n[1].l);
+	RUN_UNTIL(n, 1, now, n[0].downs == 1);
+	start(&n[1], "b@2", addr);
+	RUN_UNTIL(n, 2, now, n[0].ups == 2);
+	assert_true(lnk_is_up(&n[0].l, &n[1].id));
+	lnk_remove_peer(&n[0].l, bstr_from(addr));
+	RUN_UNTIL(n, 2, now, n[0].downs == 2 && n[1].downs == 1);
+	lnk_finish(&n[0].l);
+	lnk_finish(&n[1].l);
+}
+
 /* Guards against strangers, impostors and garbage that stay connected. */
 static void
 test_bad_peers(void **state)
@@ -311,6 +351,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_pair),
 	    cmocka_unit_test(test_add_after_incoming),
+	    cmocka_unit_test(test_break_during_linger),
 	    cmocka_unit_test(test_restart),
 	    cmocka_unit_test(test_bad_peers),
 	    cmocka_unit_test(test_allow_list),
