Add an event loop, an HTTP reader and checked bodies for stand-ins

The upstream stand-in used one thread for each connection and served one upstream in a process, and no program could check an answer byte by byte. tests/lib now holds an epoll loop with microsecond timers, a pull reader for HTTP/1.1 and bodies that are a function of the request id. The upstream stand-in serves many upstreams in one process and its behaviour is changed through an admin port; the old command line still works. callers sends open and closed loop load with payments that are repeated under one key.

--- /dev/null
+++ b/tests/lib/adm.h
@@ -0,0 +1,35 @@
+/*
+ * adm - admin port of a stand-in: JSON over HTTP on loopback, one thread.
+ *
+ *	static unsigned
+ *	serve(void *arg, const char *method, const char *url,
+ *	    struct bstr body, json_t **out);
+ *	adm_start(&port, serve, arg);
+ */
+#ifndef LIB_ADM_H
+#define LIB_ADM_H
+
+#include <jansson.h>
+#include <stdint.h>
+
+#include "base/bstr.h"
+
+/**
+ * typedef adm_fn - answer one request
+ * @body: request body, empty when there is none
+ * @out: answer, owned by the server afterwards; NULL sends {}
+ *
+ * Return: HTTP status.
+ */
+typedef unsigned (*adm_fn)(void *arg, const char *method, const char *url,
+    struct bstr body, json_t **out);
+
+/**
+ * adm_start() - serve until the process ends
+ * @port: port to use, 0 for a free one; receives the port
+ *
+ * Return: 0, or -1 when the port cannot be used.
+ */
+int adm_start(uint16_t *port, adm_fn fn, void *arg);
+
+#endif
--- /dev/null
+++ b/tests/lib/cpl.c
@@ -0,0 +1,155 @@
+#include "lib/cpl.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+
+static const char *const names[CPL_KINDS] = {
+    "lookup", "refresh", "pay", "download", "upload"};
+
+static const struct cpl_kind defaults[CPL_KINDS] = {
+    [CPL_LOOKUP] = {60, 512, 0, 0, 0, 3000},
+    [CPL_REFRESH] = {24, 256, 0, 0, 0, 3000},
+    [CPL_PAY] = {14, 200, 128, 0, 0, 3000},
+    [CPL_DOWNLOAD] = {1, 1048576, 0, 16384, 1000, 30000},
+    [CPL_UPLOAD] = {1, 64, 262144, 0, 0, 10000},
+};
+
+const char *
+cpl_kind_name(enum cpl_id kind)
+{
+	return (names[kind]);
+}
+
+static char *
+text(const json_t *v)
+{
+	const char *s = json_string_value(v);
+
+	return (s == NULL ? NULL : bstr_dup(bstr_from(s)));
+}
+
+static uint64_t
+number(const json_t *v, const char *key, uint64_t def)
+{
+	const json_t *e = json_object_get(v, key);
+
+	return (json_is_integer(e) ? (uint64_t)json_integer_value(e) : def);
+}
+
+static void
+read_services(struct cpl *p, const json_t *list)
+{
+	size_t i, k;
+	json_t *e, *d;
+
+	p->services = calloc(json_array_size(list) + 1, sizeof(*p->services));
+	json_array_foreach(list, i, e)
+	{
+		struct cpl_service *s = &p->services[p->n_services++];
+		const json_t *direct = json_object_get(e, "direct");
+
+		s->host = text(json_object_get(e, "host"));
+		s->weight = (uint32_t)number(e, "weight", 1);
+		s->direct = calloc(json_array_size(direct) + 1, sizeof(char *));
+		json_array_foreach(direct, k, d) s->direct[s->n_direct++] =
+		    text(d);
+	}
+}
+
+static void
+read_entries(struct cpl *p, const json_t *list)
+{
+	size_t i;
+	json_t *e;
+
+	p->entries = calloc(json_array_size(list) + 1, sizeof(*p->entries));
+	json_array_foreach(list, i, e)
+	{
+		struct cpl_entry *n = &p->entries[p->n_entries++];
+
+		n->addr = text(json_object_get(e, "addr"));
+		n->ops = text(json_object_get(e, "ops"));
+	}
+}
+
+static void
+read_kinds(struct cpl *p, const json_t *kinds)
+{
+	for (int k = 0; k < CPL_KINDS; k++) {
+		const json_t *e = json_object_get(kinds, names[k]);
+		struct cpl_kind *out = &p->kinds[k];
+
+		*out = defaults[k];
+		if (kinds == NULL)
+			continue;
+		out->weight = e == NULL ? 0 : (uint32_t)number(e, "weight", 1);
+		out->bytes = number(e, "bytes", out->bytes);
+		out->body = number(e, "body", out->body);
+		out->chunk = number(e, "chunk", out->chunk);
+		out->pace_us = number(e, "pace_us", out->pace_us);
+		out->timeout_ms =
+		    (int64_t)number(e, "timeout_ms", (uint64_t)out->timeout_ms);
+	}
+}
+
+static bool
+check(const struct cpl *p, struct bbuf *problem)
+{
+	uint32_t weight = 0;
+
+	for (uint32_t i = 0; i < p->n_services; i++) {
+		if (p->services[i].host == NULL)
+			bbuf_addf(problem, "services[%u].host: missing\n", i);
+	}
+	for (uint32_t i = 0; i < p->n_entries; i++) {
+		if (p->entries[i].addr == NULL)
+			bbuf_addf(problem, "entries[%u].addr: missing\n", i);
+	}
+	for (int k = 0; k < CPL_KINDS; k++) {
+		weight += p->kinds[k].weight;
+		if (p->kinds[k].bytes == 0)
+			bbuf_addf(problem, "kinds.%s.bytes: must be above 0\n",
+			    names[k]);
+	}
+	if (p->n_services == 0)
+		bbuf_addf(problem, "services: must not be empty\n");
+	if (weight == 0)
+		bbuf_addf(problem, "kinds: no kind has a weight\n");
+	return (problem->n == 0);
+}
+
+bool
+cpl_load(struct cpl *p, const char *path, struct bbuf *problem)
+{
+	json_error_t e;
+	json_t *v = json_load_file(path, JSON_REJECT_DUPLICATES, &e);
+
+	*p = (struct cpl){0};
+	if (v == NULL) {
+		bbuf_addf(problem, "%s: line %d: %s\n", path, e.line, e.text);
+		return (false);
+	}
+	read_services(p, json_object_get(v, "services"));
+	read_entries(p, json_object_get(v, "entries"));
+	read_kinds(p, json_object_get(v, "kinds"));
+	json_decref(v);
+	return (check(p, problem));
+}
+
+void
+cpl_finish(struct cpl *p)
+{
+	for (uint32_t i = 0; i < p->n_services; i++) {
+		for (uint32_t k = 0; k < p->services[i].n_direct; k++)
+			free(p->services[i].direct[k]);
+		free(p->services[i].direct);
+		free(p->services[i].host);
+	}
+	for (uint32_t i = 0; i < p->n_entries; i++) {
+		free(p->entries[i].addr);
+		free(p->entries[i].ops);
+	}
+	free(p->services);
+	free(p->entries);
+	*p = (struct cpl){0};
+}
--- /dev/null
+++ b/tests/lib/crep.c
@@ -0,0 +1,152 @@
+#include "lib/crep.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+
+static const char *const end_names[CREP_ENDS] = {"ok", "wrong", "partial",
+    "closed", "timeout", "refused", "status", "no_entry", "unknown"};
+
+void
+crep_end(
+    struct crep *r, enum cpl_id kind, enum crep_end end, int64_t latency_us)
+{
+	struct crep_kind *k = &r->kinds[kind];
+
+	k->end[end]++;
+	if (end == CREP_OK)
+		hist_add(&k->latency, (uint64_t)latency_us);
+}
+
+uint64_t
+crep_count(const struct crep_kind *k)
+{
+	uint64_t n = 0;
+
+	for (int i = 0; i < CREP_ENDS; i++)
+		n += k->end[i];
+	return (n);
+}
+
+static void
+sum_up(const struct crep *r, struct crep_kind *all)
+{
+	*all = (struct crep_kind){0};
+	for (int k = 0; k < CPL_KINDS; k++) {
+		hist_merge(&all->latency, &r->kinds[k].latency);
+		for (int i = 0; i < CREP_ENDS; i++)
+			all->end[i] += r->kinds[k].end[i];
+	}
+}
+
+static double
+per_second(const struct crep *r, uint64_t n)
+{
+	return (
+	    r->elapsed_us <= 0 ? 0 : (double)n * 1e6 / (double)r->elapsed_us);
+}
+
+static void
+table_row(const struct crep *r, const char *name, const struct crep_kind *k,
+    FILE *out)
+{
+	fprintf(out, "%-9s %8llu %9.1f %8llu %8llu %8llu", name,
+	    (unsigned long long)crep_count(k), per_second(r, k->end[CREP_OK]),
+	    (unsigned long long)hist_quantile(&k->latency, 0.5),
+	    (unsigned long long)hist_quantile(&k->latency, 0.99),
+	    (unsigned long long)hist_quantile(&k->latency, 0.999));
+	for (int i = CREP_WRONG; i < CREP_ENDS; i++)
+		fprintf(out, " %8llu", (unsigned long long)k->end[i]);
+	fputc('\n', out);
+}
+
+void
+crep_table(const struct crep *r, FILE *out)
+{
+	static struct crep_kind all;
+
+	sum_up(r, &all);
+	fprintf(out, "%s (%s)\n", r->label, r->mode);
+	fprintf(out, "%-9s %8s %9s %8s %8s %8s", "kind", "calls", "ok/s",
+	    "p50_us", "p99_us", "p99.9_us");
+	for (int i = CREP_WRONG; i < CREP_ENDS; i++)
+		fprintf(out, " %8s", end_names[i]);
+	fputc('\n', out);
+	for (int k = 0; k < CPL_KINDS; k++) {
+		if (crep_count(&r->kinds[k]) != 0)
+			table_row(r, cpl_kind_name((enum cpl_id)k),
+			    &r->kinds[k], out);
+	}
+	table_row(r, "all", &all, out);
+	fprintf(out,
+	    "told not-run %llu, keys never run %llu, retries %llu, asks %llu, "
+	    "resent %llu\n",
+	    (unsigned long long)r->told_not_run,
+	    (unsigned long long)r->keys_not_run, (unsigned long long)r->retries,
+	    (unsigned long long)r->asks, (unsigned long long)r->resent);
+	for (int i = 0; i < ERR_KIND_COUNT; i++) {
+		if (r->refusals[i] != 0)
+			fprintf(out, "refused %s: %llu\n",
+			    err_answer((enum err_kind)i)->name,
+			    (unsigned long long)r->refusals[i]);
+	}
+}
+
+static json_t *
+line_of(const struct crep *r, const char *name, const struct crep_kind *k)
+{
+	json_t *v = json_pack("{s:s,s:s,s:s,s:I,s:f,s:I,s:I,s:I}", "label",
+	    r->label, "mode", r->mode, "kind", name, "count",
+	    (json_int_t)crep_count(k), "ok_per_s",
+	    per_second(r, k->end[CREP_OK]), "p50_us",
+	    (json_int_t)hist_quantile(&k->latency, 0.5), "p99_us",
+	    (json_int_t)hist_quantile(&k->latency, 0.99), "p999_us",
+	    (json_int_t)hist_quantile(&k->latency, 0.999));
+
+	for (int i = 0; i < CREP_ENDS; i++)
+		json_object_set_new(
+		    v, end_names[i], json_integer((json_int_t)k->end[i]));
+	return (v);
+}
+
+static void
+print_line(json_t *v, FILE *out)
+{
+	char *text = json_dumps(v, JSON_COMPACT | JSON_REAL_PRECISION(6));
+
+	fprintf(out, "%s\n", text);
+	free(text);
+	json_decref(v);
+}
+
+void
+crep_lines(const struct crep *r, FILE *out)
+{
+	static struct crep_kind all;
+	json_t *v, *refusals = json_object();
+
+	for (int k = 0; k < CPL_KINDS; k++) {
+		if (crep_count(&r->kinds[k]) != 0)
+			print_line(line_of(r, cpl_kind_name((enum cpl_id)k),
+				       &r->kinds[k]),
+			    out);
+	}
+	for (int i = 0; i < ERR_KIND_COUNT; i++) {
+		if (r->refusals[i] != 0)
+			json_object_set_new(refusals,
+			    err_answer((enum err_kind)i)->name,
+			    json_integer((json_int_t)r->refusals[i]));
+	}
+	sum_up(r, &all);
+	v = line_of(r, "all", &all);
+	json_object_set_new(v, "refusals", refusals);
+#define PUT(name)                                                              \
+	json_object_set_new(v, #name, json_integer((json_int_t)r->name))
+	PUT(told_not_run);
+	PUT(keys_not_run);
+	PUT(retries);
+	PUT(asks);
+	PUT(resent);
+	PUT(elapsed_us);
+#undef PUT
+	print_line(v, out);
+}
--- /dev/null
+++ b/tests/lib/h1.c
@@ -0,0 +1,253 @@
+#include "lib/h1.h"
+
+#include <stdlib.h>
+
+void
+h1_init(struct h1 *h, bool response)
+{
+	*h = (struct h1){.response = response};
+}
+
+void
+h1_finish(struct h1 *h)
+{
+	bbuf_finish(&h->head);
+	bbuf_finish(&h->line);
+}
+
+void
+h1_reset(struct h1 *h)
+{
+	bbuf_clear(&h->head);
+	bbuf_clear(&h->line);
+	h->state = H1_IN_HEAD;
+	h->n_headers = 0;
+	h->left = 0;
+	h->chunked = false;
+	h->close = false;
+	h->status = 0;
+}
+
+static struct bstr
+trim(struct bstr s)
+{
+	while (s.n > 0 && (s.p[0] == ' ' || s.p[0] == '\t')) {
+		s.p++;
+		s.n--;
+	}
+	while (s.n > 0 && strchr(" \t\r\n", s.p[s.n - 1]) != NULL)
+		s.n--;
+	return (s);
+}
+
+/* Cuts @s at the first @sep; the rest follows the separator. */
+static struct bstr
+cut(struct bstr *s, char sep)
+{
+	const char *p = s->n == 0 ? NULL : memchr(s->p, sep, s->n);
+	struct bstr first = *s;
+
+	if (p == NULL) {
+		*s = (struct bstr){0};
+		return (first);
+	}
+	first.n = (size_t)(p - s->p);
+	s->p = p + 1;
+	s->n -= first.n + 1;
+	return (first);
+}
+
+struct bstr
+h1_header(const struct h1 *h, const char *name)
+{
+	for (unsigned i = 0; i < h->n_headers; i++) {
+		if (bstr_caseeq(h->headers[i].name, bstr_from(name)))
+			return (h->headers[i].value);
+	}
+	return ((struct bstr){0});
+}
+
+static bool
+read_first_line(struct h1 *h, struct bstr line)
+{
+	struct bstr a = cut(&line, ' ');
+	struct bstr b = cut(&line, ' ');
+	uint64_t v;
+
+	if (!h->response) {
+		h->method = a;
+		h->target = b;
+		return (b.n != 0);
+	}
+	if (!bstr_has_prefix(a, BSTR("HTTP/1.")) || !bstr_to_u64(b, &v))
+		return (false);
+	h->status = (unsigned)v;
+	return (true);
+}
+
+static bool
+read_framing(struct h1 *h)
+{
+	struct bstr len = h1_header(h, "Content-Length");
+	bool empty = h->status == 204 || h->status == 304;
+
+	h->close = bstr_caseeq(h1_header(h, "Connection"), BSTR("close"));
+	h->chunked =
+	    bstr_caseeq(h1_header(h, "Transfer-Encoding"), BSTR("chunked"));
+	if (h->chunked) {
+		h->state = H1_IN_CHUNK_SIZE;
+	} else if (len.n != 0) {
+		if (!bstr_to_u64(len, &h->left))
+			return (false);
+		h->state = h->left == 0 ? H1_DONE : H1_IN_BODY;
+	} else {
+		h->state = h->response && !empty ? H1_UNTIL_CLOSE : H1_DONE;
+	}
+	return (true);
+}
+
+static enum h1_event
+read_head(struct h1 *h, struct bstr *in)
+{
+	size_t from = h->head.n < 3 ? 0 : h->head.n - 3;
+	size_t had = h->head.n;
+	const char *end;
+	struct bstr rest;
+	size_t n;
+
+	bbuf_add(&h->head, *in);
+	end = memmem(h->head.p + from, h->head.n - from, "\r\n\r\n", 4);
+	if (end == NULL) {
+		in->n = 0;
+		return (h->head.n > H1_MAX_HEAD ? H1_ERROR : H1_MORE);
+	}
+	n = (size_t)(end - h->head.p) + 4;
+	in->p += n - had;
+	in->n -= n - had;
+	h->head.n = n;
+	rest = (struct bstr){h->head.p, n - 2};
+	if (!read_first_line(h, trim(cut(&rest, '\n'))))
+		return (H1_ERROR);
+	while (rest.n != 0) {
+		struct bstr line = trim(cut(&rest, '\n'));
+		struct bstr name = cut(&line, ':');
+
+		if (h->n_headers == H1_MAX_HEADERS)
+			return (H1_ERROR);
+		h->headers[h->n_headers++] =
+		    (struct h1_header){name, trim(line)};
+	}
+	return (read_framing(h) ? H1_HEAD : H1_ERROR);
+}
+
+/* Collects one line; Return: whether it is complete. */
+static bool
+read_line(struct h1 *h, struct bstr *in)
+{
+	const char *end = memchr(in->p, '\n', in->n);
+	size_t n = end == NULL ? in->n : (size_t)(end - in->p) + 1;
+
+	bbuf_add(&h->line, (struct bstr){in->p, n});
+	in->p += n;
+	in->n -= n;
+	return (end != NULL);
+}
+
+static enum h1_event
+read_chunk_size(struct h1 *h, struct bstr *in)
+{
+	char *end;
+
+	if (!read_line(h, in))
+		return (h->line.n > H1_MAX_LINE ? H1_ERROR : H1_MORE);
+	h->left = strtoull(h->line.p, &end, 16);
+	if (end == h->line.p)
+		return (H1_ERROR);
+	bbuf_clear(&h->line);
+	h->state = h->left == 0 ? H1_IN_TRAILER : H1_IN_BODY;
+	return (H1_MORE);
+}
+
+static enum h1_event
+read_data(struct h1 *h, struct bstr *in)
+{
+	size_t n = in->n < h->left ? in->n : (size_t)h->left;
+
+	h->data = (struct bstr){in->p, n};
+	in->p += n;
+	in->n -= n;
+	h->left -= n;
+	if (h->left == 0)
+		h->state = h->chunked ? H1_IN_CHUNK_END : H1_DONE;
+	return (H1_BODY);
+}
+
+/* Reads lines up to an empty one. */
+static enum h1_event
+read_blank(struct h1 *h, struct bstr *in, enum h1_state next)
+{
+	if (!read_line(h, in))
+		return (h->line.n > H1_MAX_LINE ? H1_ERROR : H1_MORE);
+	if (h->line.n <= 2)
+		h->state = next;
+	bbuf_clear(&h->line);
+	return (H1_MORE);
+}
+
+enum h1_event
+h1_read(struct h1 *h, struct bstr *in)
+{
+	enum h1_event e = H1_MORE;
+
+	while (e == H1_MORE) {
+		if (h->state == H1_DONE)
+			return (H1_END);
+		if (in->n == 0)
+			return (H1_MORE);
+		switch (h->state) {
+		case H1_IN_HEAD:
+			e = read_head(h, in);
+			break;
+		case H1_IN_BODY:
+			return (read_data(h, in));
+		case H1_IN_CHUNK_SIZE:
+			e = read_chunk_size(h, in);
+			break;
+		case H1_IN_CHUNK_END:
+			e = read_blank(h, in, H1_IN_CHUNK_SIZE);
+			break;
+		case H1_IN_TRAILER:
+			e = read_blank(h, in, H1_DONE);
+			break;
+		case H1_UNTIL_CLOSE:
+			h->data = *in;
+			in->n = 0;
+			return (H1_BODY);
+		case H1_DONE:
+			break;
+		}
+	}
+	return (e);
+}
+
+bool
+h1_at_close(const struct h1 *h)
+{
+	return (h->state == H1_UNTIL_CLOSE || h->state == H1_DONE);
+}
+
+uint64_t
+h1_query(struct bstr target, const char *name, uint64_t def)
+{
+	uint64_t v;
+
+	cut(&target, '?');
+	while (target.n != 0) {
+		struct bstr value = cut(&target, '&');
+		struct bstr key = cut(&value, '=');
+
+		if (bstr_eq(key, bstr_from(name)) && bstr_to_u64(value, &v))
+			return (v);
+	}
+	return (def);
+}
--- /dev/null
+++ b/tests/lib/pat.c
@@ -0,0 +1,51 @@
+#include "lib/pat.h"
+
+#define BLOCK 1024
+
+uint64_t
+pat_seed(struct bstr id)
+{
+	return (bstr_hash(id, 0));
+}
+
+static uint64_t
+word_at(uint64_t seed, uint64_t index)
+{
+	uint64_t z = seed + index * 0x9e3779b97f4a7c15ULL;
+
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
+	return (z ^ (z >> 27));
+}
+
+void
+pat_fill(uint64_t seed, uint64_t pos, char *buf, size_t n)
+{
+	while (n > 0) {
+		uint64_t w = word_at(seed, pos / 8);
+		size_t skip = pos % 8;
+		size_t len = 8 - skip < n ? 8 - skip : n;
+
+		memcpy(buf, (const char *)&w + skip, len);
+		buf += len;
+		pos += len;
+		n -= len;
+	}
+}
+
+bool
+pat_check(uint64_t seed, uint64_t pos, const char *buf, size_t n)
+{
+	char want[BLOCK];
+
+	while (n > 0) {
+		size_t len = n < BLOCK ? n : BLOCK;
+
+		pat_fill(seed, pos, want, len);
+		if (memcmp(want, buf, len) != 0)
+			return (false);
+		buf += len;
+		pos += len;
+		n -= len;
+	}
+	return (true);
+}
--- a/tests/standin/upstream.c
+++ b/tests/standin/upstream.c
@@ -1,159 +1,243 @@
 /*
- * upstream - stand-in for an upstream with a number of slots.
+ * upstream - stand-in for many upstreams in one process.
  *
- * Answers GET /health and GET /load as upstreams do and every other request
- * after a service time. A key seen twice is counted. GET /stats shows the
- * counts. Prints "port N" when it listens.
+ * Each upstream has its own port, a number of slots and a FIFO queue behind
+ * them. A request holds its slot from the start of service until its answer is
+ * written. What an upstream does is set by the keys of lib/upk.h: at start with
+ * --set JSON for all, later with POST /admin {"upstream": i | [..] | "all",
+ * ...} on the admin port. GET /stats shows the counters of all upstreams, POST
+ * /ran takes idempotency keys, one a line, and tells which of them have run.
+ *
+ * An answer echoes X-Request-Id. With the query parameter bytes=n the body is
+ * the pattern of lib/pat.h for that id; chunk=n and pace_us=t write it in parts
+ * with pauses. X-Body-Bytes and X-Body-Hash (xxHash64) describe the request
+ * body. Without bytes=n the body is a JSON object.
+ *
+ * Usage: upstream [--count N] [--port P] [--threads T] [--service-us U]
+ *            [--seed S] [--set JSON] [--admin-port P]
+ *        upstream PORT SERVICE_US
+ *
+ * Prints "admin PORT" and one line "port INDEX PORT" for each upstream; the
+ * second form prints "port PORT" and serves at constant service time.
  */
-#include <jansson.h>
-#include <microhttpd.h>
-#include <pthread.h>
+#include <getopt.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
-#define SLOTS 6
-
-struct upstream {
-	pthread_mutex_t lock;
-	pthread_cond_t free_slot;
-	int in_service;
-	int in_flight;
-	int service_us;
-	json_int_t served;
-	json_int_t duplicates;
-	json_t *keys;
-};
+#include "base/bstr.h"
+#include "lib/adm.h"
+#include "lib/usim.h"
 
-struct request {
-	size_t n;
-};
+#define MAX_THREADS 16
 
-static struct upstream up = {
-    .lock = PTHREAD_MUTEX_INITIALIZER, .free_slot = PTHREAD_COND_INITIALIZER};
+static struct usim *ups;
+static int n_ups = 1;
+static struct evl loops[MAX_THREADS];
+static int n_loops = 2;
+static struct usim_keys keys;
 
-static enum MHD_Result
-respond(struct MHD_Connection *conn, json_t *v)
+static unsigned
+apply_admin(const json_t *v)
 {
-	char *text = json_dumps(v, JSON_COMPACT);
-	struct MHD_Response *r = MHD_create_response_from_buffer(
-	    strlen(text), text, MHD_RESPMEM_MUST_FREE);
-	char load[16];
-	enum MHD_Result rc;
+	const json_t *which = json_object_get(v, "upstream"), *e;
+	size_t i;
 
-	json_decref(v);
-	snprintf(load, sizeof(load), "%d", up.in_flight);
-	MHD_add_response_header(r, "X-Load", load);
-	MHD_add_response_header(r, "X-State", "ready");
-	rc = MHD_queue_response(conn, 200, r);
-	MHD_destroy_response(r);
-	return (rc);
+	if (json_is_integer(which)) {
+		i = (size_t)json_integer_value(which);
+		if (i >= (size_t)n_ups)
+			return (400);
+		usim_apply(&ups[i], v);
+	} else if (json_is_array(which)) {
+		json_array_foreach(which, i, e)
+		{
+			if (json_integer_value(e) < n_ups)
+				usim_apply(&ups[json_integer_value(e)], v);
+		}
+	} else {
+		for (int k = 0; k < n_ups; k++)
+			usim_apply(&ups[k], v);
+	}
+	return (200);
 }
 
-static void
-count_key(const char *key)
+static json_t *
+all_stats(void)
 {
-	if (key == NULL)
-		return;
-	if (json_object_get(up.keys, key) != NULL)
-		up.duplicates++;
-	json_object_set_new(up.keys, key, json_true());
+	json_t *list = json_array();
+
+	for (int i = 0; i < n_ups; i++) {
+		evl_lock(ups[i].loop);
+		json_array_append_new(list, usim_stats(&ups[i]));
+		evl_unlock(ups[i].loop);
+	}
+	return (json_pack("{s:o}", "upstreams", list));
 }
 
 static json_t *
-run(struct MHD_Connection *conn, const char *url, size_t body)
+ran(struct bstr body)
 {
-	const char *echo =
-	    MHD_lookup_connection_value(conn, MHD_HEADER_KIND, "X-Request-Id");
-
-	pthread_mutex_lock(&up.lock);
-	up.in_flight++;
-	while (up.in_service >= SLOTS)
-		pthread_cond_wait(&up.free_slot, &up.lock);
-	up.in_service++;
-	count_key(MHD_lookup_connection_value(
-	    conn, MHD_HEADER_KIND, "Idempotency-Key"));
-	pthread_mutex_unlock(&up.lock);
-	usleep((useconds_t)up.service_us);
-	pthread_mutex_lock(&up.lock);
-	up.in_service--;
-	up.in_flight--;
-	up.served++;
-	pthread_cond_signal(&up.free_slot);
-	pthread_mutex_unlock(&up.lock);
-	return (json_pack("{s:s,s:s,s:I}", "path", url, "id",
-	    echo == NULL ? "" : echo, "body", (json_int_t)body));
+	json_t *list = json_array();
+	json_int_t checked = 0;
+	char *text = bstr_dup(body), *save = NULL;
+
+	pthread_mutex_lock(&keys.lock);
+	for (char *key = strtok_r(text, "\n", &save); key != NULL;
+	     key = strtok_r(NULL, "\n", &save)) {
+		checked++;
+		if (g_hash_table_lookup(keys.runs, key) != NULL)
+			json_array_append_new(list, json_string(key));
+	}
+	pthread_mutex_unlock(&keys.lock);
+	free(text);
+	return (json_pack("{s:I,s:o}", "checked", checked, "ran", list));
 }
 
-static enum MHD_Result
-on_request(void *cls, struct MHD_Connection *conn, const char *url,
-    const char *method, const char *version, const char *data, size_t *n,
-    void **ctx)
+static unsigned
+on_admin(void *arg, const char *method, const char *url, struct bstr body,
+    json_t **out)
 {
-	struct request *req = *ctx;
+	unsigned status = 404;
+	json_t *v;
 
-	(void)cls;
+	(void)arg;
 	(void)method;
-	(void)version;
-	(void)data;
-	if (req == NULL) {
-		*ctx = calloc(1, sizeof(*req));
-		return (MHD_YES);
+	if (strcmp(url, "/stats") == 0) {
+		*out = all_stats();
+		status = 200;
+	} else if (strcmp(url, "/ran") == 0) {
+		*out = ran(body);
+		status = 200;
+	} else if (strcmp(url, "/admin") == 0) {
+		v = json_loadb(body.p, body.n, 0, NULL);
+		status = v == NULL ? 400 : apply_admin(v);
+		json_decref(v);
 	}
-	if (*n != 0) {
-		req->n += *n;
-		*n = 0;
-		return (MHD_YES);
-	}
-	if (strcmp(url, "/health") == 0)
-		return (respond(conn, json_pack("{s:s}", "state", "ready")));
-	if (strcmp(url, "/load") == 0)
-		return (respond(
-		    conn, json_pack("{s:i}", "in_flight", up.in_flight)));
-	if (strcmp(url, "/stats") == 0)
-		return (respond(conn,
-		    json_pack("{s:I,s:I}", "served", up.served, "duplicates",
-			up.duplicates)));
-	return (respond(conn, run(conn, url, req->n)));
+	return (status);
+}
+
+static void *
+run_loop(void *arg)
+{
+	evl_run(arg);
+	return (NULL);
 }
 
-static void
-on_completed(void *cls, struct MHD_Connection *conn, void **ctx,
-    enum MHD_RequestTerminationCode code)
+/** struct opts - command line */
+struct opts {
+	uint16_t port;
+	uint16_t admin_port;
+	uint64_t seed;
+	struct upk k;
+	bool one;
+};
+
+static bool
+parse_set(struct opts *o, const char *text)
+{
+	json_t *v = json_loads(text, 0, NULL);
+
+	if (v == NULL)
+		return (false);
+	upk_apply(&o->k, v, evl_now_us());
+	json_decref(v);
+	return (true);
+}
+
+static bool
+parse(struct opts *o, int argc, char **argv)
 {
-	(void)cls;
-	(void)conn;
-	(void)code;
-	free(*ctx);
+	static const struct option options[] = {
+	    {"count", required_argument, NULL, 'n'},
+	    {"port", required_argument, NULL, 'p'},
+	    {"threads", required_argument, NULL, 't'},
+	    {"service-us", required_argument, NULL, 'u'},
+	    {"seed", required_argument, NULL, 's'},
+	    {"set", required_argument, NULL, 'j'},
+	    {"admin-port", required_argument, NULL, 'a'},
+	    {0},
+	};
+	int opt;
+
+	while ((opt = getopt_long(argc, argv, "", options, NULL)) != -1) {
+		if (opt == 'n')
+			n_ups = (int)strtol(optarg, NULL, 10);
+		else if (opt == 'p')
+			o->port = (uint16_t)strtoul(optarg, NULL, 10);
+		else if (opt == 't')
+			n_loops = (int)strtol(optarg, NULL, 10);
+		else if (opt == 'u')
+			o->k.service_us = strtol(optarg, NULL, 10);
+		else if (opt == 's')
+			o->seed = strtoull(optarg, NULL, 10);
+		else if (opt == 'a')
+			o->admin_port = (uint16_t)strtoul(optarg, NULL, 10);
+		else if (opt != 'j' || !parse_set(o, optarg))
+			return (false);
+	}
+	if (optind < argc) {
+		o->one = true;
+		o->k.dist = UPK_CONST;
+		o->port = (uint16_t)strtoul(argv[optind], NULL, 10);
+		if (optind + 1 < argc)
+			o->k.service_us = strtol(argv[optind + 1], NULL, 10);
+	}
+	return (n_ups > 0 && n_loops > 0 && n_loops <= MAX_THREADS);
 }
 
 int
 main(int argc, char **argv)
 {
-	uint16_t port = argc > 1 ? (uint16_t)atoi(argv[1]) : 0;
-	struct MHD_Daemon *d;
+	struct opts o = {.seed = 1};
+	struct rlimit lim;
+	pthread_t thread;
 	sigset_t set;
 	int sig;
 
-	up.service_us = argc > 2 ? atoi(argv[2]) : 1000;
-	up.keys = json_object();
+	upk_init(&o.k);
+	if (!parse(&o, argc, argv)) {
+		fputs("upstream: bad arguments\n", stderr);
+		return (2);
+	}
+	if (getrlimit(RLIMIT_NOFILE, &lim) == 0) {
+		lim.rlim_cur = lim.rlim_max;
+		setrlimit(RLIMIT_NOFILE, &lim);
+	}
 	signal(SIGPIPE, SIG_IGN);
 	sigemptyset(&set);
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
-	d = MHD_start_daemon(
-	    MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD,
-	    port, NULL, NULL, on_request, NULL, MHD_OPTION_NOTIFY_COMPLETED,
-	    on_completed, NULL, MHD_OPTION_END);
-	if (d == NULL) {
-		perror("listen");
-		return (1);
+	usim_keys_init(&keys);
+	ups = calloc((size_t)n_ups, sizeof(*ups));
+	for (int i = 0; i < n_loops; i++) {
+		if (!evl_init(&loops[i]))
+			return (1);
+	}
+	for (int i = 0; i < n_ups; i++) {
+		uint16_t port =
+		    o.port == 0 ? 0 : (uint16_t)(o.port + (uint16_t)i);
+
+		ups[i].index = i;
+		ups[i].loop = &loops[i % n_loops];
+		ups[i].keys = &keys;
+		if (!usim_start(&ups[i], port, o.seed, &o.k)) {
+			perror("listen");
+			return (1);
+		}
 	}
-	printf("port %u\n",
-	    MHD_get_daemon_info(d, MHD_DAEMON_INFO_BIND_PORT)->port);
+	if (!o.one && adm_start(&o.admin_port, on_admin, NULL) != 0)
+		return (1);
+	for (int i = 0; i < n_loops; i++)
+		pthread_create(&thread, NULL, run_loop, &loops[i]);
+	if (!o.one)
+		printf("admin %u\n", o.admin_port);
+	for (int i = 0; i < n_ups && !o.one; i++)
+		printf("port %d %u\n", i, ups[i].port);
+	if (o.one)
+		printf("port %u\n", ups[0].port);
 	fflush(stdout);
 	sigwait(&set, &sig);
 	_exit(0);
--- /dev/null
+++ b/tests/unit/test_h1.c
@@ -0,0 +1,133 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "lib/h1.h"
+#include "lib/pat.h"
+
+/* Reads @text in parts of @step bytes; Return: last event but H1_MORE. */
+static enum h1_event
+read_all(struct h1 *h, const char *text, size_t step, struct bbuf *body)
+{
+	size_t n = strlen(text);
+	enum h1_event e = H1_MORE, last = H1_MORE;
+
+	for (size_t i = 0; i < n; i += step) {
+		struct bstr in = {text + i, n - i < step ? n - i : step};
+
+		while ((e = h1_read(h, &in)) != H1_MORE) {
+			last = e;
+			if (e == H1_BODY)
+				bbuf_add(body, h->data);
+			if (e == H1_END || e == H1_ERROR)
+				return (e);
+		}
+	}
+	return (last);
+}
+
+/* Guards against an answer that is read differently when it arrives in parts.
+ */
+static void
+test_split(void **state)
+{
+	const char *const texts[] = {
+	    "HTTP/1.1 200 OK\r\nContent-Length: 11\r\nX-Load: 3\r\n\r\n"
+	    "hello world",
+	    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Load: 3\r\n\r\n"
+	    "5\r\nhello\r\n6;x=y\r\n world\r\n0\r\nA: b\r\n\r\n",
+	};
+
+	(void)state;
+	for (size_t t = 0; t < 2; t++) {
+		for (size_t step = 1; step <= strlen(texts[t]); step++) {
+			struct bbuf body;
+			struct h1 h;
+
+			bbuf_init(&body);
+			h1_init(&h, true);
+			assert_int_equal(
+			    read_all(&h, texts[t], step, &body), H1_END);
+			assert_true(
+			    bstr_eq(bbuf_str(&body), BSTR("hello world")));
+			assert_int_equal(h.status, 200);
+			assert_true(
+			    bstr_eq(h1_header(&h, "x-load"), BSTR("3")));
+			h1_finish(&h);
+			bbuf_finish(&body);
+		}
+	}
+}
+
+/* Guards against taking a cut answer for a complete one. */
+static void
+test_cut(void **state)
+{
+	const char *const texts[] = {
+	    "HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\nhello",
+	    "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+	    "chunked\r\n\r\n5\r\nhello\r\n",
+	    "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+	    "chunked\r\n\r\n5\r\nhello\r\n"
+	    "0\r\n",
+	    "HTTP/1.1 200 OK\r\n",
+	};
+
+	(void)state;
+	for (size_t t = 0; t < 4; t++) {
+		struct bbuf body;
+		struct h1 h;
+
+		bbuf_init(&body);
+		h1_init(&h, true);
+		assert_int_not_equal(
+		    read_all(&h, texts[t], 1000, &body), H1_END);
+		assert_false(h1_at_close(&h));
+		h1_finish(&h);
+		bbuf_finish(&body);
+	}
+}
+
+/* Guards against a query parameter that is taken from another one's name. */
+static void
+test_query(void **state)
+{
+	struct bstr t = BSTR("/a?xbytes=1&bytes=20&pace_us=x");
+
+	(void)state;
+	assert_int_equal(h1_query(t, "bytes", 7), 20);
+	assert_int_equal(h1_query(t, "pace_us", 7), 7);
+	assert_int_equal(h1_query(BSTR("/bytes=3"), "bytes", 7), 7);
+}
+
+/* Guards against a check that accepts a byte of another request or position. */
+static void
+test_pattern(void **state)
+{
+	uint64_t a = pat_seed(BSTR("r1")), b = pat_seed(BSTR("r2"));
+	char buf[3000];
+
+	(void)state;
+	pat_fill(a, 0, buf, sizeof(buf));
+	for (size_t i = 0; i < 40; i++)
+		assert_true(pat_check(a, i, buf + i, sizeof(buf) - i));
+	assert_false(pat_check(b, 0, buf, sizeof(buf)));
+	assert_false(pat_check(a, 1, buf, sizeof(buf)));
+	buf[2999] ^= 1;
+	assert_false(pat_check(a, 0, buf, sizeof(buf)));
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_split),
+	    cmocka_unit_test(test_cut),
+	    cmocka_unit_test(test_query),
+	    cmocka_unit_test(test_pattern),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
