--- a/tests/lib/cpl.c
+++ b/tests/lib/cpl.c
@@ -39,8 +39,8 @@
 static void
 read_services(struct cpl *p, const json_t *list)
 {
-	size_t i, k;
-	json_t *e, *d;
+	size_t i;
+	json_t *e;
 
 	p->services = calloc(json_array_size(list) + 1, sizeof(*p->services));
 	json_array_foreach(list, i, e)
@@ -51,8 +51,9 @@
 		s->host = text(json_object_get(e, "host"));
 		s->weight = (uint32_t)number(e, "weight", 1);
 		s->direct = calloc(json_array_size(direct) + 1, sizeof(char *));
-		json_array_foreach(direct, k, d) s->direct[s->n_direct++] =
-		    text(d);
+		for (size_t k = 0; k < json_array_size(direct); k++)
+			s->direct[s->n_direct++] =
+			    text(json_array_get(direct, k));
 	}
 }
 
--- a/tests/lib/crep.c
+++ b/tests/lib/crep.c
@@ -13,10 +13,39 @@
 	struct crep_kind *k = &r->kinds[kind];
 
 	k->end[end]++;
-	if (end == CREP_OK)
+	if (end != CREP_OK)
+		return;
+	k->sum_us += (uint64_t)latency_us;
+	if (latency_us < CREP_FINE_US)
+		k->fine[latency_us]++;
+	else
 		hist_add(&k->latency, (uint64_t)latency_us);
 }
 
+uint64_t
+crep_quantile(const struct crep_kind *k, double q)
+{
+	uint64_t n = k->end[CREP_OK], seen = 0;
+	uint64_t rank = (uint64_t)(q * (double)n);
+	uint64_t coarse = hist_count(&k->latency);
+
+	if (n == 0)
+		return (0);
+	for (uint64_t us = 0; us < CREP_FINE_US; us++) {
+		seen += k->fine[us];
+		if (seen > rank)
+			return (us);
+	}
+	return (
+	    hist_quantile(&k->latency, (double)(rank - seen) / (double)coarse));
+}
+
+static uint64_t
+mean_us(const struct crep_kind *k)
+{
+	return (k->end[CREP_OK] == 0 ? 0 : k->sum_us / k->end[CREP_OK]);
+}
+
 uint64_t
 crep_count(const struct crep_kind *k)
 {
@@ -30,9 +59,12 @@
 static void
 sum_up(const struct crep *r, struct crep_kind *all)
 {
-	*all = (struct crep_kind){0};
+	memset(all, 0, sizeof(*all));
 	for (int k = 0; k < CPL_KINDS; k++) {
 		hist_merge(&all->latency, &r->kinds[k].latency);
+		all->sum_us += r->kinds[k].sum_us;
+		for (int us = 0; us < CREP_FINE_US; us++)
+			all->fine[us] += r->kinds[k].fine[us];
 		for (int i = 0; i < CREP_ENDS; i++)
 			all->end[i] += r->kinds[k].end[i];
 	}
@@ -51,9 +83,9 @@
 {
 	fprintf(out, "%-9s %8llu %9.1f %8llu %8llu %8llu", name,
 	    (unsigned long long)crep_count(k), per_second(r, k->end[CREP_OK]),
-	    (unsigned long long)hist_quantile(&k->latency, 0.5),
-	    (unsigned long long)hist_quantile(&k->latency, 0.99),
-	    (unsigned long long)hist_quantile(&k->latency, 0.999));
+	    (unsigned long long)crep_quantile(k, 0.5),
+	    (unsigned long long)crep_quantile(k, 0.99),
+	    (unsigned long long)crep_quantile(k, 0.999));
 	for (int i = CREP_WRONG; i < CREP_ENDS; i++)
 		fprintf(out, " %8llu", (unsigned long long)k->end[i]);
 	fputc('\n', out);
@@ -94,13 +126,13 @@
 static json_t *
 line_of(const struct crep *r, const char *name, const struct crep_kind *k)
 {
-	json_t *v = json_pack("{s:s,s:s,s:s,s:I,s:f,s:I,s:I,s:I}", "label",
+	json_t *v = json_pack("{s:s,s:s,s:s,s:I,s:f,s:I,s:I,s:I,s:I}", "label",
 	    r->label, "mode", r->mode, "kind", name, "count",
 	    (json_int_t)crep_count(k), "ok_per_s",
-	    per_second(r, k->end[CREP_OK]), "p50_us",
-	    (json_int_t)hist_quantile(&k->latency, 0.5), "p99_us",
-	    (json_int_t)hist_quantile(&k->latency, 0.99), "p999_us",
-	    (json_int_t)hist_quantile(&k->latency, 0.999));
+	    per_second(r, k->end[CREP_OK]), "mean_us", (json_int_t)mean_us(k),
+	    "p50_us", (json_int_t)crep_quantile(k, 0.5), "p99_us",
+	    (json_int_t)crep_quantile(k, 0.99), "p999_us",
+	    (json_int_t)crep_quantile(k, 0.999));
 
 	for (int i = 0; i < CREP_ENDS; i++)
 		json_object_set_new(
--- a/tests/lib/crep.h
+++ b/tests/lib/crep.h
@@ -32,9 +32,20 @@
 	CREP_ENDS
 };
 
-/** struct crep_kind - counters of one kind of call */
+#define CREP_FINE_US 65536
+
+/**
+ * struct crep_kind - counters of one kind of call
+ * @fine: latencies below CREP_FINE_US by microsecond, because differences
+ *	between two runs are smaller than the buckets of a histogram
+ * @latency: the others
+ * @sum_us: of all latencies
+ * @end: calls by how they ended
+ */
 struct crep_kind {
+	uint64_t fine[CREP_FINE_US];
 	struct hist latency;
+	uint64_t sum_us;
 	uint64_t end[CREP_ENDS];
 };
 
@@ -67,6 +78,9 @@
 void crep_end(
     struct crep *r, enum cpl_id kind, enum crep_end end, int64_t latency_us);
 
+/** crep_quantile() - latency at quantile @q in microseconds, 0 when empty */
+uint64_t crep_quantile(const struct crep_kind *k, double q);
+
 /** crep_count() - calls of a kind that ended */
 uint64_t crep_count(const struct crep_kind *k);
 
--- a/tests/lib/cx.c
+++ b/tests/lib/cx.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <sys/socket.h>
 
+#include "base/bstr.h"
 #include "lib/pat.h"
 
 #define READ_BLOCK (64 * 1024)
--- a/tests/lib/usim.c
+++ b/tests/lib/usim.c
@@ -2,6 +2,8 @@
 
 #include <errno.h>
 #include <math.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/socket.h>
@@ -562,10 +564,13 @@
 {
 	struct usim *u = (struct usim *)io;
 	struct conn *c;
+	int one = 1;
 	int fd;
 
 	(void)events;
 	while ((fd = accept4(io->fd, NULL, NULL, SOCK_NONBLOCK)) >= 0) {
+		/* Paced parts would wait for delayed acknowledgements. */
+		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 		c = calloc(1, sizeof(*c));
 		c->up = u;
 		c->io.fn = on_conn;
--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -1,12 +1,24 @@
 /*
  * store - stand-in for the platform's store and VM list.
  *
- * Objects live in memory. POST /admin changes its behaviour: {"outage": bool,
- * "delay_ms": n, "lose_answers": n} (the next n writes take effect and their
- * answers are dropped), {"vms": [...]} replaces the VM list. GET /admin shows
- * the calls counted so far. Prints "port N" when it listens.
+ * Objects live in memory. POST /admin changes its behaviour:
+ *
+ *	"outage": bool           every call is answered with 503
+ *	"delay_ms": n            every answer is this late
+ *	"lose_answers": n        the next n writes take effect, their
+ *connections are closed without an answer "reads_per_s", "writes_per_s": n 429
+ *above this rate; 0 is no limit "vms": [...]             the VM list from now
+ *on "vms_lag_ms": n          GET /vms shows the list of that long ago
+ *	"stale_read_ms": n       GET of one object shows the version before the
+ *	                         last one for this time after a write
+ *	"reset_counts": true     counters start from 0
+ *
+ * Both GET and POST /admin answer with the counters. A waiting watch counts as
+ * one call. Prints "port N" when it listens, on loopback only.
  */
+#include <arpa/inet.h>
 #include <jansson.h>
+#include <math.h>
 #include <microhttpd.h>
 #include <pthread.h>
 #include <signal.h>
@@ -17,18 +29,56 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "lib/evl.h"
+
 #define MAX_WAIT_MS 60000
+#define MAX_CLIENTS 512
+#define DEFAULT_READS_PER_S 2000
+#define DEFAULT_WRITES_PER_S 300
+#define SECOND_US 1000000
+
+/** enum kind - kinds of calls that are counted */
+enum kind { K_GET, K_LIST, K_WATCH, K_VMS, K_PUT, K_DELETE, K_OTHER, K_COUNT };
+
+static const char *const kind_names[K_COUNT] = {
+    "get", "list", "watch", "vms", "put", "delete", "other"};
+
+/**
+ * struct bucket - rate limit with a burst of one second, or of one call
+ * @per_s: calls a second, 0 for no limit
+ * @tokens: calls that may come at once
+ * @last_us: when @tokens was brought up to date
+ */
+struct bucket {
+	double per_s;
+	double tokens;
+	int64_t last_us;
+};
+
+/** struct counts - counters; names as in GET /admin */
+struct counts {
+	json_int_t reads, writes, conflicts;
+	json_int_t kinds[K_COUNT];
+	json_int_t throttled, outage_refused, lost, watch_wakeups;
+	json_int_t calls_this_second, peak_per_s;
+	int64_t second, since_us;
+};
 
 struct store {
 	pthread_mutex_t lock;
 	pthread_cond_t changed;
 	json_t *objects; /* key -> {key, version, value, deleted} */
-	json_t *vms;
+	json_t *before;  /* key -> {key, version, value, until_us} */
+	json_t *vms;     /* list of {at_us, list}, the newest last */
+	json_t *clients; /* "ip:port" -> calls */
 	json_int_t revision;
 	bool outage;
 	int delay_ms;
 	int lose_answers;
-	json_int_t reads, writes, conflicts;
+	int vms_lag_ms;
+	int stale_read_ms;
+	struct bucket read_limit, write_limit;
+	struct counts n;
 };
 
 struct request {
@@ -36,7 +86,9 @@
 	size_t n;
 };
 
-static struct store st = {.lock = PTHREAD_MUTEX_INITIALIZER};
+static struct store st = {.lock = PTHREAD_MUTEX_INITIALIZER,
+    .read_limit.per_s = DEFAULT_READS_PER_S,
+    .write_limit.per_s = DEFAULT_WRITES_PER_S};
 
 static enum MHD_Result
 respond(struct MHD_Connection *conn, unsigned status, json_t *v)
@@ -112,9 +164,25 @@
 			break;
 		json_decref(list);
 	}
+	if (json_array_size(list) > 0)
+		st.n.watch_wakeups++;
 	return (list);
 }
 
+/* Keeps what stale reads show for a while after a write. */
+static void
+keep_before(const char *key, const json_t *o)
+{
+	json_t *copy;
+
+	if (st.stale_read_ms == 0 || o == NULL)
+		return;
+	copy = json_copy((json_t *)(uintptr_t)o);
+	json_object_set_new(copy, "until_us",
+	    json_integer(evl_now_us() + (int64_t)st.stale_read_ms * 1000));
+	json_object_set_new(st.before, key, copy);
+}
+
 static unsigned
 write_object(
     struct MHD_Connection *conn, const char *key, json_t *value, json_t **out)
@@ -127,10 +195,11 @@
 	if (o != NULL && json_object_get(o, "deleted") == NULL)
 		have = json_integer_value(json_object_get(o, "version"));
 	if (match == NULL || atoll(match) != have) {
-		st.conflicts++;
+		st.n.conflicts++;
 		*out = json_pack("{s:I}", "version", have);
 		return (412);
 	}
+	keep_before(key, o);
 	st.revision++;
 	o = json_pack("{s:s,s:I,s:o}", "key", key, "version", st.revision,
 	    "value", value == NULL ? json_null() : json_incref(value));
@@ -142,6 +211,54 @@
 	return (200);
 }
 
+static void
+set_vms(const json_t *list)
+{
+	json_array_append_new(st.vms,
+	    json_pack("{s:I,s:o}", "at_us", (json_int_t)evl_now_us(), "list",
+		json_deep_copy(list)));
+}
+
+/* The VM list as it was vms_lag_ms ago. */
+static json_t *
+lagging_vms(void)
+{
+	int64_t then = evl_now_us() - (int64_t)st.vms_lag_ms * 1000;
+	size_t i = json_array_size(st.vms);
+
+	while (i > 1 &&
+	    json_integer_value(
+		json_object_get(json_array_get(st.vms, i - 1), "at_us")) > then)
+		i--;
+	return (json_deep_copy(
+	    json_object_get(json_array_get(st.vms, i - 1), "list")));
+}
+
+static void
+take_int(const json_t *v, const char *key, int *out)
+{
+	const json_t *e = json_object_get(v, key);
+
+	if (e != NULL)
+		*out = (int)json_integer_value(e);
+}
+
+static void
+take_rate(const json_t *v, const char *key, struct bucket *b)
+{
+	const json_t *e = json_object_get(v, key);
+
+	if (e != NULL)
+		b->per_s = json_number_value(e);
+}
+
+static void
+reset_counts(void)
+{
+	st.n = (struct counts){.since_us = evl_now_us()};
+	json_object_clear(st.clients);
+}
+
 static void
 admin(const json_t *v)
 {
@@ -149,51 +266,201 @@
 
 	if ((e = json_object_get(v, "outage")) != NULL)
 		st.outage = json_is_true(e);
-	if ((e = json_object_get(v, "delay_ms")) != NULL)
-		st.delay_ms = (int)json_integer_value(e);
-	if ((e = json_object_get(v, "lose_answers")) != NULL)
-		st.lose_answers = (int)json_integer_value(e);
-	if ((e = json_object_get(v, "vms")) != NULL) {
-		json_decref(st.vms);
-		st.vms = json_deep_copy(e);
-	}
+	take_int(v, "delay_ms", &st.delay_ms);
+	take_int(v, "lose_answers", &st.lose_answers);
+	take_rate(v, "reads_per_s", &st.read_limit);
+	take_rate(v, "writes_per_s", &st.write_limit);
+	take_int(v, "vms_lag_ms", &st.vms_lag_ms);
+	take_int(v, "stale_read_ms", &st.stale_read_ms);
+	if ((e = json_object_get(v, "vms")) != NULL)
+		set_vms(e);
+	if (json_is_true(json_object_get(v, "reset_counts")))
+		reset_counts();
 	pthread_cond_broadcast(&st.changed);
 }
 
 static json_t *
 stats(void)
 {
-	return (json_pack("{s:I,s:I,s:I,s:I}", "reads", st.reads, "writes",
-	    st.writes, "conflicts", st.conflicts, "revision", st.revision));
+	json_t *kinds = json_object(), *v;
+
+	for (int i = 0; i < K_COUNT; i++)
+		json_object_set_new(
+		    kinds, kind_names[i], json_integer(st.n.kinds[i]));
+	v = json_pack("{s:I,s:I,s:o,s:O}", "revision", st.revision, "since_ms",
+	    (json_int_t)(evl_now_us() - st.n.since_us) / 1000, "kinds", kinds,
+	    "clients", st.clients);
+#define PUT(name) json_object_set_new(v, #name, json_integer(st.n.name))
+	PUT(reads);
+	PUT(writes);
+	PUT(conflicts);
+	PUT(throttled);
+	PUT(outage_refused);
+	PUT(lost);
+	PUT(watch_wakeups);
+	PUT(peak_per_s);
+#undef PUT
+	return (v);
 }
 
-static unsigned
-read_path(struct MHD_Connection *conn, const char *url, json_t **out)
+static json_t *
+read_object(const char *key)
 {
-	json_t *o;
+	json_t *b = json_object_get(st.before, key);
+	json_t *o = json_object_get(st.objects, key);
+	json_int_t until = json_integer_value(json_object_get(b, "until_us"));
 
-	if (strcmp(url, "/vms") == 0) {
-		*out = json_deep_copy(st.vms);
+	if (b != NULL && st.stale_read_ms > 0 && until > evl_now_us())
+		o = b;
+	if (o == NULL || json_object_get(o, "deleted") != NULL)
+		return (NULL);
+	o = json_copy(o);
+	json_object_del(o, "until_us");
+	return (o);
+}
+
+static unsigned
+read_path(
+    struct MHD_Connection *conn, enum kind kind, const char *url, json_t **out)
+{
+	switch (kind) {
+	case K_VMS:
+		*out = lagging_vms();
 		return (200);
-	}
-	if (strcmp(url, "/watch") == 0) {
+	case K_WATCH:
 		*out = listing(wait_for_change(arg(conn, "prefix", ""),
 		    atoll(arg(conn, "since", "0")),
 		    atoi(arg(conn, "wait_ms", "0"))));
 		return (st.outage ? 503 : 200);
-	}
-	if (strcmp(url, "/objects") == 0) {
+	case K_LIST:
 		*out =
 		    listing(changed_since(arg(conn, "prefix", ""), 0, false));
 		return (200);
-	}
-	if (strncmp(url, "/objects/", 9) != 0)
-		return (404);
-	o = json_object_get(st.objects, url + 9);
-	if (o == NULL || json_object_get(o, "deleted") != NULL)
+	case K_GET:
+		*out = read_object(url + 9);
+		return (*out == NULL ? 404 : 200);
+	default:
 		return (404);
-	*out = json_copy(o);
-	return (200);
+	}
+}
+
+static enum kind
+kind_of(const char *method, const char *url)
+{
+	bool object = strncmp(url, "/objects/", 9) == 0;
+
+	if (strcmp(method, "GET") != 0) {
+		if (object && strcmp(method, "PUT") == 0)
+			return (K_PUT);
+		if (object && strcmp(method, "DELETE") == 0)
+			return (K_DELETE);
+		return (K_OTHER);
+	}
+	if (strcmp(url, "/vms") == 0)
+		return (K_VMS);
+	if (strcmp(url, "/watch") == 0)
+		return (K_WATCH);
+	if (strcmp(url, "/objects") == 0)
+		return (K_LIST);
+	return (object ? K_GET : K_OTHER);
+}
+
+static void
+count_client(struct MHD_Connection *conn)
+{
+	const union MHD_ConnectionInfo *info =
+	    MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+	const struct sockaddr_in *sin =
+	    (const struct sockaddr_in *)info->client_addr;
+	char ip[INET_ADDRSTRLEN] = "?", name[INET_ADDRSTRLEN + 8];
+	json_t *n;
+
+	inet_ntop(AF_INET, &sin->sin_addr, ip, sizeof(ip));
+	snprintf(name, sizeof(name), "%s:%u", ip, ntohs(sin->sin_port));
+	if (json_object_get(st.clients, name) == NULL &&
+	    json_object_size(st.clients) >= MAX_CLIENTS)
+		snprintf(name, sizeof(name), "others");
+	n = json_object_get(st.clients, name);
+	json_object_set_new(
+	    st.clients, name, json_integer(json_integer_value(n) + 1));
+}
+
+static void
+count_call(struct MHD_Connection *conn, enum kind kind)
+{
+	int64_t second = evl_now_us() / SECOND_US;
+
+	if (second != st.n.second)
+		st.n.calls_this_second = 0;
+	st.n.second = second;
+	if (++st.n.calls_this_second > st.n.peak_per_s)
+		st.n.peak_per_s = st.n.calls_this_second;
+	st.n.kinds[kind]++;
+	if (kind == K_PUT || kind == K_DELETE)
+		st.n.writes++;
+	else
+		st.n.reads++;
+	count_client(conn);
+}
+
+/* Takes one call from a rate limit; false when it is used up. */
+static bool
+take_token(struct bucket *b)
+{
+	int64_t now = evl_now_us();
+
+	if (b->per_s <= 0)
+		return (true);
+	b->tokens += (double)(now - b->last_us) * b->per_s / SECOND_US;
+	b->last_us = now;
+	if (b->tokens > fmax(b->per_s, 1))
+		b->tokens = fmax(b->per_s, 1);
+	if (b->tokens < 1)
+		return (false);
+	b->tokens -= 1;
+	return (true);
+}
+
+/* Status of a call that is not carried out, or 0. */
+static unsigned
+turned_away(enum kind kind)
+{
+	bool write = kind == K_PUT || kind == K_DELETE;
+
+	if (st.outage) {
+		st.n.outage_refused++;
+		return (503);
+	}
+	if (!take_token(write ? &st.write_limit : &st.read_limit)) {
+		st.n.throttled++;
+		return (429);
+	}
+	return (0);
+}
+
+static unsigned
+carry_out(struct MHD_Connection *conn, const char *url, const char *method,
+    json_t *body, json_t **out, bool *lost)
+{
+	enum kind kind = kind_of(method, url);
+	unsigned status;
+
+	count_call(conn, kind);
+	status = turned_away(kind);
+	if (status != 0)
+		return (status);
+	if (kind == K_OTHER || (kind == K_PUT && body == NULL))
+		return (strcmp(method, "GET") == 0 ? 404 : 400);
+	if (kind != K_PUT && kind != K_DELETE)
+		return (read_path(conn, kind, url, out));
+	status =
+	    write_object(conn, url + 9, kind == K_DELETE ? NULL : body, out);
+	if (status == 200 && st.lose_answers > 0) {
+		st.lose_answers--;
+		st.n.lost++;
+		*lost = true;
+	}
+	return (status);
 }
 
 static enum MHD_Result
@@ -216,22 +483,8 @@
 		out = stats();
 		status = 200;
 		delay = 0;
-	} else if (st.outage) {
-		status = 503;
-	} else if (strcmp(method, "GET") == 0) {
-		st.reads++;
-		status = read_path(conn, url, &out);
-	} else if (strncmp(url, "/objects/", 9) == 0 &&
-	    (body != NULL || strcmp(method, "DELETE") == 0)) {
-		st.writes++;
-		status = write_object(conn, url + 9,
-		    strcmp(method, "DELETE") == 0 ? NULL : body, &out);
-		if (status == 200 && st.lose_answers > 0) {
-			st.lose_answers--;
-			lost = true;
-		}
 	} else {
-		status = 400;
+		status = carry_out(conn, url, method, body, &out, &lost);
 	}
 	pthread_mutex_unlock(&st.lock);
 	json_decref(body);
@@ -285,6 +538,9 @@
 main(int argc, char **argv)
 {
 	uint16_t port = argc > 1 ? (uint16_t)atoi(argv[1]) : 0;
+	struct sockaddr_in sin = {.sin_family = AF_INET,
+	    .sin_port = htons(port),
+	    .sin_addr = {htonl(INADDR_LOOPBACK)}};
 	struct MHD_Daemon *d;
 	sigset_t set;
 	int sig;
@@ -296,11 +552,16 @@
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
 	pthread_cond_init(&st.changed, NULL);
 	st.objects = json_object();
+	st.before = json_object();
+	st.clients = json_object();
 	st.vms = json_array();
+	set_vms(json_array());
+	reset_counts();
 	d = MHD_start_daemon(
 	    MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD,
-	    port, NULL, NULL, on_request, NULL, MHD_OPTION_NOTIFY_COMPLETED,
-	    on_completed, NULL, MHD_OPTION_END);
+	    port, NULL, NULL, on_request, NULL, MHD_OPTION_SOCK_ADDR,
+	    (struct sockaddr *)&sin, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
+	    NULL, MHD_OPTION_END);
 	if (d == NULL) {
 		perror("listen");
 		return (1);
