Cover the run library and the stand-ins with scripts and unit tests

The admin port of a stand-in with more than 1,023 connections did not answer: it waited with select(), which cannot watch higher descriptors. It now lets the library choose. The fault of a bad version counts its calls from the moment it is set, as a version that turns bad later does.

--- a/tests/lib/adm.c
+++ b/tests/lib/adm.c
@@ -72,9 +72,11 @@
 	struct MHD_Daemon *d;
 
 	*a = (struct adm){fn, arg};
-	d = MHD_start_daemon(MHD_USE_INTERNAL_POLLING_THREAD, *port, NULL, NULL,
-	    on_request, a, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&sin,
-	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL, MHD_OPTION_END);
+	/* select() cannot wait for descriptors above 1,023. */
+	d = MHD_start_daemon(MHD_USE_AUTO | MHD_USE_INTERNAL_POLLING_THREAD,
+	    *port, NULL, NULL, on_request, a, MHD_OPTION_SOCK_ADDR,
+	    (struct sockaddr *)&sin, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
+	    NULL, MHD_OPTION_END);
 	if (d == NULL) {
 		free(a);
 		return (-1);
--- a/tests/lib/upk.h
+++ b/tests/lib/upk.h
@@ -53,7 +53,7 @@
  * @cold_factor: service time multiplier of overload while cold
  * @bad: key "bad": {"mode": "fail"|"slow", "after": n, "above": load,
  *	"prefix": "/p", "factor": x}
- * @bad_after: requests that still run well
+ * @bad_after: requests that still run well after the fault was set
  * @bad_above: only while more than this many are in flight
  * @bad_prefix: only on paths with this prefix
  * @bad_factor: service time multiplier of a slow version
--- a/tests/lib/usim.c
+++ b/tests/lib/usim.c
@@ -103,7 +103,8 @@
 {
 	const struct upk *k = &c->up->k;
 
-	return (k->bad != UPK_GOOD && c->up->n.served >= k->bad_after &&
+	return (k->bad != UPK_GOOD &&
+	    c->up->n.received - c->up->bad_from > k->bad_after &&
 	    c->up->in_flight > k->bad_above &&
 	    target_has_prefix(c, k->bad_prefix));
 }
@@ -586,6 +587,8 @@
 {
 	evl_lock(u->loop);
 	upk_apply(&u->k, v, evl_now_us());
+	if (json_object_get(v, "bad") != NULL)
+		u->bad_from = u->n.received;
 	if (u->k.health_lag_us > 0 && u->lag_timer.pos == 0)
 		evl_timer_set(u->loop, &u->lag_timer, evl_now_us());
 	dispatch(u);
--- a/tests/lib/usim.h
+++ b/tests/lib/usim.h
@@ -64,6 +64,7 @@
 	int index;
 	uint16_t port;
 	struct upk k;
+	int64_t bad_from; /* requests received when the fault was set */
 	struct rng rng;
 	int in_service, in_flight, queued;
 	TAILQ_HEAD(usim_list, conn) queue;
--- a/tests/script/demo.sh
+++ b/tests/script/demo.sh
@@ -168,8 +168,10 @@
 judge_all() {
 	local elapsed=$((SECONDS - measured_from)) probes upstreams=38
 	probes=$(ups_sum probes)
-	printf '\nstore: %s reads, %s writes in %d s, at most %s calls in one second, %s throttled\n' \
+	printf '\nstore: %s reads, %s writes in %d s (%s calls a second), at most %s calls in one second, %s throttled\n' \
 	    "$(store_stat reads)" "$(store_stat writes)" "$elapsed" \
+	    "$(awk -v r="$(store_stat reads)" -v w="$(store_stat writes)" -v s="$elapsed" \
+		'BEGIN { printf "%.1f", (r + w) / (s > 0 ? s : 1) }')" \
 	    "$(store_stat peak_per_s)" "$(store_stat throttled)"
 	printf 'probes: %d, %s a second for each upstream, at most %s in one second\n\n' \
 	    "$probes" "$(awk -v n="$probes" -v s="$elapsed" -v u="$upstreams" \
--- a/tests/script/lib.sh
+++ b/tests/script/lib.sh
@@ -39,6 +39,7 @@
 
 lib_cleanup() {
 	local p
+	exec 2>/dev/null # the shell reports each child that it kills
 	for p in "${pids[@]}"; do
 		kill -CONT "$p" 2>/dev/null
 		kill -KILL "$p" 2>/dev/null
--- a/tests/script/t-standin.sh
+++ b/tests/script/t-standin.sh
@@ -37,6 +37,21 @@
 forget "$watcher"
 judge "watch wakes with the change alone" "$(jget -f "$dir/watch" 'objects.#')" -eq 1
 judge "wake-ups are counted" "$(store_stat watch_wakeups)" -eq 1
+since=$(store_stat revision)
+watchers=()
+for i in $(seq 19); do
+	curl -s -o "$dir/watch$i" "$url/watch?prefix=config/&since=$since&wait_ms=30000" &
+	pids+=($!)
+	watchers+=($!)
+done
+all_wait() { [ "$(store_stat kinds.watch)" -eq 20 ]; }
+wait_until 30 all_wait
+put_object config/y '{"v":5}'
+for w in "${watchers[@]}"; do
+	wait "$w"
+	forget "$w"
+done
+judge "19 watches wake at once" "$(store_stat watch_wakeups)" -eq 20
 store_admin '{"writes_per_s":0.001}'
 for i in 1 2 3 4 5; do
 	status -X PUT -H 'If-Match: 999' -d 1 "$url/objects/config/x" >>"$dir/codes"
@@ -90,6 +105,12 @@
 judge "load above one while cold is counted" "$(ups_stat u upstreams.0.cold_overload)" -ge 1
 ups_set u '{"upstream":0,"cold":null,"bad":{"mode":"fail","prefix":"/refresh"}}'
 judge "bad version fails on its route" "$(status "http://127.0.0.1:$first/refresh/1")" -eq 500
+ups_set u '{"upstream":0,"bad":{"mode":"fail","after":2}}'
+codes=$(for i in 1 2 3 4; do status "http://127.0.0.1:$first/lookup/1"; done)
+judge "bad version fails after its first calls" "$codes" -eq 200200500500
+ups_set u '{"upstream":0,"bad":{"mode":"fail","above":1}}'
+judge "bad version is good without load" "$(status "http://127.0.0.1:$first/lookup/1")" -eq 200
+ups_set u '{"upstream":0,"bad":{"mode":"fail","prefix":"/refresh"}}'
 judge "and on no other" "$(status "http://127.0.0.1:$first/lookup/1")" -eq 200
 
 # Relay: a cut breaks downloads visibly, and refuses connections until healed.
--- a/tests/standin/callers.c
+++ b/tests/standin/callers.c
@@ -360,7 +360,7 @@
 {
 	fputs("usage: callers --plan FILE (--rate PER_S | --closed N)\n"
 	      "  --seconds S     length of the load phase (10)\n"
-	      "  --calls N       at most this many calls\n"
+	      "  --calls N       at most this many calls (5000000)\n"
 	      "  --conns N       connections to one target (250)\n"
 	      "  --tries N       attempts of a payment before asking (5)\n"
 	      "  --seed N        of arrivals and kinds (1)\n"
@@ -466,6 +466,7 @@
 	static struct load ld = {.seconds = 10,
 	    .pool.max_conns = 250,
 	    .max_tries = 5,
+	    .max_calls = 5000000,
 	    .seed = 1,
 	    .rep.label = "run"};
 	struct bbuf problem;
--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -557,8 +557,8 @@
 	st.vms = json_array();
 	set_vms(json_array());
 	reset_counts();
-	d = MHD_start_daemon(
-	    MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD,
+	d = MHD_start_daemon(MHD_USE_AUTO | MHD_USE_THREAD_PER_CONNECTION |
+		MHD_USE_INTERNAL_POLLING_THREAD,
 	    port, NULL, NULL, on_request, NULL, MHD_OPTION_SOCK_ADDR,
 	    (struct sockaddr *)&sin, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
 	    NULL, MHD_OPTION_END);
--- /dev/null
+++ b/tests/unit/test_upk.c
@@ -0,0 +1,114 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "base/rng.h"
+#include "lib/evl.h"
+#include "lib/upk.h"
+
+#define N_TIMERS 1000
+
+static struct evl loop;
+static struct evl_timer timers[N_TIMERS];
+static int64_t last_us;
+static int fired, expected;
+
+static void
+apply(struct upk *k, const char *text, int64_t now_us)
+{
+	json_t *v = json_loads(text, 0, NULL);
+
+	assert_non_null(v);
+	upk_apply(k, v, now_us);
+	json_decref(v);
+}
+
+/* Guards against a cold upstream that bears everything, or stays cold. */
+static void
+test_cold_ramp(void **state)
+{
+	struct upk k;
+
+	(void)state;
+	upk_init(&k);
+	assert_int_equal(upk_cold_limit(&k, 0), 6);
+	apply(&k, "{\"cold\":{\"ramp_ms\":1000}}", 5000000);
+	assert_string_equal(upk_state(&k, 5000000), "cold");
+	assert_int_equal(upk_cold_limit(&k, 5000000), 1);
+	assert_int_equal(upk_cold_limit(&k, 5500000), 3);
+	assert_int_equal(upk_cold_limit(&k, 5999999), 5);
+	assert_int_equal(upk_cold_limit(&k, 6000000), 6);
+	assert_string_equal(upk_state(&k, 6000000), "ready");
+}
+
+/* Guards against a key of one change that resets what another one set. */
+static void
+test_apply(void **state)
+{
+	struct upk k;
+
+	(void)state;
+	upk_init(&k);
+	apply(&k, "{\"slots\":2,\"bad\":{\"mode\":\"slow\",\"after\":3}}", 1);
+	apply(&k, "{\"drain\":{\"grace_ms\":2}}", 1000);
+	assert_int_equal(k.slots, 2);
+	assert_int_equal(k.bad, UPK_SLOW);
+	assert_int_equal(k.bad_after, 3);
+	assert_int_equal(k.late_after_us, 3000);
+	assert_string_equal(upk_state(&k, 1), "draining");
+	apply(&k, "{\"slots\":null,\"bad\":null,\"drain\":null}", 2000);
+	assert_int_equal(k.slots, 6);
+	assert_int_equal(k.bad, UPK_GOOD);
+	assert_int_equal(k.late_after_us, 0);
+	assert_string_equal(upk_state(&k, 1), "ready");
+}
+
+static void
+on_timer(struct evl_timer *t)
+{
+	assert_true(t->at_us >= last_us);
+	last_us = t->at_us;
+	if (++fired == expected)
+		evl_stop(&loop);
+}
+
+/* Guards against timers that run out of order, twice or after their removal. */
+static void
+test_timers(void **state)
+{
+	struct rng r;
+
+	(void)state;
+	rng_init(&r, 3);
+	assert_true(evl_init(&loop));
+	expected = N_TIMERS;
+	for (int i = 0; i < N_TIMERS; i++) {
+		timers[i].fn = on_timer;
+		evl_timer_set(&loop, &timers[i], 1 + rng_below(&r, 5000));
+	}
+	for (int i = 0; i < N_TIMERS; i += 3) {
+		evl_timer_clear(&loop, &timers[i]);
+		evl_timer_clear(&loop, &timers[i]);
+		expected--;
+	}
+	for (int i = 1; i < N_TIMERS; i += 3)
+		evl_timer_set(&loop, &timers[i], 1 + rng_below(&r, 5000));
+	evl_run(&loop);
+	assert_int_equal(fired, expected);
+	assert_int_equal(loop.n_heap, 0);
+	evl_finish(&loop);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_cold_ramp),
+	    cmocka_unit_test(test_apply),
+	    cmocka_unit_test(test_timers),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
