--- a/tests/lib/usim.c
+++ b/tests/lib/usim.c
@@ -18,7 +18,6 @@
 #define READ_BLOCK (64 * 1024)
 #define MAX_PIPELINED (1024 * 1024)
 #define LAG_STEP_US 10000
-#define SECOND_US 1000000
 
 /** enum conn_state - what a connection is doing */
 enum conn_state { C_READING, C_QUEUED, C_RUNNING, C_ANSWERING };
@@ -57,28 +56,6 @@
 	return (bstr_has_prefix(c->h1.target, bstr_from(prefix)));
 }
 
-static void
-count_class(struct usim *u, struct bstr target)
-{
-	size_t n = 1;
-
-	while (n < target.n && strchr("/?", target.p[n]) == NULL)
-		n++;
-	n = n > USIM_CLASS_MAX ? USIM_CLASS_MAX : n;
-	for (int i = 0; i < USIM_MAX_CLASSES; i++) {
-		struct usim_class *k = &u->classes[i];
-
-		if (k->n == 0)
-			snprintf(k->name, sizeof(k->name), "%.*s", (int)(n - 1),
-			    target.p + 1);
-		if (strlen(k->name) == n - 1 &&
-		    memcmp(k->name, target.p + 1, n - 1) == 0) {
-			k->n++;
-			return;
-		}
-	}
-}
-
 static void
 count_run(struct conn *c)
 {
@@ -405,49 +382,16 @@
 	return (s);
 }
 
-static void
-count_probe(struct usim *u)
-{
-	int64_t second = evl_now_us() / SECOND_US;
-
-	if (second != u->probe_second)
-		u->probes_this_second = 0;
-	u->probe_second = second;
-	u->n.probes++;
-	if (++u->probes_this_second > u->n.probe_peak)
-		u->n.probe_peak = u->probes_this_second;
-}
-
 json_t *
 usim_stats(const struct usim *u)
 {
-	const struct usim_counts *n = &u->n;
-	json_t *classes = json_object(), *v;
-
-	for (int i = 0; i < USIM_MAX_CLASSES && u->classes[i].n != 0; i++)
-		json_object_set_new(
-		    classes, u->classes[i].name, json_integer(u->classes[i].n));
-	v = json_pack("{s:i,s:i,s:i,s:i,s:i,s:o}", "index", u->index, "port",
-	    u->port, "in_service", u->in_service, "in_flight", u->in_flight,
-	    "queued", u->queued, "classes", classes);
-#define PUT(name) json_object_set_new(v, #name, json_integer(n->name))
-	PUT(received);
-	PUT(served);
-	PUT(duplicates);
-	PUT(failed);
-	PUT(shed);
-	PUT(deadline_rejected);
-	PUT(cancelled_queued);
-	PUT(cancelled_running);
-	PUT(cold_overload);
-	PUT(late);
-	PUT(dropped);
-	PUT(peak_in_service);
-	PUT(peak_in_flight);
-	PUT(connections);
-	PUT(probes);
-	PUT(probe_peak);
-#undef PUT
+	json_t *v = ucnt_json(&u->n);
+
+	json_object_set_new(v, "index", json_integer(u->index));
+	json_object_set_new(v, "port", json_integer(u->port));
+	json_object_set_new(v, "in_service", json_integer(u->in_service));
+	json_object_set_new(v, "in_flight", json_integer(u->in_flight));
+	json_object_set_new(v, "queued", json_integer(u->queued));
 	return (v);
 }
 
@@ -458,7 +402,7 @@
 	int64_t now = evl_now_us();
 
 	u->n.received++;
-	count_class(u, c->h1.target);
+	ucnt_class(&u->n, c->h1.target);
 	if (u->k.late_after_us != 0 && now > u->k.late_after_us)
 		u->n.late++;
 	c->seed = pat_seed(h1_header(&c->h1, "X-Request-Id"));
@@ -498,11 +442,11 @@
 	if (bstr_eq(c->h1.target, BSTR("/stats"))) {
 		answer_json(c, usim_stats(u));
 	} else if (bstr_eq(c->h1.target, BSTR("/health"))) {
-		count_probe(u);
+		ucnt_probe(&u->n, evl_now_us());
 		s = report_of(u);
 		answer_json(c, json_pack("{s:s}", "state", s.state));
 	} else if (bstr_eq(c->h1.target, BSTR("/load"))) {
-		count_probe(u);
+		ucnt_probe(&u->n, evl_now_us());
 		s = report_of(u);
 		answer_json(c, json_pack("{s:i}", "in_flight", s.in_flight));
 	} else {
--- a/tests/lib/usim.h
+++ b/tests/lib/usim.h
@@ -18,10 +18,9 @@
 
 #include "base/rng.h"
 #include "lib/evl.h"
+#include "lib/ucnt.h"
 #include "lib/upk.h"
 
-#define USIM_MAX_CLASSES 16
-#define USIM_CLASS_MAX 24
 #define USIM_LAG_SLOTS 1024
 
 /**
@@ -34,20 +33,6 @@
 	GHashTable *runs;
 };
 
-/** struct usim_class - requests of one first path segment */
-struct usim_class {
-	char name[USIM_CLASS_MAX];
-	int64_t n;
-};
-
-/** struct usim_counts - counters of one upstream; names as in GET /stats */
-struct usim_counts {
-	int64_t received, served, duplicates, failed, shed, deadline_rejected;
-	int64_t cancelled_queued, cancelled_running, cold_overload, late;
-	int64_t dropped, peak_in_service, peak_in_flight, connections;
-	int64_t probes, probe_peak;
-};
-
 /** struct usim_snapshot - what /health and /load report at a time */
 struct usim_snapshot {
 	int in_flight;
@@ -68,10 +53,7 @@
 	struct rng rng;
 	int in_service, in_flight, queued;
 	TAILQ_HEAD(usim_list, conn) queue;
-	struct usim_counts n;
-	struct usim_class classes[USIM_MAX_CLASSES];
-	int64_t probe_second;
-	int64_t probes_this_second;
+	struct ucnt n;
 	struct usim_snapshot lag[USIM_LAG_SLOTS];
 	int64_t lag_step;
 	struct evl_timer lag_timer;
--- a/tests/standin/callers.c
+++ b/tests/standin/callers.c
@@ -373,6 +373,63 @@
 	    out);
 }
 
+static bool
+take_text(struct load *ld, int opt)
+{
+	switch (opt) {
+	case 'p':
+		ld->plan_path = optarg;
+		return (true);
+	case 'l':
+		ld->rep.label = optarg;
+		return (true);
+	case 'o':
+		ld->out_path = optarg;
+		return (true);
+	case 'k':
+		ld->not_run_path = optarg;
+		return (true);
+	case 'd':
+		ld->direct = true;
+		return (true);
+	case 'q':
+		ld->quiet = true;
+		return (true);
+	default:
+		return (false);
+	}
+}
+
+static bool
+take_number(struct load *ld, int opt)
+{
+	switch (opt) {
+	case 'r':
+		ld->rate = strtod(optarg, NULL);
+		return (true);
+	case 's':
+		ld->seconds = strtod(optarg, NULL);
+		return (true);
+	case 'c':
+		ld->closed = strtol(optarg, NULL, 10);
+		return (true);
+	case 'm':
+		ld->pool.max_conns = (int)strtol(optarg, NULL, 10);
+		return (true);
+	case 't':
+		ld->max_tries = (int)strtol(optarg, NULL, 10);
+		return (true);
+	case 'n':
+		ld->max_calls = strtoull(optarg, NULL, 10);
+		return (true);
+	case 'e':
+		ld->seed = strtoull(optarg, NULL, 10);
+		return (true);
+	default:
+		return (false);
+	}
+}
+
 static bool
 parse(struct load *ld, int argc, char **argv)
 {
@@ -395,49 +452,8 @@
 	int opt;
 
 	while ((opt = getopt_long(argc, argv, "", options, NULL)) != -1) {
-		switch (opt) {
-		case 'p':
-			ld->plan_path = optarg;
-			break;
-		case 'r':
-			ld->rate = strtod(optarg, NULL);
-			break;
-		case 'c':
-			ld->closed = strtol(optarg, NULL, 10);
-			break;
-		case 's':
-			ld->seconds = strtod(optarg, NULL);
-			break;
-		case 'n':
-			ld->max_calls = strtoull(optarg, NULL, 10);
-			break;
-		case 'm':
-			ld->pool.max_conns = (int)strtol(optarg, NULL, 10);
-			break;
-		case 't':
-			ld->max_tries = (int)strtol(optarg, NULL, 10);
-			break;
-		case 'e':
-			ld->seed = strtoull(optarg, NULL, 10);
-			break;
-		case 'd':
-			ld->direct = true;
-			break;
-		case 'l':
-			ld->rep.label = optarg;
-			break;
-		case 'o':
-			ld->out_path = optarg;
-			break;
-		case 'k':
-			ld->not_run_path = optarg;
-			break;
-		case 'q':
-			ld->quiet = true;
-			break;
-		default:
+		if (!take_text(ld, opt) && !take_number(ld, opt))
 			return (false);
-		}
 	}
 	return (ld->plan_path != NULL && (ld->rate > 0) != (ld->closed > 0) &&
 	    ld->seconds > 0 && ld->pool.max_conns > 0);
