Add cold-start permits

Cause: a cold upstream must not get more calls than it bears, although clocks are not synchronised and owners change, freeze or are cut off.

Ruled out: counting only grants. Reports may be delayed past later grants, so a report counts only with the nonce of the owner's query, and the process ignores answers to all but its last request. Also ruled out: counting calls in flight at the time of the message only; the report includes the most permits held since the calls were counted.

Change: route/cold (every process) and route/cold_own (owner), with a random test of 5 to 9 processes and a lease that moves between them.

The random test did not notice the removal of the nonce, of the wait of a new owner, of the lease, of the peak, or permits counted from receipt; these overlap with each other and need tests of their own.

When a ramp starts again, permits of the one before stay valid until their end, which no owner can prevent.

--- a/packages/claim/prt.c
+++ b/packages/claim/prt.c
@@ -254,6 +254,18 @@
 	    now_ms < prt_act_until(p, partition));
 }
 
+int64_t
+prt_act_from(const struct prt *p, uint32_t partition)
+{
+	return (p->st[partition].act_from);
+}
+
+uint64_t
+prt_epoch(const struct prt *p, uint32_t partition)
+{
+	return (p->table.part[partition].epoch);
+}
+
 struct vmid
 prt_owner(const struct prt *p, uint32_t partition)
 {
--- a/packages/claim/prt.h
+++ b/packages/claim/prt.h
@@ -321,6 +321,16 @@
 /** prt_act_until() - end of the lease in local ms, 0 when it is not held */
 int64_t prt_act_until(const struct prt *p, uint32_t partition);
 
+/**
+ * prt_act_from() - local ms at which the current ownership may act first
+ *
+ * The value changes exactly when another process may have acted since.
+ */
+int64_t prt_act_from(const struct prt *p, uint32_t partition);
+
+/** prt_epoch() - epoch by the newest known table */
+uint64_t prt_epoch(const struct prt *p, uint32_t partition);
+
 /** prt_owner() - owner by the newest known table, "none" without a table */
 struct vmid prt_owner(const struct prt *p, uint32_t partition);
 
--- /dev/null
+++ b/packages/route/cold.c
@@ -0,0 +1,411 @@
+#include "route/cold.h"
+#include "route/cold_int.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define RAMP_MS 10000
+#define MAX_CALL_MS 30000
+#define RENEW_MS 400
+
+struct cold_effect *
+cold_emit(struct cold_out *out, enum cold_effect_type type)
+{
+	if (out->n == out->cap) {
+		out->cap = out->cap == 0 ? 16 : out->cap * 2;
+		out->v = realloc(out->v, out->cap * sizeof(*out->v));
+		if (out->v == NULL)
+			abort();
+	}
+	memset(&out->v[out->n], 0, sizeof(*out->v));
+	out->v[out->n].type = type;
+	return (&out->v[out->n++]);
+}
+
+void
+cold_out_clear(struct cold_out *out)
+{
+	out->n = 0;
+}
+
+void
+cold_out_finish(struct cold_out *out)
+{
+	free(out->v);
+	*out = (struct cold_out){0};
+}
+
+/* Position of the id in the sorted table, or where it belongs. */
+static uint32_t
+position(const struct cold *c, struct bstr id)
+{
+	uint32_t lo = 0, hi = c->n_up;
+
+	while (lo < hi) {
+		uint32_t mid = (lo + hi) / 2;
+
+		if (bstr_cmp(c->up[mid]->id, id) < 0)
+			lo = mid + 1;
+		else
+			hi = mid;
+	}
+	return (lo);
+}
+
+static struct cold_up *
+find(const struct cold *c, struct bstr id)
+{
+	uint32_t i = position(c, id);
+
+	return (i < c->n_up && bstr_eq(c->up[i]->id, id) ? c->up[i] : NULL);
+}
+
+/* A message to this process is handled at once. */
+void
+cold_post(struct cold *c, const struct vmid *to, const struct cold_msg *m,
+    int64_t now, struct cold_out *out)
+{
+	struct cold_effect *e;
+
+	if (vmid_eq(to, &c->desc.self)) {
+		cold_on_msg(c, to, m, now, out);
+		return;
+	}
+	e = cold_emit(out, COLD_SEND);
+	e->to = *to;
+	e->msg = *m;
+}
+
+const struct cold_lease *
+cold_lease_of(const struct cold *c, const struct cold_up *u)
+{
+	return (&c->lease[u->partition]);
+}
+
+bool
+cold_has_lease(const struct cold *c, const struct cold_up *u, int64_t now)
+{
+	const struct cold_lease *l = cold_lease_of(c, u);
+
+	return (u->owning && vmid_eq(&l->owner, &c->desc.self) &&
+	    now >= l->act_from_ms && now < l->act_until_ms);
+}
+
+/* Own side: state, permits and requests. */
+
+void
+cold_set_state(struct cold_up *u, bool cold, struct cold_out *out)
+{
+	struct cold_effect *e;
+
+	u->suspect = false;
+	if (u->cold == cold)
+		return;
+	u->cold = cold;
+	u->count = 0;
+	u->until_ms = 0;
+	u->next_ms = 0;
+	u->use.successes = 0;
+	e = cold_emit(out, COLD_STATE);
+	e->upstream = u->id;
+	e->cold = cold;
+}
+
+uint32_t
+cold_held(const struct cold_up *u, int64_t now)
+{
+	return (now < u->until_ms ? u->count : 0);
+}
+
+void
+cold_send_request(
+    struct cold *c, struct cold_up *u, int64_t now, struct cold_out *out)
+{
+	const struct vmid *owner = &cold_lease_of(c, u)->owner;
+	struct cold_msg m = {.type = COLD_MSG_REQUEST,
+	    .upstream = u->id,
+	    .use = u->use,
+	    .hold = u->peak,
+	    .saw_cold = u->suspect,
+	    .cold = u->cold,
+	    .epoch = u->epoch,
+	    .gen = u->gen,
+	    .nonce = u->asked_nonce};
+
+	u->next_ms = now + c->desc.renew_ms;
+	if (vmid_is_none(owner))
+		return;
+	m.seq = ++c->seq;
+	u->seq = m.seq;
+	u->sent_ms = now;
+	u->told = u->told || m.use.demand != 0 || m.use.in_flight != 0;
+	u->use.successes = 0;
+	cold_post(c, owner, &m, now, out);
+}
+
+static void
+on_grant(struct cold_up *u, const struct cold_msg *m, int64_t now,
+    struct cold_out *out)
+{
+	struct cold_effect *e;
+
+	if (u->seq == 0 || m->seq != u->seq || !u->cold)
+		return;
+	u->seq = 0;
+	u->count = m->count;
+	u->until_ms = u->sent_ms + COLD_PERMIT_MS;
+	if (m->count > u->peak)
+		u->peak = m->count;
+	if (m->count == 0 && u->use.in_flight == 0 && u->use.demand == 0)
+		u->told = false;
+	e = cold_emit(out, COLD_PERMITS);
+	e->upstream = u->id;
+	e->count = cold_held(u, now);
+	e->until_ms = u->until_ms;
+}
+
+bool
+cold_is_newer(const struct cold_msg *m, const struct cold_up *u)
+{
+	return (
+	    m->epoch > u->epoch || (m->epoch == u->epoch && m->gen > u->gen));
+}
+
+static void
+on_state(struct cold_up *u, const struct cold_msg *m, struct cold_out *out)
+{
+	if (!cold_is_newer(m, u))
+		return;
+	u->epoch = m->epoch;
+	u->gen = m->gen;
+	cold_set_state(u, m->cold, out);
+}
+
+/* Events. */
+
+void
+cold_init(struct cold *c, const struct cold_desc *desc)
+{
+	memset(c, 0, sizeof(*c));
+	c->desc = *desc;
+	rng_init(&c->rng, desc->seed);
+	if (c->desc.ramp_ms == 0)
+		c->desc.ramp_ms = RAMP_MS;
+	if (c->desc.max_call_ms == 0)
+		c->desc.max_call_ms = MAX_CALL_MS;
+	if (c->desc.renew_ms == 0)
+		c->desc.renew_ms = RENEW_MS;
+}
+
+static void
+free_up(struct cold_up *u)
+{
+	free(u->holders);
+	free(u);
+}
+
+void
+cold_finish(struct cold *c)
+{
+	for (uint32_t i = 0; i < c->n_up; i++)
+		free_up(c->up[i]);
+	free(c->up);
+	free(c->members);
+	c->up = NULL;
+	c->members = NULL;
+	c->n_up = 0;
+}
+
+static void
+begin_reign(struct cold *c, struct cold_up *u)
+{
+	int64_t from = cold_lease_of(c, u)->act_from_ms;
+
+	u->owning = true;
+	u->reign_ms = from;
+	cold_restart_ramp(
+	    c, u, from + COLD_PERMIT_MS + COLD_DRIFT_MARGIN_MS, true);
+}
+
+static void
+apply_lease(struct cold *c, struct cold_up *u)
+{
+	const struct cold_lease *l = cold_lease_of(c, u);
+
+	if (!vmid_eq(&l->owner, &c->desc.self))
+		u->owning = false;
+	else if (!u->owning || u->reign_ms != l->act_from_ms)
+		begin_reign(c, u);
+}
+
+bool
+cold_add(struct cold *c, struct bstr id, uint32_t slots, uint32_t partition)
+{
+	struct cold_up *u = find(c, id);
+	uint32_t at;
+
+	if (id.n == 0 || id.n > COLD_ID_MAX || slots == 0 ||
+	    slots > COLD_MAX_SLOTS || partition >= COLD_PARTITIONS)
+		return (false);
+	if (u != NULL) {
+		u->slots = slots;
+		return (true);
+	}
+	if (c->n_up == COLD_MAX_UPSTREAMS)
+		return (false);
+	at = position(c, id);
+	u = calloc(1, sizeof(*u));
+	c->up = realloc(c->up, (c->n_up + 1) * sizeof(struct cold_up *));
+	if (u == NULL || c->up == NULL)
+		abort();
+	memmove(&c->up[at + 1], &c->up[at],
+	    (c->n_up - at) * sizeof(struct cold_up *));
+	c->up[at] = u;
+	c->n_up++;
+	memcpy(u->id_text, id.p, id.n);
+	u->id = (struct bstr){u->id_text, id.n};
+	u->slots = slots;
+	u->partition = partition;
+	apply_lease(c, u);
+	return (true);
+}
+
+void
+cold_remove(struct cold *c, struct bstr id)
+{
+	uint32_t at = position(c, id);
+
+	if (find(c, id) == NULL)
+		return;
+	free_up(c->up[at]);
+	c->n_up--;
+	memmove(&c->up[at], &c->up[at + 1],
+	    (c->n_up - at) * sizeof(struct cold_up *));
+}
+
+void
+cold_on_members(struct cold *c, const struct cold_member *m, uint32_t n)
+{
+	n = n > COLD_MAX_MEMBERS ? COLD_MAX_MEMBERS : n;
+	free(c->members);
+	c->members = calloc(n + 1, sizeof(*m));
+	if (c->members == NULL)
+		abort();
+	if (n != 0)
+		memcpy(c->members, m, n * sizeof(*m));
+	c->n_members = n;
+}
+
+void
+cold_on_lease(struct cold *c, const struct cold_lease *lease, int64_t now_ms,
+    struct cold_out *out)
+{
+	struct cold_lease *l = &c->lease[lease->partition % COLD_PARTITIONS];
+	bool moved = !vmid_eq(&l->owner, &lease->owner);
+	bool reign = moved || l->act_from_ms != lease->act_from_ms;
+
+	(void)now_ms;
+	(void)out;
+	*l = *lease;
+	for (uint32_t i = 0; reign && i < c->n_up; i++) {
+		struct cold_up *u = c->up[i];
+
+		if (u->partition != lease->partition)
+			continue;
+		apply_lease(c, u);
+		if (moved)
+			u->next_ms = 0;
+	}
+}
+
+void
+cold_on_state(struct cold *c, struct bstr id, bool cold, int64_t now_ms,
+    struct cold_out *out)
+{
+	struct cold_up *u = find(c, id);
+
+	if (u == NULL || !cold || u->cold)
+		return;
+	cold_set_state(u, true, out);
+	u->suspect = true;
+	cold_send_request(c, u, now_ms, out);
+}
+
+void
+cold_on_use(
+    struct cold *c, struct bstr id, const struct cold_use *use, int64_t now_ms)
+{
+	struct cold_up *u = find(c, id);
+	uint32_t before;
+
+	if (u == NULL)
+		return;
+	before = u->use.successes;
+	u->use = *use;
+	u->use.successes += before;
+	u->peak = cold_held(u, now_ms);
+}
+
+void
+cold_tick(struct cold *c, int64_t now_ms, struct cold_out *out)
+{
+	for (uint32_t i = 0; i < c->n_up; i++) {
+		struct cold_up *u = c->up[i];
+
+		if (!u->cold)
+			continue;
+		if (u->owning)
+			cold_tick_owner(c, u, now_ms, out);
+		if (now_ms >= u->next_ms &&
+		    (u->use.demand != 0 || u->use.in_flight != 0 || u->told ||
+			u->suspect))
+			cold_send_request(c, u, now_ms, out);
+	}
+}
+
+void
+cold_on_msg(struct cold *c, const struct vmid *from, const struct cold_msg *m,
+    int64_t now_ms, struct cold_out *out)
+{
+	struct cold_up *u = find(c, m->upstream);
+
+	if (u == NULL)
+		return;
+	switch (m->type) {
+	case COLD_MSG_REQUEST:
+		cold_on_request(c, u, from, m, now_ms, out);
+		break;
+	case COLD_MSG_GRANT:
+		if (vmid_eq(from, &cold_lease_of(c, u)->owner))
+			on_grant(u, m, now_ms, out);
+		break;
+	case COLD_MSG_STATE:
+		on_state(u, m, out);
+		break;
+	case COLD_MSG_QUERY:
+		on_state(u, m, out);
+		u->asked_nonce = m->nonce;
+		cold_send_request(c, u, now_ms, out);
+		break;
+	}
+}
+
+uint32_t
+cold_permits(const struct cold *c, struct bstr id, int64_t now_ms)
+{
+	const struct cold_up *u = find(c, id);
+
+	if (u == NULL)
+		return (0);
+	return (u->cold ? cold_held(u, now_ms) : COLD_UNLIMITED);
+}
+
+uint32_t
+cold_limit(const struct cold *c, struct bstr id, int64_t now_ms)
+{
+	const struct cold_up *u = find(c, id);
+
+	if (u == NULL || !u->cold || !cold_has_lease(c, u, now_ms))
+		return (0);
+	return (cold_limit_of(c, u, now_ms));
+}
--- /dev/null
+++ b/packages/route/cold_own.c
@@ -0,0 +1,276 @@
+#include "route/cold.h"
+#include "route/cold_int.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define QUERY_MS 500
+/* A holder yields after this time while others wait. */
+#define YIELD_MS 2000
+#define DRIFT_PART 10
+
+uint32_t
+cold_limit_of(const struct cold *c, const struct cold_up *u, int64_t now)
+{
+	int64_t passed = u->ramp_ms == 0 ? 0 : now - u->ramp_ms;
+	uint64_t by_time, limit;
+
+	if (passed > c->desc.ramp_ms)
+		passed = c->desc.ramp_ms;
+	by_time = 1 +
+	    (uint64_t)(u->slots - 1) * (uint64_t)passed /
+		(uint64_t)c->desc.ramp_ms;
+	limit = by_time < 1 + u->successes ? by_time : 1 + u->successes;
+	return ((uint32_t)limit);
+}
+
+static struct cold_holder *
+holder_of(struct cold_up *u, const struct vmid *id)
+{
+	struct cold_holder *h;
+
+	for (uint32_t i = 0; i < u->n_holders; i++) {
+		if (vmid_eq(&u->holders[i].id, id))
+			return (&u->holders[i]);
+	}
+	if (u->n_holders == 2 * COLD_MAX_MEMBERS)
+		return (NULL);
+	u->holders =
+	    realloc(u->holders, (u->n_holders + 1) * sizeof(*u->holders));
+	if (u->holders == NULL)
+		abort();
+	h = &u->holders[u->n_holders++];
+	memset(h, 0, sizeof(*h));
+	h->id = *id;
+	return (h);
+}
+
+static bool
+has_reported(const struct cold_up *u, const struct vmid *id)
+{
+	for (uint32_t i = 0; i < u->n_holders; i++) {
+		if (vmid_eq(&u->holders[i].id, id))
+			return (true);
+	}
+	return (false);
+}
+
+static bool
+all_reported(const struct cold *c, const struct cold_up *u)
+{
+	for (uint32_t i = 0; i < c->n_members; i++) {
+		const struct cold_member *m = &c->members[i];
+
+		if ((m->alive || u->need_dead) && !has_reported(u, &m->id))
+			return (false);
+	}
+	return (c->n_members != 0);
+}
+
+static bool
+may_grant(struct cold *c, struct cold_up *u, int64_t now)
+{
+	if (!cold_has_lease(c, u, now) || now < u->min_ms)
+		return (false);
+	if (now < u->all_ms && !all_reported(c, u))
+		return (false);
+	if (u->ramp_ms == 0)
+		u->ramp_ms = now;
+	return (true);
+}
+
+/* Longest call, with the margin for clocks that differ in rate. */
+static int64_t
+call_ms(const struct cold *c)
+{
+	return (c->desc.max_call_ms + c->desc.max_call_ms / DRIFT_PART);
+}
+
+void
+cold_restart_ramp(
+    struct cold *c, struct cold_up *u, int64_t from, bool need_dead)
+{
+	u->n_holders = 0;
+	u->ramp_ms = 0;
+	u->successes = 0;
+	u->nonce = rng_next(&c->rng) | 1;
+	u->min_ms = from;
+	u->all_ms = from + call_ms(c);
+	u->need_dead = need_dead;
+	u->next_query_ms = 0;
+}
+
+static void
+send_state(struct cold *c, struct cold_up *u, enum cold_msg_type type,
+    const struct vmid *to, int64_t now, struct cold_out *out)
+{
+	struct cold_msg m = {.type = type,
+	    .upstream = u->id,
+	    .cold = u->cold,
+	    .epoch = u->epoch,
+	    .gen = u->gen,
+	    .nonce = type == COLD_MSG_QUERY ? u->nonce : 0};
+
+	if (to != NULL) {
+		cold_post(c, to, &m, now, out);
+		return;
+	}
+	cold_emit(out, COLD_BROADCAST)->msg = m;
+}
+
+static void
+announce(struct cold *c, struct cold_up *u, bool cold, struct cold_out *out)
+{
+	uint64_t epoch = cold_lease_of(c, u)->epoch;
+
+	u->gen = epoch > u->epoch ? 1 : u->gen + 1;
+	u->epoch = epoch > u->epoch ? epoch : u->epoch;
+	cold_set_state(u, cold, out);
+	send_state(c, u, COLD_MSG_STATE, NULL, 0, out);
+}
+
+static uint32_t
+used_by_others(
+    const struct cold_up *u, const struct cold_holder *h, int64_t now)
+{
+	uint64_t n = 0;
+
+	for (uint32_t i = 0; i < u->n_holders; i++) {
+		const struct cold_holder *o = &u->holders[i];
+
+		if (o != h && now < o->end_ms)
+			n += o->used;
+	}
+	return (n > UINT32_MAX ? UINT32_MAX : (uint32_t)n);
+}
+
+static void
+turn_cold(struct cold *c, struct cold_up *u, int64_t now, struct cold_out *out)
+{
+	int64_t from = u->min_ms > now ? u->min_ms : now;
+
+	/* Earlier permits may still be in use by members that are not alive. */
+	cold_restart_ramp(c, u, from,
+	    (u->need_dead && now < u->all_ms) ||
+		used_by_others(u, NULL, now) != 0);
+	u->suspect = false;
+	announce(c, u, true, out);
+}
+
+/* Largest grant that leaves a part to the others that ask. */
+static uint32_t
+share_of(const struct cold_up *u, const struct cold_holder *h, uint32_t limit,
+    int64_t now)
+{
+	uint32_t asking = 0, waiting = 0;
+
+	for (uint32_t i = 0; i < u->n_holders; i++) {
+		const struct cold_holder *o = &u->holders[i];
+
+		if (o->demand == 0 || now - o->heard_ms > COLD_PERMIT_MS)
+			continue;
+		asking++;
+		waiting += o != h && o->used == 0;
+	}
+	if (waiting != 0 && h->held_since != 0 &&
+	    now - h->held_since > YIELD_MS)
+		return (0);
+	return (asking > 1 && limit / asking >= 1 ? limit / asking
+		: asking > 1                      ? 1
+						  : limit);
+}
+
+static uint32_t
+grant_size(
+    struct cold *c, struct cold_up *u, struct cold_holder *h, int64_t now)
+{
+	uint32_t limit = cold_limit_of(c, u, now);
+	uint32_t others = used_by_others(u, h, now);
+	uint32_t room = others < limit ? limit - others : 0;
+	uint32_t share = share_of(u, h, limit, now);
+	uint32_t n = h->demand < room ? h->demand : room;
+
+	return (n < share ? n : share);
+}
+
+/* Learns a newer state from a request. Return: whether it can be granted. */
+static bool
+check_request(struct cold *c, struct cold_up *u, const struct vmid *from,
+    const struct cold_msg *m, int64_t now, struct cold_out *out)
+{
+	if (cold_is_newer(m, u)) {
+		u->epoch = m->epoch;
+		u->gen = m->gen;
+		if (m->cold)
+			turn_cold(c, u, now, out);
+		else
+			cold_set_state(u, false, out);
+	}
+	if (m->saw_cold && (!u->cold || u->suspect))
+		turn_cold(c, u, now, out);
+	if (!u->cold) {
+		send_state(c, u, COLD_MSG_STATE, from, now, out);
+		return (false);
+	}
+	if (m->nonce != u->nonce) {
+		if (!vmid_eq(from, &c->desc.self))
+			send_state(c, u, COLD_MSG_QUERY, from, now, out);
+		return (false);
+	}
+	return (true);
+}
+
+void
+cold_on_request(struct cold *c, struct cold_up *u, const struct vmid *from,
+    const struct cold_msg *m, int64_t now, struct cold_out *out)
+{
+	struct cold_msg g = {
+	    .type = COLD_MSG_GRANT, .upstream = u->id, .seq = m->seq};
+	struct cold_holder *h;
+
+	if (!u->owning || !check_request(c, u, from, m, now, out))
+		return;
+	h = holder_of(u, from);
+	if (h == NULL || m->seq <= h->seq)
+		return;
+	h->seq = m->seq;
+	h->heard_ms = now;
+	h->demand = m->use.demand;
+	h->used = m->use.in_flight > m->hold ? m->use.in_flight : m->hold;
+	h->end_ms = now + COLD_PERMIT_MS + COLD_DRIFT_MARGIN_MS + call_ms(c);
+	u->successes += m->use.successes;
+	if (!may_grant(c, u, now))
+		return;
+	g.count = grant_size(c, u, h, now);
+	g.limit = cold_limit_of(c, u, now);
+	if (g.count > h->used)
+		h->used = g.count;
+	if (g.count == 0)
+		h->held_since = 0;
+	else if (h->held_since == 0)
+		h->held_since = now;
+	cold_post(c, from, &g, now, out);
+}
+
+void
+cold_tick_owner(
+    struct cold *c, struct cold_up *u, int64_t now, struct cold_out *out)
+{
+	bool reported = all_reported(c, u);
+
+	if (u->ramp_ms != 0 && cold_has_lease(c, u, now) &&
+	    cold_limit_of(c, u, now) == u->slots &&
+	    now - u->ramp_ms >= c->desc.ramp_ms) {
+		announce(c, u, false, out);
+		return;
+	}
+	if (now < u->next_query_ms)
+		return;
+	u->next_query_ms = now + QUERY_MS;
+	send_state(
+	    c, u, reported ? COLD_MSG_STATE : COLD_MSG_QUERY, NULL, now, out);
+	if (!reported) {
+		u->asked_nonce = u->nonce;
+		cold_send_request(c, u, now, out);
+	}
+}
--- /dev/null
+++ b/tests/unit/test_cold.c
@@ -0,0 +1,463 @@
+/*
+ * Random runs of cold: several processes, a message shuttle and a lease that
+ * moves between them, with faults. SEED=n replays a seed.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/rng.h"
+#include "lib/golden.h"
+#include "route/cold.h"
+
+#define MAX_NODES 9
+#define N_UP 2
+#define SLOTS 6
+#define MAX_CALLS 64
+#define STEP_MS 10
+#define RUN_MS 20000
+#define MAX_CALL_MS 1500
+#define LEASE_MS 1000
+#define ACT_WAIT_MS 1100
+#define DEFAULT_SEEDS 300
+
+static const struct bstr UP[N_UP] = {
+    {.p = "up0", .n = 3}, {.p = "up1", .n = 3}};
+
+struct call {
+	int64_t end;
+	bool permitted;
+};
+
+struct node {
+	bool dead;
+	int64_t frozen_until, restart_at;
+	int64_t offset, rate;
+	unsigned start;
+	struct vmid id;
+	struct cold c;
+	struct cold_out out;
+	struct cold_lease lease;
+	int64_t learn_at;
+	struct call calls[N_UP][MAX_CALLS];
+	uint32_t successes[N_UP];
+};
+
+struct event {
+	int64_t at;
+	struct vmid from, to;
+	struct cold_msg m;
+	struct event *next;
+};
+
+static struct sim {
+	struct rng rng;
+	uint64_t seed;
+	int64_t now;
+	unsigned n;
+	struct node node[MAX_NODES];
+	int64_t cut[MAX_NODES][MAX_NODES];
+	int64_t chaos_until;
+	struct event *events;
+	unsigned owner, replica;
+	uint64_t epoch;
+	int64_t owned_at;
+	uint32_t limit[N_UP];
+	unsigned starts, ready;
+	bool failed;
+} S;
+
+static int64_t
+local(const struct node *n)
+{
+	return (n->offset + S.now + S.now * n->rate / 1000);
+}
+
+static unsigned
+upstream_index(struct bstr id)
+{
+	return (bstr_eq(id, UP[0]) ? 0 : 1);
+}
+
+static bool
+is_up(const struct node *n)
+{
+	return (!n->dead && n->frozen_until <= S.now);
+}
+
+static bool
+joined(const struct node *a, const struct node *b)
+{
+	return (S.cut[a - S.node][b - S.node] <= S.now);
+}
+
+static void
+send_msg(struct node *n, struct node *to, const struct cold_msg *m)
+{
+	bool chaos = S.now < S.chaos_until;
+	int copies = 1 + (chaos && rng_below(&S.rng, 4) == 0);
+
+	if (to == n || to->dead || !joined(n, to))
+		return;
+	while (copies-- > 0) {
+		struct event *e = malloc(sizeof(*e));
+
+		e->at = S.now + 1 + rng_below(&S.rng, 15);
+		if (chaos && rng_below(&S.rng, 4) == 0)
+			e->at = S.now + rng_below(&S.rng, 3000);
+		e->from = n->id;
+		e->to = to->id;
+		e->m = *m;
+		e->m.upstream = UP[upstream_index(m->upstream)];
+		e->next = S.events;
+		S.events = e;
+	}
+}
+
+static void
+carry_out(struct node *n)
+{
+	for (uint32_t i = 0; i < n->out.n; i++) {
+		const struct cold_effect *e = &n->out.v[i];
+		unsigned u;
+
+		if (e->type == COLD_STATE)
+			S.ready += !e->cold;
+		/* When a ramp starts again, permits of the one before stay
+		 * valid until their end; the lower limit holds from the first
+		 * permit that is granted under it. */
+		if (e->type == COLD_PERMITS && e->count != 0) {
+			u = upstream_index(e->upstream);
+			if (cold_limit(&n->c, UP[u], local(n)) != 0)
+				S.limit[u] = cold_limit(&n->c, UP[u], local(n));
+		}
+		for (unsigned j = 0; j < S.n; j++) {
+			if (e->type == COLD_BROADCAST ||
+			    (e->type == COLD_SEND &&
+				vmid_eq(&S.node[j].id, &e->to)))
+				send_msg(n, &S.node[j], &e->msg);
+		}
+		if (e->type == COLD_SEND && e->msg.type == COLD_MSG_GRANT &&
+		    e->msg.count != 0)
+			S.limit[upstream_index(e->msg.upstream)] = e->msg.limit;
+	}
+	cold_out_clear(&n->out);
+}
+
+static uint32_t
+in_flight(const struct node *n, unsigned u, bool permitted)
+{
+	uint32_t count = 0;
+
+	for (unsigned k = 0; k < MAX_CALLS; k++)
+		count += n->calls[u][k].end > S.now &&
+		    (!permitted || n->calls[u][k].permitted);
+	return (count);
+}
+
+static void
+check_sum(unsigned u)
+{
+	uint32_t sum = 0;
+
+	for (unsigned i = 0; i < S.n; i++) {
+		if (!S.node[i].dead)
+			sum += in_flight(&S.node[i], u, true);
+	}
+	if (sum <= S.limit[u])
+		return;
+	if (!S.failed)
+		printf("seed %llu at %lld ms: %u calls in flight to upstream "
+		       "%u, limit %u; replay: SEED=%llu "
+		       "build/release/unit/test_cold\n",
+		    (unsigned long long)S.seed, (long long)S.now, sum, u,
+		    S.limit[u], (unsigned long long)S.seed);
+	S.failed = true;
+}
+
+static void
+start_call(struct node *n, unsigned u)
+{
+	uint32_t permits = cold_permits(&n->c, UP[u], local(n));
+	uint32_t own = in_flight(n, u, false);
+	bool permitted = permits != COLD_UNLIMITED;
+
+	if (own >= permits || own >= SLOTS)
+		return;
+	for (unsigned k = 0; k < MAX_CALLS; k++) {
+		struct call *call = &n->calls[u][k];
+
+		if (call->end > S.now)
+			continue;
+		call->end = S.now + 10 + rng_below(&S.rng, 300);
+		if (rng_below(&S.rng, 4) == 0)
+			call->end = S.now + rng_below(&S.rng, MAX_CALL_MS);
+		call->permitted = permitted;
+		n->successes[u]++;
+		break;
+	}
+	if (permitted) {
+		S.starts++;
+		check_sum(u);
+	}
+}
+
+static void
+start_node(unsigned i)
+{
+	struct node *n = &S.node[i];
+	unsigned start = n->start + 1;
+	char text[32];
+
+	memset(n, 0, sizeof(*n));
+	n->start = start;
+	n->offset = 1 + rng_below(&S.rng, 1000000);
+	n->rate = (int64_t)rng_below(&S.rng, 21) - 10;
+	snprintf(text, sizeof(text), "vm%u@%u", i, start);
+	n->id = vmid_from(bstr_from(text));
+	cold_init(&n->c,
+	    &(struct cold_desc){.self = n->id,
+		.seed = rng_next(&S.rng),
+		.ramp_ms = 4000,
+		.max_call_ms = MAX_CALL_MS});
+	for (unsigned u = 0; u < N_UP; u++)
+		cold_add(&n->c, UP[u], SLOTS, 0);
+}
+
+static void
+stop_node(struct node *n)
+{
+	cold_finish(&n->c);
+	cold_out_finish(&n->out);
+	n->dead = true;
+}
+
+/* A lease as prt gives it: extended by exchanges with one replica, which is
+ * also the process that takes over and thereby ends it. */
+static void
+change_owner(void)
+{
+	if (!is_up(&S.node[S.replica]))
+		return;
+	S.owner = S.replica;
+	S.replica = (S.owner + 1 + rng_below(&S.rng, S.n - 1)) % S.n;
+	S.epoch++;
+	S.owned_at = S.now;
+	for (unsigned i = 0; i < S.n; i++)
+		S.node[i].learn_at = S.now + rng_below(&S.rng, 800);
+	S.node[S.owner].learn_at = S.now;
+}
+
+static void
+give_lease(struct node *n)
+{
+	struct node *o = &S.node[S.owner];
+	struct node *r = &S.node[S.replica];
+
+	if (S.now >= n->learn_at && n->lease.epoch != S.epoch) {
+		n->lease =
+		    (struct cold_lease){.owner = o->id, .epoch = S.epoch};
+		if (n == o)
+			n->lease.act_from_ms = local(n) + ACT_WAIT_MS;
+	}
+	if (n == o && n->lease.epoch == S.epoch && is_up(r) && joined(n, r))
+		n->lease.act_until_ms = local(n) + LEASE_MS;
+	cold_on_lease(&n->c, &n->lease, local(n), &n->out);
+}
+
+static void
+tick_node(struct node *n)
+{
+	struct cold_member m[MAX_NODES];
+
+	for (unsigned j = 0; j < S.n; j++) {
+		m[j].id = S.node[j].id;
+		m[j].alive = is_up(&S.node[j]) && joined(n, &S.node[j]);
+	}
+	cold_on_members(&n->c, m, S.n);
+	give_lease(n);
+	for (unsigned u = 0; u < N_UP; u++) {
+		struct cold_use use = {.in_flight = in_flight(n, u, false),
+		    .successes = n->successes[u]};
+
+		use.demand = use.in_flight + rng_below(&S.rng, 3);
+		n->successes[u] = 0;
+		cold_on_use(&n->c, UP[u], &use, local(n));
+	}
+	cold_tick(&n->c, local(n), &n->out);
+	carry_out(n);
+}
+
+static void
+step_node(unsigned i)
+{
+	struct node *n = &S.node[i];
+
+	if (n->dead && S.now >= n->restart_at)
+		start_node(i);
+	if (!is_up(n))
+		return;
+	if (S.now % 50 == 0)
+		tick_node(n);
+	for (unsigned u = 0; u < N_UP; u++) {
+		if (rng_below(&S.rng, 3) == 0)
+			start_call(n, u);
+	}
+}
+
+static void
+run_events(void)
+{
+	struct event **at = &S.events;
+
+	while (*at != NULL) {
+		struct event *e = *at;
+		struct node *to = NULL;
+
+		for (unsigned i = 0; i < S.n; i++) {
+			if (!S.node[i].dead && vmid_eq(&S.node[i].id, &e->to))
+				to = &S.node[i];
+		}
+		if (e->at > S.now || (to != NULL && !is_up(to))) {
+			at = &e->next;
+			continue;
+		}
+		*at = e->next;
+		if (to != NULL) {
+			cold_on_msg(
+			    &to->c, &e->from, &e->m, local(to), &to->out);
+			carry_out(to);
+		}
+		free(e);
+		at = &S.events;
+	}
+}
+
+static void
+fault(void)
+{
+	unsigned i = rng_below(&S.rng, S.n), z = rng_below(&S.rng, 3);
+	struct node *n = &S.node[i];
+	int64_t until = S.now + 200 + rng_below(&S.rng, 4000);
+
+	switch (rng_below(&S.rng, 9)) {
+	case 0:
+		if (!n->dead) {
+			stop_node(n);
+			n->restart_at = until;
+		}
+		break;
+	case 1:
+		n->frozen_until = until;
+		break;
+	case 2:
+		S.cut[i][z] = S.cut[z][i] = until;
+		break;
+	case 3:
+		for (unsigned a = 0; a < S.n; a++) {
+			for (unsigned b = 0; b < S.n; b++) {
+				if ((a % 3 == z) != (b % 3 == z))
+					S.cut[a][b] = until;
+			}
+		}
+		break;
+	case 4:
+		S.chaos_until = until;
+		break;
+	case 5:
+	case 6:
+	case 7:
+		change_owner();
+		break;
+	default:
+		if (is_up(n)) {
+			cold_on_state(&n->c, UP[rng_below(&S.rng, N_UP)], true,
+			    local(n), &n->out);
+			carry_out(n);
+		}
+	}
+}
+
+static bool
+run_seed(uint64_t seed)
+{
+	int64_t next_fault = 1000;
+
+	memset(&S, 0, sizeof(S));
+	S.seed = seed;
+	rng_init(&S.rng, seed);
+	S.n = 5 + rng_below(&S.rng, 5);
+	for (unsigned i = 0; i < S.n; i++)
+		start_node(i);
+	change_owner();
+	for (S.now = 0; S.now < RUN_MS && !S.failed; S.now += STEP_MS) {
+		run_events();
+		for (unsigned i = 0; i < S.n; i++)
+			step_node(i);
+		if (S.now == 500) {
+			for (unsigned u = 0; u < N_UP; u++)
+				cold_on_state(&S.node[0].c, UP[u], true,
+				    local(&S.node[0]), &S.node[0].out);
+		}
+		if (!is_up(&S.node[S.owner]) && S.now - S.owned_at > 2000)
+			change_owner();
+		if (S.now >= next_fault) {
+			fault();
+			if (rng_below(&S.rng, 2) == 0)
+				fault();
+			next_fault = S.now + 200 + rng_below(&S.rng, 5000);
+		}
+	}
+	for (unsigned i = 0; i < S.n; i++) {
+		if (!S.node[i].dead)
+			stop_node(&S.node[i]);
+	}
+	while (S.events != NULL) {
+		struct event *e = S.events;
+
+		S.events = e->next;
+		free(e);
+	}
+	return (!S.failed);
+}
+
+/* Guards against more calls under permits than the fleet's limit, whatever
+ * happens to owners, clocks and messages. */
+static void
+test_random(void **state)
+{
+	const char *one = getenv("SEED");
+	const char *many = getenv("SEEDS");
+	uint64_t first = one == NULL ? 1 : strtoull(one, NULL, 10);
+	uint64_t n = many == NULL ? DEFAULT_SEEDS : strtoull(many, NULL, 10);
+	uint64_t bad = 0, starts = 0, ready = 0;
+
+	(void)state;
+	n = one == NULL ? n : 1;
+	for (uint64_t s = first; s < first + n; s++) {
+		bad += !run_seed(s);
+		starts += S.starts;
+		ready += S.ready;
+	}
+	printf("%llu seeds, %llu bad, %llu calls under permits, %llu times "
+	       "ready\n",
+	    (unsigned long long)n, (unsigned long long)bad,
+	    (unsigned long long)starts, (unsigned long long)ready);
+	assert_int_equal(bad, 0);
+	assert_true(starts >= 20 * n);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_random),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
