--- /dev/null
+++ b/tests/unit/test_pclm.c
@@ -0,0 +1,284 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/rng.h"
+#include "peer/mfit.h"
+#include "peer/pclm.h"
+#include "peer/pcold.h"
+
+#define ROUNDS 4000
+#define FLIPS 6
+
+static char text[CLM_BODY_MAX];
+
+static struct bstr
+random_str(struct rng *r, uint32_t min, uint32_t max)
+{
+	return ((struct bstr){text, min + rng_below(r, max - min + 1)});
+}
+
+static struct vmid
+random_vmid(struct rng *r, char first)
+{
+	char s[VMID_MAX];
+
+	memset(s, 'x', sizeof(s));
+	s[0] = first;
+	return (vmid_from((struct bstr){s, 1 + rng_below(r, VMID_MAX)}));
+}
+
+static void
+random_prt(struct rng *r, struct prt_msg *m, struct prt_table *t)
+{
+	memset(m, 0, sizeof(*m));
+	m->type = (enum prt_msg_type)(1 + rng_below(r, PRT_MSG_PULL));
+	m->version = rng_next(r) >> 2;
+	m->sent_ms = (int64_t)(rng_next(r) >> 2);
+	m->n_items = rng_below(r, PRT_COUNT + 1);
+	for (uint32_t i = 0; i < m->n_items; i++)
+		m->items[i] = (struct prt_item){
+		    rng_below(r, PRT_COUNT), rng_next(r) >> 2};
+	if (m->type != PRT_MSG_TABLE)
+		return;
+	memset(t, 0, sizeof(*t));
+	for (int i = 0; i < PRT_COUNT; i++) {
+		t->part[i].epoch = 1 + (rng_next(r) >> 3);
+		t->part[i].owner = random_vmid(r, 'a');
+		if (rng_below(r, 2) == 0)
+			t->part[i].replica[0] = random_vmid(r, 'b');
+		t->part[i].replica[1] = random_vmid(r, 'c');
+	}
+	t->version = m->version;
+	m->table = t;
+}
+
+static void
+random_clm(struct rng *r, struct clm_msg *m)
+{
+	*m = (struct clm_msg){.type = (enum clm_msg_type)(1 + rng_below(r, 6)),
+	    .service = random_str(r, 1, CLM_NAME_MAX),
+	    .key = random_str(r, 1, CLM_NAME_MAX),
+	    .fingerprint = rng_next(r),
+	    .ingress = random_vmid(r, 'i'),
+	    .request_id = rng_next(r),
+	    .verdict = (enum clm_verdict)(1 + rng_below(r, 6)),
+	    .outcome = (enum clm_outcome)(1 + rng_below(r, 3)),
+	    .epoch = 1 + (rng_next(r) >> 3),
+	    .ver = {rng_next(r) >> 2, rng_next(r) >> 2},
+	    .state = (enum clm_state)(1 + rng_below(r, 4)),
+	    .age_ms = rng_below(r, UINT32_MAX / 2),
+	    .accepted = rng_below(r, 2) != 0,
+	    .result = {.status = 200,
+		.content_type = random_str(r, 0, CLM_NAME_MAX),
+		.body = random_str(r, 0, CLM_BODY_MAX),
+		.omitted = rng_below(r, 2) != 0}};
+}
+
+static void
+random_cold(struct rng *r, struct cold_msg *m)
+{
+	*m =
+	    (struct cold_msg){.type = (enum cold_msg_type)(1 + rng_below(r, 4)),
+		.upstream = random_str(r, 1, COLD_ID_MAX),
+		.seq = rng_next(r) >> 2,
+		.use = {rng_below(r, 1000), rng_below(r, 1000),
+		    (uint32_t)rng_next(r)},
+		.hold = rng_below(r, COLD_MAX_SLOTS + 1),
+		.saw_cold = rng_below(r, 2) != 0,
+		.count = rng_below(r, COLD_MAX_SLOTS + 1),
+		.limit = rng_below(r, COLD_MAX_SLOTS + 1),
+		.cold = rng_below(r, 2) != 0,
+		.epoch = rng_next(r) >> 2,
+		.gen = rng_next(r) >> 2,
+		.nonce = rng_next(r)};
+}
+
+static void
+random_prb(struct rng *r, struct prb_msg *m)
+{
+	*m = (struct prb_msg){.type = (enum prb_msg_type)(1 + rng_below(r, 2)),
+	    .upstream = random_str(r, 1, COLD_ID_MAX),
+	    .epoch = rng_next(r) >> 2,
+	    .seq = rng_next(r) >> 2,
+	    .state = (enum prb_state)rng_below(r, PRB_DOWN + 1),
+	    .load = (int32_t)rng_below(r, PRB_MAX_LOAD + 2) - 1};
+}
+
+static void
+encode(struct rng *r, int kind, struct bbuf *b)
+{
+	struct prt_table t;
+	struct prt_msg prt;
+	struct clm_msg clm;
+	struct cold_msg cold;
+	struct prb_msg prb;
+
+	bbuf_clear(b);
+	if (kind == 0) {
+		random_prt(r, &prt, &t);
+		pclm_put_prt(b, &prt);
+	} else if (kind == 1) {
+		random_clm(r, &clm);
+		pclm_put_clm(b, &clm);
+	} else if (kind == 2) {
+		random_cold(r, &cold);
+		pcold_put_cold(b, &cold);
+	} else {
+		random_prb(r, &prb);
+		pcold_put_prb(b, &prb);
+	}
+}
+
+/* Decodes and encodes again into @again. Return: whether it was accepted. */
+static bool
+recode(int kind, struct bstr bytes, struct bbuf *again)
+{
+	char id[COLD_ID_MAX];
+	struct prt_msg prt;
+	struct clm_msg clm;
+	struct cold_msg cold;
+	struct prb_msg prb;
+
+	bbuf_clear(again);
+	if (kind == 0 && pclm_get_prt(&prt, bytes)) {
+		pclm_put_prt(again, &prt);
+		prt_msg_finish(&prt);
+	} else if (kind == 1 && pclm_get_clm(&clm, bytes)) {
+		pclm_put_clm(again, &clm);
+		pclm_clm_finish(&clm);
+	} else if (kind == 2 && pcold_get_cold(&cold, id, bytes)) {
+		pcold_put_cold(again, &cold);
+	} else if (kind == 3 && pcold_get_prb(&prb, id, bytes)) {
+		pcold_put_prb(again, &prb);
+	}
+	return (again->n != 0);
+}
+
+/* Guards against fields that are lost or changed on the way. */
+static void
+test_round_trip(void **state)
+{
+	struct rng r;
+	struct bbuf a, b;
+
+	(void)state;
+	rng_init(&r, 1);
+	bbuf_init(&a);
+	bbuf_init(&b);
+	memset(text, 't', sizeof(text));
+	for (int i = 0; i < ROUNDS; i++) {
+		encode(&r, i % 4, &a);
+		assert_true(recode(i % 4, bbuf_str(&a), &b));
+		assert_true(bstr_eq(bbuf_str(&a), bbuf_str(&b)));
+	}
+	bbuf_finish(&a);
+	bbuf_finish(&b);
+}
+
+/* Guards against crashes on damaged input, and against accepting truncated
+ * input or trailing data. */
+static void
+test_damaged(void **state)
+{
+	struct rng r;
+	struct bbuf a, b;
+	unsigned rejected = 0;
+
+	(void)state;
+	rng_init(&r, 2);
+	bbuf_init(&a);
+	bbuf_init(&b);
+	for (int i = 0; i < ROUNDS; i++) {
+		uint32_t cut;
+
+		encode(&r, i % 4, &a);
+		cut = rng_below(&r, (uint32_t)a.n);
+		assert_false(recode(i % 4, (struct bstr){a.p, cut}, &b));
+		for (uint32_t k = rng_below(&r, FLIPS) + 1; k > 0; k--)
+			a.p[rng_below(&r, (uint32_t)(k % 2 ? 64 : a.n)) %
+			    a.n] ^= (char)(1 << rng_below(&r, 8));
+		rejected += !recode(i % 4, bbuf_str(&a), &b);
+		encode(&r, i % 4, &a);
+		bbuf_add(&a, BSTR("\x00"));
+		assert_false(recode(i % 4, bbuf_str(&a), &b));
+	}
+	assert_true(rejected > ROUNDS / 4);
+	bbuf_finish(&a);
+	bbuf_finish(&b);
+}
+
+/* Guards against values that a module could not handle. */
+static void
+test_ranges(void **state)
+{
+	struct rng r;
+	struct bbuf a, b;
+	struct clm_msg m;
+	struct prt_msg p = {.type = PRT_MSG_HEARTBEAT, .n_items = 1};
+	struct cold_msg c;
+
+	(void)state;
+	rng_init(&r, 3);
+	bbuf_init(&a);
+	bbuf_init(&b);
+	random_clm(&r, &m);
+	m.type = CLM_MSG_RECORD;
+	m.ingress = (struct vmid){0};
+	pclm_put_clm(&a, &m);
+	assert_false(recode(1, bbuf_str(&a), &b));
+	bbuf_clear(&a);
+	random_clm(&r, &m);
+	m.type = CLM_MSG_CLAIM;
+	m.key.n = 0;
+	pclm_put_clm(&a, &m);
+	assert_false(recode(1, bbuf_str(&a), &b));
+	bbuf_clear(&a);
+	p.items[0].partition = PRT_COUNT;
+	pclm_put_prt(&a, &p);
+	assert_false(recode(0, bbuf_str(&a), &b));
+	bbuf_clear(&a);
+	random_cold(&r, &c);
+	c.hold = COLD_MAX_SLOTS + 1;
+	pcold_put_cold(&a, &c);
+	assert_false(recode(2, bbuf_str(&a), &b));
+	bbuf_finish(&a);
+	bbuf_finish(&b);
+}
+
+/* Guards against an allocation of 100 GB for five bytes. */
+static void
+test_declared_length(void **state)
+{
+	struct bbuf b;
+
+	(void)state;
+	bbuf_init(&b);
+	assert_false(mfit_check(BSTR("\xdd\xff\xff\xff\xff")));
+	assert_false(mfit_check(BSTR("\xdf\xff\xff\xff\xff\x01")));
+	assert_false(mfit_check(BSTR("\xc6\xff\xff\xff\xff\x01")));
+	assert_false(mfit_check(BSTR("\x92\x01")));
+	assert_false(mfit_check(BSTR("\x01\x01")));
+	assert_false(mfit_check(BSTR("")));
+	assert_true(mfit_check(BSTR("\x92\x01\xa1x")));
+	for (int kind = 0; kind < 4; kind++)
+		assert_false(recode(kind, BSTR("\xdd\xff\xff\xff\xff"), &b));
+	bbuf_finish(&b);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_round_trip),
+	    cmocka_unit_test(test_damaged),
+	    cmocka_unit_test(test_ranges),
+	    cmocka_unit_test(test_declared_length),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
