Add golden sessions for claims

Cause: the random test does not notice when the joiner is not required, when a quarantine is ignored or when records of an old epoch are accepted.

Change: sessions for the owner, the ingress side, expiry, takeover, joining and an owner without replicas.

Conclusion: the transcripts show each of these rules once.

--- a/tests/unit/test_clm.c
+++ b/tests/unit/test_clm.c
@@ -1,6 +1,7 @@
 /*
- * Random runs of prt and clm together: several processes, a message shuttle and
- * a store in memory, faults drawn one and two at a time. SEED=n replays a seed.
+ * Sessions of clm, and random runs of prt and clm together: several processes,
+ * a message shuttle and a store in memory, faults drawn one and two at a time.
+ * SEED=n replays a seed.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -13,6 +14,7 @@
 
 #include "claim/clm.h"
 #include "claim/prt.h"
+#include "lib/golden.h"
 
 #define MAX_NODES 9
 #define N_KEYS 40
@@ -701,10 +703,221 @@
 	assert_true(grants >= 5 * n);
 }
 
+/*
+ * A session drives process "a":
+ *
+ *	view <epoch> <owner> <required> <joiner>    of all partitions; "-" for
+ *	                                            none, "sole:<ms>" for a
+ *lease of the store claim <id> <key> <fingerprint> <deadline> finish <id>
+ *done|not_run|unknown [body] from <process> claim <id> <key> <fingerprint> from
+ *<process> finish <id> <key> <outcome number> from <process> verdict <id>
+ *<verdict number> from <process> finack <id> from <process> ack of the last
+ *record from <process> record <id> <key> <epoch> <version epoch> <state number>
+ *	quarantine <ms>                             for the next view
+ *	at <ms>                                     tick every 50 ms
+ */
+struct session {
+	struct clm c;
+	struct clm_out out;
+	struct clm_msg last;
+	char key[16];
+	int64_t now, quarantine;
+	bool copied;
+	FILE *f;
+};
+
+static void
+print_msg(struct session *s, const struct clm_effect *e)
+{
+	static const char *names[] = {
+	    "", "claim", "verdict", "finish", "finack", "record", "ack"};
+	static const char *states[] = {
+	    "none", "granted", "done", "unknown", "free"};
+	const struct clm_msg *m = e->msg;
+
+	fprintf(s->f, "%lld %s to %c id %llu", (long long)s->now,
+	    names[m->type], e->to.s[0], (unsigned long long)m->request_id);
+	if (m->type == CLM_MSG_VERDICT)
+		fprintf(s->f, " verdict %d", m->verdict);
+	if (m->type == CLM_MSG_FINISH)
+		fprintf(s->f, " outcome %d", m->outcome);
+	if (m->type == CLM_MSG_RECORD || m->type == CLM_MSG_RECORD_ACK)
+		fprintf(s->f, " %s version %llu.%llu", states[m->state],
+		    (unsigned long long)m->ver.epoch,
+		    (unsigned long long)m->ver.seq);
+	fprintf(s->f, "\n");
+	if (m->type != CLM_MSG_RECORD)
+		return;
+	s->last = *m;
+	s->last.mem = NULL;
+	snprintf(s->key, sizeof(s->key), "%.*s", BSTR_ARG(m->key));
+}
+
+static void
+print_effects(struct session *s)
+{
+	static const char *verdicts[] = {"", "granted", "in_progress", "done",
+	    "unknown", "mismatch", "unavailable"};
+
+	for (uint32_t i = 0; i < s->out.n; i++) {
+		const struct clm_effect *e = &s->out.v[i];
+
+		if (e->type == CLM_SEND)
+			print_msg(s, e);
+		if (e->type == CLM_VERDICT)
+			fprintf(s->f, "%lld %llu is %s, valid %lld, \"%.*s\"\n",
+			    (long long)s->now,
+			    (unsigned long long)e->request_id,
+			    verdicts[e->verdict], (long long)e->valid_for_ms,
+			    e->msg == NULL ? 0 : (int)e->msg->result.body.n,
+			    e->msg == NULL ? "" : e->msg->result.body.p);
+		if (e->type == CLM_FINISHED)
+			fprintf(s->f, "%lld %llu finished\n", (long long)s->now,
+			    (unsigned long long)e->request_id);
+		if (e->type == CLM_COPIED && !s->copied &&
+		    e->partition == clm_partition(BSTR("pay"), BSTR("k1"))) {
+			s->copied = true;
+			fprintf(s->f, "%lld k1 copied to %c\n",
+			    (long long)s->now, e->to.s[0]);
+		}
+	}
+	clm_out_clear(&s->out);
+}
+
+static void
+give_views(struct session *s, unsigned epoch, const char *owner,
+    const char *required, const char *joiner)
+{
+	struct prt_view v = {.epoch = epoch,
+	    .owner = vmid_from(bstr_from(owner)),
+	    .acting = strcmp(owner, "a") == 0,
+	    .quarantined_until = s->quarantine};
+
+	v.sole = strncmp(required, "sole:", 5) == 0;
+	if (v.sole)
+		v.sole_until = atoll(required + 5);
+	for (const char *p = required; !v.sole && *p != 0 && *p != '-'; p++)
+		v.required[v.n_required++] = vmid_from((struct bstr){p, 1});
+	if (*joiner != '-')
+		v.joiner = vmid_from(bstr_from(joiner));
+	for (uint32_t i = 0; i < PRT_COUNT; i++) {
+		v.partition = i;
+		clm_on_view(&s->c, &v, s->now, &s->out);
+	}
+}
+
+static void
+from_peer(struct session *s, const char *line)
+{
+	char peer[8] = "", what[16] = "", key[16] = "";
+	unsigned id = 0, a = 0, b = 0, state = 0;
+	struct clm_msg m = {.service = BSTR("pay")};
+	struct vmid from;
+
+	if (sscanf(line, "from %7s %15s", peer, what) != 2)
+		return;
+	from = vmid_from(bstr_from(peer));
+	if (strcmp(what, "ack") == 0) {
+		m = s->last;
+		m.key = bstr_from(s->key);
+		m.service = BSTR("pay");
+		m.result = (struct clm_result){0};
+		m.type = CLM_MSG_RECORD_ACK;
+		m.state = (enum clm_state)0;
+		m.accepted = true;
+	} else if (sscanf(line, "from %*s claim %u %15s %u", &id, key, &a) ==
+	    3) {
+		m.type = CLM_MSG_CLAIM;
+		m.fingerprint = a;
+	} else if (sscanf(line, "from %*s finish %u %15s %u", &id, key, &a) ==
+	    3) {
+		m.type = CLM_MSG_FINISH;
+		m.outcome = (enum clm_outcome)a;
+	} else if (sscanf(line, "from %*s verdict %u %u", &id, &a) == 2) {
+		m.type = CLM_MSG_VERDICT;
+		m.verdict = (enum clm_verdict)a;
+	} else if (sscanf(line, "from %*s record %u %15s %u %u %u", &id, key,
+		       &a, &b, &state) == 5) {
+		m.type = CLM_MSG_RECORD;
+		m.epoch = a;
+		m.ver = (struct clm_ver){b, 1};
+		m.state = (enum clm_state)state;
+		m.fingerprint = 1;
+		m.ingress = vmid_from(BSTR("d"));
+	} else if (sscanf(line, "from %*s finack %u", &id) == 1) {
+		m.type = CLM_MSG_FINISH_ACK;
+	}
+	if (m.type != CLM_MSG_RECORD_ACK) {
+		m.request_id = id;
+		m.key = bstr_from(key);
+	}
+	clm_on_msg(&s->c, &from, &m, s->now, &s->out);
+}
+
+static void
+run_line(struct session *s, const char *line)
+{
+	char w1[16] = "", w2[16] = "", w3[16] = "";
+	unsigned a = 0, b = 0, c = 0;
+
+	fprintf(s->f, "> %s", line);
+	if (sscanf(line, "view %u %15s %15s %15s", &a, w1, w2, w3) == 4)
+		give_views(s, a, w1, w2, w3);
+	else if (sscanf(line, "claim %u %15s %u %u", &a, w1, &b, &c) == 4)
+		clm_claim(&s->c,
+		    &(struct clm_request){a, BSTR("pay"), bstr_from(w1), b, c},
+		    s->now, &s->out);
+	else if (sscanf(line, "finish %u %15s %15s", &a, w1, w2) >= 2)
+		clm_finish_request(&s->c, a,
+		    *w1 == 'd'       ? CLM_O_DONE
+			: *w1 == 'n' ? CLM_O_NOT_RUN
+				     : CLM_O_UNKNOWN,
+		    &(struct clm_result){.body = bstr_from(w2)}, s->now,
+		    &s->out);
+	else if (sscanf(line, "quarantine %u", &a) == 1)
+		s->quarantine = a;
+	else if (strncmp(line, "from", 4) == 0)
+		from_peer(s, line);
+	else if (sscanf(line, "at %u", &a) == 1)
+		for (; s->now < (int64_t)a; print_effects(s)) {
+			s->now += 50;
+			clm_tick(&s->c, s->now, s->now, &s->out);
+		}
+	print_effects(s);
+}
+
+static void
+run(FILE *script, FILE *out)
+{
+	struct session s = {.f = out};
+	char line[256];
+
+	clm_init(&s.c,
+	    &(struct clm_desc){.self = vmid_from(BSTR("a")),
+		.max_records = 4,
+		.max_requests = 64,
+		.resend_ms = 1000});
+	while (fgets(line, sizeof(line), script) != NULL) {
+		if (line[0] != '#')
+			run_line(&s, line);
+	}
+	clm_out_finish(&s.out);
+	clm_finish(&s.c);
+}
+
+/* Guards against changes of the behaviour that the sessions show. */
+static void
+test_golden(void **state)
+{
+	(void)state;
+	assert_int_equal(golden_check("clm", run), 0);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_golden),
 	    cmocka_unit_test(test_random),
 	};
 
