--- a/tests/unit/test_cold.c
+++ b/tests/unit/test_cold.c
@@ -1,6 +1,6 @@
 /*
- * Random runs of cold: several processes, a message shuttle and a lease that
- * moves between them, with faults. SEED=n replays a seed.
+ * Sessions and random runs of cold: several processes, a message shuttle and a
+ * lease that moves between them, with faults. SEED=n replays a seed.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -452,10 +452,190 @@
 	assert_true(starts >= 20 * n);
 }
 
+/*
+ * A session drives process "a" and the upstream "up0" with 4 slots:
+ *
+ *	members <process>[:dead] ...
+ *	lease <owner> <epoch> <from> <until>
+ *	cold                                 a response says cold
+ *	use <in flight> <demand> <successes> in each tick from now on
+ *	request <from> <seq> <in flight> <hold> <demand> <successes> cur|old
+ *	                                     "cur" echoes the last query
+ *	grant <from> <count> last|old        answer to the last request
+ *	query <from> <epoch> <gen>
+ *	at <ms>                              tick every 50 ms
+ *	skip <ms>                            no tick up to the time
+ *	permits
+ */
+struct session {
+	struct cold c;
+	struct cold_out out;
+	struct cold_use use;
+	uint64_t nonce, seq;
+	int64_t now;
+	FILE *f;
+};
+
+static void
+print_effects(struct session *s)
+{
+	static const char *names[] = {"", "request", "grant", "state", "query"};
+
+	for (uint32_t i = 0; i < s->out.n; i++) {
+		const struct cold_effect *e = &s->out.v[i];
+		const struct cold_msg *m = &e->msg;
+
+		if (e->type == COLD_PERMITS && e->count == 0)
+			continue;
+		fprintf(s->f, "%lld ", (long long)s->now);
+		if (e->type == COLD_PERMITS)
+			fprintf(s->f, "permits %u until %lld\n", e->count,
+			    (long long)e->until_ms);
+		if (e->type == COLD_STATE)
+			fprintf(s->f, "%s\n", e->cold ? "cold" : "ready");
+		if (e->type != COLD_SEND && e->type != COLD_BROADCAST)
+			continue;
+		fprintf(s->f, "%s to %s", names[m->type],
+		    e->type == COLD_SEND ? e->to.s : "all");
+		if (m->type == COLD_MSG_QUERY)
+			s->nonce = m->nonce;
+		if (m->type == COLD_MSG_REQUEST)
+			s->seq = m->seq;
+		if (m->type == COLD_MSG_GRANT)
+			fprintf(s->f, " %u of %u", m->count, m->limit);
+		else if (m->type == COLD_MSG_REQUEST)
+			fprintf(s->f, " in flight %u hold %u demand %u%s",
+			    m->use.in_flight, m->hold, m->use.demand,
+			    m->saw_cold ? " saw cold" : "");
+		else
+			fprintf(s->f, " %s %llu.%llu",
+			    m->cold ? "cold" : "ready",
+			    (unsigned long long)m->epoch,
+			    (unsigned long long)m->gen);
+		fprintf(s->f, "\n");
+	}
+	cold_out_clear(&s->out);
+}
+
+static void
+set_members(struct session *s, char *args)
+{
+	struct cold_member m[8] = {0};
+	uint32_t n = 0;
+	char *save;
+
+	for (char *t = strtok_r(args, " \n", &save); t != NULL && n < 8;
+	     t = strtok_r(NULL, " \n", &save)) {
+		m[n].id = vmid_from((struct bstr){t, 1});
+		m[n++].alive = strstr(t, "dead") == NULL;
+	}
+	cold_on_members(&s->c, m, n);
+}
+
+static void
+from_peer(struct session *s, const char *line)
+{
+	struct cold_msg m = {.upstream = UP[0], .cold = true};
+	char peer[8] = "", which[8] = "";
+	unsigned v[5] = {0};
+	struct vmid from;
+
+	if (sscanf(line, "request %7s %u %u %u %u %u %7s", peer, &v[0], &v[1],
+		&v[2], &v[3], &v[4], which) == 7) {
+		m.type = COLD_MSG_REQUEST;
+		m.seq = v[0];
+		m.hold = v[2];
+		m.use = (struct cold_use){v[1], v[3], v[4]};
+		m.nonce = *which == 'c' ? s->nonce : 1;
+	} else if (sscanf(line, "grant %7s %u %7s", peer, &v[0], which) == 3) {
+		m.type = COLD_MSG_GRANT;
+		m.count = v[0];
+		m.seq = *which == 'l' ? s->seq : s->seq - 1;
+	} else if (sscanf(line, "query %7s %u %u", peer, &v[0], &v[1]) == 3) {
+		m.type = COLD_MSG_QUERY;
+		m.epoch = v[0];
+		m.gen = v[1];
+		m.nonce = 5;
+	}
+	from = vmid_from(bstr_from(peer));
+	cold_on_msg(&s->c, &from, &m, s->now, &s->out);
+}
+
+static void
+tick_until(struct session *s, int64_t end)
+{
+	while (s->now < end) {
+		s->now += 50;
+		cold_on_use(&s->c, UP[0], &s->use, s->now);
+		s->use.successes = 0;
+		cold_tick(&s->c, s->now, &s->out);
+		print_effects(s);
+	}
+}
+
+static void
+run_line(struct session *s, char *line)
+{
+	struct cold_lease l = {0};
+	char word[8] = "";
+	int a = 0, b = 0, c = 0;
+
+	fprintf(s->f, "> %s", line);
+	if (strncmp(line, "members", 7) == 0) {
+		set_members(s, line + strlen("members "));
+	} else if (sscanf(line, "lease %7s %d %d %d", word, &a, &b, &c) == 4) {
+		l.owner = vmid_from(bstr_from(word));
+		l.epoch = (uint64_t)a;
+		l.act_from_ms = b;
+		l.act_until_ms = c;
+		cold_on_lease(&s->c, &l, s->now, &s->out);
+	} else if (strcmp(line, "cold\n") == 0) {
+		cold_on_state(&s->c, UP[0], true, s->now, &s->out);
+	} else if (sscanf(line, "use %d %d %d", &a, &b, &c) == 3) {
+		s->use =
+		    (struct cold_use){(uint32_t)a, (uint32_t)b, (uint32_t)c};
+	} else if (sscanf(line, "at %d", &a) == 1) {
+		tick_until(s, a);
+	} else if (sscanf(line, "skip %d", &a) == 1) {
+		s->now = a;
+	} else if (strcmp(line, "permits\n") == 0) {
+		fprintf(s->f, "%u\n", cold_permits(&s->c, UP[0], s->now));
+	} else {
+		from_peer(s, line);
+	}
+	print_effects(s);
+}
+
+static void
+run(FILE *script, FILE *out)
+{
+	struct session s = {.f = out};
+	char line[256];
+
+	cold_init(
+	    &s.c, &(struct cold_desc){.self = vmid_from(BSTR("a")), .seed = 1});
+	cold_add(&s.c, UP[0], 4, 0);
+	while (fgets(line, sizeof(line), script) != NULL) {
+		if (line[0] != '#')
+			run_line(&s, line);
+	}
+	cold_out_finish(&s.out);
+	cold_finish(&s.c);
+}
+
+/* Guards against changes of the behaviour that the sessions show. */
+static void
+test_golden(void **state)
+{
+	(void)state;
+	assert_int_equal(golden_check("cold", run), 0);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_golden),
 	    cmocka_unit_test(test_random),
 	};
 
