--- a/packages/front/call.c
+++ b/packages/front/call.c
@@ -2,20 +2,9 @@
 
 #include <stdlib.h>
 
+#include "front/cmsg.h"
 #include "sys/clk.h"
 
-static const struct bstr hop_by_hop[] = {
-    {"Connection", 10},
-    {"Keep-Alive", 10},
-    {"Proxy-Authenticate", 18},
-    {"Proxy-Authorization", 19},
-    {"Proxy-Connection", 16},
-    {"TE", 2},
-    {"Trailer", 7},
-    {"Transfer-Encoding", 17},
-    {"Upgrade", 7},
-};
-
 struct call *
 call_new(struct wrk *w, const char *target)
 {
@@ -31,9 +20,9 @@
 	query = memchr(c->target.p, '?', c->target.n);
 	c->path.p = c->target.p;
 	c->path.n = query == NULL ? c->target.n : (size_t)(query - c->target.p);
-	c->answer_len = -1;
 	c->body_len = -1;
 	c->reported = -1;
+	rhd_init(&c->head, false);
 	return (c);
 }
 
@@ -47,18 +36,19 @@
 void
 call_free(struct call *c)
 {
-	call_reset_answer(c);
+	rhd_finish(&c->head);
 	bbuf_finish(&c->body);
 	bbuf_finish(&c->answer);
+	bbuf_finish(&c->kept);
+	free(c->claim.replay);
 	free_str(&c->method);
 	free_str(&c->target);
-	free_str(&c->service);
-	free_str(&c->version);
-	free_str(&c->addr);
 	for (uint32_t i = 0; i < c->n_excluded; i++)
 		rt_stat_unref(c->excluded[i]);
 	if (c->upstream != NULL)
 		rt_stat_unref(c->upstream);
+	if (c->tally != NULL)
+		rt_tally_unref(c->tally);
 	free(c);
 }
 
@@ -72,41 +62,45 @@
 void
 call_reset_answer(struct call *c)
 {
-	for (unsigned i = 0; i < c->n_headers; i++) {
-		free_str(&c->headers[i].name);
-		free_str(&c->headers[i].value);
-	}
-	free(c->headers);
-	c->headers = NULL;
-	c->n_headers = 0;
+	rhd_reset(&c->head, c->to_head);
+	c->head_bad = false;
+	c->head_us = 0;
 	c->status = 0;
-	c->answer_len = -1;
-	c->chunked = false;
-	c->upstream_not_run = false;
+	c->refused = false;
+	c->reported = -1;
 	bbuf_clear(&c->answer);
+	c->answer_off = 0;
+	c->answer_paused = false;
+	bbuf_clear(&c->kept);
+	c->kept_omitted = false;
 }
 
-void
-call_add_answer_header(struct call *c, struct bstr name, struct bstr value)
+struct bstr
+call_body_left(const struct call *c)
 {
-	struct call_header *h =
-	    realloc(c->headers, (c->n_headers + 1) * sizeof(*h));
+	if (c->body.n == c->body_off)
+		return ((struct bstr){0});
+	return (
+	    (struct bstr){c->body.p + c->body_off, c->body.n - c->body_off});
+}
 
-	if (h == NULL)
-		abort();
-	c->headers = h;
-	h[c->n_headers].name = (struct bstr){.p = bstr_dup(name), .n = name.n};
-	h[c->n_headers].value =
-	    (struct bstr){.p = bstr_dup(value), .n = value.n};
-	c->n_headers++;
+struct bstr
+call_answer_left(const struct call *c)
+{
+	if (c->answer.n == c->answer_off)
+		return ((struct bstr){0});
+	return ((struct bstr){
+	    c->answer.p + c->answer_off, c->answer.n - c->answer_off});
 }
 
 bool
-call_is_hop_by_hop(struct bstr name)
+call_answerable(const struct call *c)
 {
-	for (size_t i = 0; i < sizeof(hop_by_hop) / sizeof(*hop_by_hop); i++) {
-		if (bstr_caseeq(hop_by_hop[i], name))
-			return (true);
-	}
-	return (false);
+	if (c->err != ERR_NONE || c->claim.replay != NULL || c->answer_done)
+		return (true);
+	/* An answer without body waits for the end of the transfer. */
+	if (c->status == 0 || !rhd_has_body(&c->head))
+		return (false);
+	/* HTTP/1.0 has no way to show that a chunked body was cut. */
+	return (!c->http10 || c->head.len >= 0);
 }
--- a/packages/front/fe.c
+++ b/packages/front/fe.c
@@ -2,17 +2,41 @@
 
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/socket.h>
 
+#include "front/clf.h"
 #include "front/flt.h"
+#include "front/rqh.h"
+#include "front/svc.h"
 #include "front/ups.h"
-#include "front/wrk.h"
 #include "sys/clk.h"
 
 #define BODY_HIGH_WATER (64 * 1024)
+#define BODY_LOW_WATER (32 * 1024)
+#define BODY_KEEP (64 * 1024)   /* kept whole, can be sent again */
+#define DRAIN_MAX (1024 * 1024) /* body read after the answer is known */
+#define DRAIN_EXTRA_MS 1000
 #define ANSWER_BLOCK (32 * 1024)
 #define CONNECTION_MEMORY (32 * 1024)
+#define CONNECTION_LIMIT 4096
 #define IDLE_TIMEOUT_S 60u
 
+/**
+ * struct fe_conn - connection of a caller
+ * @source: first member; reports when the caller closes
+ * @link: in the worker's list
+ * @call: request in progress, NULL between requests
+ * @read_by_us: the head or body that is being read must be complete by then
+ * @hung_up: the caller closed its side
+ */
+struct fe_conn {
+	struct wrk_source source;
+	struct cds_list_head link;
+	struct call *call;
+	int64_t read_by_us;
+	bool hung_up;
+};
+
 static void
 suspend(struct call *c)
 {
@@ -20,7 +44,6 @@
 		return;
 	c->suspended = true;
 	MHD_suspend_connection(c->conn);
-	wrk_watch_hangup(c->w, c, true);
 }
 
 static void
@@ -29,18 +52,29 @@
 	if (c->conn == NULL || !c->suspended)
 		return;
 	c->suspended = false;
-	wrk_watch_hangup(c->w, c, false);
 	MHD_resume_connection(c->conn);
 	wrk_mhd_pending(c->w);
 }
 
+static enum MHD_Result
+queue(struct call *c, unsigned status, struct MHD_Response *r)
+{
+	enum MHD_Result rc;
+
+	if (c->must_close || wrk_stopping(c->w))
+		MHD_add_response_header(r, "Connection", "close");
+	c->answer_started = true;
+	rc = MHD_queue_response(c->conn, status, r);
+	MHD_destroy_response(r);
+	return (rc);
+}
+
 static enum MHD_Result
 queue_error(struct call *c)
 {
 	const struct err_answer *a = err_answer(c->err);
 	enum err_outcome o = err_outcome(c->err, c->keyed, c->owner_word);
 	struct MHD_Response *r;
-	enum MHD_Result rc;
 	char text[128];
 	int n;
 
@@ -56,23 +90,40 @@
 		snprintf(text, sizeof(text), "%u", a->retry_after_s);
 		MHD_add_response_header(r, "Retry-After", text);
 	}
-	met_error(wrk_env(c->w)->met, c->err);
-	c->answer_started = true;
-	rc = MHD_queue_response(c->conn, a->status, r);
-	MHD_destroy_response(r);
-	return (rc);
+	return (queue(c, a->status, r));
+}
+
+/* Answers with the response that is stored for the key. */
+static enum MHD_Result
+queue_replay(struct call *c)
+{
+	struct cmsg_response *s = &c->claim.replay->response;
+	struct MHD_Response *r = MHD_create_response_from_buffer(
+	    s->body_len, s->body, MHD_RESPMEM_MUST_COPY);
+
+	if (s->content_type[0] != '\0')
+		MHD_add_response_header(r, "Content-Type", s->content_type);
+	MHD_add_response_header(r, "X-Replayed", "1");
+	if (s->body_omitted)
+		MHD_add_response_header(r, "X-Body-Omitted", "1");
+	return (queue(c, s->status, r));
 }
 
 static ssize_t
 read_answer(void *arg, uint64_t pos, char *buf, size_t max)
 {
 	struct call *c = arg;
-	size_t n = c->answer.n < max ? c->answer.n : max;
+	struct bstr left = call_answer_left(c);
+	size_t n = left.n < max ? left.n : max;
 
 	(void)pos;
 	if (n != 0) {
-		memcpy(buf, c->answer.p, n);
-		bbuf_drop_front(&c->answer, n);
+		memcpy(buf, left.p, n);
+		c->answer_off += n;
+		if (c->answer_off == c->answer.n) {
+			bbuf_clear(&c->answer);
+			c->answer_off = 0;
+		}
 		ups_answer_taken(c);
 		return ((ssize_t)n);
 	}
@@ -83,56 +134,136 @@
 	return (0);
 }
 
+/* Body of an answer that is complete in memory; takes the buffer over. */
+static struct MHD_Response *
+whole_answer(struct call *c)
+{
+	struct MHD_Response *r;
+
+	if (c->answer.n == 0)
+		return (MHD_create_response_from_buffer(
+		    0, (void *)(uintptr_t) "", MHD_RESPMEM_PERSISTENT));
+	r = MHD_create_response_from_buffer(
+	    c->answer.n, c->answer.p, MHD_RESPMEM_MUST_FREE);
+	bbuf_init(&c->answer);
+	return (r);
+}
+
 static enum MHD_Result
 queue_answer(struct call *c)
 {
-	uint64_t size =
-	    c->answer_len >= 0 ? (uint64_t)c->answer_len : MHD_SIZE_UNKNOWN;
+	const struct rhd *h = &c->head;
+	uint64_t size = h->len >= 0 ? (uint64_t)h->len : MHD_SIZE_UNKNOWN;
 	struct MHD_Response *r;
-	enum MHD_Result rc;
 
-	r = MHD_create_response_from_callback(
-	    size, ANSWER_BLOCK, read_answer, c, NULL);
-	for (unsigned i = 0; i < c->n_headers; i++)
-		MHD_add_response_header(
-		    r, c->headers[i].name.p, c->headers[i].value.p);
-	c->answer_started = true;
-	rc = MHD_queue_response(c->conn, c->status, r);
-	MHD_destroy_response(r);
-	return (rc);
+	if (c->answer_done && !c->to_head)
+		r = whole_answer(c);
+	else
+		r = MHD_create_response_from_callback(
+		    size, ANSWER_BLOCK, read_answer, c, NULL);
+	for (unsigned i = 0; i < h->n; i++) {
+		if (rhd_passes(h, i))
+			MHD_add_response_header(
+			    r, rhd_name(h, i).p, rhd_value(h, i).p);
+	}
+	return (queue(c, c->status, r));
+}
+
+/* Passes the answer on once it can begin, else waits. */
+static enum MHD_Result
+answer(struct call *c)
+{
+	if (c->answer_started)
+		return (MHD_YES);
+	if (!call_answerable(c)) {
+		suspend(c);
+		return (MHD_YES);
+	}
+	if (c->err != ERR_NONE)
+		return (queue_error(c));
+	if (c->claim.replay != NULL)
+		return (queue_replay(c));
+	return (queue_answer(c));
+}
+
+/* Frees the part of the body that was sent, unless it may be sent again. */
+static void
+trim_body(struct call *c, size_t coming)
+{
+	if (c->body_kept || c->body.n + coming <= BODY_KEEP ||
+	    c->body_off * 2 < c->body.n || c->body_off == 0)
+		return;
+	bbuf_drop_front(&c->body, c->body_off);
+	c->body_off = 0;
+	c->body_dropped = true;
 }
 
 static enum MHD_Result
 take_body(struct call *c, const char *data, size_t *n)
 {
+	size_t max = wrk_env(c->w)->max_keyed_body;
+
+	if (c->body_kept && c->err == ERR_NONE && c->body.n + *n > max) {
+		clf_abandon(c);
+		c->err = ERR_BODY_TOO_LARGE;
+	}
 	if (c->err != ERR_NONE || c->answer_done) {
-		*n = 0; /* The answer is already known, drop the rest. */
-		return (MHD_YES);
+		c->drained += *n;
+		*n = 0;
+		return (c->drained > DRAIN_MAX ? MHD_NO : MHD_YES);
 	}
-	if (c->body.n >= BODY_HIGH_WATER) {
+	if (!c->body_kept && call_body_left(c).n >= BODY_HIGH_WATER) {
 		suspend(c);
 		return (MHD_YES);
 	}
+	trim_body(c, *n);
 	bbuf_add(&c->body, (struct bstr){data, *n});
 	*n = 0;
 	ups_body_ready(c);
 	return (MHD_YES);
 }
 
-static void
-read_head(struct call *c, const char *method)
+/* Refuses at the end of the head; a short body is read first. */
+static enum MHD_Result
+refuse(struct call *c)
 {
-	struct bstr len = call_header_in(c, "Content-Length");
-	uint64_t v;
+	if (c->body_len > DRAIN_MAX)
+		c->must_close = true;
+	if (c->body_done || c->must_close)
+		return (queue_error(c));
+	return (MHD_YES);
+}
 
-	c->method = (struct bstr){bstr_dup(bstr_from(method)), strlen(method)};
-	if (call_header_in(c, "Transfer-Encoding").n != 0) {
-		c->has_body = true;
-	} else if (bstr_to_u64(len, &v) && v != 0) {
-		c->has_body = true;
-		c->body_len = (int64_t)v;
+static enum MHD_Result
+on_head(struct call *c, const char *method, const char *version)
+{
+	met_add(wrk_env(c->w)->met, MET_CALLS, 1);
+	if (!rqh_read(c, method, version)) {
+		c->err = ERR_BAD_REQUEST;
+		c->must_close = true;
+		return (queue_error(c));
+	}
+	if (flt_run(c) == FLT_STOP) {
+		c->peer->read_by_us = clk_mono_us() + DRAIN_EXTRA_MS * 1000;
+		return (refuse(c));
 	}
-	c->body_done = !c->has_body;
+	c->peer->read_by_us = c->deadline_us + DRAIN_EXTRA_MS * 1000;
+	return (MHD_YES);
+}
+
+static void
+on_body_end(struct call *c)
+{
+	if (c->body_done)
+		return;
+	c->body_done = true;
+	if (c->wait != CALL_WAIT_BODY) {
+		ups_body_ready(c);
+		return;
+	}
+	c->wait = CALL_WAIT_NONE;
+	wrk_timer_clear(c->w, c);
+	flt_run(c);
 }
 
 /* MHD calls this once for the head, for each body part, and at the end. */
@@ -145,38 +276,55 @@
 
 	(void)arg;
 	(void)url;
-	(void)version;
 	if (c == NULL)
 		return (MHD_NO);
 	if (c->conn == NULL) {
 		c->conn = conn;
-		read_head(c, method);
-		met_add(wrk_env(c->w)->met, MET_CALLS, 1);
-		if (flt_run(c) == FLT_STOP && !c->has_body)
-			return (queue_error(c));
-		return (MHD_YES);
+		return (on_head(c, method, version));
 	}
 	if (*n != 0)
 		return (take_body(c, data, n));
-	if (!c->body_done) {
-		c->body_done = true;
-		ups_body_ready(c);
-	}
-	if (c->answer_started)
-		return (MHD_YES);
-	if (c->status != 0)
-		return (queue_answer(c));
-	if (c->err != ERR_NONE)
-		return (queue_error(c));
-	suspend(c);
-	return (MHD_YES);
+	on_body_end(c);
+	c->peer->read_by_us = INT64_MAX;
+	return (answer(c));
 }
 
 static void *
 on_uri(void *arg, const char *uri, struct MHD_Connection *conn)
 {
-	(void)conn;
-	return (call_new(arg, uri));
+	const union MHD_ConnectionInfo *info =
+	    MHD_get_connection_info(conn, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+	struct call *c = call_new(arg, uri);
+
+	if (c == NULL)
+		return (NULL);
+	c->peer = info->socket_context;
+	c->peer->call = c;
+	c->peer->read_by_us = c->start_us + wrk_head_timeout_us(arg);
+	return (c);
+}
+
+static void
+count_end(struct call *c, enum MHD_RequestTerminationCode code)
+{
+	struct met *met = wrk_env(c->w)->met;
+
+	if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK && c->err == ERR_NONE) {
+		met_add(met, MET_CALLS_OK, 1);
+		hist_add(
+		    &met->latency, (uint64_t)(clk_mono_us() - c->start_us));
+	} else {
+		met_error(met, c->err == ERR_NONE ? ERR_CALLER_GONE : c->err);
+	}
+}
+
+/* Ends everything that works for a call. */
+static void
+release(struct call *c)
+{
+	svc_leave(c);
+	ups_cancel(c);
+	clf_abandon(c);
 }
 
 static void
@@ -184,36 +332,56 @@
     enum MHD_RequestTerminationCode code)
 {
 	struct call *c = *ctx;
-	struct met *met;
 
 	(void)arg;
 	(void)conn;
 	*ctx = NULL;
 	if (c == NULL)
 		return;
-	met = wrk_env(c->w)->met;
-	if (c->suspended)
-		wrk_watch_hangup(c->w, c, false);
-	c->conn = NULL;
-	if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK && c->err == ERR_NONE) {
-		met_add(met, MET_CALLS_OK, 1);
-		hist_add(
-		    &met->latency, (uint64_t)(clk_mono_us() - c->start_us));
-	} else if (c->err == ERR_NONE) {
-		met_error(met, ERR_CALLER_GONE);
-	}
-	ups_cancel(c);
+	count_end(c, code);
+	release(c);
+	c->peer->call = NULL;
+	c->peer->read_by_us = clk_mono_us() + IDLE_TIMEOUT_S * 1000000LL;
 	wrk_forget(c->w, c);
 	call_free(c);
 }
 
+static void
+on_connection(void *arg, struct MHD_Connection *conn, void **ctx,
+    enum MHD_ConnectionNotificationCode code)
+{
+	struct wrk *w = arg;
+	struct fe_conn *p = *ctx;
+
+	if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+		wrk_unwatch(w, &p->source);
+		cds_list_del(&p->link);
+		free(p);
+		*ctx = NULL;
+		return;
+	}
+	p = calloc(1, sizeof(*p));
+	if (p == NULL)
+		abort();
+	p->source.kind = WRK_SRC_CALLER;
+	p->source.fd =
+	    MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD)
+		->connect_fd;
+	p->read_by_us = clk_mono_us() + IDLE_TIMEOUT_S * 1000000LL;
+	cds_list_add(&p->link, wrk_callers(w));
+	wrk_watch_hangup(w, &p->source);
+	*ctx = p;
+}
+
 struct MHD_Daemon *
 fe_start(struct wrk *w, int listen_fd)
 {
 	return (MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0,
 	    NULL, NULL, on_request, w, MHD_OPTION_LISTEN_SOCKET, listen_fd,
 	    MHD_OPTION_URI_LOG_CALLBACK, on_uri, w, MHD_OPTION_NOTIFY_COMPLETED,
-	    on_completed, w, MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S,
+	    on_completed, w, MHD_OPTION_NOTIFY_CONNECTION, on_connection, w,
+	    MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S,
+	    MHD_OPTION_CONNECTION_LIMIT, (unsigned)CONNECTION_LIMIT,
 	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
 	    MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END));
 }
@@ -221,7 +389,8 @@
 void
 fe_on_head(struct call *c)
 {
-	resume(c);
+	if (call_answerable(c))
+		resume(c);
 }
 
 void
@@ -240,15 +409,44 @@
 void
 fe_on_body_taken(struct call *c)
 {
-	if (!c->body_done && c->body.n < BODY_HIGH_WATER)
+	if (!c->body_done && call_body_left(c).n <= BODY_LOW_WATER)
 		resume(c);
 }
 
-void
-fe_on_hangup(struct call *c)
+static void
+end_for_hangup(struct call *c)
 {
-	ups_cancel(c);
-	c->err = ERR_CALLER_GONE;
+	release(c);
+	if (c->err == ERR_NONE)
+		c->err = ERR_CALLER_GONE;
 	c->answer_done = true;
 	resume(c);
 }
+
+void
+fe_on_hangup(struct wrk_source *s)
+{
+	struct fe_conn *p = (struct fe_conn *)s;
+
+	p->hung_up = true;
+	if (p->call != NULL && p->call->suspended)
+		end_for_hangup(p->call);
+}
+
+void
+fe_sweep(struct wrk *w, int64_t now_us, bool idle_too)
+{
+	struct cds_list_head *node;
+
+	cds_list_for_each(node, wrk_callers(w))
+	{
+		struct fe_conn *p = cds_list_entry(node, struct fe_conn, link);
+
+		if (now_us >= p->read_by_us)
+			shutdown(p->source.fd, SHUT_RDWR);
+		else if (p->call == NULL && idle_too)
+			shutdown(p->source.fd, SHUT_RD);
+		else if (p->hung_up && p->call != NULL && p->call->suspended)
+			end_for_hangup(p->call);
+	}
+}
--- a/packages/front/fe.h
+++ b/packages/front/fe.h
@@ -8,6 +8,7 @@
 #define FRONT_FE_H
 
 #include "front/call.h"
+#include "front/wrk.h"
 
 /** fe_start() - MHD daemon on a listening socket; NULL on failure */
 struct MHD_Daemon *fe_start(struct wrk *w, int listen_fd);
@@ -24,7 +25,15 @@
 /** fe_on_body_taken() - the upstream side took bytes from call->body */
 void fe_on_body_taken(struct call *c);
 
-/** fe_on_hangup() - the caller closed its connection */
-void fe_on_hangup(struct call *c);
+/** fe_on_hangup() - a caller closed its connection */
+void fe_on_hangup(struct wrk_source *s);
+
+/**
+ * fe_sweep() - close connections whose callers are too slow
+ * @w: worker
+ * @now_us: boot-time microseconds
+ * @idle_too: also stop reading from connections without a request
+ */
+void fe_sweep(struct wrk *w, int64_t now_us, bool idle_too);
 
 #endif
--- a/packages/front/flt.c
+++ b/packages/front/flt.c
@@ -3,6 +3,10 @@
 #include <stdlib.h>
 #include <urcu.h>
 
+#include "front/clf.h"
+#include "front/fe.h"
+#include "front/rqh.h"
+#include "front/svc.h"
 #include "front/ups.h"
 #include "front/wrk.h"
 #include "sys/clk.h"
@@ -17,18 +21,25 @@
 	return (FLT_STOP);
 }
 
+enum err_kind
+flt_fresh(const struct env *env, int64_t now_us)
+{
+	if (now_us > atomic_load(&env->fresh_until_us))
+		return (ERR_NOT_FRESH);
+	return (ERR_NONE);
+}
+
 /* Refuses when this VM leaves or may not know what is in force. */
 static enum flt_verdict
 freshness(struct flt *f, struct call *c)
 {
 	const struct env *env = wrk_env(c->w);
+	enum err_kind kind = flt_fresh(env, clk_mono_us());
 
 	(void)f;
 	if (atomic_load(&env->leaving))
 		return (stop(c, ERR_LEAVING));
-	if (clk_mono_us() > atomic_load(&env->fresh_until_us))
-		return (stop(c, ERR_NOT_FRESH));
-	return (FLT_NEXT);
+	return (kind == ERR_NONE ? FLT_NEXT : stop(c, kind));
 }
 
 static struct bstr
@@ -41,6 +52,28 @@
 	return (host);
 }
 
+/*
+ * Finds the route of a path. An upstream may decode the path before it uses it,
+ * so a path that has another route in its plain form has none: it could run as
+ * non-idempotent what was sent as idempotent.
+ */
+static const struct rt_route *
+find_route(const struct rt_service *s, struct bstr path)
+{
+	const struct rt_route *r = rt_find_route(s, path);
+	struct bbuf plain;
+
+	if (memchr(path.p, '%', path.n) == NULL &&
+	    strstr(path.p, "//") == NULL && strstr(path.p, "/.") == NULL)
+		return (r);
+	bbuf_init(&plain);
+	if (!rqh_plain_path(path, &plain) ||
+	    rt_find_route(s, bbuf_str(&plain)) != r)
+		r = NULL;
+	bbuf_finish(&plain);
+	return (r);
+}
+
 /* Finds service and route; sets what depends on the route. */
 static enum flt_verdict
 match(struct flt *f, struct call *c)
@@ -53,16 +86,17 @@
 	rcu_read_lock();
 	s = rt_find_host(env_table(wrk_env(c->w)),
 	    host_without_port(call_header_in(c, "Host")));
-	r = s == NULL ? NULL : rt_find_route(s, c->path);
+	r = s == NULL ? NULL : find_route(s, c->path);
 	if (s == NULL) {
 		v = stop(c, ERR_UNKNOWN_HOST);
 	} else if (r == NULL) {
 		v = stop(c, ERR_UNKNOWN_ROUTE);
 	} else {
-		c->service = (struct bstr){bstr_dup(s->name), s->name.n};
+		c->svc = svc_get(wrk_services(c->w), s->name, c->start_us);
 		c->idempotent = r->idempotent;
 		c->keyed = !r->idempotent &&
-		    call_header_in(c, "Idempotency-Key").n != 0;
+		    MHD_lookup_connection_value(
+			c->conn, MHD_HEADER_KIND, "Idempotency-Key") != NULL;
 		c->deadline_us = c->start_us + (int64_t)r->timeout_ms * 1000;
 	}
 	rcu_read_unlock();
@@ -94,20 +128,27 @@
 static enum flt_verdict
 send_request(struct flt *f, struct call *c)
 {
+	enum err_kind kind = ups_start(c);
+
 	(void)f;
-	c->err = ups_start(c);
-	return (c->err == ERR_NONE ? FLT_NEXT : FLT_STOP);
+	if (kind == ERR_NONE)
+		return (FLT_NEXT);
+	/* Nothing was sent, which frees the key of a granted claim. */
+	clf_finish(c, CMSG_RUN_NOT_RUN);
+	return (stop(c, kind));
 }
 
 static const struct flt_ops freshness_ops = {"freshness", freshness};
 static const struct flt_ops match_ops = {"match", match};
 static const struct flt_ops deadline_ops = {"deadline", deadline};
+static const struct flt_ops claim_ops = {"claim", clf_request};
 static const struct flt_ops send_ops = {"send", send_request};
 
 static struct flt chain[] = {
     {&freshness_ops},
     {&match_ops},
     {&deadline_ops},
+    {&claim_ops},
     {&send_ops},
 };
 
@@ -126,3 +167,10 @@
 	}
 	return (FLT_NEXT);
 }
+
+void
+flt_continue(struct call *c)
+{
+	if (flt_run(c) == FLT_STOP)
+		fe_on_end(c);
+}
--- a/packages/front/flt.h
+++ b/packages/front/flt.h
@@ -9,6 +9,7 @@
 #define FRONT_FLT_H
 
 #include "front/call.h"
+#include "front/env.h"
 
 /** enum flt_verdict - what the chain does next */
 enum flt_verdict {
@@ -33,4 +34,10 @@
 /** flt_run() - run the chain from call->filter on */
 enum flt_verdict flt_run(struct call *c);
 
+/** flt_continue() - run the chain on after a wait; ends the call on a stop */
+void flt_continue(struct call *c);
+
+/** flt_fresh() - ERR_NONE, or why this VM must not route now */
+enum err_kind flt_fresh(const struct env *env, int64_t now_us);
+
 #endif
--- /dev/null
+++ b/packages/front/obs.c
@@ -0,0 +1,95 @@
+#include "front/obs.h"
+
+#include <stdlib.h>
+#include <urcu.h>
+
+#include "front/cmsg.h"
+#include "front/svc.h"
+#include "front/wrk.h"
+
+/* Entries of upstreams that are gone are dropped when there are too many. */
+#define MAX_SEEN 16384
+
+static bool
+parse_state(struct bstr s, enum rt_state *out)
+{
+	if (bstr_caseeq(s, BSTR("ready")))
+		*out = RT_READY;
+	else if (bstr_caseeq(s, BSTR("cold")))
+		*out = RT_COLD;
+	else if (bstr_caseeq(s, BSTR("draining")))
+		*out = RT_DRAINING;
+	else
+		return (false);
+	return (true);
+}
+
+/* Whether this upstream may be reported now; remembers that it was. */
+static bool
+due(struct wrk *w, struct bstr id, int64_t now_us)
+{
+	GHashTable *seen = wrk_seen(w);
+	int64_t *at = g_hash_table_lookup(seen, id.p);
+
+	if (at != NULL && now_us - *at < OBS_STATE_PERIOD_MS * 1000)
+		return (false);
+	if (at == NULL) {
+		if (g_hash_table_size(seen) >= MAX_SEEN)
+			g_hash_table_remove_all(seen);
+		at = g_new(int64_t, 1);
+		g_hash_table_insert(seen, g_strndup(id.p, id.n), at);
+	}
+	*at = now_us;
+	return (true);
+}
+
+static void
+push(struct wrk *w, struct bstr id, enum rt_state state)
+{
+	struct cmsg_upstream_state *m = calloc(1, sizeof(*m));
+
+	if (m == NULL)
+		abort();
+	m->m.type = CMSG_UPSTREAM_STATE;
+	memcpy(m->id, id.p, id.n);
+	m->state = state;
+	mq_push(wrk_env(w)->control, &m->m);
+}
+
+void
+obs_state(struct call *c, int64_t now_us)
+{
+	struct bstr value = rhd_find(&c->head, BSTR("X-State"));
+	const struct rt_service *s;
+	enum rt_state state;
+
+	if (!parse_state(value, &state) || state == c->up_state ||
+	    wrk_env(c->w)->control == NULL)
+		return;
+	rcu_read_lock();
+	s = rt_find_service(env_table(wrk_env(c->w)), c->svc->name);
+	for (uint32_t i = 0; s != NULL && i < s->n_upstreams; i++) {
+		const struct rt_upstream *u = &s->upstreams[i];
+
+		if (u->stat != c->upstream || u->state == state ||
+		    u->id.n > CMSG_ID_MAX)
+			continue;
+		if (due(c->w, u->id, now_us))
+			push(c->w, u->id, state);
+	}
+	rcu_read_unlock();
+}
+
+void
+obs_attempt(struct call *c, bool failed, int64_t now_us)
+{
+	int64_t end_us = c->head_us != 0 ? c->head_us : now_us;
+
+	if (c->tally == NULL)
+		return;
+	atomic_fetch_add(&c->tally->calls, 1);
+	if (failed)
+		atomic_fetch_add(&c->tally->failures, 1);
+	if (c->slow_us != 0 && end_us - c->attempt_us > c->slow_us)
+		atomic_fetch_add(&c->tally->slow, 1);
+}
--- /dev/null
+++ b/packages/front/rhd.c
@@ -0,0 +1,201 @@
+#include "front/rhd.h"
+
+#include "front/hop.h"
+
+#define STATUS_LINE_MIN 12 /* "HTTP/1.1 200" */
+
+/* Fields that only the load balancer itself sends to callers. */
+static const struct bstr own_names[] = {
+    {"X-Error-Kind", 12},
+    {"X-Outcome", 9},
+    {"X-Replayed", 10},
+    {"X-Body-Omitted", 14},
+};
+
+void
+rhd_reset(struct rhd *h, bool to_head)
+{
+	h->to_head = to_head;
+	h->in_head = false;
+	h->final = false;
+	h->status = 0;
+	h->bytes = 0;
+	h->len = -1;
+	h->chunked = false;
+	h->has_te = false;
+	h->n = 0;
+	bbuf_clear(&h->text);
+}
+
+void
+rhd_init(struct rhd *h, bool to_head)
+{
+	bbuf_init(&h->text);
+	rhd_reset(h, to_head);
+}
+
+void
+rhd_finish(struct rhd *h)
+{
+	bbuf_finish(&h->text);
+}
+
+static enum rhd_verdict
+status_line(struct rhd *h, struct bstr line)
+{
+	struct bstr code;
+	uint64_t v;
+	size_t bytes = h->bytes;
+
+	if (line.n < STATUS_LINE_MIN ||
+	    (!bstr_has_prefix(line, BSTR("HTTP/1.1 ")) &&
+		!bstr_has_prefix(line, BSTR("HTTP/1.0 "))))
+		return (RHD_BAD);
+	if (line.n > STATUS_LINE_MIN && line.p[STATUS_LINE_MIN] != ' ')
+		return (RHD_BAD);
+	code = (struct bstr){line.p + 9, 3};
+	if (!bstr_to_u64(code, &v) || v < 100 || v > 599)
+		return (RHD_BAD);
+	rhd_reset(h, h->to_head);
+	h->bytes = bytes;
+	h->in_head = true;
+	h->status = (unsigned)v;
+	return (RHD_MORE);
+}
+
+static uint16_t
+keep(struct rhd *h, struct bstr s)
+{
+	size_t at = h->text.n;
+
+	bbuf_add(&h->text, s);
+	bbuf_add(&h->text, (struct bstr){"", 1});
+	return ((uint16_t)at);
+}
+
+static enum rhd_verdict
+field_line(struct rhd *h, struct bstr line)
+{
+	const char *colon = memchr(line.p, ':', line.n);
+	struct bstr name, value;
+	struct rhd_field *f;
+	uint64_t v;
+
+	if (colon == NULL)
+		return (RHD_BAD);
+	name = (struct bstr){line.p, (size_t)(colon - line.p)};
+	value = hop_trim(
+	    (struct bstr){colon + 1, line.n - (size_t)(colon + 1 - line.p)});
+	if (!hop_is_token(name) || !hop_is_value(value))
+		return (RHD_BAD);
+	if (bstr_caseeq(name, BSTR("Content-Length"))) {
+		if (h->len >= 0 || !bstr_to_u64(value, &v) || v > INT64_MAX)
+			return (RHD_BAD);
+		h->len = (int64_t)v;
+		return (RHD_MORE);
+	}
+	if (bstr_caseeq(name, BSTR("Transfer-Encoding"))) {
+		if (h->has_te || !bstr_caseeq(value, BSTR("chunked")))
+			return (RHD_BAD);
+		h->has_te = true;
+		h->chunked = true;
+		return (RHD_MORE);
+	}
+	if (h->n == RHD_MAX_FIELDS)
+		return (RHD_BAD);
+	f = &h->fields[h->n++];
+	f->name = keep(h, name);
+	f->name_n = (uint16_t)name.n;
+	f->value = keep(h, value);
+	f->value_n = (uint16_t)value.n;
+	return (RHD_MORE);
+}
+
+static enum rhd_verdict
+end_of_head(struct rhd *h)
+{
+	h->in_head = false;
+	/* No upgrade is ever requested, so 101 has no meaning here. */
+	if (h->status == 101)
+		return (RHD_BAD);
+	if (h->status < 200)
+		return (RHD_INTERIM);
+	if (h->has_te && h->len >= 0)
+		return (RHD_BAD);
+	if (rhd_has_body(h) && !h->has_te && h->len < 0)
+		return (RHD_BAD);
+	h->final = true;
+	return (RHD_FINAL);
+}
+
+enum rhd_verdict
+rhd_line(struct rhd *h, struct bstr line)
+{
+	struct bstr text = line;
+
+	h->bytes += line.n;
+	if (h->bytes > RHD_MAX_BYTES)
+		return (RHD_BAD);
+	if (h->final)
+		return (RHD_MORE);
+	if (text.n > 0 && text.p[text.n - 1] == '\n')
+		text.n--;
+	if (text.n > 0 && text.p[text.n - 1] == '\r')
+		text.n--;
+	if (!h->in_head)
+		return (status_line(h, text));
+	if (text.n == 0)
+		return (end_of_head(h));
+	return (field_line(h, text));
+}
+
+bool
+rhd_has_body(const struct rhd *h)
+{
+	return (!h->to_head && h->status != 204 && h->status != 304);
+}
+
+struct bstr
+rhd_name(const struct rhd *h, unsigned i)
+{
+	const struct rhd_field *f = &h->fields[i];
+
+	return ((struct bstr){h->text.p + f->name, f->name_n});
+}
+
+struct bstr
+rhd_value(const struct rhd *h, unsigned i)
+{
+	const struct rhd_field *f = &h->fields[i];
+
+	return ((struct bstr){h->text.p + f->value, f->value_n});
+}
+
+struct bstr
+rhd_find(const struct rhd *h, struct bstr name)
+{
+	for (unsigned i = 0; i < h->n; i++) {
+		if (bstr_caseeq(rhd_name(h, i), name))
+			return (rhd_value(h, i));
+	}
+	return ((struct bstr){0});
+}
+
+bool
+rhd_passes(const struct rhd *h, unsigned i)
+{
+	struct bstr name = rhd_name(h, i);
+
+	if (hop_is_local(name))
+		return (false);
+	for (size_t k = 0; k < sizeof(own_names) / sizeof(*own_names); k++) {
+		if (bstr_caseeq(own_names[k], name))
+			return (false);
+	}
+	for (unsigned k = 0; k < h->n; k++) {
+		if (bstr_caseeq(rhd_name(h, k), BSTR("Connection")) &&
+		    hop_lists(rhd_value(h, k), name))
+			return (false);
+	}
+	return (true);
+}
--- /dev/null
+++ b/packages/front/snd.c
@@ -0,0 +1,150 @@
+#include "front/snd.h"
+
+#include <stdio.h>
+
+#include "front/hop.h"
+#include "front/wrk.h"
+#include "sys/clk.h"
+
+#define CONNECT_TIMEOUT_MS 250L
+
+static void
+add_field(struct call *c, struct bstr name, struct bstr value)
+{
+	struct bbuf *b = wrk_scratch(c->w);
+
+	bbuf_clear(b);
+	bbuf_add(b, name);
+	/* libcurl sends "name;" as a field with an empty value. */
+	bbuf_add(b, value.n == 0 ? BSTR(";") : BSTR(": "));
+	bbuf_add(b, value);
+	c->out_headers = curl_slist_append(c->out_headers, b->p);
+}
+
+/* Keeps libcurl from adding a field of its own. */
+static void
+suppress(struct call *c, const char *name, const char *line)
+{
+	if (MHD_lookup_connection_value(c->conn, MHD_HEADER_KIND, name) == NULL)
+		c->out_headers = curl_slist_append(c->out_headers, line);
+}
+
+/**
+ * struct listed - whether a Connection field lists a name
+ */
+struct listed {
+	struct bstr name;
+	bool found;
+};
+
+static enum MHD_Result
+check_connection(
+    void *arg, enum MHD_ValueKind kind, const char *key, const char *value)
+{
+	struct listed *l = arg;
+
+	(void)kind;
+	if (bstr_caseeq(bstr_from(key), BSTR("Connection")) &&
+	    hop_lists(bstr_from(value), l->name))
+		l->found = true;
+	return (l->found ? MHD_NO : MHD_YES);
+}
+
+static bool
+is_listed(const struct call *c, struct bstr name)
+{
+	struct listed l = {.name = name};
+
+	if (call_header_in(c, "Connection").n == 0)
+		return (false);
+	MHD_get_connection_values(
+	    c->conn, MHD_HEADER_KIND, check_connection, &l);
+	return (l.found);
+}
+
+static enum MHD_Result
+copy_field(
+    void *arg, enum MHD_ValueKind kind, const char *key, const char *value)
+{
+	struct call *c = arg;
+	struct bstr name = bstr_from(key);
+
+	(void)kind;
+	if (hop_is_local(name) || bstr_caseeq(name, BSTR("Content-Length")) ||
+	    bstr_caseeq(name, BSTR("Expect")) ||
+	    bstr_caseeq(name, BSTR("X-Deadline-Ms")) || is_listed(c, name))
+		return (MHD_YES);
+	add_field(c, name, bstr_from(value));
+	return (MHD_YES);
+}
+
+static void
+set_headers(struct call *c, int64_t now_us)
+{
+	char value[32];
+
+	c->out_headers = curl_slist_append(c->out_headers, "Expect:");
+	suppress(c, "User-Agent", "User-Agent:");
+	suppress(c, "Accept", "Accept:");
+	suppress(c, "Content-Type", "Content-Type:");
+	MHD_get_connection_values(c->conn, MHD_HEADER_KIND, copy_field, c);
+	snprintf(value, sizeof(value), "%lld",
+	    (long long)(clk_wall_ms() + (c->deadline_us - now_us) / 1000));
+	add_field(c, BSTR("X-Deadline-Ms"), bstr_from(value));
+}
+
+static void
+set_method(struct call *c)
+{
+	CURL *e = c->easy;
+
+	if (c->to_head) {
+		curl_easy_setopt(e, CURLOPT_NOBODY, 1L);
+		/*
+		 * libcurl keeps a connection on which a body follows the
+		 * answer to HEAD; the rest of it could reach the next call.
+		 */
+		curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
+		return;
+	}
+	if (c->has_body) {
+		curl_easy_setopt(e, CURLOPT_POST, 1L);
+		curl_easy_setopt(
+		    e, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)c->body_len);
+		if (c->body_len < 0)
+			add_field(
+			    c, BSTR("Transfer-Encoding"), BSTR("chunked"));
+	} else if (bstr_eq(c->method, BSTR("POST")) ||
+	    bstr_eq(c->method, BSTR("PUT"))) {
+		curl_easy_setopt(e, CURLOPT_POST, 1L);
+		curl_easy_setopt(e, CURLOPT_POSTFIELDS, "");
+		curl_easy_setopt(e, CURLOPT_POSTFIELDSIZE, 0L);
+	} else if (bstr_eq(c->method, BSTR("GET"))) {
+		return;
+	}
+	curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, c->method.p);
+}
+
+void
+snd_setup(struct call *c, int64_t now_us)
+{
+	char url[CALL_ADDR_MAX + 16];
+	CURL *e = c->easy;
+
+	snprintf(url, sizeof(url), "http://%s/", c->addr);
+	curl_easy_setopt(e, CURLOPT_URL, url);
+	curl_easy_setopt(e, CURLOPT_REQUEST_TARGET, c->target.p);
+	curl_easy_setopt(e, CURLOPT_PROXY, "");
+	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(e, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(e, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS,
+	    (long)((c->deadline_us - now_us) / 1000 + 1));
+	curl_easy_setopt(e, CURLOPT_PRIVATE, c);
+	if (c->fresh)
+		curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
+	set_headers(c, now_us);
+	set_method(c);
+	curl_easy_setopt(e, CURLOPT_HTTPHEADER, c->out_headers);
+}
--- /dev/null
+++ b/packages/front/svc.c
@@ -0,0 +1,128 @@
+#include "front/svc.h"
+
+#include <stdlib.h>
+
+#include "front/ups.h"
+#include "front/wrk.h"
+#include "sys/clk.h"
+
+static void
+free_svc(void *arg)
+{
+	struct svc *s = arg;
+
+	free((char *)(uintptr_t)s->name.p);
+	free(s);
+}
+
+GHashTable *
+svc_table_new(void)
+{
+	return (g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_svc));
+}
+
+struct svc *
+svc_get(GHashTable *table, struct bstr name, int64_t now_us)
+{
+	struct svc *s = g_hash_table_lookup(table, name.p);
+
+	if (s != NULL)
+		return (s);
+	s = calloc(1, sizeof(*s));
+	if (s == NULL)
+		abort();
+	s->name = (struct bstr){bstr_dup(name), name.n};
+	rbt_init(&s->budget, &(struct rbt_desc){0}, now_us);
+	CDS_INIT_LIST_HEAD(&s->waiting);
+	g_hash_table_insert(table, (char *)(uintptr_t)s->name.p, s);
+	return (s);
+}
+
+bool
+svc_must_wait(const struct svc *s)
+{
+	return (!s->waking && s->n_waiting != 0);
+}
+
+static void
+set_timer(struct call *c, int64_t now_us)
+{
+	int64_t at = now_us + SVC_RETRY_MS * 1000;
+
+	if (at > c->park_until_us)
+		at = c->park_until_us;
+	if (at > c->deadline_us)
+		at = c->deadline_us;
+	wrk_timer_set(c->w, c, at);
+}
+
+enum err_kind
+svc_wait(struct call *c, int64_t now_us)
+{
+	struct svc *s = c->svc;
+
+	if (c->park_until_us == 0)
+		c->park_until_us = now_us + SVC_WAIT_MS * 1000;
+	if (now_us >= c->park_until_us || s->n_waiting >= SVC_MAX_WAITING)
+		return (ERR_OVERLOADED);
+	c->wait = CALL_WAIT_SLOT;
+	cds_list_add_tail(&c->park, &s->waiting);
+	s->n_waiting++;
+	set_timer(c, now_us);
+	return (ERR_NONE);
+}
+
+void
+svc_leave(struct call *c)
+{
+	if (c->wait != CALL_WAIT_SLOT)
+		return;
+	c->wait = CALL_WAIT_NONE;
+	cds_list_del(&c->park);
+	c->svc->n_waiting--;
+	wrk_timer_clear(c->w, c);
+}
+
+/* Tries the first call of the queue; false when it still finds no slot. */
+static bool
+try_first(struct svc *s)
+{
+	struct call *c = cds_list_first_entry(&s->waiting, struct call, park);
+	enum err_kind kind;
+
+	svc_leave(c);
+	kind = ups_start(c);
+	if (kind != ERR_NONE) {
+		ups_end(c, kind);
+		return (true);
+	}
+	if (c->wait != CALL_WAIT_SLOT)
+		return (true);
+	/* It went to the end of the queue, but keeps its place. */
+	cds_list_move(&c->park, &s->waiting);
+	return (false);
+}
+
+void
+svc_wake(struct svc *s)
+{
+	if (s->waking)
+		return;
+	s->waking = true;
+	while (s->n_waiting != 0 && try_first(s))
+		continue;
+	s->waking = false;
+}
+
+void
+svc_on_timer(struct call *c, int64_t now_us)
+{
+	if (now_us >= c->deadline_us || now_us >= c->park_until_us) {
+		svc_leave(c);
+		ups_end(c,
+		    now_us >= c->deadline_us ? ERR_DEADLINE : ERR_OVERLOADED);
+		return;
+	}
+	set_timer(c, now_us);
+	svc_wake(c->svc);
+}
--- a/packages/front/ups.c
+++ b/packages/front/ups.c
@@ -3,18 +3,36 @@
 #include <stdlib.h>
 #include <urcu.h>
 
+#include "front/clf.h"
 #include "front/fe.h"
+#include "front/flt.h"
+#include "front/obs.h"
+#include "front/snd.h"
+#include "front/svc.h"
 #include "front/wrk.h"
 #include "sys/clk.h"
 
 #define ANSWER_HIGH_WATER (256 * 1024)
 #define ANSWER_LOW_WATER (64 * 1024)
-#define CONNECT_TIMEOUT_MS 250L
+#define ANSWER_MAX_HTTP10 (256 * 1024) /* chunked answer to HTTP/1.0 */
 #define MAX_ATTEMPTS 3
 
-/* Takes an upstream from the current table; keeps its statistics and address.
- */
-static bool
+static void
+choose(struct call *c, const struct rt_service *s, const struct rt_upstream *u)
+{
+	const struct rt_route *r = rt_find_route(s, c->path);
+	struct rt_tally *t = r == NULL ? NULL : rt_tally_at(s, r, u->version);
+
+	c->upstream = rt_stat_ref(u->stat);
+	c->tally = t == NULL ? NULL : rt_tally_ref(t);
+	c->up_state = u->state;
+	c->slow_us = s->slow_us;
+	memcpy(c->addr, u->addr.p, u->addr.n);
+	c->addr[u->addr.n] = '\0';
+}
+
+/* Takes an upstream from the current table; RT_NONE, RT_FULL or 0. */
+static int
 pick(struct call *c, int64_t now_us)
 {
 	struct rt_request req = {.n_excluded = c->n_excluded};
@@ -24,53 +42,67 @@
 	for (uint32_t k = 0; k < c->n_excluded; k++)
 		req.excluded[k] = c->excluded[k];
 	rcu_read_lock();
-	s = rt_find_service(env_table(wrk_env(c->w)), c->service);
-	if (s != NULL)
-		i = rt_pick(s, &req, now_us, wrk_rng(c->w));
-	if (i != RT_NONE) {
-		const struct rt_upstream *u = &s->upstreams[i];
-
-		c->upstream = rt_stat_ref(u->stat);
-		free((char *)(uintptr_t)c->addr.p);
-		c->addr = (struct bstr){bstr_dup(u->addr), u->addr.n};
+	s = rt_find_service(env_table(wrk_env(c->w)), c->svc->name);
+	if (s != NULL && s->n_upstreams != 0)
+		i = wrk_pick(c->w)(s, &req, now_us, wrk_rng(c->w));
+	if (i >= 0 && s->upstreams[i].addr.n > CALL_ADDR_MAX)
+		i = RT_NONE;
+	if (i >= 0) {
+		choose(c, s, &s->upstreams[i]);
+		i = 0;
 	}
 	rcu_read_unlock();
-	return (i != RT_NONE);
+	return (i);
 }
 
+/* Gives the upstream back and learns from the attempt. */
 static void
-release_upstream(struct call *c, bool failed)
+release_upstream(struct call *c, bool failed, bool exclude)
 {
+	int64_t now_us = clk_mono_us();
 	struct rt_result result = {
-	    .latency_us = clk_mono_us() - c->attempt_us,
+	    .latency_us =
+		(c->head_us != 0 ? c->head_us : now_us) - c->attempt_us,
 	    .failed = failed,
 	    .reported = c->reported,
 	};
 
-	rt_on_finish(c->upstream, &result, clk_mono_us());
-	if (failed && c->n_excluded < RT_MAX_EXCLUDED)
+	rt_on_finish(c->upstream, &result, now_us);
+	if (exclude && c->n_excluded < RT_MAX_EXCLUDED)
 		c->excluded[c->n_excluded++] = c->upstream;
 	else
 		rt_stat_unref(c->upstream);
 	c->upstream = NULL;
+	if (c->tally != NULL)
+		rt_tally_unref(c->tally);
+	c->tally = NULL;
 }
 
 /*
  * libcurl calls this when the connection is up, before it writes the request.
- * It calls it again when it resends on a new connection after a reused one
- * closed without an answer; only an idempotent request may be sent twice.
+ * It calls it again when it wants to resend on a new connection after a reused
+ * one closed without an answer. That is never allowed here: a retry has to pass
+ * may_retry() and the retry budget.
  */
 static int
 on_prereq(
     void *arg, char *remote_ip, char *local_ip, int remote_port, int local_port)
 {
 	struct call *c = arg;
+	int64_t now_us = clk_mono_us();
 
 	(void)remote_ip;
 	(void)local_ip;
 	(void)remote_port;
 	(void)local_port;
-	if (c->sent == CALL_MAY_BE_SENT && !c->idempotent)
+	if (c->sent == CALL_MAY_BE_SENT) {
+		c->resend_blocked = true;
+		return (CURL_PREREQFUNC_ABORT);
+	}
+	c->blocked = flt_fresh(wrk_env(c->w), now_us);
+	if (now_us >= c->deadline_us || !clf_may_send(c, now_us))
+		c->blocked = ERR_DEADLINE;
+	if (c->blocked != ERR_NONE)
 		return (CURL_PREREQFUNC_ABORT);
 	c->sent = CALL_MAY_BE_SENT;
 	return (CURL_PREREQFUNC_OK);
@@ -80,232 +112,185 @@
 on_read(char *out, size_t size, size_t n, void *arg)
 {
 	struct call *c = arg;
+	struct bstr left = call_body_left(c);
 	size_t len = size * n;
 
-	if (c->body.n == 0) {
+	if (left.n == 0) {
 		if (c->body_done)
 			return (0);
 		c->body_paused = true;
 		return (CURL_READFUNC_PAUSE);
 	}
-	if (len > c->body.n)
-		len = c->body.n;
-	memcpy(out, c->body.p, len);
-	bbuf_drop_front(&c->body, len);
+	if (len > left.n)
+		len = left.n;
+	memcpy(out, left.p, len);
+	c->body_off += len;
 	fe_on_body_taken(c);
 	return (len);
 }
 
+static void
+keep_for_claim(struct call *c, struct bstr data)
+{
+	if (!c->claim.granted || c->kept_omitted)
+		return;
+	if (c->kept.n + data.n > CMSG_BODY_MAX) {
+		c->kept_omitted = true;
+		return;
+	}
+	bbuf_add(&c->kept, data);
+}
+
+static void
+trim_answer(struct call *c)
+{
+	if (c->answer_off < ANSWER_LOW_WATER)
+		return;
+	bbuf_drop_front(&c->answer, c->answer_off);
+	c->answer_off = 0;
+}
+
 static size_t
 on_write(char *data, size_t size, size_t n, void *arg)
 {
 	struct call *c = arg;
 	size_t len = size * n;
+	size_t left = call_answer_left(c).n;
 
-	if (c->answer.n != 0 && c->answer.n + len > ANSWER_HIGH_WATER) {
+	if (c->refused)
+		return (len);
+	if (c->status == 0 || !rhd_has_body(&c->head)) {
+		c->head_bad = true;
+		return (0);
+	}
+	if (c->http10 && c->head.len < 0) {
+		if (left + len > ANSWER_MAX_HTTP10) {
+			c->head_bad = true;
+			return (0);
+		}
+	} else if (left != 0 && left + len > ANSWER_HIGH_WATER) {
 		c->answer_paused = true;
 		return (CURL_WRITEFUNC_PAUSE);
 	}
+	trim_answer(c);
 	bbuf_add(&c->answer, (struct bstr){data, len});
+	keep_for_claim(c, (struct bstr){data, len});
 	fe_on_data(c);
 	return (len);
 }
 
-static struct bstr
-trim(struct bstr s)
-{
-	while (s.n > 0 && (s.p[0] == ' ' || s.p[0] == '\t')) {
-		s.p++;
-		s.n--;
-	}
-	while (s.n > 0 && strchr(" \t\r\n", s.p[s.n - 1]) != NULL)
-		s.n--;
-	return (s);
-}
-
 static void
-add_header_line(struct call *c, struct bstr line)
+on_final_head(struct call *c)
 {
-	const char *colon = memchr(line.p, ':', line.n);
-	struct bstr name, value;
+	const struct rhd *h = &c->head;
+	struct bstr load = rhd_find(h, BSTR("X-Load"));
 	uint64_t v;
 
-	if (colon == NULL)
-		return;
-	name = trim((struct bstr){line.p, (size_t)(colon - line.p)});
-	value = trim(
-	    (struct bstr){colon + 1, line.n - (size_t)(colon + 1 - line.p)});
-	if (bstr_caseeq(name, BSTR("Content-Length"))) {
-		if (bstr_to_u64(value, &v))
-			c->answer_len = (int64_t)v;
-		return;
-	}
-	if (bstr_caseeq(name, BSTR("Transfer-Encoding")))
-		c->chunked = true;
-	if (bstr_caseeq(name, BSTR("X-Load")) && bstr_to_u64(value, &v))
+	c->head_us = clk_mono_us();
+	if (bstr_to_u64(load, &v) && v <= INT32_MAX)
 		c->reported = (int32_t)v;
-	if (bstr_caseeq(name, BSTR("X-Not-Run")))
-		c->upstream_not_run = bstr_eq(value, BSTR("1"));
-	if (!call_is_hop_by_hop(name))
-		call_add_answer_header(c, name, value);
+	c->refused = h->status >= 400 &&
+	    bstr_eq(rhd_find(h, BSTR("X-Not-Run")), BSTR("1"));
+	obs_state(c, c->head_us);
+	/* A body after a head that has none must not reach the next call. */
+	if (!rhd_has_body(h) && (h->len > 0 || h->chunked))
+		curl_easy_setopt(c->easy, CURLOPT_FORBID_REUSE, 1L);
+	c->status = h->status;
+	if (!c->refused)
+		fe_on_head(c);
 }
 
 static size_t
 on_header(char *data, size_t size, size_t n, void *arg)
 {
 	struct call *c = arg;
-	struct bstr line = trim((struct bstr){data, size * n});
-	long status = 0;
-
-	if (bstr_has_prefix(line, BSTR("HTTP/"))) {
-		call_reset_answer(c);
-		return (size * n);
-	}
-	if (line.n != 0) {
-		add_header_line(c, line);
-		return (size * n);
-	}
-	curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
-	if (status >= 200 && !c->upstream_not_run) {
-		c->status = (unsigned)status;
-		fe_on_head(c);
+	struct bstr line = {data, size * n};
+
+	switch (rhd_line(&c->head, line)) {
+	case RHD_MORE:
+	case RHD_INTERIM:
+		break;
+	case RHD_FINAL:
+		on_final_head(c);
+		break;
+	case RHD_BAD:
+		c->head_bad = true;
+		return (0);
 	}
-	return (size * n);
+	return (line.n);
 }
 
 static void
-add_out_header(struct call *c, struct bstr name, struct bstr value)
+set_callbacks(struct call *c)
 {
-	struct bbuf b;
-
-	bbuf_init(&b);
-	bbuf_add(&b, name);
-	if (value.n == 0)
-		bbuf_add(&b, BSTR(";"));
-	else
-		bbuf_add(&b, BSTR(": "));
-	bbuf_add(&b, value);
-	c->out_headers = curl_slist_append(c->out_headers, b.p);
-	bbuf_finish(&b);
-}
-
-static enum MHD_Result
-copy_request_header(
-    void *arg, enum MHD_ValueKind kind, const char *key, const char *value)
-{
-	struct call *c = arg;
-	struct bstr name = bstr_from(key);
-
-	(void)kind;
-	if (call_is_hop_by_hop(name) ||
-	    bstr_caseeq(name, BSTR("Content-Length")) ||
-	    bstr_caseeq(name, BSTR("Expect")) ||
-	    bstr_caseeq(name, BSTR("X-Deadline-Ms")))
-		return (MHD_YES);
-	add_out_header(c, name, bstr_from(value));
-	return (MHD_YES);
-}
-
-static void
-set_headers(struct call *c, int64_t now_us)
-{
-	static const char *const unset[] = {
-	    "Expect:", "User-Agent:", "Accept:"};
-	char value[32];
-
-	for (size_t i = 0; i < sizeof(unset) / sizeof(*unset); i++) {
-		char name[16];
-		size_t n = strlen(unset[i]) - 1;
-
-		memcpy(name, unset[i], n);
-		name[n] = '\0';
-		if (i == 0 || call_header_in(c, name).n == 0)
-			c->out_headers =
-			    curl_slist_append(c->out_headers, unset[i]);
-	}
-	MHD_get_connection_values(
-	    c->conn, MHD_HEADER_KIND, copy_request_header, c);
-	snprintf(value, sizeof(value), "%lld",
-	    (long long)(clk_wall_ms() + (c->deadline_us - now_us) / 1000));
-	add_out_header(c, BSTR("X-Deadline-Ms"), bstr_from(value));
-}
-
-static void
-set_method(struct call *c)
-{
-	if (bstr_eq(c->method, BSTR("HEAD"))) {
-		curl_easy_setopt(c->easy, CURLOPT_NOBODY, 1L);
-		return;
-	}
-	if (c->has_body) {
-		curl_easy_setopt(c->easy, CURLOPT_POST, 1L);
-		curl_easy_setopt(c->easy, CURLOPT_READFUNCTION, on_read);
-		curl_easy_setopt(c->easy, CURLOPT_READDATA, c);
-		curl_easy_setopt(c->easy, CURLOPT_POSTFIELDSIZE_LARGE,
-		    (curl_off_t)c->body_len);
-		if (c->body_len < 0)
-			add_out_header(
-			    c, BSTR("Transfer-Encoding"), BSTR("chunked"));
-	} else if (bstr_eq(c->method, BSTR("POST")) ||
-	    bstr_eq(c->method, BSTR("PUT"))) {
-		curl_easy_setopt(c->easy, CURLOPT_POST, 1L);
-		curl_easy_setopt(c->easy, CURLOPT_POSTFIELDS, "");
-		curl_easy_setopt(c->easy, CURLOPT_POSTFIELDSIZE, 0L);
-		add_out_header(c, BSTR("Content-Type"), BSTR(""));
-	}
-	if (!bstr_eq(c->method, BSTR("GET")))
-		curl_easy_setopt(c->easy, CURLOPT_CUSTOMREQUEST, c->method.p);
-}
-
-static void
-set_transfer(struct call *c, int64_t now_us)
-{
-	char url[128];
-
-	snprintf(url, sizeof(url), "http://%.*s/", BSTR_ARG(c->addr));
-	curl_easy_setopt(c->easy, CURLOPT_URL, url);
-	curl_easy_setopt(c->easy, CURLOPT_REQUEST_TARGET, c->target.p);
-	curl_easy_setopt(c->easy, CURLOPT_PROXY, "");
-	curl_easy_setopt(c->easy, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(c->easy, CURLOPT_TCP_NODELAY, 1L);
-	curl_easy_setopt(
-	    c->easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
-	curl_easy_setopt(
-	    c->easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
-	curl_easy_setopt(c->easy, CURLOPT_TIMEOUT_MS,
-	    (long)((c->deadline_us - now_us) / 1000 + 1));
-	curl_easy_setopt(c->easy, CURLOPT_PRIVATE, c);
-	curl_easy_setopt(c->easy, CURLOPT_PREREQFUNCTION, on_prereq);
-	curl_easy_setopt(c->easy, CURLOPT_PREREQDATA, c);
-	curl_easy_setopt(c->easy, CURLOPT_WRITEFUNCTION, on_write);
-	curl_easy_setopt(c->easy, CURLOPT_WRITEDATA, c);
-	curl_easy_setopt(c->easy, CURLOPT_HEADERFUNCTION, on_header);
-	curl_easy_setopt(c->easy, CURLOPT_HEADERDATA, c);
-	set_headers(c, now_us);
-	set_method(c);
-	curl_easy_setopt(c->easy, CURLOPT_HTTPHEADER, c->out_headers);
+	CURL *e = c->easy;
+
+	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_prereq);
+	curl_easy_setopt(e, CURLOPT_PREREQDATA, c);
+	curl_easy_setopt(e, CURLOPT_READFUNCTION, on_read);
+	curl_easy_setopt(e, CURLOPT_READDATA, c);
+	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_write);
+	curl_easy_setopt(e, CURLOPT_WRITEDATA, c);
+	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(e, CURLOPT_HEADERDATA, c);
 }
 
 enum err_kind
 ups_start(struct call *c)
 {
 	int64_t now_us = clk_mono_us();
+	enum err_kind kind = flt_fresh(wrk_env(c->w), now_us);
 
+	if (kind != ERR_NONE)
+		return (kind);
 	if (now_us >= c->deadline_us)
 		return (ERR_DEADLINE);
-	if (!pick(c, now_us))
+	if (svc_must_wait(c->svc))
+		return (svc_wait(c, now_us));
+	switch (pick(c, now_us)) {
+	case RT_NONE:
 		return (ERR_NO_UPSTREAM);
+	case RT_FULL:
+		return (svc_wait(c, now_us));
+	}
+	call_reset_answer(c);
 	c->easy = wrk_easy_get(c->w);
 	c->sent = CALL_NOT_SENT;
+	c->blocked = ERR_NONE;
+	c->resend_blocked = false;
+	c->body_off = 0;
+	c->body_paused = false;
 	c->attempt_us = now_us;
-	c->reported = -1;
 	c->attempts++;
 	rt_on_start(c->upstream, now_us);
-	set_transfer(c, now_us);
+	snd_setup(c, now_us);
+	set_callbacks(c);
 	curl_multi_add_handle(wrk_multi(c->w), c->easy);
 	return (ERR_NONE);
 }
 
+static enum cmsg_outcome
+outcome_of(const struct call *c, enum err_kind kind)
+{
+	if (kind == ERR_NONE)
+		return (CMSG_RUN_DONE);
+	if (c->sent == CALL_NOT_SENT || c->refused)
+		return (CMSG_RUN_NOT_RUN);
+	return (CMSG_RUN_UNKNOWN);
+}
+
+void
+ups_end(struct call *c, enum err_kind kind)
+{
+	clf_finish(c, outcome_of(c, kind));
+	if (c->first_err != ERR_NONE && kind != ERR_NONE &&
+	    err_answer(kind)->outcome == ERR_NOT_RUN)
+		kind = c->first_err;
+	c->err = kind;
+	c->answer_done = true;
+	fe_on_end(c);
+}
+
 void
 ups_body_ready(struct call *c)
 {
@@ -318,7 +303,7 @@
 void
 ups_answer_taken(struct call *c)
 {
-	if (!c->answer_paused || c->answer.n > ANSWER_LOW_WATER)
+	if (!c->answer_paused || call_answer_left(c).n > ANSWER_LOW_WATER)
 		return;
 	c->answer_paused = false;
 	wrk_unpause(c->w, c);
@@ -340,35 +325,66 @@
 	if (c->easy == NULL)
 		return;
 	end_transfer(c);
-	release_upstream(c, false);
+	release_upstream(c, false, false);
+	wrk_wake_waiting(c->w, c->svc);
 }
 
 static enum err_kind
 kind_of(const struct call *c, CURLcode result)
 {
-	if (result == CURLE_OK)
-		return (c->upstream_not_run ? ERR_REFUSED : ERR_NONE);
-	if (c->sent == CALL_NOT_SENT)
+	if (c->refused)
+		return (ERR_REFUSED);
+	if (result == CURLE_OK && c->status != 0 && !c->head_bad)
+		return (ERR_NONE);
+	if (c->sent == CALL_NOT_SENT) {
+		if (c->blocked != ERR_NONE)
+			return (c->blocked);
 		return (clk_mono_us() >= c->deadline_us ? ERR_DEADLINE
 							: ERR_CONNECT);
+	}
+	if (c->resend_blocked)
+		return (ERR_UPSTREAM_CLOSED);
 	if (result == CURLE_OPERATION_TIMEDOUT)
 		return (ERR_UPSTREAM_TIMEOUT);
-	if (c->status != 0 || result == CURLE_WEIRD_SERVER_REPLY ||
+	if (c->head_bad || c->head.bytes != 0 || result == CURLE_OK ||
+	    result == CURLE_WEIRD_SERVER_REPLY ||
 	    result == CURLE_UNSUPPORTED_PROTOCOL)
 		return (ERR_UPSTREAM_ANSWER);
 	return (ERR_UPSTREAM_CLOSED);
 }
 
 static bool
-may_retry(const struct call *c, enum err_kind kind)
+may_retry(struct call *c, enum err_kind kind)
+{
+	int64_t now_us = clk_mono_us();
+
+	if (kind == ERR_NONE || kind == ERR_DEADLINE || kind == ERR_NOT_FRESH)
+		return (false);
+	if (c->conn == NULL || c->attempts >= MAX_ATTEMPTS ||
+	    c->answer_started || c->body_dropped)
+		return (false);
+	if (now_us >= c->deadline_us)
+		return (false);
+	if (c->sent == CALL_MAY_BE_SENT && !c->idempotent)
+		return (false);
+	return (rbt_take(&c->svc->budget, now_us));
+}
+
+/* Starts another attempt; false when there is none. */
+static bool
+retry(struct call *c, enum err_kind kind)
 {
-	if (c->attempts >= MAX_ATTEMPTS || c->answer_started || c->has_body)
+	if (!may_retry(c, kind))
 		return (false);
-	if (clk_mono_us() >= c->deadline_us)
+	if (c->first_err == ERR_NONE &&
+	    err_answer(kind)->outcome == ERR_UNKNOWN)
+		c->first_err = kind;
+	c->fresh = c->resend_blocked;
+	call_reset_answer(c);
+	if (ups_start(c) != ERR_NONE)
 		return (false);
-	if (err_answer(kind)->outcome == ERR_NOT_RUN)
-		return (true);
-	return (c->idempotent);
+	met_add(wrk_env(c->w)->met, MET_RETRIES, 1);
+	return (true);
 }
 
 void
@@ -376,18 +392,19 @@
 {
 	struct call *c;
 	enum err_kind kind;
+	bool failed;
 
 	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&c);
 	kind = kind_of(c, result);
+	failed = kind != ERR_NONE || c->status >= 500;
+	obs_attempt(c, failed, clk_mono_us());
 	end_transfer(c);
-	release_upstream(c, kind != ERR_NONE);
-	if (kind != ERR_NONE && c->conn != NULL && may_retry(c, kind)) {
-		call_reset_answer(c);
-		met_add(wrk_env(c->w)->met, MET_RETRIES, 1);
-		if (ups_start(c) == ERR_NONE)
-			return;
-	}
-	c->err = kind;
-	c->answer_done = true;
-	fe_on_end(c);
+	/* A kept connection that was closed says nothing about the upstream. */
+	release_upstream(c, failed && !c->resend_blocked,
+	    kind != ERR_NONE && !c->resend_blocked);
+	if (!failed)
+		rbt_on_success(&c->svc->budget);
+	if (!retry(c, kind))
+		ups_end(c, kind);
+	wrk_wake_waiting(c->w, c->svc);
 }
--- a/packages/front/ups.h
+++ b/packages/front/ups.h
@@ -4,6 +4,9 @@
  * ups_start() chooses an upstream and starts one transfer. Events of the
  * transfer reach the caller side through fe_on_head(), fe_on_data() and
  * fe_on_end().
+ *
+ * A request that is not idempotent is never sent again once libcurl has called
+ * the pre-request callback, which runs before the first byte is written.
  */
 #ifndef FRONT_UPS_H
 #define FRONT_UPS_H
@@ -11,12 +14,20 @@
 #include "front/call.h"
 
 /**
- * ups_start() - choose an upstream and send the request
+ * ups_start() - choose an upstream and send the request, or wait for a slot
  *
  * Return: ERR_NONE, or the kind with which the call ends.
  */
 enum err_kind ups_start(struct call *c);
 
+/**
+ * ups_end() - the call has its result: @kind, or the answer for ERR_NONE
+ *
+ * Settles a claim. When an earlier attempt may have run, its kind replaces one
+ * that says "not run".
+ */
+void ups_end(struct call *c, enum err_kind kind);
+
 /** ups_body_ready() - more request body is in call->body, or it is complete */
 void ups_body_ready(struct call *c);
 
--- a/packages/front/wrk.c
+++ b/packages/front/wrk.c
@@ -11,7 +11,9 @@
 #include <unistd.h>
 #include <urcu.h>
 
+#include "front/clf.h"
 #include "front/fe.h"
+#include "front/svc.h"
 #include "front/ups.h"
 #include "sys/clk.h"
 
@@ -19,41 +21,51 @@
 #define EASY_POOL 64
 #define LISTEN_BACKLOG 1024
 #define DEFAULT_HOST_CONNECTIONS 6
+#define MAX_KEPT_CONNECTIONS 4096L
+#define DEFAULT_HEAD_TIMEOUT_MS 10000
 #define MAX_WAIT_MS 1000
+#define SWEEP_MS 250
 #define DRAIN_POLL_MS 20
+#define DRAIN_IDLE_MS 500    /* then connections without request are closed */
+#define DRAIN_CLAIMS_MS 2000 /* longest wait for replies to given up claims */
 
-/* What an epoll event is about; stored beside the descriptor or pointer. */
-enum source_kind { SRC_MHD, SRC_WAKE, SRC_CURL, SRC_CALLER };
-
-/**
- * struct source - target of an epoll registration
- * @kind: what it is
- * @fd: descriptor
- * @call: call whose caller is watched
- */
-struct source {
-	enum source_kind kind;
-	int fd;
-	struct call *call;
+/** struct curl_source - socket of libcurl, freed after the round of events */
+struct curl_source {
+	struct wrk_source source;
+	struct curl_source *next_retired;
 };
 
 struct wrk {
 	struct env *env;
 	struct rng rng;
+	wrk_pick_fn pick;
+	int64_t head_timeout_us;
 	int epfd;
-	int wake_fd;
 	int listen_fd;
 	struct MHD_Daemon *mhd;
 	CURLM *multi;
 	int64_t curl_due_us; /* -1 when no timer is set */
+	int64_t timer_due_us;
+	int64_t sweep_us;
 	bool mhd_pending;
-	bool stopping;
+	int64_t stopping_us; /* 0 while running */
 	_Atomic bool stop;
 	struct call *unpause;
 	CURL *easy[EASY_POOL];
 	unsigned n_easy;
-	struct source mhd_source;
-	struct source wake_source;
+	struct wrk_source mhd_source;
+	struct wrk_source wake_source;
+	struct wrk_source replies_source;
+	struct curl_source *retired;
+	struct cds_list_head timers;
+	struct cds_list_head callers;
+	struct mq replies;
+	uint64_t last_ref;
+	GHashTable *claims;
+	GHashTable *services;
+	GHashTable *seen;
+	GPtrArray *to_wake;
+	struct bbuf scratch;
 };
 
 struct env *
@@ -114,30 +126,105 @@
 	w->mhd_pending = true;
 }
 
-static int
-caller_fd(const struct call *c)
+void
+wrk_watch_hangup(struct wrk *w, struct wrk_source *s)
 {
-	const union MHD_ConnectionInfo *info =
-	    MHD_get_connection_info(c->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+	struct epoll_event ev = {.events = EPOLLRDHUP | EPOLLET, .data.ptr = s};
 
-	return (info == NULL ? -1 : info->connect_fd);
+	epoll_ctl(w->epfd, EPOLL_CTL_ADD, s->fd, &ev);
 }
 
 void
-wrk_watch_hangup(struct wrk *w, struct call *c, bool on)
+wrk_unwatch(struct wrk *w, const struct wrk_source *s)
 {
-	struct epoll_event ev = {.events = EPOLLRDHUP | EPOLLONESHOT};
-	int fd = caller_fd(c);
+	epoll_ctl(w->epfd, EPOLL_CTL_DEL, s->fd, NULL);
+}
 
-	if (fd < 0)
-		return;
-	if (!on) {
-		epoll_ctl(w->epfd, EPOLL_CTL_DEL, fd, NULL);
-		return;
-	}
-	/* Calls are told from sources by the low bit of the pointer. */
-	ev.data.u64 = (uint64_t)(uintptr_t)c | 1;
-	epoll_ctl(w->epfd, EPOLL_CTL_ADD, fd, &ev);
+void
+wrk_timer_set(struct wrk *w, struct call *c, int64_t at_us)
+{
+	if (!c->timer_on)
+		cds_list_add_tail(&c->timer, &w->timers);
+	c->timer_on = true;
+	c->timer_us = at_us;
+	if (at_us < w->timer_due_us)
+		w->timer_due_us = at_us;
+}
+
+void
+wrk_timer_clear(struct wrk *w, struct call *c)
+{
+	(void)w;
+	if (c->timer_on)
+		cds_list_del(&c->timer);
+	c->timer_on = false;
+}
+
+void
+wrk_wake_waiting(struct wrk *w, struct svc *s)
+{
+	if (s->n_waiting != 0 && !g_ptr_array_find(w->to_wake, s, NULL))
+		g_ptr_array_add(w->to_wake, s);
+}
+
+bool
+wrk_stopping(const struct wrk *w)
+{
+	return (w->stopping_us != 0);
+}
+
+int64_t
+wrk_head_timeout_us(const struct wrk *w)
+{
+	return (w->head_timeout_us);
+}
+
+wrk_pick_fn
+wrk_pick(const struct wrk *w)
+{
+	return (w->pick);
+}
+
+struct bbuf *
+wrk_scratch(struct wrk *w)
+{
+	return (&w->scratch);
+}
+
+GHashTable *
+wrk_services(const struct wrk *w)
+{
+	return (w->services);
+}
+
+GHashTable *
+wrk_seen(const struct wrk *w)
+{
+	return (w->seen);
+}
+
+GHashTable *
+wrk_claims(const struct wrk *w)
+{
+	return (w->claims);
+}
+
+uint64_t
+wrk_next_ref(struct wrk *w)
+{
+	return (++w->last_ref);
+}
+
+struct mq *
+wrk_replies(struct wrk *w)
+{
+	return (&w->replies);
+}
+
+struct cds_list_head *
+wrk_callers(struct wrk *w)
+{
+	return (&w->callers);
 }
 
 void
@@ -145,6 +232,7 @@
 {
 	struct call **p = &w->unpause;
 
+	wrk_timer_clear(w, c);
 	if (!c->in_unpause)
 		return;
 	while (*p != c)
@@ -163,18 +251,39 @@
 	return (0);
 }
 
+/* Other events of the round may still point to the source. */
+static void
+retire(struct wrk *w, struct curl_source *s)
+{
+	s->source.kind = WRK_SRC_RETIRED;
+	s->next_retired = w->retired;
+	w->retired = s;
+}
+
+static void
+free_retired(struct wrk *w)
+{
+	while (w->retired != NULL) {
+		struct curl_source *s = w->retired;
+
+		w->retired = s->next_retired;
+		free(s);
+	}
+}
+
 static int
 on_curl_socket(CURL *easy, curl_socket_t fd, int what, void *arg, void *ptr)
 {
 	struct wrk *w = arg;
-	struct source *s = ptr;
+	struct curl_source *s = ptr;
 	struct epoll_event ev = {0};
 
 	(void)easy;
 	if (what == CURL_POLL_REMOVE) {
 		epoll_ctl(w->epfd, EPOLL_CTL_DEL, fd, NULL);
 		curl_multi_assign(w->multi, fd, NULL);
-		free(s);
+		if (s != NULL)
+			retire(w, s);
 		return (0);
 	}
 	if (what & CURL_POLL_IN)
@@ -189,8 +298,7 @@
 	s = calloc(1, sizeof(*s));
 	if (s == NULL)
 		abort();
-	s->kind = SRC_CURL;
-	s->fd = fd;
+	s->source = (struct wrk_source){WRK_SRC_CURL, fd};
 	ev.data.ptr = s;
 	curl_multi_assign(w->multi, fd, s);
 	epoll_ctl(w->epfd, EPOLL_CTL_ADD, fd, &ev);
@@ -236,29 +344,72 @@
 	curl_multi_setopt(w->multi, CURLMOPT_TIMERFUNCTION, on_curl_timer);
 	curl_multi_setopt(w->multi, CURLMOPT_TIMERDATA, w);
 	curl_multi_setopt(w->multi, CURLMOPT_MAX_HOST_CONNECTIONS, per_host);
+	curl_multi_setopt(w->multi, CURLMOPT_MAXCONNECTS, MAX_KEPT_CONNECTIONS);
 	w->curl_due_us = -1;
 }
 
 static void
-add_source(struct wrk *w, struct source *s)
+add_source(struct wrk *w, struct wrk_source *s)
 {
 	struct epoll_event ev = {.events = EPOLLIN, .data.ptr = s};
 
 	epoll_ctl(w->epfd, EPOLL_CTL_ADD, s->fd, &ev);
 }
 
+static void
+add_sources(struct wrk *w, int wake_fd)
+{
+	const union MHD_DaemonInfo *info =
+	    MHD_get_daemon_info(w->mhd, MHD_DAEMON_INFO_EPOLL_FD);
+
+	w->mhd_source = (struct wrk_source){WRK_SRC_MHD, info->epoll_fd};
+	w->wake_source = (struct wrk_source){WRK_SRC_WAKE, wake_fd};
+	w->replies_source =
+	    (struct wrk_source){WRK_SRC_REPLIES, mq_fd(&w->replies)};
+	add_source(w, &w->mhd_source);
+	add_source(w, &w->wake_source);
+	add_source(w, &w->replies_source);
+}
+
+static void
+setup_state(struct wrk *w, const struct wrk_desc *desc)
+{
+	uint32_t head_ms = desc->head_timeout_ms;
+
+	w->env = desc->env;
+	rng_init(&w->rng, desc->seed);
+	w->pick = desc->pick == NULL ? rt_pick : desc->pick;
+	w->head_timeout_us =
+	    (head_ms == 0 ? DEFAULT_HEAD_TIMEOUT_MS : head_ms) * 1000LL;
+	w->timer_due_us = INT64_MAX;
+	CDS_INIT_LIST_HEAD(&w->timers);
+	CDS_INIT_LIST_HEAD(&w->callers);
+	w->claims = clf_table_new();
+	w->services = svc_table_new();
+	w->seen =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	w->to_wake = g_ptr_array_new();
+	bbuf_init(&w->scratch);
+}
+
+static void
+finish_state(struct wrk *w)
+{
+	g_hash_table_unref(w->claims);
+	g_hash_table_unref(w->services);
+	g_hash_table_unref(w->seen);
+	g_ptr_array_unref(w->to_wake);
+	bbuf_finish(&w->scratch);
+}
+
 struct wrk *
 wrk_new(const struct wrk_desc *desc, GError **error)
 {
 	struct wrk *w = calloc(1, sizeof(*w));
-	const union MHD_DaemonInfo *info;
+	int wake_fd;
 
 	if (w == NULL)
 		abort();
-	w->env = desc->env;
-	rng_init(&w->rng, desc->seed);
-	w->epfd = epoll_create1(EPOLL_CLOEXEC);
-	w->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 	w->listen_fd = listen_on(desc->addr, desc->port);
 	if (w->listen_fd >= 0)
 		w->mhd = fe_start(w, w->listen_fd);
@@ -266,15 +417,18 @@
 		g_set_error(error, ERR_QUARK, ERR_INTERNAL,
 		    "cannot listen on %s:%u: %s", desc->addr, desc->port,
 		    g_strerror(errno));
+		if (w->listen_fd >= 0)
+			close(w->listen_fd);
 		free(w);
 		return (NULL);
 	}
+	w->epfd = epoll_create1(EPOLL_CLOEXEC);
+	wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+	if (w->epfd < 0 || wake_fd < 0 || mq_init(&w->replies) != 0)
+		abort();
+	setup_state(w, desc);
 	setup_curl(w, desc);
-	info = MHD_get_daemon_info(w->mhd, MHD_DAEMON_INFO_EPOLL_FD);
-	w->mhd_source = (struct source){SRC_MHD, info->epoll_fd, NULL};
-	w->wake_source = (struct source){SRC_WAKE, w->wake_fd, NULL};
-	add_source(w, &w->mhd_source);
-	add_source(w, &w->wake_source);
+	add_sources(w, wake_fd);
 	return (w);
 }
 
@@ -306,7 +460,7 @@
 static void
 on_socket_event(struct wrk *w, const struct epoll_event *ev)
 {
-	const struct source *s = ev->data.ptr;
+	const struct wrk_source *s = ev->data.ptr;
 	int mask = 0;
 	int running;
 
@@ -317,48 +471,136 @@
 	curl_multi_socket_action(w->multi, s->fd, mask, &running);
 }
 
+static void
+take_replies(struct wrk *w)
+{
+	struct mq_msg *m;
+
+	mq_clear_event(&w->replies);
+	while ((m = mq_pop(&w->replies)) != NULL) {
+		if (m->type == CMSG_CLAIM_REPLY)
+			clf_on_reply(
+			    w, caa_container_of(m, struct cmsg_claim_reply, m));
+		else
+			free(m);
+	}
+}
+
 static void
 on_event(struct wrk *w, const struct epoll_event *ev)
 {
-	const struct source *s = ev->data.ptr;
+	struct wrk_source *s = ev->data.ptr;
 	uint64_t n;
 
-	if (ev->data.u64 & 1) {
-		fe_on_hangup((struct call *)(uintptr_t)(ev->data.u64 & ~1ULL));
-		return;
-	}
 	switch (s->kind) {
-	case SRC_MHD:
+	case WRK_SRC_MHD:
 		w->mhd_pending = true;
 		break;
-	case SRC_WAKE:
-		if (read(w->wake_fd, &n, sizeof(n)) < 0)
+	case WRK_SRC_WAKE:
+		if (read(s->fd, &n, sizeof(n)) < 0)
 			break;
 		break;
-	case SRC_CURL:
+	case WRK_SRC_REPLIES:
+		take_replies(w);
+		break;
+	case WRK_SRC_CURL:
 		on_socket_event(w, ev);
 		break;
-	case SRC_CALLER:
+	case WRK_SRC_CALLER:
+		fe_on_hangup(s);
+		break;
+	case WRK_SRC_RETIRED:
+		break;
+	}
+}
+
+static void
+fire(struct call *c, int64_t now_us)
+{
+	wrk_timer_clear(c->w, c);
+	switch (c->wait) {
+	case CALL_WAIT_BODY:
+	case CALL_WAIT_CLAIM:
+		clf_on_timer(c);
+		break;
+	case CALL_WAIT_SLOT:
+		svc_on_timer(c, now_us);
+		break;
+	case CALL_WAIT_NONE:
 		break;
 	}
 }
 
+/* The list is short: only calls without a transfer have a timer. */
+static void
+run_timers(struct wrk *w, int64_t now_us)
+{
+	struct cds_list_head due;
+	struct cds_list_head *node, *next;
+
+	if (now_us < w->timer_due_us)
+		return;
+	CDS_INIT_LIST_HEAD(&due);
+	w->timer_due_us = INT64_MAX;
+	cds_list_for_each_safe(node, next, &w->timers)
+	{
+		struct call *c = cds_list_entry(node, struct call, timer);
+
+		if (c->timer_us <= now_us)
+			cds_list_move(&c->timer, &due);
+		else if (c->timer_us < w->timer_due_us)
+			w->timer_due_us = c->timer_us;
+	}
+	while (!cds_list_empty(&due))
+		fire(cds_list_first_entry(&due, struct call, timer), now_us);
+}
+
+static void
+run_wakes(struct wrk *w)
+{
+	while (w->to_wake->len != 0)
+		svc_wake(g_ptr_array_remove_index_fast(
+		    w->to_wake, w->to_wake->len - 1));
+}
+
+static void
+sweep(struct wrk *w, int64_t now_us)
+{
+	if (now_us - w->sweep_us < SWEEP_MS * 1000)
+		return;
+	w->sweep_us = now_us;
+	fe_sweep(w, now_us,
+	    w->stopping_us != 0 &&
+		now_us - w->stopping_us >= DRAIN_IDLE_MS * 1000);
+}
+
+static int64_t
+earlier(int64_t ms, int64_t at_us, int64_t now_us)
+{
+	int64_t left = (at_us - now_us + 999) / 1000;
+
+	if (left >= ms)
+		return (ms);
+	return (left < 0 ? 0 : left);
+}
+
 static int
 wait_ms(struct wrk *w)
 {
 	MHD_UNSIGNED_LONG_LONG mhd_ms;
-	int64_t ms = w->stopping ? DRAIN_POLL_MS : MAX_WAIT_MS;
+	int64_t ms = w->stopping_us != 0 ? DRAIN_POLL_MS : MAX_WAIT_MS;
+	int64_t now_us = clk_mono_us();
 
-	if (w->mhd_pending || w->unpause != NULL)
+	if (w->mhd_pending || w->unpause != NULL || w->to_wake->len != 0)
 		return (0);
 	if (MHD_get_timeout(w->mhd, &mhd_ms) == MHD_YES && (int64_t)mhd_ms < ms)
 		ms = (int64_t)mhd_ms;
-	if (w->curl_due_us >= 0) {
-		int64_t left = (w->curl_due_us - clk_mono_us() + 999) / 1000;
-
-		if (left < ms)
-			ms = left < 0 ? 0 : left;
-	}
+	if (w->curl_due_us >= 0)
+		ms = earlier(ms, w->curl_due_us, now_us);
+	if (w->timer_due_us != INT64_MAX)
+		ms = earlier(ms, w->timer_due_us, now_us);
+	if (!cds_list_empty(&w->callers))
+		ms = earlier(ms, w->sweep_us + SWEEP_MS * 1000, now_us);
 	return ((int)ms);
 }
 
@@ -368,14 +610,27 @@
 	const union MHD_DaemonInfo *info =
 	    MHD_get_daemon_info(w->mhd, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
 
-	return (info == NULL || info->num_connections == 0);
+	if (info != NULL && info->num_connections != 0)
+		return (false);
+	return (g_hash_table_size(w->claims) == 0 ||
+	    clk_mono_us() - w->stopping_us > DRAIN_CLAIMS_MS * 1000);
+}
+
+static void
+run_curl_timer(struct wrk *w)
+{
+	int running;
+
+	if (w->curl_due_us < 0 || clk_mono_us() < w->curl_due_us)
+		return;
+	w->curl_due_us = -1;
+	curl_multi_socket_action(w->multi, CURL_SOCKET_TIMEOUT, 0, &running);
 }
 
 void
 wrk_run(struct wrk *w)
 {
 	struct epoll_event events[MAX_EVENTS];
-	int running;
 
 	rcu_register_thread();
 	for (;;) {
@@ -383,21 +638,21 @@
 
 		for (int i = 0; i < n; i++)
 			on_event(w, &events[i]);
-		if (w->curl_due_us >= 0 && clk_mono_us() >= w->curl_due_us) {
-			w->curl_due_us = -1;
-			curl_multi_socket_action(
-			    w->multi, CURL_SOCKET_TIMEOUT, 0, &running);
-		}
+		free_retired(w);
+		run_curl_timer(w);
 		collect_finished(w);
+		run_timers(w, clk_mono_us());
+		run_wakes(w);
 		w->mhd_pending = false;
 		MHD_run(w->mhd);
 		run_unpaused(w);
 		collect_finished(w);
-		if (atomic_load(&w->stop) && !w->stopping) {
-			w->stopping = true;
+		sweep(w, clk_mono_us());
+		if (atomic_load(&w->stop) && w->stopping_us == 0) {
+			w->stopping_us = clk_mono_us();
 			MHD_quiesce_daemon(w->mhd);
 		}
-		if (w->stopping && drained(w))
+		if (w->stopping_us != 0 && drained(w))
 			break;
 	}
 	rcu_unregister_thread();
@@ -409,19 +664,26 @@
 	const uint64_t one = 1;
 
 	atomic_store(&w->stop, true);
-	while (write(w->wake_fd, &one, sizeof(one)) < 0)
+	while (write(w->wake_source.fd, &one, sizeof(one)) < 0)
 		continue;
 }
 
 void
 wrk_free(struct wrk *w)
 {
+	struct mq_msg *m;
+
 	MHD_stop_daemon(w->mhd);
 	for (unsigned i = 0; i < w->n_easy; i++)
 		curl_easy_cleanup(w->easy[i]);
 	curl_multi_cleanup(w->multi);
+	free_retired(w);
+	while ((m = mq_pop(&w->replies)) != NULL)
+		free(m);
+	mq_finish(&w->replies);
+	finish_state(w);
 	close(w->listen_fd);
-	close(w->wake_fd);
+	close(w->wake_source.fd);
 	close(w->epfd);
 	free(w);
 }
--- a/packages/front/wrk.h
+++ b/packages/front/wrk.h
@@ -12,11 +12,16 @@
 
 #include <curl/curl.h>
 #include <glib.h>
+#include <urcu/list.h>
 
 #include "base/rng.h"
 #include "front/call.h"
 #include "front/env.h"
 
+/** typedef wrk_pick_fn - choice of an upstream, as rt_pick() */
+typedef int (*wrk_pick_fn)(const struct rt_service *s,
+    const struct rt_request *req, int64_t now_us, struct rng *rng);
+
 /**
  * struct wrk_desc - settings of a worker
  * @env: shared environment
@@ -24,6 +29,10 @@
  * @port: TCP port, shared by all workers
  * @seed: seed of the worker's random choices
  * @max_host_connections: connections to one upstream, 0 means 6
+ * @head_timeout_ms: time for the rest of a request head after its first line,
+ *	0 means 10,000
+ * @pick: choice of an upstream, NULL means rt_pick(); measurements put the
+ *	baselines here
  */
 struct wrk_desc {
 	struct env *env;
@@ -31,6 +40,8 @@
 	uint16_t port;
 	uint64_t seed;
 	long max_host_connections;
+	uint32_t head_timeout_ms;
+	wrk_pick_fn pick;
 };
 
 /** wrk_new() - set up a worker; NULL with @error on failure */
@@ -42,7 +53,11 @@
 /** wrk_stop() - stop accepting and return from wrk_run() when drained */
 void wrk_stop(struct wrk *w);
 
-/** wrk_free() - release all */
+/**
+ * wrk_free() - release all
+ *
+ * The control thread must push no reply to the worker any more.
+ */
 void wrk_free(struct wrk *w);
 
 /* For the call modules, on the worker's own thread. */
@@ -65,8 +80,66 @@
 /** wrk_unpause() - unpause the transfer of @c outside MHD's callbacks */
 void wrk_unpause(struct wrk *w, struct call *c);
 
-/** wrk_watch_hangup() - start or stop watching for the caller closing */
-void wrk_watch_hangup(struct wrk *w, struct call *c, bool on);
+/** enum wrk_source_kind - what an epoll event is about */
+enum wrk_source_kind {
+	WRK_SRC_MHD,
+	WRK_SRC_WAKE,
+	WRK_SRC_REPLIES,
+	WRK_SRC_CURL,
+	WRK_SRC_CALLER,
+	WRK_SRC_RETIRED, /* closed during this round of events */
+};
+
+/** struct wrk_source - descriptor watched by the worker */
+struct wrk_source {
+	enum wrk_source_kind kind;
+	int fd;
+};
+
+/** wrk_watch_hangup() - report to fe_on_hangup() when the peer closes */
+void wrk_watch_hangup(struct wrk *w, struct wrk_source *s);
+
+/** wrk_unwatch() - stop watching */
+void wrk_unwatch(struct wrk *w, const struct wrk_source *s);
+
+/** wrk_timer_set() - set or move the timer of a waiting call */
+void wrk_timer_set(struct wrk *w, struct call *c, int64_t at_us);
+
+/** wrk_timer_clear() - clear the timer; nothing when it is not set */
+void wrk_timer_clear(struct wrk *w, struct call *c);
+
+/** wrk_wake_waiting() - a slot of the service may be free */
+void wrk_wake_waiting(struct wrk *w, struct svc *s);
+
+/** wrk_stopping() - whether the worker is being drained */
+bool wrk_stopping(const struct wrk *w);
+
+/** wrk_head_timeout_us() - time for the rest of a request head */
+int64_t wrk_head_timeout_us(const struct wrk *w);
+
+/** wrk_pick() - choice of an upstream */
+wrk_pick_fn wrk_pick(const struct wrk *w);
+
+/** wrk_scratch() - buffer for use within one function */
+struct bbuf *wrk_scratch(struct wrk *w);
+
+/** wrk_services() - table of struct svc, see svc_get() */
+GHashTable *wrk_services(const struct wrk *w);
+
+/** wrk_seen() - times of reported upstream states by upstream id */
+GHashTable *wrk_seen(const struct wrk *w);
+
+/** wrk_claims() - pending claims by reference */
+GHashTable *wrk_claims(const struct wrk *w);
+
+/** wrk_next_ref() - new reference for a claim */
+uint64_t wrk_next_ref(struct wrk *w);
+
+/** wrk_replies() - queue for replies of the control thread */
+struct mq *wrk_replies(struct wrk *w);
+
+/** wrk_callers() - list of the callers' connections */
+struct cds_list_head *wrk_callers(struct wrk *w);
 
 /** wrk_mhd_pending() - MHD has work that no descriptor announces */
 void wrk_mhd_pending(struct wrk *w);
--- /dev/null
+++ b/packages/route/rbt.c
@@ -0,0 +1,62 @@
+#include "route/rbt.h"
+
+#define DEFAULT_PERMILLE 100
+#define DEFAULT_MIN_PER_S 1
+#define DEFAULT_BURST 20
+#define ONE_RETRY 1000000 /* level of one retry */
+#define US_PER_S 1000000
+
+static void
+add(struct rbt *b, int64_t amount)
+{
+	int64_t max = (int64_t)b->desc.burst * ONE_RETRY;
+
+	b->level += amount;
+	if (b->level > max)
+		b->level = max;
+}
+
+static void
+refill(struct rbt *b, int64_t now_us)
+{
+	int64_t max_us = (int64_t)b->desc.burst * US_PER_S;
+	int64_t us = now_us - b->refill_us;
+
+	if (us <= 0)
+		return;
+	b->refill_us = now_us;
+	if (us > max_us)
+		us = max_us;
+	add(b, us * b->desc.min_per_s * (ONE_RETRY / US_PER_S));
+}
+
+void
+rbt_init(struct rbt *b, const struct rbt_desc *desc, int64_t now_us)
+{
+	b->desc = *desc;
+	if (b->desc.permille == 0)
+		b->desc.permille = DEFAULT_PERMILLE;
+	if (b->desc.min_per_s == 0)
+		b->desc.min_per_s = DEFAULT_MIN_PER_S;
+	if (b->desc.burst == 0)
+		b->desc.burst = DEFAULT_BURST;
+	b->level = 0;
+	b->refill_us = now_us;
+	add(b, (int64_t)b->desc.min_per_s * ONE_RETRY);
+}
+
+void
+rbt_on_success(struct rbt *b)
+{
+	add(b, (int64_t)b->desc.permille * (ONE_RETRY / 1000));
+}
+
+bool
+rbt_take(struct rbt *b, int64_t now_us)
+{
+	refill(b, now_us);
+	if (b->level < ONE_RETRY)
+		return (false);
+	b->level -= ONE_RETRY;
+	return (true);
+}
--- /dev/null
+++ b/packages/route/rbt.h
@@ -0,0 +1,51 @@
+/*
+ * rbt - retry budget: a token bucket filled by successful calls.
+ *
+ * Retries are at most a share of the successful calls plus a small rate, so
+ * that they cannot multiply the load of upstreams that fail.
+ *
+ *	rbt_init(&b, &(struct rbt_desc){0}, now_us);
+ *	rbt_on_success(&b);
+ *	if (rbt_take(&b, now_us))
+ *		retry();
+ */
+#ifndef ROUTE_RBT_H
+#define ROUTE_RBT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/**
+ * struct rbt_desc - settings; zero fields mean the defaults
+ * @permille: retries per 1,000 successful calls, default 100
+ * @min_per_s: retries a second that need no successful call, default 1
+ * @burst: largest number of unused retries, default 20
+ */
+struct rbt_desc {
+	uint32_t permille;
+	uint32_t min_per_s;
+	uint32_t burst;
+};
+
+/**
+ * struct rbt - bucket on caller-owned memory
+ * @desc: settings with the defaults filled in
+ * @level: unused retries in millionths
+ * @refill_us: when @level was last refilled by time
+ */
+struct rbt {
+	struct rbt_desc desc;
+	int64_t level;
+	int64_t refill_us;
+};
+
+/** rbt_init() - bucket that holds one second of the minimum rate */
+void rbt_init(struct rbt *b, const struct rbt_desc *desc, int64_t now_us);
+
+/** rbt_on_success() - a call succeeded */
+void rbt_on_success(struct rbt *b);
+
+/** rbt_take() - whether one retry is allowed now; takes it */
+bool rbt_take(struct rbt *b, int64_t now_us);
+
+#endif
--- a/packages/route/rt.c
+++ b/packages/route/rt.c
@@ -60,6 +60,51 @@
 		free(s);
 }
 
+struct rt_tally *
+rt_tally_new(void)
+{
+	struct rt_tally *t = xcalloc(1, sizeof(*t));
+
+	atomic_init(&t->refs, 1);
+	return (t);
+}
+
+struct rt_tally *
+rt_tally_ref(struct rt_tally *t)
+{
+	atomic_fetch_add(&t->refs, 1);
+	return (t);
+}
+
+void
+rt_tally_unref(struct rt_tally *t)
+{
+	if (atomic_fetch_sub(&t->refs, 1) == 1)
+		free(t);
+}
+
+static void
+copy_tallies(struct rt_service *to, const struct rt_service *from)
+{
+	uint32_t n = from->n_routes * from->n_versions;
+
+	if (from->tallies == NULL)
+		return;
+	to->tallies = xcalloc(n, sizeof(struct rt_tally *));
+	for (uint32_t i = 0; i < n; i++)
+		to->tallies[i] = rt_tally_ref(from->tallies[i]);
+}
+
+static void
+free_tallies(struct rt_service *s)
+{
+	if (s->tallies == NULL)
+		return;
+	for (uint32_t i = 0; i < s->n_routes * s->n_versions; i++)
+		rt_tally_unref(s->tallies[i]);
+	free(s->tallies);
+}
+
 static void
 copy_service(struct rt_service *to, const struct rt_service *from)
 {
@@ -86,6 +131,7 @@
 		to->upstreams[i].zone = copy_str(from->upstreams[i].zone);
 		rt_stat_ref(to->upstreams[i].stat);
 	}
+	copy_tallies(to, from);
 }
 
 static void
@@ -104,6 +150,7 @@
 		free_str(s->upstreams[i].zone);
 		rt_stat_unref(s->upstreams[i].stat);
 	}
+	free_tallies(s);
 	free(s->hosts);
 	free(s->routes);
 	free(s->versions);
@@ -180,6 +227,17 @@
 	return (best);
 }
 
+struct rt_tally *
+rt_tally_at(
+    const struct rt_service *s, const struct rt_route *route, uint32_t version)
+{
+	uint32_t r = (uint32_t)(route - s->routes);
+
+	if (s->tallies == NULL || version >= s->n_versions)
+		return (NULL);
+	return (s->tallies[r * s->n_versions + version]);
+}
+
 static uint32_t
 draw_version(const struct rt_service *s, struct rng *rng)
 {
--- a/packages/route/rt.h
+++ b/packages/route/rt.h
@@ -23,7 +23,8 @@
 #include "base/bstr.h"
 #include "base/rng.h"
 
-#define RT_NONE (-1)
+#define RT_NONE (-1) /* no candidate */
+#define RT_FULL (-2) /* all candidates are at their limit */
 #define RT_MAX_EXCLUDED 4
 
 /** enum rt_state - what an upstream can take */
@@ -56,6 +57,20 @@
 	_Atomic int32_t permits;
 };
 
+/**
+ * struct rt_tally - attempts of one service, route and version; only grows
+ * @refs: tables and calls that hold it
+ * @calls: attempts that ended
+ * @failures: 5xx responses and upstream errors
+ * @slow: attempts that took longer than the service's slow_us
+ */
+struct rt_tally {
+	_Atomic int32_t refs;
+	_Atomic uint64_t calls;
+	_Atomic uint64_t failures;
+	_Atomic uint64_t slow;
+};
+
 /** struct rt_upstream - one upstream in a table; strings owned by the table */
 struct rt_upstream {
 	struct bstr id;
@@ -80,7 +95,11 @@
 	uint32_t timeout_ms;
 };
 
-/** struct rt_service - one service; arrays owned by the table */
+/**
+ * struct rt_service - one service; arrays owned by the table
+ * @slow_us: attempts above this time count as slow, 0 for no limit
+ * @tallies: counters at [route * n_versions + version]; NULL for none
+ */
 struct rt_service {
 	struct bstr name;
 	struct bstr *hosts;
@@ -92,6 +111,8 @@
 	struct rt_upstream *upstreams;
 	uint32_t n_upstreams;
 	uint32_t slots;
+	int64_t slow_us;
+	struct rt_tally **tallies;
 };
 
 struct rt_table;
@@ -124,8 +145,18 @@
 /** rt_stat_unref() - drop a reference, free the last */
 void rt_stat_unref(struct rt_stat *s);
 
+/** rt_tally_new() - zeroed counters with one reference */
+struct rt_tally *rt_tally_new(void);
+
+/** rt_tally_ref() - take a reference; Return: @t */
+struct rt_tally *rt_tally_ref(struct rt_tally *t);
+
+/** rt_tally_unref() - drop a reference, free the last */
+void rt_tally_unref(struct rt_tally *t);
+
 /**
- * rt_table_new() - deep copy of @desc; takes references on the statistics
+ * rt_table_new() - deep copy of @desc; takes references on the statistics and
+ * the tallies
  */
 struct rt_table *rt_table_new(const struct rt_desc *desc);
 
@@ -147,6 +178,10 @@
 const struct rt_route *rt_find_route(
     const struct rt_service *s, struct bstr path);
 
+/** rt_tally_at() - counters of a route and a version, NULL when not counted */
+struct rt_tally *rt_tally_at(
+    const struct rt_service *s, const struct rt_route *route, uint32_t version);
+
 /**
  * rt_pick() - choose an upstream
  * @s: service
@@ -154,7 +189,8 @@
  * @now_us: boot-time microseconds
  * @rng: randomness
  *
- * Return: index into s->upstreams, or RT_NONE when none can take the call.
+ * Return: index into s->upstreams, RT_NONE when none can take the call, or
+ * RT_FULL when one could once a call in flight has ended.
  */
 int rt_pick(const struct rt_service *s, const struct rt_request *req,
     int64_t now_us, struct rng *rng);
