--- a/packages/front/call.h
+++ b/packages/front/call.h
@@ -106,6 +106,9 @@
  * @blocked: why the request was not sent on the new connection
  * @first_err: kind of the first attempt that may have run
  * @resend_blocked: libcurl wanted to send the request a second time
+ * @unclean: bytes waited on the kept connection, nothing was sent
+ * @sent_on_kept: the request was written to a kept connection
+ * @opened_fd: socket opened for the attempt, -1 for a kept connection
  * @fresh: the next attempt must not use a kept connection
  * @easy: transfer of the current attempt
  * @out_headers: header fields for it
@@ -176,6 +179,9 @@
 	enum err_kind blocked;
 	enum err_kind first_err;
 	bool resend_blocked;
+	bool unclean;
+	bool sent_on_kept;
+	int opened_fd;
 	bool fresh;
 	CURL *easy;
 	struct curl_slist *out_headers;
--- a/packages/front/fe.c
+++ b/packages/front/fe.c
@@ -223,21 +223,27 @@
 	return (MHD_YES);
 }
 
-/* Refuses at the end of the head; a short body is read first. */
+/*
+ * Refuses at the end of the head. libmicrohttpd closes the connection after an
+ * answer that is queued here, so this is left for large bodies; otherwise the
+ * body is read and the answer follows at its end.
+ */
 static enum MHD_Result
 refuse(struct call *c)
 {
-	if (c->body_len > DRAIN_MAX)
-		c->must_close = true;
-	if (c->body_done || c->must_close)
-		return (queue_error(c));
-	return (MHD_YES);
+	if (c->body_len <= DRAIN_MAX)
+		return (MHD_YES);
+	c->must_close = true;
+	return (queue_error(c));
 }
 
 static enum MHD_Result
 on_head(struct call *c, const char *method, const char *version)
 {
 	met_add(wrk_env(c->w)->met, MET_CALLS, 1);
+	/* Until the route is known, a key may belong to a keyed request. */
+	c->keyed = MHD_lookup_connection_value(
+		       c->conn, MHD_HEADER_KIND, "Idempotency-Key") != NULL;
 	if (!rqh_read(c, method, version)) {
 		c->err = ERR_BAD_REQUEST;
 		c->must_close = true;
--- a/packages/front/ups.c
+++ b/packages/front/ups.c
@@ -1,6 +1,8 @@
 #include "front/ups.h"
 
 #include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <urcu.h>
 
 #include "front/clf.h"
@@ -67,6 +69,10 @@
 	    .reported = c->reported,
 	};
 
+	/* An attempt that was given up early is no sample of the latency. */
+	if (c->unclean || (!failed && c->head_us == 0))
+		result.latency_us = atomic_load(&c->upstream->latency_us);
+
 	rt_on_finish(c->upstream, &result, now_us);
 	if (exclude && c->n_excluded < RT_MAX_EXCLUDED)
 		c->excluded[c->n_excluded++] = c->upstream;
@@ -78,6 +84,24 @@
 	c->tally = NULL;
 }
 
+static curl_socket_t
+on_open(void *arg, curlsocktype purpose, struct curl_sockaddr *a)
+{
+	struct call *c = arg;
+
+	(void)purpose;
+	c->opened_fd = socket(
+	    a->family, a->socktype | SOCK_CLOEXEC | SOCK_NONBLOCK, a->protocol);
+	return (c->opened_fd);
+}
+
+static int
+on_close(void *arg, curl_socket_t fd)
+{
+	sck_closed(wrk_sockets(arg), fd);
+	return (close(fd));
+}
+
 /*
  * libcurl calls this when the connection is up, before it writes the request.
  * It calls it again when it wants to resend on a new connection after a reused
@@ -91,20 +115,23 @@
 	struct call *c = arg;
 	int64_t now_us = clk_mono_us();
 
-	(void)remote_ip;
 	(void)local_ip;
-	(void)remote_port;
-	(void)local_port;
 	if (c->sent == CALL_MAY_BE_SENT) {
 		c->resend_blocked = true;
 		return (CURL_PREREQFUNC_ABORT);
 	}
+	if (!sck_is_clean(wrk_sockets(c->w), c->opened_fd, remote_ip,
+		remote_port, local_port)) {
+		c->unclean = true;
+		return (CURL_PREREQFUNC_ABORT);
+	}
 	c->blocked = flt_fresh(wrk_env(c->w), now_us);
 	if (now_us >= c->deadline_us || !clf_may_send(c, now_us))
 		c->blocked = ERR_DEADLINE;
 	if (c->blocked != ERR_NONE)
 		return (CURL_PREREQFUNC_ABORT);
 	c->sent = CALL_MAY_BE_SENT;
+	c->sent_on_kept = c->opened_fd < 0;
 	return (CURL_PREREQFUNC_OK);
 }
 
@@ -225,6 +252,10 @@
 {
 	CURL *e = c->easy;
 
+	curl_easy_setopt(e, CURLOPT_OPENSOCKETFUNCTION, on_open);
+	curl_easy_setopt(e, CURLOPT_OPENSOCKETDATA, c);
+	curl_easy_setopt(e, CURLOPT_CLOSESOCKETFUNCTION, on_close);
+	curl_easy_setopt(e, CURLOPT_CLOSESOCKETDATA, c->w);
 	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_prereq);
 	curl_easy_setopt(e, CURLOPT_PREREQDATA, c);
 	curl_easy_setopt(e, CURLOPT_READFUNCTION, on_read);
@@ -258,6 +289,9 @@
 	c->sent = CALL_NOT_SENT;
 	c->blocked = ERR_NONE;
 	c->resend_blocked = false;
+	c->unclean = false;
+	c->sent_on_kept = false;
+	c->opened_fd = -1;
 	c->body_off = 0;
 	c->body_paused = false;
 	c->attempt_us = now_us;
@@ -353,6 +387,13 @@
 	return (ERR_UPSTREAM_CLOSED);
 }
 
+/* The upstream may have closed a kept connection before the request came. */
+static bool
+is_stale(const struct call *c, enum err_kind kind)
+{
+	return (kind == ERR_UPSTREAM_CLOSED && c->sent_on_kept);
+}
+
 static bool
 may_retry(struct call *c, enum err_kind kind)
 {
@@ -367,7 +408,8 @@
 		return (false);
 	if (c->sent == CALL_MAY_BE_SENT && !c->idempotent)
 		return (false);
-	return (rbt_take(&c->svc->budget, now_us));
+	/* The upstream saw nothing of a request for an unclean connection. */
+	return (c->unclean || rbt_take(&c->svc->budget, now_us));
 }
 
 /* Starts another attempt; false when there is none. */
@@ -379,7 +421,7 @@
 	if (c->first_err == ERR_NONE &&
 	    err_answer(kind)->outcome == ERR_UNKNOWN)
 		c->first_err = kind;
-	c->fresh = c->resend_blocked;
+	c->fresh = c->unclean || is_stale(c, kind);
 	call_reset_answer(c);
 	if (ups_start(c) != ERR_NONE)
 		return (false);
@@ -397,11 +439,12 @@
 	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&c);
 	kind = kind_of(c, result);
 	failed = kind != ERR_NONE || c->status >= 500;
-	obs_attempt(c, failed, clk_mono_us());
+	if (!c->unclean)
+		obs_attempt(c, failed, clk_mono_us());
 	end_transfer(c);
-	/* A kept connection that was closed says nothing about the upstream. */
-	release_upstream(c, failed && !c->resend_blocked,
-	    kind != ERR_NONE && !c->resend_blocked);
+	/* A kept connection that was closed does not rule out the upstream. */
+	release_upstream(c, failed && !c->unclean,
+	    kind != ERR_NONE && !c->unclean && !is_stale(c, kind));
 	if (!failed)
 		rbt_on_success(&c->svc->budget);
 	if (!retry(c, kind))
--- a/packages/front/wrk.c
+++ b/packages/front/wrk.c
@@ -66,6 +66,7 @@
 	GHashTable *seen;
 	GPtrArray *to_wake;
 	struct bbuf scratch;
+	struct sck sockets;
 };
 
 struct env *
@@ -191,6 +192,12 @@
 	return (&w->scratch);
 }
 
+struct sck *
+wrk_sockets(struct wrk *w)
+{
+	return (&w->sockets);
+}
+
 GHashTable *
 wrk_services(const struct wrk *w)
 {
@@ -390,6 +397,7 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	w->to_wake = g_ptr_array_new();
 	bbuf_init(&w->scratch);
+	sck_init(&w->sockets);
 }
 
 static void
@@ -400,6 +408,7 @@
 	g_hash_table_unref(w->seen);
 	g_ptr_array_unref(w->to_wake);
 	bbuf_finish(&w->scratch);
+	sck_finish(&w->sockets);
 }
 
 struct wrk *
--- a/packages/front/wrk.h
+++ b/packages/front/wrk.h
@@ -17,6 +17,7 @@
 #include "base/rng.h"
 #include "front/call.h"
 #include "front/env.h"
+#include "front/sck.h"
 
 /** typedef wrk_pick_fn - choice of an upstream, as rt_pick() */
 typedef int (*wrk_pick_fn)(const struct rt_service *s,
@@ -123,6 +124,9 @@
 /** wrk_scratch() - buffer for use within one function */
 struct bbuf *wrk_scratch(struct wrk *w);
 
+/** wrk_sockets() - sockets of the connections to upstreams */
+struct sck *wrk_sockets(struct wrk *w);
+
 /** wrk_services() - table of struct svc, see svc_get() */
 GHashTable *wrk_services(const struct wrk *w);
 
--- /dev/null
+++ b/tests/standin/rawup.c
@@ -0,0 +1,450 @@
+/*
+ * rawup - raw TCP upstream that misbehaves as the request path says.
+ *
+ * Takes requests "/<any>/<behaviour>/<id>" and counts every complete request by
+ * its path, so that a test sees duplicates. Prints "port N" when it listens.
+ *
+ *	/ctl/count<path>   complete requests received for <path>
+ *	/ctl/gone<path>    of these, how many saw the peer close before the end
+ */
+#include <ctype.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define MAX_HEAD (64 * 1024)
+#define MAX_PATHS 8192
+#define BIG_BODY (8 * 1024 * 1024)
+#define KEPT_LIMIT_BODY 5000
+#define MAX_HANG_MS 20000
+#define LATE_US 30000
+#define SLOW_US 30000
+
+/** struct path_count - what happened to one path */
+struct path_count {
+	char path[256];
+	int complete;
+	int gone;
+};
+
+/** struct conn - one connection and the request in progress */
+struct conn {
+	int fd;
+	int requests;
+	char buf[MAX_HEAD + 1];
+	size_t n; /* bytes in buf */
+	char head[MAX_HEAD + 1];
+	char path[256];
+	char *body;
+	size_t body_n;
+};
+
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static struct path_count counts[MAX_PATHS];
+static int n_counts;
+
+/* Called with the lock held. */
+static struct path_count *
+find_path(const char *path)
+{
+	for (int i = 0; i < n_counts; i++) {
+		if (strcmp(counts[i].path, path) == 0)
+			return (&counts[i]);
+	}
+	if (n_counts == MAX_PATHS)
+		abort();
+	snprintf(counts[n_counts].path, sizeof(counts[0].path), "%s", path);
+	return (&counts[n_counts++]);
+}
+
+static void
+send_all(int fd, const char *p, size_t n)
+{
+	while (n != 0) {
+		ssize_t k = send(fd, p, n, MSG_NOSIGNAL);
+
+		if (k <= 0)
+			return;
+		p += k;
+		n -= (size_t)k;
+	}
+}
+
+static void
+send_str(int fd, const char *s)
+{
+	send_all(fd, s, strlen(s));
+}
+
+static void
+send_body(int fd, const char *fields, const char *body, size_t n)
+{
+	char head[256];
+
+	snprintf(head, sizeof(head),
+	    "HTTP/1.1 200 OK\r\n%sContent-Length: %zu\r\n\r\n", fields, n);
+	send_str(fd, head);
+	send_all(fd, body, n);
+}
+
+static bool
+fill(struct conn *c)
+{
+	ssize_t k;
+
+	if (c->n == MAX_HEAD)
+		return (false);
+	k = recv(c->fd, c->buf + c->n, MAX_HEAD - c->n, 0);
+	if (k <= 0)
+		return (false);
+	c->n += (size_t)k;
+	c->buf[c->n] = '\0';
+	return (true);
+}
+
+static void
+take(struct conn *c, char *to, size_t n)
+{
+	if (to != NULL)
+		memcpy(to, c->buf, n);
+	memmove(c->buf, c->buf + n, c->n - n + 1);
+	c->n -= n;
+}
+
+static bool
+read_bytes(struct conn *c, size_t n)
+{
+	c->body = realloc(c->body, c->body_n + n + 1);
+	while (n != 0) {
+		size_t k;
+
+		if (c->n == 0 && !fill(c))
+			return (false);
+		k = c->n < n ? c->n : n;
+		take(c, c->body + c->body_n, k);
+		c->body_n += k;
+		n -= k;
+	}
+	return (true);
+}
+
+static bool
+read_line(struct conn *c, char *line, size_t max)
+{
+	char *end;
+
+	while ((end = strstr(c->buf, "\r\n")) == NULL) {
+		if (!fill(c))
+			return (false);
+	}
+	if ((size_t)(end - c->buf) >= max)
+		return (false);
+	memcpy(line, c->buf, (size_t)(end - c->buf));
+	line[end - c->buf] = '\0';
+	take(c, NULL, (size_t)(end - c->buf) + 2);
+	return (true);
+}
+
+static bool
+read_chunks(struct conn *c)
+{
+	char line[64];
+	size_t n;
+
+	do {
+		if (!read_line(c, line, sizeof(line)))
+			return (false);
+		n = strtoul(line, NULL, 16);
+		if (!read_bytes(c, n) || !read_line(c, line, sizeof(line)))
+			return (false);
+	} while (n != 0);
+	return (true);
+}
+
+static bool
+read_request(struct conn *c)
+{
+	char *end, *field;
+
+	c->body_n = 0;
+	while ((end = strstr(c->buf, "\r\n\r\n")) == NULL) {
+		if (!fill(c))
+			return (false);
+	}
+	take(c, c->head, (size_t)(end - c->buf) + 4);
+	c->head[end - c->buf + 4] = '\0';
+	if (sscanf(c->head, "%*s %255[^? \r\n]", c->path) != 1)
+		return (false);
+	field = strcasestr(c->head, "\r\nContent-Length:");
+	if (field != NULL)
+		return (read_bytes(c, strtoul(field + 17, NULL, 10)));
+	if (strcasestr(c->head, "\r\nTransfer-Encoding: chunked") != NULL)
+		return (read_chunks(c));
+	return (true);
+}
+
+/** struct canned - fixed answer; the connection is closed after a cut one */
+struct canned {
+	const char *name;
+	bool close;
+	const char *text;
+};
+
+#define OK "HTTP/1.1 200 OK\r\n"
+#define CANNED_OK OK "Content-Length: 2\r\n\r\nok"
+
+static const struct canned canned[] = {
+    {"ok", false, CANNED_OK},
+    {"extra", false, CANNED_OK OK "Content-Length: 6\r\n\r\nstolen"},
+    {"chunked", false,
+	OK "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n2\r\ncd\r\n0\r\n\r\n"},
+    {"trailer", false,
+	OK "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Late: "
+	   "1\r\n\r\n"},
+    {"headlen", false, OK "Content-Length: 5\r\n\r\n"},
+    {"headbody", false, OK "Content-Length: 6\r\n\r\nstolen"},
+    {"s204", false, "HTTP/1.1 204 No Content\r\n\r\n"},
+    {"s304", false,
+	"HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\nETag: x\r\n\r\n"},
+    {"s204body", false,
+	"HTTP/1.1 204 No Content\r\nContent-Length: 6\r\n\r\nstolen"},
+    {"s500", false, "HTTP/1.1 500 Bad\r\nContent-Length: 4\r\n\r\noops"},
+    {"interim", false,
+	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nX-Early: "
+	"1\r\nContent-Length: 6\r\n\r\n" CANNED_OK},
+    {"switch", true,
+	"HTTP/1.1 101 Switch\r\nUpgrade: x\r\nConnection: "
+	"Upgrade\r\n\r\n" CANNED_OK},
+    {"own", false,
+	OK "X-Error-Kind: connect\r\nX-Outcome: not-run\r\nX-Replayed: 1\r\n"
+	   "X-Body-Omitted: 1\r\nConnection: X-Hop\r\nX-Hop: 1\r\nX-End: 1\r\n"
+	   "Content-Length: 2\r\n\r\nok"},
+    {"draining", false,
+	OK "X-State: draining\r\nX-Load: 3\r\nContent-Length: 2\r\n\r\nok"},
+    {"refuse", false,
+	"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nbusy"},
+    {"refusecut", true,
+	"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nb"},
+    {"notrun200", false, OK "X-Not-Run: 1\r\nContent-Length: 2\r\n\r\nok"},
+    {"close", true, ""},
+    {"cuthead", true, OK "Content-Len"},
+    {"cutfields", true, OK "Content-Length: 2\r\n"},
+    {"cutlen", true, OK "Content-Length: 10\r\n\r\npart"},
+    {"cutchunk", true, OK "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"},
+    {"garbage", true, "no HTTP at all\r\n\r\n"},
+    {"duplen", false, OK "Content-Length: 2\r\nContent-Length: 2\r\n\r\nok"},
+    {"duplen2", false, OK "Content-Length: 2\r\nContent-Length: 9\r\n\r\nok"},
+    {"lenlist", false, OK "Content-Length: 2, 2\r\n\r\nok"},
+    {"neglen", false, OK "Content-Length: -2\r\n\r\nok"},
+    {"lente", false,
+	OK "Content-Length: 2\r\nTransfer-Encoding: "
+	   "chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
+    {"telen", false,
+	OK "Transfer-Encoding: chunked\r\nContent-Length: "
+	   "2\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
+    {"tegzip", true, OK "Transfer-Encoding: gzip, chunked\r\n\r\nok"},
+    {"eofbody", true, OK "\r\nok"},
+    {"http10", true, "HTTP/1.0 200 OK\r\n\r\nok"},
+    {"badchunk", true, OK "Transfer-Encoding: chunked\r\n\r\nzz\r\nok\r\n"},
+    {"fold", false, OK "X-A: 1\r\n X-B: 2\r\nContent-Length: 2\r\n\r\nok"},
+    {"barecr", false, OK "X-A: 1\rX-B: 2\r\nContent-Length: 2\r\n\r\nok"},
+    {"spacename", false, OK "Content-Length : 2\r\n\r\nok"},
+};
+
+static const struct canned *
+find_canned(const char *name)
+{
+	for (size_t i = 0; i < sizeof(canned) / sizeof(*canned); i++) {
+		if (strcmp(canned[i].name, name) == 0)
+			return (&canned[i]);
+	}
+	return (NULL);
+}
+
+/* Waits until the peer closes and counts that for the path. */
+static void
+wait_gone(struct conn *c)
+{
+	struct pollfd p = {.fd = c->fd, .events = POLLIN};
+	char ch;
+
+	if (poll(&p, 1, MAX_HANG_MS) != 1 || recv(c->fd, &ch, 1, MSG_PEEK) > 0)
+		return;
+	pthread_mutex_lock(&lock);
+	find_path(c->path)->gone++;
+	pthread_mutex_unlock(&lock);
+}
+
+static void
+answer_ctl(struct conn *c)
+{
+	bool gone = strncmp(c->path, "/ctl/gone", 9) == 0;
+	struct path_count *p;
+	char text[16];
+
+	pthread_mutex_lock(&lock);
+	p = find_path(c->path + (gone ? 9 : 10));
+	snprintf(text, sizeof(text), "%d", gone ? p->gone : p->complete);
+	pthread_mutex_unlock(&lock);
+	send_body(c->fd, "", text, strlen(text));
+}
+
+static void
+send_filled(struct conn *c, size_t n, bool chunked)
+{
+	char *p = malloc(n);
+
+	for (size_t i = 0; i < n; i++)
+		p[i] = (char)('a' + i % 23);
+	if (!chunked) {
+		send_body(c->fd, "Content-Type: text/x\r\n", p, n);
+	} else {
+		char line[32];
+
+		snprintf(line, sizeof(line), "%zx\r\n", n);
+		send_str(c->fd, OK "Transfer-Encoding: chunked\r\n\r\n");
+		send_str(c->fd, line);
+		send_all(c->fd, p, n);
+		send_str(c->fd, "\r\n0\r\n\r\n");
+	}
+	free(p);
+}
+
+static void
+send_large_head(struct conn *c)
+{
+	char line[128];
+
+	send_str(c->fd, OK);
+	for (int i = 0; i < 300; i++) {
+		snprintf(line, sizeof(line), "X-Fill-%d: %064d\r\n", i, i);
+		send_str(c->fd, line);
+	}
+	send_str(c->fd, "Content-Length: 2\r\n\r\nok");
+}
+
+static void
+reset(struct conn *c)
+{
+	const struct linger l = {.l_onoff = 1, .l_linger = 0};
+
+	send_str(c->fd, OK "Content-Length: 10\r\n\r\npart");
+	usleep(LATE_US);
+	setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &l, sizeof(l));
+}
+
+/* Answers one request; false when the connection ends. */
+static bool
+behave(struct conn *c, const char *name)
+{
+	const struct canned *k = find_canned(name);
+	bool keep = true;
+
+	if (k != NULL) {
+		send_str(c->fd, k->text);
+		return (!k->close);
+	}
+	if (strcmp(name, "echo") == 0) {
+		send_body(c->fd, "", c->body, c->body_n);
+	} else if (strcmp(name, "echohead") == 0) {
+		send_body(c->fd, "", c->head, strlen(c->head));
+	} else if (strcmp(name, "big") == 0) {
+		send_filled(c, BIG_BODY, false);
+	} else if (strcmp(name, "bigchunk") == 0) {
+		send_filled(c, BIG_BODY, true);
+	} else if (strcmp(name, "over4k") == 0) {
+		send_filled(c, KEPT_LIMIT_BODY, false);
+	} else if (strcmp(name, "largehead") == 0) {
+		send_large_head(c);
+	} else if (strcmp(name, "slow") == 0) {
+		usleep(SLOW_US);
+		send_str(c->fd, CANNED_OK);
+	} else if (strcmp(name, "lateextra") == 0) {
+		send_str(c->fd, CANNED_OK);
+		usleep(LATE_US);
+		send_str(c->fd, OK "Content-Length: 6\r\n\r\nstolen");
+	} else if (strcmp(name, "closereused") == 0) {
+		keep = c->requests == 1;
+		if (keep)
+			send_str(c->fd, CANNED_OK);
+	} else if (strcmp(name, "hang") == 0) {
+		wait_gone(c);
+		keep = false;
+	} else if (strcmp(name, "hangbody") == 0) {
+		send_str(c->fd, OK "Content-Length: 10\r\n\r\npart");
+		wait_gone(c);
+		keep = false;
+	} else if (strcmp(name, "resetbody") == 0) {
+		reset(c);
+		keep = false;
+	} else {
+		send_str(
+		    c->fd, "HTTP/1.1 404 None\r\nContent-Length: 0\r\n\r\n");
+	}
+	return (keep);
+}
+
+static void *
+serve(void *arg)
+{
+	struct conn *c = arg;
+	bool keep = true;
+
+	while (keep && read_request(c)) {
+		char name[64] = "";
+
+		c->requests++;
+		if (strncmp(c->path, "/ctl/", 5) == 0) {
+			answer_ctl(c);
+			continue;
+		}
+		pthread_mutex_lock(&lock);
+		find_path(c->path)->complete++;
+		pthread_mutex_unlock(&lock);
+		sscanf(c->path, "/%*[^/]/%63[^/]", name);
+		keep = behave(c, name);
+	}
+	close(c->fd);
+	free(c->body);
+	free(c);
+	return (NULL);
+}
+
+int
+main(void)
+{
+	struct sockaddr_in sin = {
+	    .sin_family = AF_INET, .sin_addr = {htonl(INADDR_LOOPBACK)}};
+	socklen_t len = sizeof(sin);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	signal(SIGPIPE, SIG_IGN);
+	if (bind(fd, (struct sockaddr *)&sin, len) != 0 ||
+	    listen(fd, 128) != 0 ||
+	    getsockname(fd, (struct sockaddr *)&sin, &len) != 0) {
+		perror("listen");
+		return (1);
+	}
+	printf("port %u\n", ntohs(sin.sin_port));
+	fflush(stdout);
+	for (;;) {
+		int client = accept(fd, NULL, NULL);
+		struct conn *c;
+		pthread_t t;
+
+		if (client < 0)
+			return (1);
+		c = calloc(1, sizeof(*c));
+		c->fd = client;
+		pthread_create(&t, NULL, serve, c);
+		pthread_detach(t);
+	}
+}
--- /dev/null
+++ b/tests/unit/front_rig.h
@@ -0,0 +1,653 @@
+/*
+ * front_rig - one real worker between a raw client and tests/standin/rawup,
+ * with a fake control thread.
+ *
+ * Hosts: "a" has the stand-in, "dead" refuses connections, "hole" does not
+ * complete them, "two" has a dead upstream and the stand-in, "full" is at its
+ * limit while rig.full is set, "none" has no upstream. Routes: /i and /t are
+ * idempotent, / is not; /t and /u have a timeout of SHORT_MS.
+ *
+ * The fake control thread decides a claim by the first word of its key.
+ */
+#ifndef FRONT_RIG_H
+#define FRONT_RIG_H
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <libgen.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+#include <urcu.h>
+
+#include "front/cmsg.h"
+#include "front/env.h"
+#include "front/wrk.h"
+#include "sys/clk.h"
+
+#define SHORT_MS 300
+#define LONG_MS 10000
+#define HEAD_TIMEOUT_MS 400
+#define MAX_FINISHES 256
+#define MAX_REPLY (16 * 1024 * 1024)
+#define CLIENT_TIMEOUT_S 20
+#define N_SERVICES 6
+
+/** struct rig - everything that a test program shares */
+struct rig {
+	struct env env;
+	struct met met;
+	struct wrk *w;
+	pthread_t worker;
+	pthread_t control_thread;
+	struct mq control;
+	_Atomic bool stop;
+	_Atomic bool full;
+	_Atomic bool dead_first; /* for "two" */
+	_Atomic bool hold; /* claims with the word "hold" are not answered */
+	_Atomic int states;
+	_Atomic uint64_t fingerprint;
+	pthread_mutex_t lock;
+	struct cmsg_finish finishes[MAX_FINISHES];
+	int n_finishes;
+	struct rt_tally *tally;
+	pid_t upstream;
+	uint16_t up_port;
+	uint16_t port;
+	int fds[16]; /* kept open until the end */
+	int n_fds;
+};
+
+static struct rig rig = {.lock = PTHREAD_MUTEX_INITIALIZER};
+
+/** struct reply - what a client read until the connection was closed */
+struct reply {
+	char *p;
+	size_t n;
+	unsigned status;
+	const char *body;
+	size_t body_n;
+	bool complete;
+	size_t rest; /* bytes after the first response */
+};
+
+static inline int
+rig_bind(int backlog, uint16_t *port, int option)
+{
+	struct sockaddr_in sin = {
+	    .sin_family = AF_INET, .sin_addr = {htonl(INADDR_LOOPBACK)}};
+	socklen_t len = sizeof(sin);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	const int one = 1;
+
+	if (option != 0)
+		setsockopt(fd, SOL_SOCKET, option, &one, sizeof(one));
+	assert_int_equal(bind(fd, (struct sockaddr *)&sin, len), 0);
+	if (backlog >= 0)
+		assert_int_equal(listen(fd, backlog), 0);
+	getsockname(fd, (struct sockaddr *)&sin, &len);
+	*port = ntohs(sin.sin_port);
+	rig.fds[rig.n_fds++] = fd;
+	return (fd);
+}
+
+static inline int
+rig_connect_to(uint16_t port, int type)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET,
+	    .sin_port = htons(port),
+	    .sin_addr = {htonl(INADDR_LOOPBACK)}};
+	const struct timeval limit = {.tv_sec = CLIENT_TIMEOUT_S};
+	int fd = socket(AF_INET, SOCK_STREAM | type, 0);
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+	if (connect(fd, (struct sockaddr *)&sin, sizeof(sin)) != 0)
+		assert_int_not_equal(type, 0);
+	return (fd);
+}
+
+/* A port whose accept queue is full, so that connecting never completes. */
+static inline uint16_t
+rig_hole(void)
+{
+	uint16_t port;
+
+	rig_bind(0, &port, 0);
+	for (int i = 0; i < 4; i++)
+		rig.fds[rig.n_fds++] = rig_connect_to(port, SOCK_NONBLOCK);
+	return (port);
+}
+
+static inline void
+rig_start_upstream(void)
+{
+	char exe[512], path[600], line[64] = "";
+	ssize_t n = readlink("/proc/self/exe", exe, sizeof(exe) - 1);
+	FILE *out;
+	int p[2];
+
+	assert_true(n > 0);
+	exe[n] = '\0';
+	snprintf(path, sizeof(path), "%s/../standin/rawup", dirname(exe));
+	assert_int_equal(pipe(p), 0);
+	rig.upstream = fork();
+	if (rig.upstream == 0) {
+		dup2(p[1], 1);
+		execl(path, "rawup", (char *)NULL);
+		_exit(127);
+	}
+	close(p[1]);
+	out = fdopen(p[0], "r");
+	assert_non_null(fgets(line, sizeof(line), out));
+	fclose(out);
+	rig.up_port = (uint16_t)atoi(line + strlen("port "));
+	assert_int_not_equal(rig.up_port, 0);
+}
+
+static inline void
+rig_publish(uint16_t dead, uint16_t hole)
+{
+	static const char *const names[N_SERVICES] = {
+	    "a", "dead", "hole", "two", "full", "none"};
+	struct rt_route routes[] = {
+	    {BSTR("/"), false, LONG_MS},
+	    {BSTR("/i"), true, LONG_MS},
+	    {BSTR("/t"), true, SHORT_MS},
+	    {BSTR("/u"), false, SHORT_MS},
+	};
+	const uint16_t ports[N_SERVICES][2] = {{rig.up_port}, {dead}, {hole},
+	    {dead, rig.up_port}, {rig.up_port}, {0}};
+	struct rt_version version = {BSTR("v1"), 1000};
+	struct rt_service s[N_SERVICES] = {0};
+	struct rt_upstream ups[N_SERVICES][2] = {0};
+	struct bstr hosts[N_SERVICES];
+	struct rt_tally *tallies[4];
+	static char addrs[N_SERVICES][2][32];
+
+	for (int i = 0; i < 4; i++)
+		tallies[i] = rt_tally_new();
+	rig.tally = rt_tally_ref(tallies[1]);
+	for (int i = 0; i < N_SERVICES; i++) {
+		hosts[i] = bstr_from(names[i]);
+		s[i] = (struct rt_service){.name = hosts[i],
+		    .hosts = &hosts[i],
+		    .n_hosts = 1,
+		    .routes = routes,
+		    .n_routes = 4,
+		    .versions = &version,
+		    .n_versions = 1,
+		    .upstreams = ups[i],
+		    .slots = 6};
+		for (int k = 0; k < 2 && ports[i][k] != 0; k++) {
+			struct rt_upstream *u = &ups[i][s[i].n_upstreams++];
+
+			snprintf(addrs[i][k], sizeof(addrs[0][0]),
+			    "127.0.0.1:%u", ports[i][k]);
+			u->id = u->addr = bstr_from(addrs[i][k]);
+			u->stat = rt_stat_new();
+		}
+	}
+	s[0].tallies = tallies;
+	s[0].slow_us = 10000;
+	rig.env.table = rt_table_new(
+	    &(struct rt_desc){.services = s, .n_services = N_SERVICES});
+	for (int i = 0; i < N_SERVICES; i++) {
+		for (uint32_t k = 0; k < s[i].n_upstreams; k++)
+			rt_stat_unref(ups[i][k].stat);
+	}
+	for (int i = 0; i < 4; i++)
+		rt_tally_unref(tallies[i]);
+}
+
+/* As rt_pick(), but "full" may be at its limit and "two" start with the dead.
+ */
+static inline int
+rig_pick(const struct rt_service *s, const struct rt_request *req,
+    int64_t now_us, struct rng *rng)
+{
+	if (bstr_eq(s->name, BSTR("full")) && atomic_load(&rig.full))
+		return (RT_FULL);
+	if (bstr_eq(s->name, BSTR("two")) && req->n_excluded == 0)
+		return (atomic_load(&rig.dead_first) ? 0 : 1);
+	return (rt_pick(s, req, now_us, rng));
+}
+
+static inline bool
+rig_key_is(const struct cmsg_key *key, const char *word)
+{
+	return (
+	    bstr_has_prefix((struct bstr){key->s, key->n}, bstr_from(word)));
+}
+
+static inline void
+rig_reply(const struct cmsg_claim *c)
+{
+	static const char *const words[] = {[CMSG_GRANTED] = "grant",
+	    [CMSG_IN_PROGRESS] = "progress",
+	    [CMSG_DONE] = "done",
+	    [CMSG_UNKNOWN] = "unknown",
+	    [CMSG_MISMATCH] = "mismatch",
+	    [CMSG_UNAVAILABLE] = "unavailable"};
+	struct cmsg_claim_reply *r = calloc(1, sizeof(*r));
+
+	r->m.type = CMSG_CLAIM_REPLY;
+	r->ref = c->ref;
+	r->verdict = CMSG_GRANTED;
+	for (int v = 0; v <= CMSG_UNAVAILABLE; v++) {
+		if (rig_key_is(&c->key, words[v]))
+			r->verdict = (enum cmsg_verdict)v;
+	}
+	r->attempt = 7;
+	r->valid_until_us = clk_mono_us() + 5000000;
+	if (rig_key_is(&c->key, "expired"))
+		r->valid_until_us = clk_mono_us() - 1;
+	if (r->verdict == CMSG_DONE) {
+		r->response.status = 201;
+		snprintf(r->response.content_type,
+		    sizeof(r->response.content_type), "text/y");
+		r->response.body_omitted = rig_key_is(&c->key, "doneomit");
+		r->response.body_len = r->response.body_omitted ? 0 : 6;
+		memcpy(r->response.body, "stored", 6);
+	}
+	mq_push(c->reply_to, &r->m);
+}
+
+static inline void
+rig_on_message(struct mq_msg *m, struct cmsg_claim **held)
+{
+	struct cmsg_claim *c;
+
+	switch (m->type) {
+	case CMSG_CLAIM:
+		c = caa_container_of(m, struct cmsg_claim, m);
+		atomic_store(&rig.fingerprint, c->fingerprint);
+		if (rig_key_is(&c->key, "hold") && atomic_load(&rig.hold)) {
+			*held = c;
+			return;
+		}
+		rig_reply(c);
+		break;
+	case CMSG_FINISH:
+		pthread_mutex_lock(&rig.lock);
+		assert_true(rig.n_finishes < MAX_FINISHES);
+		rig.finishes[rig.n_finishes++] =
+		    *caa_container_of(m, struct cmsg_finish, m);
+		pthread_mutex_unlock(&rig.lock);
+		break;
+	case CMSG_UPSTREAM_STATE:
+		atomic_fetch_add(&rig.states, 1);
+		break;
+	}
+	free(m);
+}
+
+static inline void *
+rig_run_control(void *arg)
+{
+	struct pollfd p = {.fd = mq_fd(&rig.control), .events = POLLIN};
+	struct cmsg_claim *held = NULL;
+	struct mq_msg *m;
+
+	(void)arg;
+	while (!atomic_load(&rig.stop)) {
+		poll(&p, 1, 5);
+		mq_clear_event(&rig.control);
+		while ((m = mq_pop(&rig.control)) != NULL)
+			rig_on_message(m, &held);
+		if (held != NULL && !atomic_load(&rig.hold)) {
+			rig_reply(held);
+			free(held);
+			held = NULL;
+		}
+	}
+	return (NULL);
+}
+
+static inline void *
+rig_run_worker(void *arg)
+{
+	wrk_run(arg);
+	return (NULL);
+}
+
+static inline int
+rig_setup(void **state)
+{
+	uint16_t dead;
+	struct wrk_desc d = {.env = &rig.env,
+	    .addr = "127.0.0.1",
+	    .seed = 1,
+	    .head_timeout_ms = HEAD_TIMEOUT_MS,
+	    .pick = rig_pick};
+
+	(void)state;
+	signal(SIGPIPE, SIG_IGN);
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	rig_start_upstream();
+	rig_bind(-1, &dead, 0);
+	rig_publish(dead, rig_hole());
+	mq_init(&rig.control);
+	rig.env.control = &rig.control;
+	rig.env.met = &rig.met;
+	rig.env.max_keyed_body = 100000;
+	atomic_store(&rig.env.fresh_until_us, INT64_MAX);
+	rig_bind(-1, &rig.port, SO_REUSEPORT);
+	d.port = rig.port;
+	rig.w = wrk_new(&d, NULL);
+	assert_non_null(rig.w);
+	pthread_create(&rig.control_thread, NULL, rig_run_control, NULL);
+	pthread_create(&rig.worker, NULL, rig_run_worker, rig.w);
+	return (0);
+}
+
+static inline int
+rig_teardown(void **state)
+{
+	struct mq_msg *m;
+
+	(void)state;
+	wrk_stop(rig.w);
+	pthread_join(rig.worker, NULL);
+	atomic_store(&rig.stop, true);
+	pthread_join(rig.control_thread, NULL);
+	wrk_free(rig.w);
+	while ((m = mq_pop(&rig.control)) != NULL)
+		free(m);
+	mq_finish(&rig.control);
+	rt_table_free(rig.env.table);
+	rt_tally_unref(rig.tally);
+	for (int i = 0; i < rig.n_fds; i++)
+		close(rig.fds[i]);
+	kill(rig.upstream, SIGKILL);
+	waitpid(rig.upstream, NULL, 0);
+	curl_global_cleanup();
+	return (0);
+}
+
+static inline int
+rig_open(const char *text, size_t n)
+{
+	int fd = rig_connect_to(rig.port, 0);
+
+	while (n != 0) {
+		ssize_t k = send(fd, text, n, MSG_NOSIGNAL);
+
+		if (k <= 0)
+			break;
+		text += k;
+		n -= (size_t)k;
+	}
+	return (fd);
+}
+
+static inline const char *
+rig_field(const struct reply *r, const char *name)
+{
+	static char value[256];
+	const char *end = r->body;
+	const char *p = r->p;
+	size_t n = strlen(name);
+
+	while (p != NULL && p < end) {
+		if (strncasecmp(p, name, n) == 0 && p[n] == ':') {
+			sscanf(p + n + 1, " %255[^\r]", value);
+			return (value);
+		}
+		p = strstr(p, "\r\n");
+		if (p != NULL)
+			p += 2;
+	}
+	return ("");
+}
+
+/* Decodes chunks in place; false when the last chunk is missing. */
+static inline bool
+rig_dechunk(struct reply *r)
+{
+	char *in = (char *)(uintptr_t)r->body;
+	char *out = in;
+	char *end = r->p + r->n;
+
+	for (;;) {
+		char *eol = strstr(in, "\r\n");
+		size_t n = strtoul(in, NULL, 16);
+
+		if (eol == NULL || n > (size_t)(end - eol))
+			return (false);
+		in = eol + 2;
+		memmove(out, in, n);
+		out += n;
+		in += n + 2;
+		if (in > end)
+			return (false);
+		if (n == 0)
+			break;
+	}
+	r->body_n = (size_t)(out - r->body);
+	r->rest = (size_t)(end - in);
+	return (true);
+}
+
+static inline void
+rig_parse(struct reply *r, bool to_head)
+{
+	char *end = strstr(r->p, "\r\n\r\n");
+	size_t len;
+
+	if (end == NULL || sscanf(r->p, "HTTP/1.%*c %u", &r->status) != 1)
+		return;
+	r->body = end + 4;
+	r->body_n = r->n - (size_t)(r->body - r->p);
+	if (to_head || r->status == 204 || r->status == 304) {
+		r->rest = r->body_n;
+		r->body_n = 0;
+		r->complete = true;
+		return;
+	}
+	if (strcasecmp(rig_field(r, "Transfer-Encoding"), "chunked") == 0) {
+		r->complete = rig_dechunk(r);
+		return;
+	}
+	if (*rig_field(r, "Content-Length") == '\0')
+		return;
+	len = strtoul(rig_field(r, "Content-Length"), NULL, 10);
+	r->complete = r->body_n >= len;
+	if (r->complete) {
+		r->rest = r->body_n - len;
+		r->body_n = len;
+	}
+}
+
+/* Reads until the connection is closed; the storage is freed by rig_done(). */
+static inline struct reply
+rig_read(int fd, bool to_head)
+{
+	struct reply r = {.p = malloc(MAX_REPLY + 1)};
+	ssize_t k;
+
+	while (r.n < MAX_REPLY &&
+	    (k = recv(fd, r.p + r.n, MAX_REPLY - r.n, 0)) > 0)
+		r.n += (size_t)k;
+	r.p[r.n] = '\0';
+	close(fd);
+	rig_parse(&r, to_head);
+	return (r);
+}
+
+static inline void
+rig_done(struct reply *r)
+{
+	free(r->p);
+	*r = (struct reply){0};
+}
+
+/** rig_raw() - send bytes, read until the connection is closed */
+static inline struct reply
+rig_raw(const char *text)
+{
+	return (rig_read(rig_open(text, strlen(text)), false));
+}
+
+/** rig_request() - open a call whose connection closes at its end */
+static inline int
+rig_request(const char *method, const char *host, const char *path,
+    const char *fields, const char *body)
+{
+	char text[8192];
+	char length[64] = "";
+	int n;
+
+	if (body != NULL)
+		snprintf(length, sizeof(length), "Content-Length: %zu\r\n",
+		    strlen(body));
+	n = snprintf(text, sizeof(text),
+	    "%s %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n%s%s\r\n%s",
+	    method, path, host, length, fields, body == NULL ? "" : body);
+	assert_true(n < (int)sizeof(text));
+	return (rig_open(text, (size_t)n));
+}
+
+/** rig_call() - one call from start to end */
+static inline struct reply
+rig_call(const char *method, const char *host, const char *path,
+    const char *fields, const char *body)
+{
+	int fd = rig_request(method, host, path, fields, body);
+
+	return (rig_read(fd, strcmp(method, "HEAD") == 0));
+}
+
+/* Reads a number from the stand-in, past the worker. */
+static inline int
+rig_ask(const char *what, const char *path)
+{
+	char text[512];
+	struct reply r;
+	char buf[512];
+	size_t n = 0;
+	int fd = rig_connect_to(rig.up_port, 0);
+
+	snprintf(
+	    text, sizeof(text), "GET /ctl/%s%s HTTP/1.1\r\n\r\n", what, path);
+	send(fd, text, strlen(text), MSG_NOSIGNAL);
+	do {
+		ssize_t k = recv(fd, buf + n, sizeof(buf) - 1 - n, 0);
+
+		assert_true(k > 0);
+		n += (size_t)k;
+		buf[n] = '\0';
+		r = (struct reply){.p = buf, .n = n};
+		rig_parse(&r, false);
+	} while (!r.complete);
+	close(fd);
+	return (atoi(r.body));
+}
+
+/** rig_count() - complete requests that the stand-in received for a path */
+static inline int
+rig_count(const char *path)
+{
+	return (rig_ask("count", path));
+}
+
+/** rig_wait_gone() - until the stand-in saw the connection of a path close */
+static inline void
+rig_wait_gone(const char *path)
+{
+	for (int i = 0; i < 1000 && rig_ask("gone", path) == 0; i++)
+		usleep(10000);
+	assert_int_equal(rig_ask("gone", path), 1);
+}
+
+/** rig_wait_count() - until the stand-in has received a request */
+static inline void
+rig_wait_count(const char *path)
+{
+	for (int i = 0; i < 1000 && rig_count(path) == 0; i++)
+		usleep(10000);
+	assert_int_equal(rig_count(path), 1);
+}
+
+/** rig_finishes() - number of finishes of a key, and the last one */
+static inline int
+rig_finishes(const char *key, struct cmsg_finish *out)
+{
+	int n = 0;
+
+	pthread_mutex_lock(&rig.lock);
+	for (int i = 0; i < rig.n_finishes; i++) {
+		const struct cmsg_key *k = &rig.finishes[i].key;
+
+		if (bstr_eq((struct bstr){k->s, k->n}, bstr_from(key))) {
+			n++;
+			*out = rig.finishes[i];
+		}
+	}
+	pthread_mutex_unlock(&rig.lock);
+	return (n);
+}
+
+/** rig_wait_finish() - the only finish of a key */
+static inline struct cmsg_finish
+rig_wait_finish(const char *key)
+{
+	struct cmsg_finish f = {0};
+
+	for (int i = 0; i < 1000 && rig_finishes(key, &f) == 0; i++)
+		usleep(10000);
+	assert_int_equal(rig_finishes(key, &f), 1);
+	return (f);
+}
+
+/** rig_earn() - successful calls to @host, for at least one retry */
+static inline void
+rig_earn(const char *host)
+{
+	for (int i = 0; i < 11; i++) {
+		struct reply r = rig_call("GET", host, "/i/ok/e", "", NULL);
+
+		assert_int_equal(r.status, 200);
+		rig_done(&r);
+	}
+}
+
+/** rig_has() - whether the body holds a text */
+static inline bool
+rig_has(const struct reply *r, const char *text)
+{
+	return (r->body != NULL && strstr(r->body, text) != NULL);
+}
+
+/** rig_expect_error() - check status, kind and outcome; frees the reply */
+static inline void
+rig_expect_error(
+    struct reply r, unsigned status, const char *kind, const char *outcome)
+{
+	if (r.status != status || !r.complete ||
+	    strcmp(rig_field(&r, "X-Error-Kind"), kind) != 0 ||
+	    strcmp(rig_field(&r, "X-Outcome"), outcome) != 0)
+		fail_msg(
+		    "want %u %s %s, got: %.400s", status, kind, outcome, r.p);
+	rig_done(&r);
+}
+
+/** rig_expect_body() - check a complete 200; frees the reply */
+static inline void
+rig_expect_body(struct reply r, const char *body)
+{
+	if (r.status != 200 || !r.complete || r.rest != 0 ||
+	    r.body_n != strlen(body) || memcmp(r.body, body, r.body_n) != 0)
+		fail_msg("want 200 with %s, got: %.400s", body, r.p);
+	rig_done(&r);
+}
+
+#endif
--- /dev/null
+++ b/tests/unit/test_front_head.c
@@ -0,0 +1,146 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "front/hop.h"
+#include "front/rhd.h"
+#include "front/rqh.h"
+
+/* Feeds a head line by line; the verdict of the last line read. */
+static enum rhd_verdict
+feed(struct rhd *h, const char *text)
+{
+	enum rhd_verdict v = RHD_MORE;
+
+	while (*text != '\0' && v != RHD_BAD) {
+		const char *end = strchr(text, '\n');
+		size_t n =
+		    end == NULL ? strlen(text) : (size_t)(end - text) + 1;
+
+		v = rhd_line(h, (struct bstr){text, n});
+		text += n;
+	}
+	return (v);
+}
+
+static enum rhd_verdict
+verdict(const char *text, bool to_head)
+{
+	struct rhd h;
+	enum rhd_verdict v;
+
+	rhd_init(&h, to_head);
+	v = feed(&h, text);
+	rhd_finish(&h);
+	return (v);
+}
+
+#define S "HTTP/1.1 200 OK\r\n"
+
+/* Guards against a response whose end could be mistaken. */
+static void
+test_framing(void **state)
+{
+	(void)state;
+	assert_int_equal(
+	    verdict(S "Content-Length: 3\r\n\r\n", false), RHD_FINAL);
+	assert_int_equal(
+	    verdict(S "transfer-encoding: Chunked\r\n\r\n", false), RHD_FINAL);
+	assert_int_equal(verdict(S "\r\n", false), RHD_BAD);
+	assert_int_equal(verdict(S "\r\n", true), RHD_FINAL);
+	assert_int_equal(verdict("HTTP/1.1 304 X\r\n\r\n", false), RHD_FINAL);
+	assert_int_equal(verdict("HTTP/1.1 101 X\r\n\r\n", false), RHD_BAD);
+	assert_int_equal(verdict("HTTP/1.1 103 X\r\n\r\n", false), RHD_INTERIM);
+	assert_int_equal(verdict("HTTP/2 200 X\r\n", false), RHD_BAD);
+	assert_int_equal(verdict("HTTP/1.1 20 X\r\n", false), RHD_BAD);
+	assert_int_equal(verdict("HTTP/1.1 2000\r\n", false), RHD_BAD);
+	assert_int_equal(verdict(S S, false), RHD_BAD);
+	assert_int_equal(
+	    verdict(S "Content-Length: 9223372036854775808\r\n", false),
+	    RHD_BAD);
+}
+
+/* Guards against interim fields that leak into the final head. */
+static void
+test_interim(void **state)
+{
+	struct rhd h;
+
+	(void)state;
+	rhd_init(&h, false);
+	assert_int_equal(
+	    feed(&h,
+		"HTTP/1.1 103 E\r\nContent-Length: 9\r\nX-A: 1\r\n\r\n" S
+		"Content-Length: 2\r\nX-B: 2\r\n\r\n"),
+	    RHD_FINAL);
+	assert_int_equal(h.len, 2);
+	assert_int_equal(rhd_find(&h, BSTR("x-a")).n, 0);
+	assert_true(bstr_eq(rhd_find(&h, BSTR("x-b")), BSTR("2")));
+	/* Trailers are not fields of the head. */
+	assert_int_equal(feed(&h, "X-C: 3\r\n"), RHD_MORE);
+	assert_int_equal(h.n, 1);
+	rhd_finish(&h);
+}
+
+/* Guards against dropping a Host that a caller lists in Connection. */
+static void
+test_listed(void **state)
+{
+	struct bstr v = BSTR("close ,\tX-A,, x-b");
+
+	(void)state;
+	assert_true(hop_lists(v, BSTR("x-a")));
+	assert_true(hop_lists(v, BSTR("X-B")));
+	assert_false(hop_lists(v, BSTR("X-C")));
+	assert_false(hop_lists(BSTR("Host"), BSTR("host")));
+	assert_false(
+	    hop_lists(BSTR("idempotency-key"), BSTR("Idempotency-Key")));
+}
+
+static void
+check_path(const char *in, const char *want)
+{
+	struct bbuf b;
+	bool ok;
+
+	bbuf_init(&b);
+	ok = rqh_plain_path(bstr_from(in), &b);
+	assert_int_equal(ok, want != NULL);
+	if (ok)
+		assert_string_equal(b.p, want);
+	bbuf_finish(&b);
+}
+
+/* Guards against a path that means another route to the upstream. */
+static void
+test_plain_path(void **state)
+{
+	(void)state;
+	check_path("/", "/");
+	check_path("/a/b/", "/a/b/");
+	check_path("//a///b", "/a/b");
+	check_path("/a/./b/../c", "/a/c");
+	check_path("/%70ay", "/pay");
+	check_path("/a/%2e%2e/pay", "/pay");
+	check_path("/a%2fb", "/a/b");
+	check_path("/..", NULL);
+	check_path("/%", NULL);
+	check_path("/%4", NULL);
+	check_path("/%zz", NULL);
+	check_path("/%00", NULL);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_framing),
+	    cmocka_unit_test(test_interim),
+	    cmocka_unit_test(test_listed),
+	    cmocka_unit_test(test_plain_path),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
--- /dev/null
+++ b/tests/unit/test_front_stream.c
@@ -0,0 +1,242 @@
+#include "unit/front_rig.h"
+
+/* Guards against answers that are changed, cut or mixed on the way. */
+static void
+test_plain(void **state)
+{
+	struct reply r;
+
+	(void)state;
+	rig_expect_body(rig_call("GET", "a", "/i/ok/1", "", NULL), "ok");
+	rig_expect_body(rig_call("GET", "a", "/i/chunked/1", "", NULL), "abcd");
+	rig_expect_body(rig_call("GET", "a", "/i/trailer/1", "", NULL), "ok");
+	rig_expect_body(rig_call("GET", "a", "/i/interim/1", "", NULL), "ok");
+	rig_expect_body(
+	    rig_call("POST", "a", "/p/echo/1", "", "12345"), "12345");
+	rig_expect_body(
+	    rig_call("GET", "a", "/i/echo/1", "", "get body"), "get body");
+	rig_expect_body(rig_call("PUT", "a", "/p/echo/2", "", NULL), "");
+	r = rig_call("HEAD", "a", "/i/headlen/1", "", NULL);
+	assert_int_equal(r.status, 200);
+	assert_string_equal(rig_field(&r, "Content-Length"), "5");
+	assert_int_equal(r.rest, 0);
+	rig_done(&r);
+	r = rig_call("GET", "a", "/i/s204/1", "", NULL);
+	assert_int_equal(r.status, 204);
+	assert_int_equal(r.rest, 0);
+	rig_done(&r);
+	r = rig_call("GET", "a", "/i/s304/1", "", NULL);
+	assert_int_equal(r.status, 304);
+	assert_string_equal(rig_field(&r, "ETag"), "x");
+	assert_int_equal(r.rest, 0);
+	rig_done(&r);
+}
+
+/* Guards against bytes of one answer that reach the next call. */
+static void
+test_surplus(void **state)
+{
+	static const char *const paths[] = {
+	    "/i/extra/1", "/i/lateextra/1", "/i/s204body/1", "/i/s304/2"};
+	struct reply r;
+
+	(void)state;
+	for (int round = 0; round < 5; round++) {
+		for (size_t i = 0; i < sizeof(paths) / sizeof(*paths); i++) {
+			r = rig_call("GET", "a", paths[i], "", NULL);
+			assert_true(r.complete);
+			assert_int_equal(r.rest, 0);
+			rig_done(&r);
+			if (i == 1)
+				usleep(50000);
+			rig_expect_body(
+			    rig_call("GET", "a", "/i/ok/2", "", NULL), "ok");
+		}
+		r = rig_call("HEAD", "a", "/i/headbody/1", "", NULL);
+		assert_int_equal(r.status, 200);
+		assert_int_equal(r.rest, 0);
+		rig_done(&r);
+		rig_expect_body(
+		    rig_call("GET", "a", "/i/ok/3", "", NULL), "ok");
+	}
+}
+
+/* Guards against a cut answer that looks complete to the caller. */
+static void
+test_cut_after_head(void **state)
+{
+	static const char *const paths[] = {"/p/cutlen/1", "/p/cutchunk/1",
+	    "/p/resetbody/1", "/u/hangbody/1", "/p/badchunk/1"};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(paths) / sizeof(*paths); i++) {
+		struct reply r = rig_call("POST", "a", paths[i], "", "x");
+
+		/* Either the head went out, or a clean error did. */
+		if (r.status == 200 && r.complete)
+			fail_msg("%s looks complete: %.300s", paths[i], r.p);
+		if (r.status != 200)
+			assert_in_range(r.status, 502, 504);
+		assert_int_equal(rig_count(paths[i]), 1);
+		rig_done(&r);
+	}
+}
+
+/* Guards against HTTP/1.0 callers that take a cut answer for a whole one. */
+static void
+test_http10(void **state)
+{
+	struct reply r;
+
+	(void)state;
+	rig_expect_body(
+	    rig_raw("GET /i/chunked/2 HTTP/1.0\r\nHost: a\r\n\r\n"), "abcd");
+	rig_expect_error(
+	    rig_raw("GET /p/cutchunk/2 HTTP/1.0\r\nHost: a\r\n\r\n"), 502,
+	    "upstream-answer", "unknown");
+	rig_expect_error(
+	    rig_raw("GET /p/bigchunk/2 HTTP/1.0\r\nHost: a\r\n\r\n"), 502,
+	    "upstream-answer", "unknown");
+	r = rig_raw("GET /i/cutlen/2 HTTP/1.0\r\nHost: a\r\n\r\n");
+	assert_true(r.status != 200 || !r.complete);
+	rig_done(&r);
+}
+
+static void
+check_big(struct reply *r)
+{
+	assert_true(r->complete);
+	assert_int_equal(r->body_n, 8 * 1024 * 1024);
+	for (size_t i = 0; i < r->body_n; i++) {
+		if (r->body[i] != (char)('a' + i % 23))
+			fail_msg("wrong byte at %zu", i);
+	}
+	rig_done(r);
+}
+
+/* Guards against lost bytes and lost wake-ups when one side is slow. */
+static void
+test_slow_sides(void **state)
+{
+	const size_t n = 3 * 1024 * 1024;
+	char *text = malloc(n + 256);
+	struct reply r;
+	int fd, k;
+
+	(void)state;
+	r = rig_call("GET", "a", "/i/big/1", "", NULL);
+	check_big(&r);
+	fd = rig_request("GET", "a", "/i/bigchunk/1", "", NULL);
+	usleep(300000);
+	r = rig_read(fd, false);
+	check_big(&r);
+	k = sprintf(text,
+	    "POST /p/echo/big HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+	    "Content-Length: %zu\r\n\r\n",
+	    n);
+	for (size_t i = 0; i < n; i++)
+		text[(size_t)k + i] = (char)('a' + i % 25);
+	fd = rig_open(text, 100000);
+	usleep(100000);
+	for (size_t at = 100000; at < n + (size_t)k;) {
+		ssize_t s =
+		    send(fd, text + at, n + (size_t)k - at, MSG_NOSIGNAL);
+
+		assert_true(s > 0);
+		at += (size_t)s;
+	}
+	r = rig_read(fd, false);
+	assert_true(r.complete);
+	assert_int_equal(r.body_n, n);
+	assert_memory_equal(r.body, text + k, n);
+	rig_done(&r);
+	free(text);
+}
+
+/* Guards against an upstream that keeps working for a caller that left. */
+static void
+test_caller_gone(void **state)
+{
+	int fd;
+
+	(void)state;
+	fd = rig_request("GET", "a", "/i/hang/gone1", "", NULL);
+	rig_wait_count("/i/hang/gone1");
+	close(fd);
+	rig_wait_gone("/i/hang/gone1");
+	fd = rig_request("GET", "a", "/i/hangbody/gone2", "", NULL);
+	rig_wait_count("/i/hangbody/gone2");
+	close(fd);
+	rig_wait_gone("/i/hangbody/gone2");
+}
+
+/* Guards against a transfer that outlives its deadline. */
+static void
+test_deadline(void **state)
+{
+	struct reply r;
+
+	(void)state;
+	rig_expect_error(rig_call("POST", "a", "/u/hang/d1", "", "x"), 504,
+	    "upstream-timeout", "unknown");
+	rig_wait_gone("/u/hang/d1");
+	rig_expect_error(
+	    rig_call("POST", "a", "/p/hang/d2", "X-Timeout-Ms: 100\r\n", "x"),
+	    504, "upstream-timeout", "unknown");
+	rig_wait_gone("/p/hang/d2");
+	rig_expect_error(
+	    rig_call("GET", "a", "/i/ok/d", "X-Timeout-Ms: 0\r\n", NULL), 400,
+	    "bad-request", "not-run");
+	r = rig_call("GET", "a", "/i/echohead/d", "X-Deadline-Ms: 1\r\n", NULL);
+	assert_true(r.complete);
+	assert_false(rig_has(&r, "X-Deadline-Ms: 1\r\n"));
+	assert_true(rig_has(&r, "X-Deadline-Ms: 1"));
+	rig_done(&r);
+}
+
+/* Guards against fields that pass a hop they must not pass. */
+static void
+test_fields(void **state)
+{
+	struct reply r;
+
+	(void)state;
+	r = rig_call("GET", "a", "/i/own/1", "", NULL);
+	assert_int_equal(r.status, 200);
+	assert_string_equal(rig_field(&r, "X-Error-Kind"), "");
+	assert_string_equal(rig_field(&r, "X-Outcome"), "");
+	assert_string_equal(rig_field(&r, "X-Replayed"), "");
+	assert_string_equal(rig_field(&r, "X-Body-Omitted"), "");
+	assert_string_equal(rig_field(&r, "X-Hop"), "");
+	assert_string_equal(rig_field(&r, "X-End"), "1");
+	rig_done(&r);
+	r = rig_call("POST", "a", "/i/echohead/2",
+	    "Connection: X-Mine, Host\r\nX-Mine: 1\r\nTE: trailers\r\n"
+	    "X-Empty:\r\nX-Kept: 2\r\n",
+	    "b");
+	assert_true(r.complete);
+	assert_false(rig_has(&r, "X-Mine"));
+	assert_false(rig_has(&r, "\r\nTE"));
+	assert_false(rig_has(&r, "\r\nContent-Type"));
+	assert_true(rig_has(&r, "\r\nHost: a\r\n"));
+	assert_true(rig_has(&r, "\r\nX-Empty:"));
+	assert_true(rig_has(&r, "\r\nX-Kept: 2\r\n"));
+	rig_done(&r);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_plain),
+	    cmocka_unit_test(test_surplus),
+	    cmocka_unit_test(test_cut_after_head),
+	    cmocka_unit_test(test_http10),
+	    cmocka_unit_test(test_slow_sides),
+	    cmocka_unit_test(test_caller_gone),
+	    cmocka_unit_test(test_deadline),
+	    cmocka_unit_test(test_fields),
+	};
+
+	return (cmocka_run_group_tests(tests, rig_setup, rig_teardown));
+}
--- /dev/null
+++ b/tests/unit/test_rbt.c
@@ -0,0 +1,60 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "route/rbt.h"
+
+static int
+take_all(struct rbt *b, int64_t now_us)
+{
+	int n = 0;
+
+	while (rbt_take(b, now_us))
+		n++;
+	return (n);
+}
+
+/* Guards against retries above 10% of the successful calls. */
+static void
+test_share(void **state)
+{
+	struct rbt b;
+
+	(void)state;
+	rbt_init(&b, &(struct rbt_desc){0}, 0);
+	assert_int_equal(take_all(&b, 0), 1);
+	for (int i = 0; i < 100; i++)
+		rbt_on_success(&b);
+	assert_int_equal(take_all(&b, 0), 10);
+}
+
+/* Guards against a budget that saves up for a storm, or never refills. */
+static void
+test_limits(void **state)
+{
+	struct rbt b;
+
+	(void)state;
+	rbt_init(&b, &(struct rbt_desc){.burst = 5, .min_per_s = 2}, 1000);
+	for (int i = 0; i < 1000; i++)
+		rbt_on_success(&b);
+	assert_int_equal(take_all(&b, 1000), 5);
+	assert_int_equal(take_all(&b, 1000 + 499999), 0);
+	assert_int_equal(take_all(&b, 1000 + 500000), 1);
+	assert_int_equal(take_all(&b, INT64_MAX / 2), 5);
+	/* A clock that steps back must not add retries. */
+	assert_int_equal(take_all(&b, 0), 0);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_share),
+	    cmocka_unit_test(test_limits),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
