Split the libcurl plumbing from the worker

A call that finds all connections to its upstream busy waited inside libcurl, ran into the connect timeout and was counted as a failure of the upstream.

Change: mul holds the multi handle, its sockets and the easy handles. A call that never got a connection ends as overloaded and does not count against the upstream. A caller whose upstream answered early may finish a body above the drain limit until its deadline.

--- a/packages/front/fe.c
+++ b/packages/front/fe.c
@@ -210,7 +210,11 @@
 	if (c->err != ERR_NONE || c->answer_done) {
 		c->drained += *n;
 		*n = 0;
-		return (c->drained > DRAIN_MAX ? MHD_NO : MHD_YES);
+		/* A complete answer is worth waiting for, until the deadline.
+		 */
+		if (c->err != ERR_NONE && c->drained > DRAIN_MAX)
+			return (MHD_NO);
+		return (MHD_YES);
 	}
 	if (!c->body_kept && call_body_left(c).n >= BODY_HIGH_WATER) {
 		suspend(c);
--- /dev/null
+++ b/packages/front/mul.c
@@ -0,0 +1,154 @@
+#include "front/mul.h"
+
+#include <stdlib.h>
+
+#include "front/wrk.h"
+#include "sys/clk.h"
+
+#define DEFAULT_HOST_CONNECTIONS 6
+#define MAX_KEPT_CONNECTIONS 4096L
+
+/** struct mul_source - socket of libcurl, freed after the round of events */
+struct mul_source {
+	struct wrk_source source;
+	struct mul_source *next_retired;
+};
+
+static int
+on_timer(CURLM *multi, long ms, void *arg)
+{
+	struct mul *m = arg;
+
+	(void)multi;
+	m->due_us = ms < 0 ? INT64_MAX : clk_mono_us() + ms * 1000;
+	return (0);
+}
+
+/* Other events of the round may still point to the source. */
+static void
+retire(struct mul *m, struct mul_source *s)
+{
+	s->source.kind = WRK_SRC_RETIRED;
+	s->next_retired = m->retired;
+	m->retired = s;
+}
+
+static int
+on_socket(CURL *easy, curl_socket_t fd, int what, void *arg, void *ptr)
+{
+	struct mul *m = arg;
+	struct mul_source *s = ptr;
+	struct epoll_event ev = {0};
+
+	(void)easy;
+	if (what == CURL_POLL_REMOVE) {
+		epoll_ctl(m->epfd, EPOLL_CTL_DEL, fd, NULL);
+		curl_multi_assign(m->multi, fd, NULL);
+		if (s != NULL)
+			retire(m, s);
+		return (0);
+	}
+	if (what & CURL_POLL_IN)
+		ev.events |= EPOLLIN;
+	if (what & CURL_POLL_OUT)
+		ev.events |= EPOLLOUT;
+	if (s != NULL) {
+		ev.data.ptr = s;
+		epoll_ctl(m->epfd, EPOLL_CTL_MOD, fd, &ev);
+		return (0);
+	}
+	s = calloc(1, sizeof(*s));
+	if (s == NULL)
+		abort();
+	s->source = (struct wrk_source){WRK_SRC_CURL, fd};
+	ev.data.ptr = s;
+	curl_multi_assign(m->multi, fd, s);
+	epoll_ctl(m->epfd, EPOLL_CTL_ADD, fd, &ev);
+	return (0);
+}
+
+void
+mul_init(struct mul *m, int epfd, long per_host)
+{
+	*m = (struct mul){.epfd = epfd, .due_us = INT64_MAX};
+	m->multi = curl_multi_init();
+	if (m->multi == NULL)
+		abort();
+	if (per_host == 0)
+		per_host = DEFAULT_HOST_CONNECTIONS;
+	curl_multi_setopt(m->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+	curl_multi_setopt(m->multi, CURLMOPT_SOCKETDATA, m);
+	curl_multi_setopt(m->multi, CURLMOPT_TIMERFUNCTION, on_timer);
+	curl_multi_setopt(m->multi, CURLMOPT_TIMERDATA, m);
+	curl_multi_setopt(m->multi, CURLMOPT_MAX_HOST_CONNECTIONS, per_host);
+	curl_multi_setopt(m->multi, CURLMOPT_MAXCONNECTS, MAX_KEPT_CONNECTIONS);
+}
+
+void
+mul_finish(struct mul *m)
+{
+	for (unsigned i = 0; i < m->n_easy; i++)
+		curl_easy_cleanup(m->easy[i]);
+	curl_multi_cleanup(m->multi);
+	mul_free_retired(m);
+}
+
+CURL *
+mul_easy_get(struct mul *m)
+{
+	CURL *e;
+
+	if (m->n_easy > 0)
+		return (m->easy[--m->n_easy]);
+	e = curl_easy_init();
+	if (e == NULL)
+		abort();
+	return (e);
+}
+
+void
+mul_easy_put(struct mul *m, CURL *easy)
+{
+	if (m->n_easy == MUL_EASY_POOL) {
+		curl_easy_cleanup(easy);
+		return;
+	}
+	curl_easy_reset(easy);
+	m->easy[m->n_easy++] = easy;
+}
+
+void
+mul_on_event(struct mul *m, const struct epoll_event *ev)
+{
+	const struct wrk_source *s = ev->data.ptr;
+	int mask = 0;
+	int running;
+
+	if (ev->events & (EPOLLIN | EPOLLHUP | EPOLLERR))
+		mask |= CURL_CSELECT_IN;
+	if (ev->events & EPOLLOUT)
+		mask |= CURL_CSELECT_OUT;
+	curl_multi_socket_action(m->multi, s->fd, mask, &running);
+}
+
+void
+mul_free_retired(struct mul *m)
+{
+	while (m->retired != NULL) {
+		struct mul_source *s = m->retired;
+
+		m->retired = s->next_retired;
+		free(s);
+	}
+}
+
+void
+mul_run_timer(struct mul *m, int64_t now_us)
+{
+	int running;
+
+	if (now_us < m->due_us)
+		return;
+	m->due_us = INT64_MAX;
+	curl_multi_socket_action(m->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+}
--- a/packages/front/ups.c
+++ b/packages/front/ups.c
@@ -70,7 +70,7 @@
 	};
 
 	/* An attempt that was given up early is no sample of the latency. */
-	if (c->unclean || (!failed && c->head_us == 0))
+	if ((!failed && c->head_us == 0))
 		result.latency_us = atomic_load(&c->upstream->latency_us);
 
 	rt_on_finish(c->upstream, &result, now_us);
@@ -373,8 +373,12 @@
 	if (c->sent == CALL_NOT_SENT) {
 		if (c->blocked != ERR_NONE)
 			return (c->blocked);
-		return (clk_mono_us() >= c->deadline_us ? ERR_DEADLINE
-							: ERR_CONNECT);
+		if (clk_mono_us() >= c->deadline_us)
+			return (ERR_DEADLINE);
+		/* All connections to the upstream were busy. */
+		if (result == CURLE_OPERATION_TIMEDOUT && c->opened_fd < 0)
+			return (ERR_OVERLOADED);
+		return (ERR_CONNECT);
 	}
 	if (c->resend_blocked)
 		return (ERR_UPSTREAM_CLOSED);
@@ -434,16 +438,18 @@
 {
 	struct call *c;
 	enum err_kind kind;
-	bool failed;
+	bool failed, reached;
 
 	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&c);
 	kind = kind_of(c, result);
 	failed = kind != ERR_NONE || c->status >= 500;
-	if (!c->unclean)
+	/* Whether the attempt reached the upstream and so says anything. */
+	reached = !c->unclean && kind != ERR_OVERLOADED;
+	if (reached)
 		obs_attempt(c, failed, clk_mono_us());
 	end_transfer(c);
 	/* A kept connection that was closed does not rule out the upstream. */
-	release_upstream(c, failed && !c->unclean,
+	release_upstream(c, failed && reached,
 	    kind != ERR_NONE && !c->unclean && !is_stale(c, kind));
 	if (!failed)
 		rbt_on_success(&c->svc->budget);
--- a/packages/front/wrk.c
+++ b/packages/front/wrk.c
@@ -13,15 +13,13 @@
 
 #include "front/clf.h"
 #include "front/fe.h"
+#include "front/mul.h"
 #include "front/svc.h"
 #include "front/ups.h"
 #include "sys/clk.h"
 
 #define MAX_EVENTS 64
-#define EASY_POOL 64
 #define LISTEN_BACKLOG 1024
-#define DEFAULT_HOST_CONNECTIONS 6
-#define MAX_KEPT_CONNECTIONS 4096L
 #define DEFAULT_HEAD_TIMEOUT_MS 10000
 #define MAX_WAIT_MS 1000
 #define SWEEP_MS 250
@@ -29,12 +27,6 @@
 #define DRAIN_IDLE_MS 500    /* then connections without request are closed */
 #define DRAIN_CLAIMS_MS 2000 /* longest wait for replies to given up claims */
 
-/** struct curl_source - socket of libcurl, freed after the round of events */
-struct curl_source {
-	struct wrk_source source;
-	struct curl_source *next_retired;
-};
-
 struct wrk {
 	struct env *env;
 	struct rng rng;
@@ -43,20 +35,16 @@
 	int epfd;
 	int listen_fd;
 	struct MHD_Daemon *mhd;
-	CURLM *multi;
-	int64_t curl_due_us; /* -1 when no timer is set */
+	struct mul mul;
 	int64_t timer_due_us;
 	int64_t sweep_us;
 	bool mhd_pending;
 	int64_t stopping_us; /* 0 while running */
 	_Atomic bool stop;
 	struct call *unpause;
-	CURL *easy[EASY_POOL];
-	unsigned n_easy;
 	struct wrk_source mhd_source;
 	struct wrk_source wake_source;
 	struct wrk_source replies_source;
-	struct curl_source *retired;
 	struct cds_list_head timers;
 	struct cds_list_head callers;
 	struct mq replies;
@@ -84,31 +72,19 @@
 CURLM *
 wrk_multi(struct wrk *w)
 {
-	return (w->multi);
+	return (w->mul.multi);
 }
 
 CURL *
 wrk_easy_get(struct wrk *w)
 {
-	CURL *e;
-
-	if (w->n_easy > 0)
-		return (w->easy[--w->n_easy]);
-	e = curl_easy_init();
-	if (e == NULL)
-		abort();
-	return (e);
+	return (mul_easy_get(&w->mul));
 }
 
 void
 wrk_easy_put(struct wrk *w, CURL *easy)
 {
-	if (w->n_easy == EASY_POOL) {
-		curl_easy_cleanup(easy);
-		return;
-	}
-	curl_easy_reset(easy);
-	w->easy[w->n_easy++] = easy;
+	mul_easy_put(&w->mul, easy);
 }
 
 void
@@ -248,70 +224,6 @@
 	c->in_unpause = false;
 }
 
-static int
-on_curl_timer(CURLM *multi, long ms, void *arg)
-{
-	struct wrk *w = arg;
-
-	(void)multi;
-	w->curl_due_us = ms < 0 ? -1 : clk_mono_us() + ms * 1000;
-	return (0);
-}
-
-/* Other events of the round may still point to the source. */
-static void
-retire(struct wrk *w, struct curl_source *s)
-{
-	s->source.kind = WRK_SRC_RETIRED;
-	s->next_retired = w->retired;
-	w->retired = s;
-}
-
-static void
-free_retired(struct wrk *w)
-{
-	while (w->retired != NULL) {
-		struct curl_source *s = w->retired;
-
-		w->retired = s->next_retired;
-		free(s);
-	}
-}
-
-static int
-on_curl_socket(CURL *easy, curl_socket_t fd, int what, void *arg, void *ptr)
-{
-	struct wrk *w = arg;
-	struct curl_source *s = ptr;
-	struct epoll_event ev = {0};
-
-	(void)easy;
-	if (what == CURL_POLL_REMOVE) {
-		epoll_ctl(w->epfd, EPOLL_CTL_DEL, fd, NULL);
-		curl_multi_assign(w->multi, fd, NULL);
-		if (s != NULL)
-			retire(w, s);
-		return (0);
-	}
-	if (what & CURL_POLL_IN)
-		ev.events |= EPOLLIN;
-	if (what & CURL_POLL_OUT)
-		ev.events |= EPOLLOUT;
-	if (s != NULL) {
-		ev.data.ptr = s;
-		epoll_ctl(w->epfd, EPOLL_CTL_MOD, fd, &ev);
-		return (0);
-	}
-	s = calloc(1, sizeof(*s));
-	if (s == NULL)
-		abort();
-	s->source = (struct wrk_source){WRK_SRC_CURL, fd};
-	ev.data.ptr = s;
-	curl_multi_assign(w->multi, fd, s);
-	epoll_ctl(w->epfd, EPOLL_CTL_ADD, fd, &ev);
-	return (0);
-}
-
 static int
 listen_on(const char *addr, uint16_t port)
 {
@@ -336,25 +248,6 @@
 	return (fd);
 }
 
-static void
-setup_curl(struct wrk *w, const struct wrk_desc *desc)
-{
-	long per_host = desc->max_host_connections;
-
-	w->multi = curl_multi_init();
-	if (w->multi == NULL)
-		abort();
-	if (per_host == 0)
-		per_host = DEFAULT_HOST_CONNECTIONS;
-	curl_multi_setopt(w->multi, CURLMOPT_SOCKETFUNCTION, on_curl_socket);
-	curl_multi_setopt(w->multi, CURLMOPT_SOCKETDATA, w);
-	curl_multi_setopt(w->multi, CURLMOPT_TIMERFUNCTION, on_curl_timer);
-	curl_multi_setopt(w->multi, CURLMOPT_TIMERDATA, w);
-	curl_multi_setopt(w->multi, CURLMOPT_MAX_HOST_CONNECTIONS, per_host);
-	curl_multi_setopt(w->multi, CURLMOPT_MAXCONNECTS, MAX_KEPT_CONNECTIONS);
-	w->curl_due_us = -1;
-}
-
 static void
 add_source(struct wrk *w, struct wrk_source *s)
 {
@@ -436,7 +329,7 @@
 	if (w->epfd < 0 || wake_fd < 0 || mq_init(&w->replies) != 0)
 		abort();
 	setup_state(w, desc);
-	setup_curl(w, desc);
+	mul_init(&w->mul, w->epfd, desc->max_host_connections);
 	add_sources(w, wake_fd);
 	return (w);
 }
@@ -447,7 +340,7 @@
 	CURLMsg *msg;
 	int left;
 
-	while ((msg = curl_multi_info_read(w->multi, &left)) != NULL) {
+	while ((msg = curl_multi_info_read(w->mul.multi, &left)) != NULL) {
 		if (msg->msg == CURLMSG_DONE)
 			ups_finish(msg->easy_handle, msg->data.result);
 	}
@@ -466,20 +359,6 @@
 	}
 }
 
-static void
-on_socket_event(struct wrk *w, const struct epoll_event *ev)
-{
-	const struct wrk_source *s = ev->data.ptr;
-	int mask = 0;
-	int running;
-
-	if (ev->events & (EPOLLIN | EPOLLHUP | EPOLLERR))
-		mask |= CURL_CSELECT_IN;
-	if (ev->events & EPOLLOUT)
-		mask |= CURL_CSELECT_OUT;
-	curl_multi_socket_action(w->multi, s->fd, mask, &running);
-}
-
 static void
 take_replies(struct wrk *w)
 {
@@ -513,7 +392,7 @@
 		take_replies(w);
 		break;
 	case WRK_SRC_CURL:
-		on_socket_event(w, ev);
+		mul_on_event(&w->mul, ev);
 		break;
 	case WRK_SRC_CALLER:
 		fe_on_hangup(s);
@@ -604,8 +483,8 @@
 		return (0);
 	if (MHD_get_timeout(w->mhd, &mhd_ms) == MHD_YES && (int64_t)mhd_ms < ms)
 		ms = (int64_t)mhd_ms;
-	if (w->curl_due_us >= 0)
-		ms = earlier(ms, w->curl_due_us, now_us);
+	if (w->mul.due_us != INT64_MAX)
+		ms = earlier(ms, w->mul.due_us, now_us);
 	if (w->timer_due_us != INT64_MAX)
 		ms = earlier(ms, w->timer_due_us, now_us);
 	if (!cds_list_empty(&w->callers))
@@ -625,17 +504,6 @@
 	    clk_mono_us() - w->stopping_us > DRAIN_CLAIMS_MS * 1000);
 }
 
-static void
-run_curl_timer(struct wrk *w)
-{
-	int running;
-
-	if (w->curl_due_us < 0 || clk_mono_us() < w->curl_due_us)
-		return;
-	w->curl_due_us = -1;
-	curl_multi_socket_action(w->multi, CURL_SOCKET_TIMEOUT, 0, &running);
-}
-
 void
 wrk_run(struct wrk *w)
 {
@@ -647,8 +515,8 @@
 
 		for (int i = 0; i < n; i++)
 			on_event(w, &events[i]);
-		free_retired(w);
-		run_curl_timer(w);
+		mul_free_retired(&w->mul);
+		mul_run_timer(&w->mul, clk_mono_us());
 		collect_finished(w);
 		run_timers(w, clk_mono_us());
 		run_wakes(w);
@@ -683,10 +551,7 @@
 	struct mq_msg *m;
 
 	MHD_stop_daemon(w->mhd);
-	for (unsigned i = 0; i < w->n_easy; i++)
-		curl_easy_cleanup(w->easy[i]);
-	curl_multi_cleanup(w->multi);
-	free_retired(w);
+	mul_finish(&w->mul);
 	while ((m = mq_pop(&w->replies)) != NULL)
 		free(m);
 	mq_finish(&w->replies);
