Bound transfers per upstream and worker before libcurl does

Cause: with all connections to an upstream busy, a further transfer waited inside libcurl until its deadline: the seventh call behind six that hung for 10 s got its answer after 10 s (test_connection_limit). The test stand-in wrote head and body in two segments without TCP_NODELAY, which cost about 40 ms a call on kept connections.

Ruled out: the connect timeout of libcurl, which does not end such a wait.

Conclusion: tests for concurrency, stop and the connection limit are in place.

--- a/packages/front/mul.c
+++ b/packages/front/mul.c
@@ -5,7 +5,6 @@
 #include "front/wrk.h"
 #include "sys/clk.h"
 
-#define DEFAULT_HOST_CONNECTIONS 6
 #define MAX_KEPT_CONNECTIONS 4096L
 
 /** struct mul_source - socket of libcurl, freed after the round of events */
@@ -74,8 +73,6 @@
 	m->multi = curl_multi_init();
 	if (m->multi == NULL)
 		abort();
-	if (per_host == 0)
-		per_host = DEFAULT_HOST_CONNECTIONS;
 	curl_multi_setopt(m->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
 	curl_multi_setopt(m->multi, CURLMOPT_SOCKETDATA, m);
 	curl_multi_setopt(m->multi, CURLMOPT_TIMERFUNCTION, on_timer);
--- a/packages/front/mul.h
+++ b/packages/front/mul.h
@@ -39,7 +39,7 @@
 	unsigned n_easy;
 };
 
-/** mul_init() - @per_host: connections to one upstream, 0 means 6 */
+/** mul_init() - @per_host: connections to one upstream */
 void mul_init(struct mul *m, int epfd, long per_host);
 
 /** mul_finish() - close all connections; no transfer may be left */
--- a/packages/front/ups.c
+++ b/packages/front/ups.c
@@ -33,22 +33,45 @@
 	c->addr[u->addr.n] = '\0';
 }
 
+/*
+ * Picks an upstream to which this worker has a free connection. Without this,
+ * libcurl would let the transfer wait for one until its deadline.
+ */
+static int
+pick_free(struct call *c, const struct rt_service *s, int64_t now_us)
+{
+	struct rt_request req = {.n_excluded = c->n_excluded};
+	bool full = false;
+	int i;
+
+	for (uint32_t k = 0; k < c->n_excluded; k++)
+		req.excluded[k] = c->excluded[k];
+	for (;;) {
+		i = wrk_pick(c->w)(s, &req, now_us, wrk_rng(c->w));
+		if (i < 0)
+			return (full ? RT_FULL : i);
+		if (s->upstreams[i].addr.n > CALL_ADDR_MAX)
+			return (RT_NONE);
+		if (wrk_has_connection(c->w, s->upstreams[i].stat))
+			return (i);
+		if (req.n_excluded == RT_MAX_EXCLUDED)
+			return (RT_FULL);
+		req.excluded[req.n_excluded++] = s->upstreams[i].stat;
+		full = true;
+	}
+}
+
 /* Takes an upstream from the current table; RT_NONE, RT_FULL or 0. */
 static int
 pick(struct call *c, int64_t now_us)
 {
-	struct rt_request req = {.n_excluded = c->n_excluded};
 	const struct rt_service *s;
 	int i = RT_NONE;
 
-	for (uint32_t k = 0; k < c->n_excluded; k++)
-		req.excluded[k] = c->excluded[k];
 	rcu_read_lock();
 	s = rt_find_service(env_table(wrk_env(c->w)), c->svc->name);
 	if (s != NULL && s->n_upstreams != 0)
-		i = wrk_pick(c->w)(s, &req, now_us, wrk_rng(c->w));
-	if (i >= 0 && s->upstreams[i].addr.n > CALL_ADDR_MAX)
-		i = RT_NONE;
+		i = pick_free(c, s, now_us);
 	if (i >= 0) {
 		choose(c, s, &s->upstreams[i]);
 		i = 0;
@@ -74,6 +97,7 @@
 		result.latency_us = atomic_load(&c->upstream->latency_us);
 
 	rt_on_finish(c->upstream, &result, now_us);
+	wrk_count_transfer(c->w, c->upstream, -1);
 	if (exclude && c->n_excluded < RT_MAX_EXCLUDED)
 		c->excluded[c->n_excluded++] = c->upstream;
 	else
@@ -297,6 +321,7 @@
 	c->attempt_us = now_us;
 	c->attempts++;
 	rt_on_start(c->upstream, now_us);
+	wrk_count_transfer(c->w, c->upstream, 1);
 	snd_setup(c, now_us);
 	set_callbacks(c);
 	curl_multi_add_handle(wrk_multi(c->w), c->easy);
@@ -375,9 +400,6 @@
 			return (c->blocked);
 		if (clk_mono_us() >= c->deadline_us)
 			return (ERR_DEADLINE);
-		/* All connections to the upstream were busy. */
-		if (result == CURLE_OPERATION_TIMEDOUT && c->opened_fd < 0)
-			return (ERR_OVERLOADED);
 		return (ERR_CONNECT);
 	}
 	if (c->resend_blocked)
@@ -438,18 +460,16 @@
 {
 	struct call *c;
 	enum err_kind kind;
-	bool failed, reached;
+	bool failed;
 
 	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&c);
 	kind = kind_of(c, result);
 	failed = kind != ERR_NONE || c->status >= 500;
-	/* Whether the attempt reached the upstream and so says anything. */
-	reached = !c->unclean && kind != ERR_OVERLOADED;
-	if (reached)
+	if (!c->unclean)
 		obs_attempt(c, failed, clk_mono_us());
 	end_transfer(c);
 	/* A kept connection that was closed does not rule out the upstream. */
-	release_upstream(c, failed && reached,
+	release_upstream(c, failed && !c->unclean,
 	    kind != ERR_NONE && !c->unclean && !is_stale(c, kind));
 	if (!failed)
 		rbt_on_success(&c->svc->budget);
--- a/packages/front/wrk.c
+++ b/packages/front/wrk.c
@@ -20,6 +20,7 @@
 
 #define MAX_EVENTS 64
 #define LISTEN_BACKLOG 1024
+#define DEFAULT_HOST_CONNECTIONS 6
 #define DEFAULT_HEAD_TIMEOUT_MS 10000
 #define MAX_WAIT_MS 1000
 #define SWEEP_MS 250
@@ -52,6 +53,8 @@
 	GHashTable *claims;
 	GHashTable *services;
 	GHashTable *seen;
+	GHashTable *transfers; /* in flight by struct rt_stat */
+	long per_host;
 	GPtrArray *to_wake;
 	struct bbuf scratch;
 	struct sck sockets;
@@ -168,6 +171,27 @@
 	return (&w->scratch);
 }
 
+bool
+wrk_has_connection(const struct wrk *w, const struct rt_stat *upstream)
+{
+	gpointer n = g_hash_table_lookup(w->transfers, upstream);
+
+	return (GPOINTER_TO_INT(n) < w->per_host);
+}
+
+void
+wrk_count_transfer(struct wrk *w, struct rt_stat *upstream, int change)
+{
+	gpointer n = g_hash_table_lookup(w->transfers, upstream);
+	int left = GPOINTER_TO_INT(n) + change;
+
+	if (left == 0)
+		g_hash_table_remove(w->transfers, upstream);
+	else
+		g_hash_table_insert(
+		    w->transfers, upstream, GINT_TO_POINTER(left));
+}
+
 struct sck *
 wrk_sockets(struct wrk *w)
 {
@@ -288,6 +312,10 @@
 	w->services = svc_table_new();
 	w->seen =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	w->transfers = g_hash_table_new(NULL, NULL);
+	w->per_host = desc->max_host_connections;
+	if (w->per_host == 0)
+		w->per_host = DEFAULT_HOST_CONNECTIONS;
 	w->to_wake = g_ptr_array_new();
 	bbuf_init(&w->scratch);
 	sck_init(&w->sockets);
@@ -299,6 +327,7 @@
 	g_hash_table_unref(w->claims);
 	g_hash_table_unref(w->services);
 	g_hash_table_unref(w->seen);
+	g_hash_table_unref(w->transfers);
 	g_ptr_array_unref(w->to_wake);
 	bbuf_finish(&w->scratch);
 	sck_finish(&w->sockets);
@@ -329,7 +358,7 @@
 	if (w->epfd < 0 || wake_fd < 0 || mq_init(&w->replies) != 0)
 		abort();
 	setup_state(w, desc);
-	mul_init(&w->mul, w->epfd, desc->max_host_connections);
+	mul_init(&w->mul, w->epfd, w->per_host);
 	add_sources(w, wake_fd);
 	return (w);
 }
--- a/packages/front/wrk.h
+++ b/packages/front/wrk.h
@@ -124,6 +124,12 @@
 /** wrk_scratch() - buffer for use within one function */
 struct bbuf *wrk_scratch(struct wrk *w);
 
+/** wrk_has_connection() - whether a transfer to the upstream can start now */
+bool wrk_has_connection(const struct wrk *w, const struct rt_stat *upstream);
+
+/** wrk_count_transfer() - a transfer starts (1) or has ended (-1) */
+void wrk_count_transfer(struct wrk *w, struct rt_stat *upstream, int change);
+
 /** wrk_sockets() - sockets of the connections to upstreams */
 struct sck *wrk_sockets(struct wrk *w);
 
--- a/tests/standin/rawup.c
+++ b/tests/standin/rawup.c
@@ -9,6 +9,7 @@
  */
 #include <ctype.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <pthread.h>
 #include <signal.h>
@@ -225,7 +226,9 @@
 	"Upgrade\r\n\r\n" CANNED_OK},
     {"own", false,
 	OK "X-Error-Kind: connect\r\nX-Outcome: not-run\r\nX-Replayed: 1\r\n"
-	   "X-Body-Omitted: 1\r\nConnection: X-Hop\r\nX-Hop: 1\r\nX-End: 1\r\n"
+	   "X-Body-Omitted: 1\r\nSet-Cookie: a=1\r\nSet-Cookie: b=2\r\n"
+	   "Date: Thu, 01 Jan 1970 00:00:00 GMT\r\nConnection: X-Hop\r\nX-Hop: "
+	   "1\r\nX-End: 1\r\n"
 	   "Content-Length: 2\r\n\r\nok"},
     {"draining", false,
 	OK "X-State: draining\r\nX-Load: 3\r\nContent-Length: 2\r\n\r\nok"},
@@ -319,13 +322,13 @@
 }
 
 static void
-send_large_head(struct conn *c)
+send_large_head(struct conn *c, int fields)
 {
-	char line[128];
+	char line[256];
 
 	send_str(c->fd, OK);
-	for (int i = 0; i < 300; i++) {
-		snprintf(line, sizeof(line), "X-Fill-%d: %064d\r\n", i, i);
+	for (int i = 0; i < fields; i++) {
+		snprintf(line, sizeof(line), "X-Fill-%d: %0140d\r\n", i, i);
 		send_str(c->fd, line);
 	}
 	send_str(c->fd, "Content-Length: 2\r\n\r\nok");
@@ -363,7 +366,9 @@
 	} else if (strcmp(name, "over4k") == 0) {
 		send_filled(c, KEPT_LIMIT_BODY, false);
 	} else if (strcmp(name, "largehead") == 0) {
-		send_large_head(c);
+		send_large_head(c, 300);
+	} else if (strcmp(name, "midhead") == 0) {
+		send_large_head(c, 99);
 	} else if (strcmp(name, "slow") == 0) {
 		usleep(SLOW_US);
 		send_str(c->fd, CANNED_OK);
@@ -425,6 +430,7 @@
 	    .sin_family = AF_INET, .sin_addr = {htonl(INADDR_LOOPBACK)}};
 	socklen_t len = sizeof(sin);
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	const int one = 1;
 
 	signal(SIGPIPE, SIG_IGN);
 	if (bind(fd, (struct sockaddr *)&sin, len) != 0 ||
@@ -444,6 +450,7 @@
 			return (1);
 		c = calloc(1, sizeof(*c));
 		c->fd = client;
+		setsockopt(client, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 		pthread_create(&t, NULL, serve, c);
 		pthread_detach(t);
 	}
--- a/tests/unit/front_rig.h
+++ b/tests/unit/front_rig.h
@@ -392,7 +392,7 @@
 static inline const char *
 rig_field(const struct reply *r, const char *name)
 {
-	static char value[256];
+	static _Thread_local char value[256];
 	const char *end = r->body;
 	const char *p = r->p;
 	size_t n = strlen(name);
--- a/tests/unit/test_front_stream.c
+++ b/tests/unit/test_front_stream.c
@@ -209,7 +209,13 @@
 	assert_string_equal(rig_field(&r, "X-Body-Omitted"), "");
 	assert_string_equal(rig_field(&r, "X-Hop"), "");
 	assert_string_equal(rig_field(&r, "X-End"), "1");
+	assert_string_equal(
+	    rig_field(&r, "Date"), "Thu, 01 Jan 1970 00:00:00 GMT");
+	assert_non_null(strstr(r.p, "Set-Cookie: a=1"));
+	assert_non_null(strstr(r.p, "Set-Cookie: b=2"));
 	rig_done(&r);
+	/* 99 fields of 150 bytes are just below the limits. */
+	rig_expect_body(rig_call("GET", "a", "/i/midhead/1", "", NULL), "ok");
 	r = rig_call("POST", "a", "/i/echohead/2",
 	    "Connection: X-Mine, Host\r\nX-Mine: 1\r\nTE: trailers\r\n"
 	    "X-Empty:\r\nX-Kept: 2\r\n",
@@ -224,6 +230,104 @@
 	rig_done(&r);
 }
 
+#define CROSS_THREADS 8
+#define CROSS_CALLS 150
+
+static void *
+run_cross(void *arg)
+{
+	int id = (int)(intptr_t)arg;
+
+	for (int i = 0; i < CROSS_CALLS; i++) {
+		char path[64], body[64];
+		struct reply r;
+
+		snprintf(body, sizeof(body), "body-%d-%d", id, i);
+		if (i % 10 == 3) {
+			/* A caller that leaves; its answer must go nowhere. */
+			snprintf(path, sizeof(path), "/i/slow/c%d", id);
+			close(rig_request("GET", "a", path, "", NULL));
+			continue;
+		}
+		snprintf(path, sizeof(path), "/i/echo/c%d", id);
+		r = rig_call("POST", "a", path, "", body);
+		if (r.status == 200 &&
+		    (!r.complete || r.body_n != strlen(body) ||
+			memcmp(r.body, body, r.body_n) != 0))
+			return ((void *)1);
+		if (r.status != 200 && r.status != 503)
+			return ((void *)2);
+		rig_done(&r);
+	}
+	return (NULL);
+}
+
+/* Guards against answers that reach another caller under concurrency. */
+static void
+test_crossed(void **state)
+{
+	pthread_t t[CROSS_THREADS];
+
+	(void)state;
+	for (intptr_t i = 0; i < CROSS_THREADS; i++)
+		pthread_create(&t[i], NULL, run_cross, (void *)i);
+	for (int i = 0; i < CROSS_THREADS; i++) {
+		void *result;
+
+		pthread_join(t[i], &result);
+		assert_null(result);
+	}
+}
+
+/* Guards against a call that waits for a connection and blames the upstream. */
+static void
+test_connection_limit(void **state)
+{
+	int fds[6];
+	char path[64];
+
+	(void)state;
+	for (int i = 0; i < 6; i++) {
+		snprintf(path, sizeof(path), "/i/hang/limit%d", i);
+		fds[i] = rig_request("GET", "a", path, "", NULL);
+		rig_wait_count(path);
+	}
+	rig_expect_error(rig_call("POST", "a", "/p/ok/limit", "", "b"), 503,
+	    "overloaded", "not-run");
+	for (int i = 0; i < 6; i++)
+		close(fds[i]);
+	rig_expect_body(rig_call("POST", "a", "/p/ok/limit", "", "b"), "ok");
+}
+
+/* Guards against a stop that interrupts a call or waits for idle callers. */
+static void
+test_stop(void **state)
+{
+	struct wrk_desc d = {.env = &rig.env, .addr = "127.0.0.1", .seed = 2};
+	uint16_t first = rig.port;
+	pthread_t thread;
+	struct wrk *w;
+	int idle, busy;
+	char ch;
+
+	(void)state;
+	rig_bind(-1, &rig.port, SO_REUSEPORT);
+	d.port = rig.port;
+	w = wrk_new(&d, NULL);
+	assert_non_null(w);
+	pthread_create(&thread, NULL, rig_run_worker, w);
+	idle = rig_connect_to(rig.port, 0);
+	busy = rig_request("GET", "a", "/i/slow/stop", "", NULL);
+	rig_wait_count("/i/slow/stop");
+	wrk_stop(w);
+	rig_expect_body(rig_read(busy, false), "ok");
+	assert_int_equal(recv(idle, &ch, 1, 0), 0);
+	close(idle);
+	pthread_join(thread, NULL);
+	wrk_free(w);
+	rig.port = first;
+}
+
 int
 main(void)
 {
@@ -236,6 +340,9 @@
 	    cmocka_unit_test(test_caller_gone),
 	    cmocka_unit_test(test_deadline),
 	    cmocka_unit_test(test_fields),
+	    cmocka_unit_test(test_crossed),
+	    cmocka_unit_test(test_connection_limit),
+	    cmocka_unit_test(test_stop),
 	};
 
 	return (cmocka_run_group_tests(tests, rig_setup, rig_teardown));
