Close unclean kept connections and run libmicrohttpd only when needed

Cause: libcurl keeps a connection whose pre-request callback aborted, so each later call would meet the unclean connection again. Every round of the worker's loop called MHD_run(), which costs a system call even without work.

Change: the callback forbids the reuse of an unclean connection; one that was opened for the request counts as a connect failure. A response cut within its first header line is walked as well.

--- a/packages/front/ups.c
+++ b/packages/front/ups.c
@@ -146,7 +146,9 @@
 	}
 	if (!sck_is_clean(wrk_sockets(c->w), c->opened_fd, remote_ip,
 		remote_port, local_port)) {
-		c->unclean = true;
+		c->unclean = c->opened_fd < 0;
+		/* libcurl would keep the connection after an abort. */
+		curl_easy_setopt(c->easy, CURLOPT_FORBID_REUSE, 1L);
 		return (CURL_PREREQFUNC_ABORT);
 	}
 	c->blocked = flt_fresh(wrk_env(c->w), now_us);
--- a/packages/front/wrk.c
+++ b/packages/front/wrk.c
@@ -486,6 +486,7 @@
 	if (now_us - w->sweep_us < SWEEP_MS * 1000)
 		return;
 	w->sweep_us = now_us;
+	w->mhd_pending = true;
 	fe_sweep(w, now_us,
 	    w->stopping_us != 0 &&
 		now_us - w->stopping_us >= DRAIN_IDLE_MS * 1000);
@@ -510,8 +511,11 @@
 
 	if (w->mhd_pending || w->unpause != NULL || w->to_wake->len != 0)
 		return (0);
-	if (MHD_get_timeout(w->mhd, &mhd_ms) == MHD_YES && (int64_t)mhd_ms < ms)
-		ms = (int64_t)mhd_ms;
+	if (MHD_get_timeout(w->mhd, &mhd_ms) == MHD_YES) {
+		w->mhd_pending = mhd_ms == 0;
+		if ((int64_t)mhd_ms < ms)
+			ms = (int64_t)mhd_ms;
+	}
 	if (w->mul.due_us != INT64_MAX)
 		ms = earlier(ms, w->mul.due_us, now_us);
 	if (w->timer_due_us != INT64_MAX)
@@ -533,6 +537,16 @@
 	    clk_mono_us() - w->stopping_us > DRAIN_CLAIMS_MS * 1000);
 }
 
+/* MHD_run() costs a system call, so it runs only when there may be work. */
+static void
+run_mhd(struct wrk *w)
+{
+	if (!w->mhd_pending)
+		return;
+	w->mhd_pending = false;
+	MHD_run(w->mhd);
+}
+
 void
 wrk_run(struct wrk *w)
 {
@@ -549,8 +563,7 @@
 		collect_finished(w);
 		run_timers(w, clk_mono_us());
 		run_wakes(w);
-		w->mhd_pending = false;
-		MHD_run(w->mhd);
+		run_mhd(w);
 		run_unpaused(w);
 		collect_finished(w);
 		sweep(w, clk_mono_us());
--- a/tests/unit/test_front_errors.c
+++ b/tests/unit/test_front_errors.c
@@ -35,6 +35,7 @@
     {"a", "hang", 504, "upstream-timeout", "unknown", CMSG_RUN_UNKNOWN, true},
     {"a", "refuse", 503, "refused", "not-run", CMSG_RUN_NOT_RUN, true},
     {"a", "refusecut", 503, "refused", "not-run", CMSG_RUN_NOT_RUN, true},
+    ANSWER("cuthead"),
     ANSWER("cutfields"),
     ANSWER("garbage"),
     ANSWER("largehead"),
