--- a/packages/route/rt.h
+++ b/packages/route/rt.h
@@ -26,6 +26,7 @@
 #define RT_NONE (-1) /* no upstream may take the call */
 #define RT_FULL (-2) /* all upstreams that may take it are at their limit */
 #define RT_MAX_EXCLUDED 4
+#define RT_NO_SAMPLE (-1) /* latency of a call that was given up */
 
 /** enum rt_state - what an upstream can take */
 enum rt_state {
@@ -59,6 +60,20 @@
 	_Atomic int32_t permits;
 };
 
+/**
+ * struct rt_tally - attempts of one service, route and version; only grows
+ * @refs: tables and calls that hold it
+ * @calls: attempts that ended
+ * @failures: 5xx responses and upstream errors
+ * @slow: attempts that took longer than the service's slow_us
+ */
+struct rt_tally {
+	_Atomic int32_t refs;
+	_Atomic uint64_t calls;
+	_Atomic uint64_t failures;
+	_Atomic uint64_t slow;
+};
+
 /** struct rt_upstream - one upstream in a table; strings owned by the table */
 struct rt_upstream {
 	struct bstr id;
@@ -83,7 +98,11 @@
 	uint32_t timeout_ms;
 };
 
-/** struct rt_service - one service; arrays owned by the table */
+/**
+ * struct rt_service - one service; arrays owned by the table
+ * @slow_us: attempts above this time count as slow, 0 for no limit
+ * @tallies: counters at [route * n_versions + version]; NULL for none
+ */
 struct rt_service {
 	struct bstr name;
 	struct bstr *hosts;
@@ -95,6 +114,8 @@
 	struct rt_upstream *upstreams;
 	uint32_t n_upstreams;
 	uint32_t slots;
+	int64_t slow_us;
+	struct rt_tally **tallies;
 };
 
 struct rt_table;
@@ -105,11 +126,16 @@
 	uint32_t n_services;
 };
 
-/** struct rt_result - how a call to an upstream ended */
+/**
+ * struct rt_result - how a call to an upstream ended
+ * @latency_us: time to the response head, RT_NO_SAMPLE when not known
+ * @failed: a 5xx response or an upstream error
+ * @reported: X-Load, -1 when absent
+ */
 struct rt_result {
 	int64_t latency_us;
 	bool failed;
-	int32_t reported; /* X-Load, -1 when absent */
+	int32_t reported;
 };
 
 /** struct rt_request - what the pick depends on */
@@ -127,8 +153,18 @@
 /** rt_stat_unref() - drop a reference, free the last */
 void rt_stat_unref(struct rt_stat *s);
 
+/** rt_tally_new() - zeroed counters with one reference */
+struct rt_tally *rt_tally_new(void);
+
+/** rt_tally_ref() - take a reference; Return: @t */
+struct rt_tally *rt_tally_ref(struct rt_tally *t);
+
+/** rt_tally_unref() - drop a reference, free the last */
+void rt_tally_unref(struct rt_tally *t);
+
 /**
- * rt_table_new() - deep copy of @desc; takes references on the statistics
+ * rt_table_new() - deep copy of @desc; takes references on the statistics and
+ * the tallies
  */
 struct rt_table *rt_table_new(const struct rt_desc *desc);
 
@@ -150,6 +186,10 @@
 const struct rt_route *rt_find_route(
     const struct rt_service *s, struct bstr path);
 
+/** rt_tally_at() - counters of a route and a version, NULL when not counted */
+struct rt_tally *rt_tally_at(
+    const struct rt_service *s, const struct rt_route *route, uint32_t version);
+
 /**
  * rt_pick() - choose an upstream
  * @s: service
