Treat zero slots as no limit

Cause: the tests of the data plane use upstreams without slots, which counted as full. Change: a limit of 0 slots means no limit. Measured: unit tests pass.

--- a/packages/route/lim.c
+++ b/packages/route/lim.c
@@ -26,6 +26,8 @@
 
 	if (fresh < REPORT_FRESH_MIN_US)
 		fresh = REPORT_FRESH_MIN_US;
+	if (slots == 0)
+		return (false);
 	if (own >= limit)
 		return (true);
 	if (load < 0 || now_us - at > fresh)
--- a/packages/route/lim.h
+++ b/packages/route/lim.h
@@ -15,7 +15,10 @@
 
 struct rt_stat;
 
-/** lim_is_full() - whether the upstream should get no further call now */
+/**
+ * lim_is_full() - whether the upstream should get no further call now
+ * @slots: slots of the upstream, 0 for no limit
+ */
 bool lim_is_full(const struct rt_stat *s, uint32_t slots, int64_t now_us);
 
 #endif
--- a/packages/route/rt.c
+++ b/packages/route/rt.c
@@ -320,7 +320,7 @@
 
 	if (service < MIN_SERVICE_US)
 		service = MIN_SERVICE_US;
-	if (reported > 0)
+	if (reported > 0 && u->slots > 0)
 		x *= 1 +
 		    exp(-age / (REPORT_DECAY_SERVICES * service)) * reported /
 			u->slots;
@@ -422,7 +422,7 @@
 {
 	int64_t load = (int64_t)r->reported + 1;
 
-	if (load <= (int64_t)slots)
+	if (slots == 0 || load <= (int64_t)slots)
 		return (r->latency_us);
 	return (r->latency_us * (int64_t)slots / load);
 }
