Check that the load tool notices a wrong byte

No test made an answer wrong, so a load tool that checked nothing would have passed. The upstream stand-in can now spoil a byte of the next n answers; t-standin.sh demands that the load tool counts exactly these as wrong.

--- a/tests/lib/upk.c
+++ b/tests/lib/upk.c
@@ -139,6 +139,7 @@
 	take_num(v, "slow_factor", &k->slow_factor, 1.0);
 	take_int(v, "queue_limit", &k->queue_limit, DEFAULT_QUEUE);
 	take_int(v, "drop_answers", &k->drop_answers, 0);
+	take_int(v, "corrupt_answers", &k->corrupt_answers, 0);
 	take_int(v, "load_fixed", &k->load_fixed, -1);
 	take_text(v, "health_fixed", k->health_fixed, sizeof(k->health_fixed));
 	if ((e = json_object_get(v, "dist")) != NULL)
--- a/tests/lib/upk.h
+++ b/tests/lib/upk.h
@@ -40,6 +40,7 @@
  * @queue_limit: longer queues are shed with 503 and X-Not-Run
  * @fail_fast: answer 500 at once
  * @drop_answers: the next n requests run and the connection is closed
+ * @corrupt_answers: a byte of the next n answer bodies is wrong
  * @draining: key "drain": {"grace_ms": n}; reports draining
  * @late_after_us: new requests after this time are counted as late; the keys
  *	"drain" and "mark": {"grace_ms": n} set it
@@ -68,6 +69,7 @@
 	int queue_limit;
 	bool fail_fast;
 	int drop_answers;
+	int corrupt_answers;
 	bool draining;
 	int64_t late_after_us;
 	int64_t health_lag_us;
--- a/tests/lib/usim.c
+++ b/tests/lib/usim.c
@@ -29,7 +29,7 @@
 	TAILQ_ENTRY(conn) next;
 	struct usim *up;
 	enum conn_state state;
-	bool want_out, holds_slot, counted, fail, drop;
+	bool want_out, holds_slot, counted, fail, drop, corrupt;
 	struct h1 h1;
 	struct bbuf in, out;
 	size_t out_pos;
@@ -139,6 +139,10 @@
 			us = (int64_t)((double)us * u->k.cold_factor);
 		}
 	}
+	if (u->k.corrupt_answers > 0) {
+		u->k.corrupt_answers--;
+		c->corrupt = true;
+	}
 	if (u->k.drop_answers > 0) {
 		u->k.drop_answers--;
 		c->drop = true;
@@ -235,6 +239,8 @@
 	if (n > c->bytes - c->pos)
 		n = (size_t)(c->bytes - c->pos);
 	pat_fill(c->seed, c->pos, block, n);
+	if (c->corrupt && c->pos + n == c->bytes)
+		block[n - 1] ^= 1;
 	bbuf_add(&c->out, (struct bstr){block, n});
 	c->pos += n;
 	if (c->pace_us != 0 && c->pos < c->bytes)
@@ -438,7 +444,7 @@
 	struct usim_snapshot s;
 
 	c->pos = c->bytes = c->pace_us = c->chunk = 0;
-	c->fail = c->drop = false;
+	c->fail = c->drop = c->corrupt = false;
 	if (bstr_eq(c->h1.target, BSTR("/stats"))) {
 		answer_json(c, usim_stats(u));
 	} else if (bstr_eq(c->h1.target, BSTR("/health"))) {
--- a/tests/script/t-standin.sh
+++ b/tests/script/t-standin.sh
@@ -69,6 +69,10 @@
 judge "clean run: every answer right" "$(load_get clean all ok)" -eq 2000
 judge "clean run: no duplicates" "$(ups_sum duplicates)" -eq 0
 
+ups_set u '{"upstream":1,"corrupt_answers":7}'
+run_load corrupt --direct --closed 4 --seconds 60 --calls 200
+judge "each wrong byte is noticed" "$(load_get corrupt all wrong)" -eq 7
+
 kinds='{"pay":{"weight":1}}'
 write_plan "$dir/plan.json" u:u.example:1
 ups_set u '{"upstream":0,"drop_answers":20}'
