Test bounded memory, keep-alive and knowledge lost while waiting

Cause: no test showed that a stalled upstream or caller stops the other side, that a call waiting for a slot checks freshness again, or that one caller connection serves many calls.

Change: rawup has a path that never reads the body and one that sends 64 MB. The stalled call is the last test of its program: neither side can see a close behind a full TCP window, so it holds its connection until its deadline.

--- a/tests/standin/rawup.c
+++ b/tests/standin/rawup.c
@@ -4,8 +4,10 @@
  * Takes requests "/<any>/<behaviour>/<id>" and counts every complete request by
  * its path, so that a test sees duplicates. Prints "port N" when it listens.
  *
+ * "/<any>/stall/<id>" never reads the body.
+ *
  *	/ctl/count<path>   complete requests received for <path>
- *	/ctl/gone<path>    of these, how many saw the peer close before the end
+ *	/ctl/gone<path>    how often the peer closed before the answer
  */
 #include <ctype.h>
 #include <netinet/in.h>
@@ -24,6 +26,8 @@
 #define MAX_HEAD (64 * 1024)
 #define MAX_PATHS 8192
 #define BIG_BODY (8 * 1024 * 1024)
+#define HUGE_BODY (64 * 1024 * 1024)
+#define HUGE_BLOCK (64 * 1024)
 #define KEPT_LIMIT_BODY 5000
 #define MAX_HANG_MS 20000
 #define LATE_US 30000
@@ -170,6 +174,19 @@
 	return (true);
 }
 
+/* Waits until the peer closes and counts that for the path. */
+static void
+wait_gone(struct conn *c)
+{
+	struct pollfd p = {.fd = c->fd, .events = POLLRDHUP};
+
+	if (poll(&p, 1, MAX_HANG_MS) != 1)
+		return;
+	pthread_mutex_lock(&lock);
+	find_path(c->path)->gone++;
+	pthread_mutex_unlock(&lock);
+}
+
 static bool
 read_request(struct conn *c)
 {
@@ -184,6 +201,11 @@
 	c->head[end - c->buf + 4] = '\0';
 	if (sscanf(c->head, "%*s %255[^? \r\n]", c->path) != 1)
 		return (false);
+	if (strncmp(c->path, "/ctl/", 5) != 0 &&
+	    strstr(c->path, "/stall/") != NULL) {
+		wait_gone(c);
+		return (false);
+	}
 	field = strcasestr(c->head, "\r\nContent-Length:");
 	if (field != NULL)
 		return (read_bytes(c, strtoul(field + 17, NULL, 10)));
@@ -272,20 +294,6 @@
 	return (NULL);
 }
 
-/* Waits until the peer closes and counts that for the path. */
-static void
-wait_gone(struct conn *c)
-{
-	struct pollfd p = {.fd = c->fd, .events = POLLIN};
-	char ch;
-
-	if (poll(&p, 1, MAX_HANG_MS) != 1 || recv(c->fd, &ch, 1, MSG_PEEK) > 0)
-		return;
-	pthread_mutex_lock(&lock);
-	find_path(c->path)->gone++;
-	pthread_mutex_unlock(&lock);
-}
-
 static void
 answer_ctl(struct conn *c)
 {
@@ -321,6 +329,19 @@
 	free(p);
 }
 
+static void
+send_huge(struct conn *c)
+{
+	static const char block[HUGE_BLOCK];
+	char head[64];
+
+	snprintf(head, sizeof(head), OK "Content-Length: %zu\r\n\r\n",
+	    (size_t)HUGE_BODY);
+	send_str(c->fd, head);
+	for (size_t n = 0; n < HUGE_BODY; n += sizeof(block))
+		send_all(c->fd, block, sizeof(block));
+}
+
 static void
 send_large_head(struct conn *c, int fields)
 {
@@ -363,6 +384,8 @@
 		send_filled(c, BIG_BODY, false);
 	} else if (strcmp(name, "bigchunk") == 0) {
 		send_filled(c, BIG_BODY, true);
+	} else if (strcmp(name, "huge") == 0) {
+		send_huge(c);
 	} else if (strcmp(name, "over4k") == 0) {
 		send_filled(c, KEPT_LIMIT_BODY, false);
 	} else if (strcmp(name, "largehead") == 0) {
--- a/tests/unit/test_front_errors.c
+++ b/tests/unit/test_front_errors.c
@@ -235,6 +235,30 @@
 	atomic_store(&rig.full, true);
 }
 
+/* Guards against a call that waits and then goes out with old knowledge. */
+static void
+test_stale_while_waiting(void **state)
+{
+	struct reply r;
+	int fd;
+
+	(void)state;
+	atomic_store(&rig.full, true);
+	atomic_store(&rig.fingerprint, 0);
+	fd = rig_request("POST", "full", "/p/ok/stale",
+	    "Idempotency-Key: grant-stale\r\n", "b");
+	for (int i = 0; i < 1000 && atomic_load(&rig.fingerprint) == 0; i++)
+		usleep(1000);
+	atomic_store(&rig.env.fresh_until_us, 0);
+	atomic_store(&rig.full, false);
+	r = rig_read(fd, false);
+	assert_int_equal(r.status, 503);
+	rig_done(&r);
+	atomic_store(&rig.env.fresh_until_us, INT64_MAX);
+	atomic_store(&rig.full, true);
+	assert_int_equal(rig_count("/p/ok/stale"), 0);
+}
+
 /* Guards against lost counts, and a report for each response. */
 static void
 test_observations(void **state)
@@ -281,6 +305,7 @@
 	    cmocka_unit_test(test_retry),
 	    cmocka_unit_test(test_reused_closes),
 	    cmocka_unit_test(test_waiting),
+	    cmocka_unit_test(test_stale_while_waiting),
 	    cmocka_unit_test(test_observations),
 	};
 
--- a/tests/unit/test_front_stream.c
+++ b/tests/unit/test_front_stream.c
@@ -230,6 +230,78 @@
 	rig_done(&r);
 }
 
+#define HUGE_BODY (64 * 1024 * 1024)
+#define MAX_GROWTH (24L * 1024 * 1024)
+#define STALLED_MS 300
+
+static long
+resident_bytes(void)
+{
+	FILE *f = fopen("/proc/self/statm", "r");
+	long pages = 0;
+
+	assert_int_equal(fscanf(f, "%*s %ld", &pages), 1);
+	fclose(f);
+	return (pages * sysconf(_SC_PAGESIZE));
+}
+
+/* Guards against a body that piles up in memory while one side is stalled. */
+static void
+test_bounded_memory(void **state)
+{
+	static char block[64 * 1024];
+	struct pollfd p = {.events = POLLOUT};
+	long before = resident_bytes();
+	char fields[64];
+	size_t sent = 0;
+	int fd;
+
+	(void)state;
+	/* Neither side sees a close behind a full window: end by deadline. */
+	snprintf(fields, sizeof(fields),
+	    "X-Timeout-Ms: 3000\r\nContent-Length: %d\r\n", HUGE_BODY);
+	p.fd = rig_request("POST", "a", "/p/stall/m", fields, NULL);
+	while (sent < HUGE_BODY && poll(&p, 1, STALLED_MS) == 1) {
+		ssize_t k = send(
+		    p.fd, block, sizeof(block), MSG_NOSIGNAL | MSG_DONTWAIT);
+
+		assert_true(k > 0);
+		sent += (size_t)k;
+	}
+	assert_true(sent < HUGE_BODY);
+	assert_true(resident_bytes() - before < MAX_GROWTH);
+	close(p.fd);
+	fd = rig_request("GET", "a", "/i/huge/m", "", NULL);
+	usleep(STALLED_MS * 1000);
+	assert_true(resident_bytes() - before < MAX_GROWTH);
+	close(fd);
+}
+
+/* Guards against a keep-alive connection that serves a stale state. */
+static void
+test_keep_alive(void **state)
+{
+	static const char text[] = "GET /i/ok/ka HTTP/1.1\r\nHost: a\r\n\r\n";
+	char buf[512];
+	int fd = rig_connect_to(rig.port, 0);
+
+	(void)state;
+	for (int i = 0; i < 100; i++) {
+		size_t n = 0;
+
+		send(fd, text, sizeof(text) - 1, MSG_NOSIGNAL);
+		do {
+			ssize_t k = recv(fd, buf + n, sizeof(buf) - 1 - n, 0);
+
+			assert_true(k > 0);
+			n += (size_t)k;
+			buf[n] = '\0';
+		} while (strstr(buf, "\r\n\r\nok") == NULL);
+		assert_int_equal(strncmp(buf, "HTTP/1.1 200", 12), 0);
+	}
+	close(fd);
+}
+
 #define CROSS_THREADS 8
 #define CROSS_CALLS 150
 
@@ -340,9 +412,12 @@
 	    cmocka_unit_test(test_caller_gone),
 	    cmocka_unit_test(test_deadline),
 	    cmocka_unit_test(test_fields),
+	    cmocka_unit_test(test_keep_alive),
 	    cmocka_unit_test(test_crossed),
 	    cmocka_unit_test(test_connection_limit),
 	    cmocka_unit_test(test_stop),
+	    /* Last, because its stalled call holds a connection. */
+	    cmocka_unit_test(test_bounded_memory),
 	};
 
 	return (cmocka_run_group_tests(tests, rig_setup, rig_teardown));
