Take cold-start permits by exchange and count calls per upstream

Cause: two workers could pick the same cold upstream at once and both start within one permit; the burn report needs calls by upstream.

Change: rt_try_start() takes a permit by compare and exchange and checks its end; rt_stat counts good, failed and slow calls; claims carry the service name; mbr_all() lists dead members too.

--- a/packages/front/clf.c
+++ b/packages/front/clf.c
@@ -1,5 +1,6 @@
 #include "front/clf.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <xxhash.h>
 
@@ -73,6 +74,8 @@
 	m->m.type = CMSG_CLAIM;
 	m->reply_to = wrk_replies(c->w);
 	m->ref = wait->ref;
+	snprintf(
+	    m->service, sizeof(m->service), "%.*s", BSTR_ARG(c->svc->name));
 	m->key = wait->key;
 	m->fingerprint = fingerprint(c);
 	m->deadline_us = c->deadline_us;
--- a/packages/front/cmsg.h
+++ b/packages/front/cmsg.h
@@ -56,6 +56,7 @@
  * @m: head
  * @reply_to: queue for the reply
  * @ref: copied to the reply
+ * @service: zero-terminated name of the service
  * @key: idempotency key
  * @fingerprint: xxHash64 of method, target and body
  * @deadline_us: the worker uses no grant after this boot-time microsecond
@@ -64,6 +65,7 @@
 	struct mq_msg m;
 	struct mq *reply_to;
 	uint64_t ref;
+	char service[CMSG_ID_MAX + 1];
 	struct cmsg_key key;
 	uint64_t fingerprint;
 	int64_t deadline_us;
--- a/packages/front/ups.c
+++ b/packages/front/ups.c
@@ -35,7 +35,8 @@
 }
 
 /*
- * Picks an upstream to which this worker has a free connection. Without this,
+ * Picks an upstream to which this worker has a free connection and starts the
+ * call there. Without this,
  * libcurl would let the transfer wait for one until its deadline.
  */
 static int
@@ -53,7 +54,9 @@
 			return (full ? RT_FULL : i);
 		if (s->upstreams[i].addr.n > CALL_ADDR_MAX)
 			return (RT_NONE);
-		if (wrk_has_connection(c->w, s->upstreams[i].stat))
+		if (wrk_has_connection(c->w, s->upstreams[i].stat) &&
+		    rt_try_start(s->upstreams[i].stat,
+			s->upstreams[i].state == RT_COLD, now_us))
 			return (i);
 		if (req.n_excluded == RT_MAX_EXCLUDED)
 			return (RT_FULL);
@@ -93,6 +96,7 @@
 	    .reported = c->reported,
 	};
 
+	result.slow = c->slow_us != 0 && result.latency_us > c->slow_us;
 	/* An attempt that was given up early is no sample of the latency. */
 	if (!failed && c->head_us == 0)
 		result.latency_us = RT_NO_SAMPLE;
@@ -323,7 +327,6 @@
 	c->body_paused = false;
 	c->attempt_us = now_us;
 	c->attempts++;
-	rt_on_start(c->upstream, now_us);
 	wrk_count_transfer(c->w, c->upstream, 1);
 	snd_setup(c, now_us);
 	set_callbacks(c);
--- a/packages/member/mbr.h
+++ b/packages/member/mbr.h
@@ -267,6 +267,17 @@
 uint32_t mbr_live(
     const struct mbr *m, struct bstr zone, struct mbr_info *out, uint32_t max);
 
+/**
+ * mbr_all() - every known member in the order of the vmid, dead ones included
+ * @out: receives them
+ * @max: room in @out
+ *
+ * Members that another process has replaced or that left the base are omitted.
+ *
+ * Return: number written.
+ */
+uint32_t mbr_all(const struct mbr *m, struct mbr_info *out, uint32_t max);
+
 /** mbr_base() - members of which a majority is taken; 0 when unknown */
 uint32_t mbr_base(const struct mbr *m);
 
--- a/packages/member/mbr_query.c
+++ b/packages/member/mbr_query.c
@@ -222,3 +222,18 @@
 	}
 	return (n);
 }
+
+uint32_t
+mbr_all(const struct mbr *m, struct mbr_info *out, uint32_t max)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < m->n && n < max; i++) {
+		const struct mbr_member *b = &m->members[i];
+
+		if (b->replaced || b->dropped)
+			continue;
+		out[n++] = info(b);
+	}
+	return (n);
+}
--- a/packages/model/mdl.c
+++ b/packages/model/mdl.c
@@ -277,7 +277,7 @@
 	}
 	j->up = i;
 	j->sent_us = m->now_us;
-	rt_on_start(v->stats[i], m->now_us);
+	rt_try_start(v->stats[i], false, m->now_us);
 	if (j->measured) {
 		m->sent++;
 		m->sent_faulty += m->servers[i].faulty;
--- a/packages/route/rt.c
+++ b/packages/route/rt.c
@@ -289,9 +289,7 @@
 {
 	const struct rt_stat *s = u->stat;
 
-	if (u->state == RT_COLD)
-		return (atomic_load(&s->in_flight) < atomic_load(&s->permits));
-	if (u->state != RT_READY)
+	if (u->state != RT_READY && u->state != RT_COLD)
 		return (false);
 	for (uint32_t i = 0; i < req->n_excluded; i++) {
 		if (req->excluded[i] == s)
@@ -328,6 +326,13 @@
 	return (x * (1 + FAIL_WEIGHT * fail));
 }
 
+static bool
+has_permit(const struct rt_stat *s, int64_t now_us)
+{
+	return (atomic_load(&s->in_flight) < atomic_load(&s->permits) &&
+	    now_us < atomic_load(&s->permits_until_us));
+}
+
 /* Best candidate so far. */
 struct choice {
 	int best;
@@ -341,7 +346,8 @@
 	const struct rt_upstream *u = &s->upstreams[i];
 	double x;
 
-	if (lim_is_full(u->stat, u->slots, now_us)) {
+	if ((u->state == RT_COLD && !has_permit(u->stat, now_us)) ||
+	    lim_is_full(u->stat, u->slots, now_us)) {
 		if (c->best == RT_NONE)
 			c->best = RT_FULL;
 		return;
@@ -405,12 +411,20 @@
 	return (i);
 }
 
-void
-rt_on_start(struct rt_stat *s, int64_t now_us)
+bool
+rt_try_start(struct rt_stat *s, bool cold, int64_t now_us)
 {
-	(void)now_us;
-	atomic_fetch_add(&s->in_flight, 1);
+	int32_t own = atomic_load(&s->in_flight);
+
+	/* Two workers may pick at once, so the permit is taken by exchange. */
+	do {
+		if (cold &&
+		    (own >= atomic_load(&s->permits) ||
+			now_us >= atomic_load(&s->permits_until_us)))
+			return (false);
+	} while (!atomic_compare_exchange_weak(&s->in_flight, &own, own + 1));
 	atomic_fetch_add(&s->started_since, 1);
+	return (true);
 }
 
 /*
@@ -436,6 +450,12 @@
 	int32_t sample = result->failed ? PERMILLE : 0;
 
 	atomic_fetch_sub(&s->in_flight, 1);
+	if (result->failed)
+		atomic_fetch_add(&s->failed, 1);
+	else if (result->slow)
+		atomic_fetch_add(&s->slow, 1);
+	else if (result->latency_us != RT_NO_SAMPLE)
+		atomic_fetch_add(&s->good, 1);
 	if (result->reported >= 0) {
 		atomic_store(&s->reported, result->reported);
 		atomic_store(&s->reported_us, now_us);
--- a/packages/route/rt.h
+++ b/packages/route/rt.h
@@ -9,7 +9,7 @@
  *	struct rt_table *t = rt_table_new(&desc);
  *	svc = rt_match(t, host, path, &route);
  *	i = rt_pick(svc, &req, now_us, &rng);
- *	rt_on_start(svc->upstreams[i].stat, now_us);
+ *	ok = rt_try_start(svc->upstreams[i].stat, cold, now_us);
  *	rt_on_finish(svc->upstreams[i].stat, &result, now_us);
  *	rt_table_free(t);
  */
@@ -47,6 +47,10 @@
  * @updated_us: when a call last finished
  * @fail_permille: moving average of failed calls
  * @permits: own calls allowed in flight while the upstream is cold
+ * @permits_until_us: when @permits end
+ * @good: calls that ended well, only grows
+ * @failed: calls that failed, only grows
+ * @slow: good calls slower than the service's limit, only grows
  */
 struct rt_stat {
 	_Atomic int32_t refs;
@@ -58,6 +62,10 @@
 	_Atomic int64_t updated_us;
 	_Atomic int32_t fail_permille;
 	_Atomic int32_t permits;
+	_Atomic int64_t permits_until_us;
+	_Atomic uint64_t good;
+	_Atomic uint64_t failed;
+	_Atomic uint64_t slow;
 };
 
 /**
@@ -130,11 +138,13 @@
  * struct rt_result - how a call to an upstream ended
  * @latency_us: time to the response head, RT_NO_SAMPLE when not known
  * @failed: a 5xx response or an upstream error
+ * @slow: took longer than the service's limit
  * @reported: X-Load, -1 when absent
  */
 struct rt_result {
 	int64_t latency_us;
 	bool failed;
+	bool slow;
 	int32_t reported;
 };
 
@@ -202,8 +212,13 @@
 int rt_pick(const struct rt_service *s, const struct rt_request *req,
     int64_t now_us, struct rng *rng);
 
-/** rt_on_start() - a call to the upstream starts */
-void rt_on_start(struct rt_stat *s, int64_t now_us);
+/**
+ * rt_try_start() - a call to the upstream starts
+ * @cold: the upstream is cold, so the call needs a permit
+ *
+ * Return: false when no permit is left; then the call must not be sent.
+ */
+bool rt_try_start(struct rt_stat *s, bool cold, int64_t now_us);
 
 /**
  * rt_on_finish() - a call ended; learns load and service time from it
