Add configuration, intent and move decision modules

Cause: configuration objects had only a thin check, and there was no module for versions in effect, acceptance, intents, plans and version moves.

Change: jrd, cfg and cfi read, check and print the objects; cob and cst hold the versions in effect and settle changes; pln and itn plan and execute intents; can and mov compare versions and execute moves; pcst is the codec.

--- a/packages/config/cfg.h
+++ b/packages/config/cfg.h
@@ -6,7 +6,11 @@
  *
  *	struct cfg_service s;
  *	if (!cfg_parse_service(&s, value, &problems)) ...
+ *	value = cfg_print_service(&s);
  *	cfg_service_finish(&s);
+ *
+ * A struct cfg_set is the configuration in effect: all objects that passed
+ * their checks, with the store version of each.
  */
 #ifndef CONFIG_CFG_H
 #define CONFIG_CFG_H
@@ -39,18 +43,27 @@
 	bool out;
 };
 
+/** enum cfg_move_state - states of the move object of a service */
+enum cfg_move_state { CFG_MOVE_RUNNING, CFG_MOVE_DONE, CFG_MOVE_ROLLED_BACK };
+
 /**
- * struct cfg_move - a move in progress
+ * struct cfg_move - the latest move of a service
  * @intent: id of the intent
  * @to: version that gains traffic
  * @from: version that loses it
  * @due_ms: Unix milliseconds by which it must be done
+ * @step: number of share steps taken, 0 before the first
+ * @state: a finished move stays in the object until the next one replaces it
+ * @reason: why it ended, NULL while it runs
  */
 struct cfg_move {
 	char *intent;
 	char *to;
 	char *from;
 	int64_t due_ms;
+	uint32_t step;
+	enum cfg_move_state state;
+	char *reason;
 };
 
 /** struct cfg_service - one service object; arrays and strings owned */
@@ -69,6 +82,67 @@
 	uint32_t n_upstreams;
 	bool has_move;
 	struct cfg_move move;
+	char *change;
+};
+
+/** struct cfg_zone - one availability zone */
+struct cfg_zone {
+	char *name;
+	bool out;
+};
+
+/** struct cfg_zones - the zones object; arrays and strings owned */
+struct cfg_zones {
+	struct cfg_zone *zones;
+	uint32_t n_zones;
+	char *change;
+};
+
+/**
+ * struct cfg_limits - the limits object
+ * @probe_per_s: probes a second for each upstream, whole fleet
+ * @retry_permille: retries per successful calls
+ * @cold_ramp_s: time in which a cold upstream reaches its slots
+ * @max_step_permille: largest change of a share in one step of a move; a
+ *     larger standard step is divided
+ * @step_min_s: shortest time of a step of a move
+ * @step_min_calls: calls to the new version that a step needs
+ * @route_min_calls: calls to the new version on each route before it is done
+ * @observe_s: time at the full share before the move is done
+ * @margin_s: a move must be accepted as done this long before it is due
+ * @intent_expiry_s: an unconfirmed intent is dropped after this time
+ */
+struct cfg_limits {
+	uint32_t probe_per_s;
+	uint32_t retry_permille;
+	uint32_t cold_ramp_s;
+	uint32_t max_step_permille;
+	uint32_t step_min_s;
+	uint32_t step_min_calls;
+	uint32_t route_min_calls;
+	uint32_t observe_s;
+	uint32_t margin_s;
+	uint32_t intent_expiry_s;
+};
+
+/** struct cfg_entry - a service in effect and its store version */
+struct cfg_entry {
+	const struct cfg_service *service;
+	uint64_t version;
+};
+
+/**
+ * struct cfg_set - the configuration in effect; borrows the objects
+ * @services: ordered by name
+ * @zones: NULL before the zones object was seen
+ */
+struct cfg_set {
+	struct cfg_entry *services;
+	uint32_t n_services;
+	const struct cfg_zones *zones;
+	uint64_t zones_version;
+	struct cfg_limits limits;
+	uint64_t limits_version;
 };
 
 /**
@@ -85,4 +159,68 @@
 /** cfg_service_finish() - free what a parse allocated */
 void cfg_service_finish(struct cfg_service *s);
 
+/** cfg_print_service() - JSON value of a service; the caller owns it */
+json_t *cfg_print_service(const struct cfg_service *s);
+
+/** cfg_service_copy() - deep copy for a change */
+void cfg_service_copy(struct cfg_service *to, const struct cfg_service *from);
+
+/** cfg_upstream_copy() - deep copy of one upstream */
+struct cfg_upstream cfg_upstream_copy(const struct cfg_upstream *u);
+
+/** cfg_upstream_finish() - free the strings of one upstream */
+void cfg_upstream_finish(struct cfg_upstream *u);
+
+/** cfg_parse_upstream() - read one upstream; @path ends in "." */
+void cfg_parse_upstream(struct cfg_upstream *u, const json_t *value,
+    const char *path, struct bbuf *problems);
+
+/** cfg_print_upstream() - JSON value of one upstream */
+json_t *cfg_print_upstream(const struct cfg_upstream *u);
+
+/** cfg_find_version() - index of a version, or -1 */
+int cfg_find_version(const struct cfg_service *s, const char *name);
+
+/** cfg_parse_zones() - like cfg_parse_service() for the zones object */
+bool cfg_parse_zones(
+    struct cfg_zones *z, const json_t *value, struct bbuf *problems);
+
+/** cfg_zones_finish() - free what a parse allocated */
+void cfg_zones_finish(struct cfg_zones *z);
+
+/** cfg_print_zones() - JSON value of the zones */
+json_t *cfg_print_zones(const struct cfg_zones *z);
+
+/** cfg_zone_find() - zone with this name, or NULL */
+const struct cfg_zone *cfg_zone_find(
+    const struct cfg_zones *z, const char *name);
+
+/** cfg_limits_default() - limits in effect without an object */
+struct cfg_limits cfg_limits_default(void);
+
+/** cfg_parse_limits() - absent members get their defaults */
+bool cfg_parse_limits(
+    struct cfg_limits *l, const json_t *value, struct bbuf *problems);
+
+/** cfg_print_limits() - JSON value of the limits */
+json_t *cfg_print_limits(const struct cfg_limits *l);
+
+/**
+ * cfg_check_refs() - checks across objects
+ * @s: service that is about to be written
+ * @set: configuration in effect
+ *
+ * Reports upstreams in a zone that does not exist, and hosts and upstream ids
+ * that another service uses.
+ */
+bool cfg_check_refs(const struct cfg_service *s, const struct cfg_set *set,
+    struct bbuf *problems);
+
+/** cfg_set_find() - entry of a service, or NULL */
+const struct cfg_entry *cfg_set_find(
+    const struct cfg_set *set, const char *name);
+
+/** cfg_zone_is_out() - whether operators took the zone out */
+bool cfg_zone_is_out(const struct cfg_set *set, const char *zone);
+
 #endif
--- /dev/null
+++ b/packages/config/cst.c
@@ -0,0 +1,759 @@
+#include "config/cst.h"
+
+#include <stdlib.h>
+
+#include "config/csy.h"
+
+#define ACK_WAIT_MS 3000
+#define STORE_WAIT_MS 20000
+#define STORE_RETRY_MS 300
+#define PUSH_RETRY_MS 500
+#define SYNC_WAIT_MS 3000
+/* A change that never reaches a majority is left to the digests. */
+#define PENDING_MAX_MS 600000
+
+/* enum phase - what a change waits for */
+enum phase {
+	PHASE_PUT,   /* result of the write */
+	PHASE_READ,  /* result of the read that settles a lost response */
+	PHASE_RETRY, /* time to read again */
+	PHASE_ACK,   /* acknowledgements */
+};
+
+/* A local change. */
+struct change {
+	char *id;
+	char *key;
+	json_t *value;
+	uint64_t if_version;
+	enum phase phase;
+	bool lost;
+	uint64_t version;
+	int64_t phase_ms;
+	int64_t deadline_ms;
+	int64_t next_ms;
+	struct vmid *acked;
+	uint32_t n_acked;
+	bool told_pending;
+};
+
+/* A synchronisation that was asked for. */
+struct sync {
+	struct vmid peer;
+	uint64_t seq;
+	int64_t started_ms;
+	GPtrArray *want; /* keys, owned */
+};
+
+static const char *const status_names[] = {
+    "accepted", "pending", "conflict", "invalid", "unresolved"};
+
+const char *
+cst_status_name(enum cst_status status)
+{
+	return (status_names[status]);
+}
+
+static void
+change_free(gpointer p)
+{
+	struct change *h = p;
+
+	g_free(h->id);
+	g_free(h->key);
+	json_decref(h->value);
+	g_free(h->acked);
+	g_free(h);
+}
+
+static void
+sync_free(gpointer p)
+{
+	struct sync *s = p;
+
+	g_ptr_array_free(s->want, TRUE);
+	g_free(s);
+}
+
+void
+cst_init(struct cst *c, const struct cst_desc *desc)
+{
+	*c = (struct cst){.desc = *desc};
+	if (c->desc.ack_wait_ms == 0)
+		c->desc.ack_wait_ms = ACK_WAIT_MS;
+	if (c->desc.store_wait_ms == 0)
+		c->desc.store_wait_ms = STORE_WAIT_MS;
+	cob_init(&c->objects);
+	c->changes = g_ptr_array_new_with_free_func(change_free);
+	c->syncs = g_ptr_array_new_with_free_func(sync_free);
+}
+
+void
+cst_finish(struct cst *c)
+{
+	cob_finish(&c->objects);
+	g_ptr_array_free(c->changes, TRUE);
+	g_ptr_array_free(c->syncs, TRUE);
+	g_free(c->members);
+	*c = (struct cst){0};
+}
+
+void
+cst_msg_finish(struct cst_msg *msg)
+{
+	for (uint32_t i = 0; i < msg->n_items; i++) {
+		g_free(msg->items[i].key);
+		free(msg->items[i].value);
+	}
+	g_free(msg->items);
+	g_free(msg->cursor);
+	*msg = (struct cst_msg){0};
+}
+
+void
+cst_out_clear(struct cst_out *out)
+{
+	for (uint32_t i = 0; i < out->n; i++) {
+		struct cst_effect *e = &out->effects[i];
+
+		g_free(e->key);
+		json_decref(e->value);
+		g_free(e->change);
+		g_free(e->text);
+		if (e->msg != NULL)
+			cst_msg_finish(e->msg);
+		g_free(e->msg);
+	}
+	out->n = 0;
+}
+
+void
+cst_out_finish(struct cst_out *out)
+{
+	cst_out_clear(out);
+	g_free(out->effects);
+	*out = (struct cst_out){0};
+}
+
+static struct cst_effect *
+emit(struct cst_out *out, enum cst_effect_kind kind, const char *key)
+{
+	if (out->n == out->cap) {
+		out->cap = out->cap == 0 ? 8 : out->cap * 2;
+		out->effects =
+		    g_renew(struct cst_effect, out->effects, out->cap);
+	}
+	out->effects[out->n] =
+	    (struct cst_effect){.kind = kind, .key = g_strdup(key)};
+	return (&out->effects[out->n++]);
+}
+
+/* Moves the content of @msg into an effect; @to NULL sends to all others. */
+static void
+emit_send(struct cst *c, struct cst_msg *msg, const struct vmid *to,
+    struct cst_out *out)
+{
+	struct cst_effect *e = emit(out, CST_SEND, NULL);
+
+	msg->sender = c->desc.self;
+	msg->digest = c->objects.digest;
+	if (to != NULL)
+		e->to = *to;
+	e->msg = g_new(struct cst_msg, 1);
+	*e->msg = *msg;
+}
+
+static void
+emit_answer(struct change *h, enum cst_status status, const char *text,
+    struct cst_out *out)
+{
+	struct cst_effect *e = emit(out, CST_ANSWER, h->key);
+
+	e->change = g_strdup(h->id);
+	e->status = status;
+	e->version = h->version;
+	e->text = g_strdup(text);
+}
+
+static void
+push(struct cst *c, const char *key, const struct vmid *to, struct cst_out *out)
+{
+	const struct cob_object *o = cob_find(&c->objects, key);
+	struct cst_msg msg = {.kind = CST_MSG_PUSH};
+
+	if (o == NULL)
+		return;
+	csy_add_object(&msg, o);
+	emit_send(c, &msg, to, out);
+}
+
+void
+cst_on_members(struct cst *c, const struct vmid *members, uint32_t n)
+{
+	g_free(c->members);
+	c->n_members = MIN(n, CST_MAX_MEMBERS);
+	c->members = g_new(struct vmid, c->n_members + 1);
+	memcpy(c->members, members, c->n_members * sizeof(*members));
+}
+
+static bool
+has_acked(const struct cst *c, const struct change *h, const struct vmid *m)
+{
+	if (vmid_eq(m, &c->desc.self))
+		return (true);
+	for (uint32_t i = 0; i < h->n_acked; i++) {
+		if (vmid_eq(&h->acked[i], m))
+			return (true);
+	}
+	return (false);
+}
+
+static bool
+has_majority(const struct cst *c, const struct change *h)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < c->n_members; i++)
+		n += has_acked(c, h, &c->members[i]);
+	return (n > c->n_members / 2);
+}
+
+static void
+finish_change(struct cst *c, struct change *h, enum cst_status status,
+    const char *text, struct cst_out *out)
+{
+	emit_answer(h, status, text, out);
+	g_ptr_array_remove(c->changes, h);
+}
+
+static void
+stored(struct cst *c, struct change *h, uint64_t version, int64_t now_ms,
+    struct cst_out *out)
+{
+	h->phase = PHASE_ACK;
+	h->phase_ms = now_ms;
+	h->version = version;
+	h->next_ms = now_ms + PUSH_RETRY_MS;
+	push(c, h->key, NULL, out);
+	if (has_majority(c, h))
+		finish_change(c, h, CST_ACCEPTED, NULL, out);
+}
+
+/* Settles local changes that the newest version of the key shows as stored. */
+static void
+settle(struct cst *c, const char *key, int64_t now_ms, struct cst_out *out)
+{
+	const struct cob_object *o = cob_find(&c->objects, key);
+	const char *id = o == NULL ? NULL : cob_change_id(o->raw);
+
+	for (guint i = c->changes->len; id != NULL && i-- > 0;) {
+		struct change *h = c->changes->pdata[i];
+
+		if (h->phase != PHASE_ACK && strcmp(h->key, key) == 0 &&
+		    strcmp(h->id, id) == 0)
+			stored(c, h, o->version, now_ms, out);
+	}
+}
+
+static unsigned
+apply(struct cst *c, const char *key, uint64_t version, json_t *value,
+    int64_t now_ms, struct cst_out *out)
+{
+	unsigned changed = cob_apply(&c->objects, key, version, value);
+	const struct cob_object *o;
+	struct cst_effect *e;
+
+	if (changed == COB_NOTHING)
+		return (changed);
+	o = cob_find(&c->objects, key);
+	if (o != NULL && (changed & COB_EFFECT) != 0) {
+		e = emit(out, CST_PUBLISH, key);
+		e->version = o->effect;
+		e->value = json_incref(o->value);
+	}
+	if (o != NULL && (changed & COB_INVALID) != 0) {
+		e = emit(out, CST_PROBLEM, key);
+		e->version = o->version;
+		e->text = g_strdup(o->problem);
+	}
+	settle(c, key, now_ms, out);
+	return (changed);
+}
+
+static struct change *
+find_change(struct cst *c, const char *id)
+{
+	for (guint i = 0; i < c->changes->len; i++) {
+		struct change *h = c->changes->pdata[i];
+
+		if (strcmp(h->id, id) == 0)
+			return (h);
+	}
+	return (NULL);
+}
+
+static void
+emit_put(struct change *h, int64_t now_ms, struct cst_out *out)
+{
+	struct cst_effect *e = emit(out, CST_PUT, h->key);
+
+	e->change = g_strdup(h->id);
+	e->version = h->if_version;
+	e->value = json_incref(h->value);
+	h->phase = PHASE_PUT;
+	h->phase_ms = now_ms;
+}
+
+static void
+emit_get(struct change *h, int64_t now_ms, struct cst_out *out)
+{
+	emit(out, CST_GET, h->key);
+	h->phase = PHASE_READ;
+	h->phase_ms = now_ms;
+}
+
+static bool
+check_change(
+    const struct cst *c, const struct cst_change *w, struct bbuf *problems)
+{
+	struct cfg_service s;
+	struct bbuf ignored;
+
+	if (strlen(w->id) == 0 || strlen(w->id) > CST_CHANGE_MAX)
+		bbuf_addf(problems,
+		    "change: %.20s...: must have 1 to 200 bytes\n", w->id);
+	if (!cob_is_replicated(w->key))
+		bbuf_addf(problems, "%.80s: is not a known key\n", w->key);
+	else
+		cob_check(w->key, w->value, problems);
+	if (c->changes->len >= CST_MAX_CHANGES)
+		bbuf_addf(problems, "%s: too many changes wait\n", w->key);
+	if (problems->n != 0 || w->value == NULL ||
+	    !g_str_has_prefix(w->key, "config/service/"))
+		return (problems->n == 0);
+	bbuf_init(&ignored);
+	cfg_parse_service(&s, w->value, &ignored);
+	cfg_check_refs(&s, cob_set(&c->objects), problems);
+	cfg_service_finish(&s);
+	bbuf_finish(&ignored);
+	return (problems->n == 0);
+}
+
+/* Answers without writing when that is possible; Return: whether it did. */
+static bool
+answered_at_once(
+    struct cst *c, struct change *h, int64_t now_ms, struct cst_out *out)
+{
+	const struct cob_object *o = cob_find(&c->objects, h->key);
+	const char *id = o == NULL ? NULL : cob_change_id(o->raw);
+
+	if (id != NULL && strcmp(id, h->id) == 0) {
+		stored(c, h, o->version, now_ms, out);
+		return (true);
+	}
+	if (o != NULL && o->version > h->if_version &&
+	    (o->raw != NULL || h->if_version != 0)) {
+		h->version = o->version;
+		finish_change(c, h, CST_CONFLICT, id, out);
+		return (true);
+	}
+	return (false);
+}
+
+void
+cst_write(struct cst *c, const struct cst_change *change, int64_t now_ms,
+    struct cst_out *out)
+{
+	struct change *h;
+	struct bbuf problems;
+
+	if (find_change(c, change->id) != NULL)
+		return;
+	bbuf_init(&problems);
+	h = g_new0(struct change, 1);
+	h->id = g_strdup(change->id);
+	h->key = g_strdup(change->key);
+	h->if_version = change->if_version;
+	h->deadline_ms = now_ms + c->desc.store_wait_ms;
+	if (change->value != NULL) {
+		h->value = json_copy(change->value);
+		json_object_set_new(h->value, "change", json_string(h->id));
+	}
+	if (!check_change(c, change, &problems)) {
+		emit_answer(h, CST_INVALID, problems.p, out);
+		change_free(h);
+	} else {
+		g_ptr_array_add(c->changes, h);
+		if (!answered_at_once(c, h, now_ms, out))
+			emit_put(h, now_ms, out);
+	}
+	bbuf_finish(&problems);
+}
+
+void
+cst_on_put(struct cst *c, const char *change, enum cst_put result,
+    uint64_t version, int64_t now_ms, struct cst_out *out)
+{
+	struct change *h = find_change(c, change);
+
+	if (h == NULL || h->phase == PHASE_ACK)
+		return;
+	if (result != CST_PUT_OK) {
+		h->lost = h->lost || result == CST_PUT_LOST;
+		emit_get(h, now_ms, out);
+		return;
+	}
+	apply(c, h->key, version, h->value, now_ms, out);
+	h = find_change(c, change);
+	if (h != NULL && h->phase != PHASE_ACK)
+		stored(c, h, version, now_ms, out);
+}
+
+/* Decides a change whose key was read in @version without its change id. */
+static void
+settle_read(struct cst *c, struct change *h, bool found, uint64_t version,
+    const char *other, int64_t now_ms, struct cst_out *out)
+{
+	if (h->value == NULL && !found && h->if_version != 0) {
+		/* The deletion has a version above the one it replaced. */
+		apply(c, h->key, h->if_version + 1, NULL, now_ms, out);
+		stored(c, h, h->if_version + 1, now_ms, out);
+	} else if (found && version > h->if_version) {
+		h->version = version;
+		finish_change(
+		    c, h, h->lost ? CST_UNRESOLVED : CST_CONFLICT, other, out);
+	} else if (version == h->if_version) {
+		emit_put(h, now_ms, out);
+	} else {
+		/* A stale read says nothing. */
+		h->phase = PHASE_RETRY;
+		h->next_ms = now_ms + STORE_RETRY_MS;
+	}
+}
+
+void
+cst_on_read(struct cst *c, const char *key, enum cst_read result,
+    uint64_t version, json_t *value, int64_t now_ms, struct cst_out *out)
+{
+	bool found = result == CST_READ_OK;
+
+	if (found)
+		cst_on_watch(c, key, version, value, now_ms, out);
+	for (guint i = c->changes->len; i-- > 0;) {
+		struct change *h = c->changes->pdata[i];
+
+		if (h->phase != PHASE_READ || strcmp(h->key, key) != 0)
+			continue;
+		if (result == CST_READ_FAILED) {
+			h->phase = PHASE_RETRY;
+			h->next_ms = now_ms + STORE_RETRY_MS;
+		} else {
+			settle_read(c, h, found, found ? version : 0,
+			    found ? cob_change_id(value) : NULL, now_ms, out);
+		}
+	}
+}
+
+void
+cst_on_watch(struct cst *c, const char *key, uint64_t version, json_t *value,
+    int64_t now_ms, struct cst_out *out)
+{
+	if (apply(c, key, version, value, now_ms, out) != COB_NOTHING)
+		push(c, key, NULL, out);
+}
+
+void
+cst_on_list(struct cst *c, const char *prefix, const json_t *response,
+    int64_t now_ms, struct cst_out *out)
+{
+	uint64_t revision =
+	    (uint64_t)json_integer_value(json_object_get(response, "revision"));
+	GHashTable *listed = g_hash_table_new(g_str_hash, g_str_equal);
+	GPtrArray *gone = g_ptr_array_new_with_free_func(g_free);
+	const json_t *o;
+	size_t i;
+
+	json_array_foreach(json_object_get(response, "objects"), i, o)
+	{
+		const char *key = json_string_value(json_object_get(o, "key"));
+		json_int_t version =
+		    json_integer_value(json_object_get(o, "version"));
+
+		if (key == NULL || version <= 0)
+			continue;
+		g_hash_table_add(listed, (gpointer)key);
+		cst_on_watch(c, key, (uint64_t)version,
+		    json_object_get(o, "value"), now_ms, out);
+	}
+	for (guint k = 0; k < c->objects.order->len; k++) {
+		const struct cob_object *b = c->objects.order->pdata[k];
+
+		if (b->raw != NULL && b->version < revision &&
+		    g_str_has_prefix(b->key, prefix) &&
+		    !g_hash_table_contains(listed, b->key))
+			g_ptr_array_add(gone, g_strdup(b->key));
+	}
+	for (guint k = 0; k < gone->len; k++)
+		cst_on_watch(c, gone->pdata[k], revision, NULL, now_ms, out);
+	g_ptr_array_free(gone, TRUE);
+	g_hash_table_destroy(listed);
+}
+
+static void
+apply_items(struct cst *c, const struct cst_msg *msg, int64_t now_ms,
+    struct cst_out *out)
+{
+	for (uint32_t i = 0; i < msg->n_items; i++) {
+		const struct cst_item *t = &msg->items[i];
+		json_t *value = NULL;
+
+		if (t->value != NULL)
+			value = json_loads(t->value, JSON_DECODE_ANY, NULL);
+		if ((value != NULL) != t->deleted)
+			apply(c, t->key, t->version, value, now_ms, out);
+		json_decref(value);
+	}
+}
+
+static void
+on_push(struct cst *c, const struct cst_msg *msg, int64_t now_ms,
+    struct cst_out *out)
+{
+	struct cst_msg ack = {.kind = CST_MSG_ACK};
+
+	apply_items(c, msg, now_ms, out);
+	for (uint32_t i = 0; i < msg->n_items; i++) {
+		const struct cob_object *o =
+		    cob_find(&c->objects, msg->items[i].key);
+
+		if (o != NULL && o->effect != 0)
+			csy_add_version(&ack, o->key, o->effect, 0, false);
+	}
+	emit_send(c, &ack, &msg->sender, out);
+}
+
+static void
+on_ack(struct cst *c, const struct cst_msg *msg, struct cst_out *out)
+{
+	for (uint32_t i = 0; i < msg->n_items; i++) {
+		const struct cst_item *t = &msg->items[i];
+
+		for (guint k = c->changes->len; k-- > 0;) {
+			struct change *h = c->changes->pdata[k];
+
+			if (h->phase != PHASE_ACK ||
+			    strcmp(h->key, t->key) != 0 ||
+			    t->version < h->version ||
+			    has_acked(c, h, &msg->sender) ||
+			    h->n_acked >= CST_MAX_MEMBERS)
+				continue;
+			h->acked =
+			    g_renew(struct vmid, h->acked, h->n_acked + 1);
+			h->acked[h->n_acked++] = msg->sender;
+			if (has_majority(c, h))
+				finish_change(c, h, CST_ACCEPTED, NULL, out);
+		}
+	}
+}
+
+static void
+ask(struct cst *c, struct sync *s, enum cst_msg_kind kind, uint64_t since,
+    const char *cursor, struct cst_out *out)
+{
+	struct cst_msg msg = {.kind = kind, .seq = s->seq, .since = since};
+
+	msg.cursor = g_strdup(cursor);
+	if (kind == CST_MSG_WANT) {
+		for (guint i = 0; i < MIN(s->want->len, CST_MAX_ITEMS); i++)
+			csy_add_version(&msg, s->want->pdata[i], 0, 0, false);
+	}
+	emit_send(c, &msg, &s->peer, out);
+}
+
+static void
+synced(struct cst *c, struct sync *s, struct cst_out *out)
+{
+	struct cst_effect *e = emit(out, CST_SYNCED, NULL);
+
+	e->to = s->peer;
+	e->started_ms = s->started_ms;
+	g_ptr_array_remove(c->syncs, s);
+}
+
+/* Collects the keys of which the peer holds a higher version. */
+static void
+compare_list(struct cst *c, struct sync *s, const struct cst_msg *msg,
+    int64_t now_ms, struct cst_out *out)
+{
+	for (uint32_t i = 0; i < msg->n_items; i++) {
+		const struct cst_item *t = &msg->items[i];
+		const struct cob_object *o;
+
+		if (t->deleted)
+			apply(c, t->key, t->version, NULL, now_ms, out);
+		o = cob_find(&c->objects, t->key);
+		if (!t->deleted &&
+		    (o == NULL || o->version < t->version ||
+			o->effect < t->effect))
+			g_ptr_array_add(s->want, g_strdup(t->key));
+	}
+}
+
+/* Removes the keys that the answer brought. */
+static void
+strike_wanted(struct sync *s, const struct cst_msg *msg)
+{
+	for (uint32_t i = 0; i < msg->n_items; i++) {
+		for (guint k = s->want->len; k-- > 0;) {
+			if (strcmp(s->want->pdata[k], msg->items[i].key) == 0)
+				g_ptr_array_remove_index(s->want, k);
+		}
+	}
+}
+
+static void
+on_answer(struct cst *c, const struct cst_msg *msg, int64_t now_ms,
+    struct cst_out *out)
+{
+	struct sync *s = NULL;
+
+	for (guint i = 0; i < c->syncs->len; i++) {
+		struct sync *k = c->syncs->pdata[i];
+
+		if (k->seq == msg->seq && vmid_eq(&k->peer, &msg->sender))
+			s = k;
+	}
+	if (s == NULL)
+		return;
+	if (msg->answers == CST_MSG_LIST) {
+		compare_list(c, s, msg, now_ms, out);
+	} else {
+		apply_items(c, msg, now_ms, out);
+		strike_wanted(s, msg);
+	}
+	if (msg->more && msg->answers != CST_MSG_WANT)
+		ask(c, s, msg->answers, msg->since, msg->cursor, out);
+	else if (msg->digest.hash == c->objects.digest.hash)
+		synced(c, s, out);
+	else if (msg->answers == CST_MSG_PULL)
+		ask(c, s, CST_MSG_LIST, 0, NULL, out);
+	else if (s->want->len == 0)
+		synced(c, s, out);
+	else if (msg->answers == CST_MSG_WANT && msg->n_items == 0)
+		g_ptr_array_remove(c->syncs, s);
+	else
+		ask(c, s, CST_MSG_WANT, 0, NULL, out);
+}
+
+void
+cst_on_msg(struct cst *c, const struct cst_msg *msg, int64_t now_ms,
+    struct cst_out *out)
+{
+	struct cst_msg answer;
+
+	switch (msg->kind) {
+	case CST_MSG_PUSH:
+		on_push(c, msg, now_ms, out);
+		break;
+	case CST_MSG_ACK:
+		on_ack(c, msg, out);
+		break;
+	case CST_MSG_ANSWER:
+		on_answer(c, msg, now_ms, out);
+		break;
+	case CST_MSG_PULL:
+	case CST_MSG_LIST:
+	case CST_MSG_WANT:
+		csy_answer(&c->objects, msg, &answer);
+		emit_send(c, &answer, &msg->sender, out);
+		break;
+	case CST_MSG_KIND_COUNT:
+		break;
+	}
+}
+
+void
+cst_pull(
+    struct cst *c, const struct vmid *peer, int64_t now_ms, struct cst_out *out)
+{
+	struct sync *s;
+
+	for (guint i = c->syncs->len; i-- > 0;) {
+		s = c->syncs->pdata[i];
+		if (vmid_eq(&s->peer, peer))
+			g_ptr_array_remove_index(c->syncs, i);
+	}
+	s = g_new0(struct sync, 1);
+	s->peer = *peer;
+	s->seq = ++c->seq;
+	s->started_ms = now_ms;
+	s->want = g_ptr_array_new_with_free_func(g_free);
+	g_ptr_array_add(c->syncs, s);
+	ask(c, s, CST_MSG_PULL, c->objects.digest.highest, NULL, out);
+}
+
+/* Pushes again to the members that have not acknowledged. */
+static void
+push_again(struct cst *c, struct change *h, int64_t now_ms, struct cst_out *out)
+{
+	struct bbuf names;
+
+	bbuf_init(&names);
+	h->next_ms = now_ms + PUSH_RETRY_MS;
+	for (uint32_t i = 0; i < c->n_members; i++) {
+		if (has_acked(c, h, &c->members[i]))
+			continue;
+		push(c, h->key, &c->members[i], out);
+		bbuf_addf(&names, "%s%.*s", names.n == 0 ? "" : " ",
+		    BSTR_ARG(vmid_str(&c->members[i])));
+	}
+	if (!h->told_pending && now_ms - h->phase_ms >= c->desc.ack_wait_ms) {
+		h->told_pending = true;
+		emit_answer(h, CST_PENDING, names.p, out);
+	}
+	bbuf_finish(&names);
+}
+
+static void
+tick_change(
+    struct cst *c, struct change *h, int64_t now_ms, struct cst_out *out)
+{
+	if (h->phase == PHASE_ACK) {
+		if (has_majority(c, h))
+			finish_change(c, h, CST_ACCEPTED, NULL, out);
+		else if (now_ms - h->phase_ms > PENDING_MAX_MS)
+			g_ptr_array_remove(c->changes, h);
+		else if (now_ms >= h->next_ms)
+			push_again(c, h, now_ms, out);
+		return;
+	}
+	if (now_ms >= h->deadline_ms)
+		finish_change(c, h, CST_UNRESOLVED, "store unreachable", out);
+	else if (h->phase == PHASE_RETRY && now_ms >= h->next_ms)
+		emit_get(h, now_ms, out);
+}
+
+void
+cst_tick(struct cst *c, int64_t now_ms, struct cst_out *out)
+{
+	for (guint i = c->changes->len; i-- > 0;)
+		tick_change(c, c->changes->pdata[i], now_ms, out);
+	for (guint i = c->syncs->len; i-- > 0;) {
+		struct sync *s = c->syncs->pdata[i];
+
+		if (now_ms - s->started_ms > SYNC_WAIT_MS)
+			g_ptr_array_remove_index(c->syncs, i);
+	}
+}
+
+const struct cfg_set *
+cst_set(const struct cst *c)
+{
+	return (cob_set(&c->objects));
+}
+
+struct cob_digest
+cst_digest(const struct cst *c)
+{
+	return (c->objects.digest);
+}
--- /dev/null
+++ b/packages/move/mov.c
@@ -0,0 +1,691 @@
+#include "move/mov.h"
+
+#include <stdio.h>
+
+#include "move/can.h"
+
+#define PERMILLE 1000
+#define GOSSIP_MS 1000
+#define WRITE_RETRY_MS 500
+#define MS_PER_S 1000
+/* A route counts as used by callers from this number of old calls. */
+#define ROUTE_USED_CALLS 20
+
+static const uint32_t standard_steps[] = {10, 50, 200, 500, 1000};
+
+/* Last counters of one sender, version and route. */
+struct last {
+	struct can_count count;
+};
+
+/* Test of one route. */
+struct route {
+	char *name;
+	struct can_route can;
+};
+
+/* State of the executor of one move. */
+struct run {
+	char *service;
+	char *intent;
+	GHashTable *last; /* "sender version route" -> struct last */
+	GPtrArray *routes;
+	int64_t rotated_ms;
+	uint32_t step;
+	int64_t step_ms;
+	uint64_t step_calls;
+	char *writing;
+	int64_t next_write_ms;
+	bool seen;
+};
+
+static void
+bad_finish(struct mov_bad *b)
+{
+	g_free(b->service);
+	g_free(b->version);
+	g_free(b->intent);
+	g_free(b->reason);
+}
+
+static void
+bad_free(gpointer p)
+{
+	bad_finish(p);
+	g_free(p);
+}
+
+static struct mov_bad
+bad_copy(const struct mov_bad *b)
+{
+	return ((struct mov_bad){g_strdup(b->service), g_strdup(b->version),
+	    g_strdup(b->intent), g_strdup(b->reason)});
+}
+
+static void
+route_free(gpointer p)
+{
+	struct route *r = p;
+
+	g_free(r->name);
+	g_free(r);
+}
+
+static void
+run_free(gpointer p)
+{
+	struct run *r = p;
+
+	g_free(r->service);
+	g_free(r->intent);
+	g_free(r->writing);
+	g_hash_table_destroy(r->last);
+	g_ptr_array_free(r->routes, TRUE);
+	g_free(r);
+}
+
+void
+mov_init(struct mov *m, const struct mov_desc *desc)
+{
+	*m = (struct mov){.desc = *desc};
+	m->bad = g_ptr_array_new_with_free_func(bad_free);
+	m->runs = g_ptr_array_new_with_free_func(run_free);
+	m->due = g_ptr_array_new_with_free_func(g_free);
+}
+
+void
+mov_finish(struct mov *m)
+{
+	g_ptr_array_free(m->bad, TRUE);
+	g_ptr_array_free(m->runs, TRUE);
+	g_ptr_array_free(m->due, TRUE);
+	*m = (struct mov){0};
+}
+
+void
+mov_msg_finish(struct mov_msg *msg)
+{
+	for (uint32_t i = 0; i < msg->n_rows; i++) {
+		g_free(msg->rows[i].service);
+		g_free(msg->rows[i].version);
+		g_free(msg->rows[i].route);
+	}
+	g_free(msg->rows);
+	bad_finish(&msg->bad);
+	*msg = (struct mov_msg){0};
+}
+
+void
+mov_out_clear(struct mov_out *out)
+{
+	for (uint32_t i = 0; i < out->n; i++) {
+		struct mov_effect *e = &out->effects[i];
+
+		g_free(e->intent);
+		g_free(e->service);
+		if (e->msg != NULL)
+			mov_msg_finish(e->msg);
+		g_free(e->msg);
+		g_free(e->key);
+		g_free(e->change);
+		json_decref(e->value);
+	}
+	out->n = 0;
+}
+
+void
+mov_out_finish(struct mov_out *out)
+{
+	mov_out_clear(out);
+	g_free(out->effects);
+	*out = (struct mov_out){0};
+}
+
+static struct mov_effect *
+emit(struct mov_out *out, enum mov_effect_kind kind)
+{
+	if (out->n == out->cap) {
+		out->cap = out->cap == 0 ? 8 : out->cap * 2;
+		out->effects =
+		    g_renew(struct mov_effect, out->effects, out->cap);
+	}
+	out->effects[out->n] = (struct mov_effect){.kind = kind};
+	return (&out->effects[out->n++]);
+}
+
+uint32_t
+mov_steps(const struct cfg_limits *l, uint32_t *steps)
+{
+	uint32_t n = 0, share = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(standard_steps); i++) {
+		while (standard_steps[i] - share > l->max_step_permille &&
+		    n < MOV_MAX_STEPS - G_N_ELEMENTS(standard_steps)) {
+			share += l->max_step_permille;
+			steps[n++] = share;
+		}
+		share = standard_steps[i];
+		steps[n++] = share;
+	}
+	return (n);
+}
+
+int64_t
+mov_min_duration_ms(const struct cfg_limits *l)
+{
+	uint32_t steps[MOV_MAX_STEPS];
+	int64_t n = mov_steps(l, steps);
+
+	return ((n - 1) * l->step_min_s + l->observe_s + 2 * l->margin_s) *
+	    MS_PER_S;
+}
+
+json_t *
+mov_value(const struct cfg_service *s, const struct cfg_limits *l,
+    uint32_t step, enum cfg_move_state state, const char *reason)
+{
+	uint32_t steps[MOV_MAX_STEPS], n = mov_steps(l, steps), share = 0;
+	struct cfg_service copy;
+	json_t *value;
+
+	cfg_service_copy(&copy, s);
+	if (state != CFG_MOVE_ROLLED_BACK && step > 0)
+		share = steps[MIN(step, n) - 1];
+	if (state != CFG_MOVE_ROLLED_BACK)
+		copy.move.step = step;
+	copy.move.state = state;
+	g_free(copy.move.reason);
+	copy.move.reason = g_strdup(reason);
+	for (uint32_t i = 0; i < copy.n_versions; i++) {
+		struct cfg_version *v = &copy.versions[i];
+
+		v->share = 0;
+		if (strcmp(v->name, s->move.to) == 0)
+			v->share = share;
+		else if (strcmp(v->name, s->move.from) == 0)
+			v->share = PERMILLE - share;
+	}
+	value = cfg_print_service(&copy);
+	cfg_service_finish(&copy);
+	return (value);
+}
+
+static const struct mov_bad *
+find_bad(const GPtrArray *bad, const struct cfg_service *s)
+{
+	for (guint i = 0; s->has_move && i < bad->len; i++) {
+		const struct mov_bad *b = bad->pdata[i];
+
+		if (strcmp(b->service, s->name) == 0 &&
+		    strcmp(b->intent, s->move.intent) == 0)
+			return (b);
+	}
+	return (NULL);
+}
+
+void
+mov_effective_shares(const struct cfg_service *s, const GPtrArray *bad,
+    int64_t wall_ms, uint32_t *shares)
+{
+	int to, from;
+
+	for (uint32_t i = 0; i < s->n_versions; i++)
+		shares[i] = s->versions[i].share;
+	if (!s->has_move)
+		return;
+	to = cfg_find_version(s, s->move.to);
+	from = cfg_find_version(s, s->move.from);
+	if (find_bad(bad, s) != NULL ||
+	    (s->move.state == CFG_MOVE_RUNNING && wall_ms >= s->move.due_ms)) {
+		shares[from] += shares[to];
+		shares[to] = 0;
+	}
+}
+
+void
+mov_shares(const struct mov *m, const struct cfg_service *s, int64_t wall_ms,
+    uint32_t *shares)
+{
+	mov_effective_shares(s, m->bad, wall_ms, shares);
+}
+
+static void
+emit_shares(struct mov_out *out, const char *service)
+{
+	emit(out, MOV_SHARES)->service = g_strdup(service);
+}
+
+static void
+emit_bad(struct mov *m, const struct mov_bad *b, enum mov_effect_kind kind,
+    struct mov_out *out)
+{
+	struct mov_effect *e = emit(out, kind);
+
+	e->msg = g_new0(struct mov_msg, 1);
+	e->msg->kind = MOV_MSG_BAD;
+	e->msg->sender = m->desc.self;
+	e->msg->bad = bad_copy(b);
+}
+
+/* Keeps a decision; Return: whether it was new. */
+static bool
+learn_bad(struct mov *m, const struct mov_bad *b, struct mov_out *out)
+{
+	struct mov_bad *copy;
+
+	for (guint i = 0; i < m->bad->len; i++) {
+		const struct mov_bad *k = m->bad->pdata[i];
+
+		if (strcmp(k->service, b->service) == 0 &&
+		    strcmp(k->intent, b->intent) == 0)
+			return (false);
+	}
+	if (m->bad->len == MOV_MAX_BAD)
+		g_ptr_array_remove_index(m->bad, 0);
+	copy = g_new(struct mov_bad, 1);
+	*copy = bad_copy(b);
+	g_ptr_array_add(m->bad, copy);
+	emit_shares(out, b->service);
+	return (true);
+}
+
+static struct run *
+find_run(struct mov *m, const struct cfg_service *s)
+{
+	for (guint i = 0; i < m->runs->len; i++) {
+		struct run *r = m->runs->pdata[i];
+
+		if (strcmp(r->service, s->name) == 0 &&
+		    strcmp(r->intent, s->move.intent) == 0)
+			return (r);
+	}
+	return (NULL);
+}
+
+static struct run *
+get_run(struct mov *m, const struct cfg_service *s, int64_t now_ms)
+{
+	struct run *r = find_run(m, s);
+
+	if (r != NULL)
+		return (r);
+	r = g_new0(struct run, 1);
+	r->service = g_strdup(s->name);
+	r->intent = g_strdup(s->move.intent);
+	r->last =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	r->routes = g_ptr_array_new_with_free_func(route_free);
+	r->step = s->move.step;
+	r->step_ms = now_ms;
+	r->rotated_ms = now_ms;
+	g_ptr_array_add(m->runs, r);
+	return (r);
+}
+
+static struct route *
+get_route(struct run *r, const char *name)
+{
+	struct route *t;
+
+	for (guint i = 0; i < r->routes->len; i++) {
+		t = r->routes->pdata[i];
+		if (strcmp(t->name, name) == 0)
+			return (t);
+	}
+	if (r->routes->len == MOV_MAX_ROWS)
+		return (NULL);
+	t = g_new0(struct route, 1);
+	t->name = g_strdup(name);
+	g_ptr_array_add(r->routes, t);
+	return (t);
+}
+
+/*
+ * Calls of a row since the last row of its sender. The counters grow during the
+ * life of a process, so a repeated row adds nothing and a late one is ignored.
+ * The first row of a sender is the base: an executor that takes over must not
+ * count what its predecessor saw.
+ */
+static struct can_count
+row_delta(struct run *r, const struct vmid *sender, const struct mov_row *row)
+{
+	char *key = g_strdup_printf("%.*s\n%s\n%s", BSTR_ARG(vmid_str(sender)),
+	    row->version, row->route);
+	struct last *l = g_hash_table_lookup(r->last, key);
+	struct can_count d = {0};
+
+	if (l == NULL) {
+		l = g_new0(struct last, 1);
+		l->count =
+		    (struct can_count){row->calls, row->failed, row->slow};
+		g_hash_table_insert(r->last, key, l);
+		return (d);
+	}
+	g_free(key);
+	if (row->calls <= l->count.calls || row->failed < l->count.failed ||
+	    row->slow < l->count.slow)
+		return (d);
+	d.calls = row->calls - l->count.calls;
+	d.failed = MIN(row->failed - l->count.failed, d.calls);
+	d.slow = MIN(row->slow - l->count.slow, d.calls);
+	l->count = (struct can_count){row->calls, row->failed, row->slow};
+	return (d);
+}
+
+static void
+take_row(struct run *r, const struct cfg_service *s, const struct vmid *sender,
+    const struct mov_row *row, bool new_version)
+{
+	const char *version = new_version ? s->move.to : s->move.from;
+	struct can_count d;
+	struct route *t;
+
+	if (strcmp(row->service, s->name) != 0 ||
+	    strcmp(row->version, version) != 0)
+		return;
+	t = get_route(r, row->route);
+	d = row_delta(r, sender, row);
+	if (t == NULL || d.calls == 0)
+		return;
+	if (!new_version) {
+		can_add_old(&t->can, d.calls, d.failed, d.slow);
+		return;
+	}
+	can_add_new(&t->can, d.calls, d.failed, d.slow);
+	r->step_calls += d.calls;
+}
+
+static void
+decide_bad(struct mov *m, struct run *r, const struct cfg_service *s,
+    struct mov_out *out)
+{
+	for (guint i = 0; i < r->routes->len; i++) {
+		struct route *t = r->routes->pdata[i];
+		enum can_verdict v = can_is_bad(&t->can);
+		const struct can_count *n = &t->can.new_total;
+		struct mov_bad b;
+
+		if (v == CAN_GOOD)
+			continue;
+		b = (struct mov_bad){s->name, s->move.to, s->move.intent, NULL};
+		b.reason = g_strdup_printf(
+		    "bad version: %s on route %.100s, %llu of %llu calls",
+		    v == CAN_SLOW ? "slow" : "failing", t->name,
+		    (unsigned long long)(v == CAN_SLOW ? n->slow : n->failed),
+		    (unsigned long long)n->calls);
+		if (learn_bad(m, &b, out))
+			emit_bad(m, &b, MOV_SEND_ALL, out);
+		g_free(b.reason);
+		return;
+	}
+}
+
+static void
+take_rows(struct mov *m, const struct vmid *sender, const struct mov_row *rows,
+    uint32_t n, const struct cfg_service *s, int64_t now_ms,
+    struct mov_out *out)
+{
+	struct run *r = get_run(m, s, now_ms);
+
+	for (uint32_t i = 0; i < n; i++)
+		take_row(r, s, sender, &rows[i], false);
+	for (uint32_t i = 0; i < n; i++)
+		take_row(r, s, sender, &rows[i], true);
+	decide_bad(m, r, s, out);
+}
+
+static bool
+is_running(const struct cfg_service *s)
+{
+	return (s->has_move && s->move.state == CFG_MOVE_RUNNING);
+}
+
+/* Sends the rows of one service, MOV_MAX_ROWS in each message. */
+static void
+send_rows(struct mov *m, const struct cfg_service *s,
+    const struct mov_row *rows, uint32_t n, struct mov_out *out)
+{
+	struct mov_msg *msg = NULL;
+
+	for (uint32_t i = 0; i < n; i++) {
+		if (strcmp(rows[i].service, s->name) != 0)
+			continue;
+		if (msg == NULL || msg->n_rows == MOV_MAX_ROWS) {
+			struct mov_effect *e = emit(out, MOV_SEND_EXECUTOR);
+
+			e->intent = g_strdup(s->move.intent);
+			e->msg = g_new0(struct mov_msg, 1);
+			msg = e->msg;
+			msg->sender = m->desc.self;
+			msg->rows = g_new0(struct mov_row, MOV_MAX_ROWS);
+		}
+		msg->rows[msg->n_rows] = rows[i];
+		msg->rows[msg->n_rows].service = g_strdup(rows[i].service);
+		msg->rows[msg->n_rows].version = g_strdup(rows[i].version);
+		msg->rows[msg->n_rows].route = g_strdup(rows[i].route);
+		msg->n_rows++;
+	}
+}
+
+void
+mov_on_local(struct mov *m, const struct mov_row *rows, uint32_t n,
+    const struct mov_view *view, int64_t now_ms, struct mov_out *out)
+{
+	for (uint32_t i = 0; i < view->set->n_services; i++) {
+		const struct cfg_service *s = view->set->services[i].service;
+
+		if (!is_running(s))
+			continue;
+		if (view->is_executor(view->arg, s->move.intent))
+			take_rows(m, &m->desc.self, rows, n, s, now_ms, out);
+		else
+			send_rows(m, s, rows, n, out);
+	}
+}
+
+void
+mov_on_msg(struct mov *m, const struct mov_msg *msg,
+    const struct mov_view *view, int64_t now_ms, struct mov_out *out)
+{
+	if (msg->kind == MOV_MSG_BAD) {
+		learn_bad(m, &msg->bad, out);
+		return;
+	}
+	for (uint32_t i = 0; i < view->set->n_services; i++) {
+		const struct cfg_service *s = view->set->services[i].service;
+
+		if (is_running(s) &&
+		    view->is_executor(view->arg, s->move.intent))
+			take_rows(m, &msg->sender, msg->rows, msg->n_rows, s,
+			    now_ms, out);
+	}
+}
+
+void
+mov_on_written(
+    struct mov *m, const char *change, enum cst_status status, int64_t now_ms)
+{
+	for (guint i = 0; i < m->runs->len; i++) {
+		struct run *r = m->runs->pdata[i];
+
+		if (r->writing == NULL || strcmp(r->writing, change) != 0 ||
+		    status == CST_PENDING)
+			continue;
+		g_free(r->writing);
+		r->writing = NULL;
+		r->next_write_ms =
+		    status == CST_ACCEPTED ? now_ms : now_ms + WRITE_RETRY_MS;
+	}
+}
+
+static void
+write_move(struct run *r, const struct cfg_entry *e, const struct cfg_limits *l,
+    uint32_t step, enum cfg_move_state state, const char *reason,
+    struct mov_out *out)
+{
+	struct mov_effect *w;
+	char *change;
+
+	if (state == CFG_MOVE_ROLLED_BACK)
+		change = g_strdup_printf("%s/back", r->intent);
+	else if (state == CFG_MOVE_DONE)
+		change = g_strdup_printf("%s/done", r->intent);
+	else
+		change = g_strdup_printf("%s/step%u", r->intent, step);
+	w = emit(out, MOV_WRITE);
+	w->intent = g_strdup(r->intent);
+	w->service = g_strdup(r->service);
+	w->key = g_strdup_printf("config/service/%s", r->service);
+	w->change = change;
+	w->value = mov_value(e->service, l, step, state, reason);
+	w->if_version = e->version;
+	g_free(r->writing);
+	r->writing = g_strdup(change);
+}
+
+/* Whether every route that callers use was tried on the new version. */
+static bool
+routes_tried(const struct run *r, const struct cfg_limits *l)
+{
+	for (guint i = 0; i < r->routes->len; i++) {
+		const struct route *t = r->routes->pdata[i];
+
+		if (t->can.old_total.calls >= ROUTE_USED_CALLS &&
+		    t->can.new_total.calls < l->route_min_calls)
+			return (false);
+	}
+	return (true);
+}
+
+static bool
+is_suspect(const struct run *r)
+{
+	for (guint i = 0; i < r->routes->len; i++) {
+		const struct route *t = r->routes->pdata[i];
+
+		if (can_is_suspect(&t->can))
+			return (true);
+	}
+	return (false);
+}
+
+/* Takes the next step when the present one has lasted and seen enough. */
+static void
+advance(struct run *r, const struct cfg_entry *e, const struct cfg_limits *l,
+    const struct mov_view *view, int64_t now_ms, struct mov_out *out)
+{
+	const struct cfg_move *v = &e->service->move;
+	uint32_t steps[MOV_MAX_STEPS], n = mov_steps(l, steps);
+	bool last = v->step >= n;
+	int64_t need_ms =
+	    (int64_t)(last ? l->observe_s : l->step_min_s) * MS_PER_S;
+
+	if (v->step > 0 &&
+	    (now_ms - r->step_ms < need_ms ||
+		r->step_calls < l->step_min_calls || is_suspect(r)))
+		return;
+	if (!last) {
+		write_move(r, e, l, v->step + 1, CFG_MOVE_RUNNING, NULL, out);
+		return;
+	}
+	if (!routes_tried(r, l) ||
+	    view->wall_ms >= v->due_ms - 2 * (int64_t)l->margin_s * MS_PER_S)
+		return;
+	write_move(r, e, l, v->step, CFG_MOVE_DONE, "all steps passed", out);
+}
+
+static void
+roll_back(struct run *r, const struct cfg_entry *e, const struct cfg_limits *l,
+    const char *reason, struct mov_out *out)
+{
+	if (r->writing == NULL || !g_str_has_suffix(r->writing, "/back"))
+		write_move(r, e, l, 0, CFG_MOVE_ROLLED_BACK, reason, out);
+}
+
+static void
+tick_run(struct mov *m, struct run *r, const struct cfg_entry *e,
+    const struct mov_view *view, int64_t now_ms, struct mov_out *out)
+{
+	const struct cfg_limits *l = &view->set->limits;
+	const struct cfg_move *v = &e->service->move;
+	const struct mov_bad *bad = find_bad(m->bad, e->service);
+	int64_t margin_ms = (int64_t)l->margin_s * MS_PER_S;
+
+	if (v->step != r->step) {
+		r->step = v->step;
+		r->step_ms = now_ms;
+		r->step_calls = 0;
+	}
+	if (now_ms - r->rotated_ms >= CAN_WINDOW_MS / 2) {
+		r->rotated_ms = now_ms;
+		for (guint i = 0; i < r->routes->len; i++)
+			can_rotate(&((struct route *)r->routes->pdata[i])->can);
+	}
+	if (now_ms < r->next_write_ms)
+		return;
+	if (bad != NULL)
+		roll_back(r, e, l, bad->reason, out);
+	else if (v->state != CFG_MOVE_RUNNING)
+		return;
+	else if (view->wall_ms >= v->due_ms - margin_ms)
+		roll_back(r, e, l,
+		    r->step_calls < l->step_min_calls || !routes_tried(r, l)
+			? "too few calls to decide before the due time"
+			: "not finished before the due time",
+		    out);
+	else if (r->writing == NULL)
+		advance(r, e, l, view, now_ms, out);
+}
+
+/* Reports once that the due time of a move has changed the shares. */
+static void
+check_due(struct mov *m, const struct cfg_service *s,
+    const struct mov_view *view, struct mov_out *out)
+{
+	if (!is_running(s) || view->wall_ms < s->move.due_ms)
+		return;
+	for (guint i = 0; i < m->due->len; i++) {
+		if (strcmp(m->due->pdata[i], s->move.intent) == 0)
+			return;
+	}
+	if (m->due->len == MOV_MAX_BAD)
+		g_ptr_array_remove_index(m->due, 0);
+	g_ptr_array_add(m->due, g_strdup(s->move.intent));
+	emit_shares(out, s->name);
+}
+
+void
+mov_tick(struct mov *m, const struct mov_view *view, int64_t now_ms,
+    struct mov_out *out)
+{
+	bool gossip = now_ms - m->gossip_ms >= GOSSIP_MS;
+
+	if (gossip)
+		m->gossip_ms = now_ms;
+	for (guint i = 0; i < m->runs->len; i++)
+		((struct run *)m->runs->pdata[i])->seen = false;
+	for (uint32_t i = 0; i < view->set->n_services; i++) {
+		const struct cfg_entry *e = &view->set->services[i];
+		const struct cfg_service *s = e->service;
+		const struct mov_bad *bad;
+		struct run *r;
+
+		if (!s->has_move || s->move.state == CFG_MOVE_ROLLED_BACK)
+			continue;
+		check_due(m, s, view, out);
+		bad = find_bad(m->bad, s);
+		if (gossip && bad != NULL)
+			emit_bad(m, bad, MOV_SEND_ANY, out);
+		if (!view->is_executor(view->arg, s->move.intent) ||
+		    (bad == NULL && !is_running(s)))
+			continue;
+		r = get_run(m, s, now_ms);
+		r->seen = true;
+		tick_run(m, r, e, view, now_ms, out);
+	}
+	/* A lost role, a finished move or a deleted service ends the run. */
+	for (guint i = m->runs->len; i-- > 0;) {
+		if (!((struct run *)m->runs->pdata[i])->seen)
+			g_ptr_array_remove_index(m->runs, i);
+	}
+}
