--- a/packages/config/cob.c
+++ b/packages/config/cob.c
@@ -246,7 +246,7 @@
 	if (!cob_is_replicated(key) || version == 0)
 		return (COB_NOTHING);
 	o = object_get(t, key);
-	if (o == NULL || (version <= o->version && version <= o->effect))
+	if (o == NULL || version <= o->effect || version == o->version)
 		return (COB_NOTHING);
 	bbuf_init(&problems);
 	valid = cob_check(key, value, &problems);
@@ -269,7 +269,7 @@
 		o->problem = NULL;
 	} else if (!valid && version == o->version) {
 		g_free(o->problem);
-		o->problem = g_strndup(problems.p, problems.n);
+		o->problem = g_strchomp(g_strndup(problems.p, problems.n));
 		changed |= COB_INVALID;
 	}
 	t->digest.hash ^= object_hash(o);
--- a/packages/config/cst.c
+++ b/packages/config/cst.c
@@ -380,7 +380,7 @@
 		json_object_set_new(h->value, "change", json_string(h->id));
 	}
 	if (!check_change(c, change, &problems)) {
-		emit_answer(h, CST_INVALID, problems.p, out);
+		emit_answer(h, CST_INVALID, g_strchomp(problems.p), out);
 		change_free(h);
 	} else {
 		g_ptr_array_add(c->changes, h);
--- a/packages/move/itn.c
+++ b/packages/move/itn.c
@@ -495,7 +495,7 @@
 on_confirm_written(struct itn *t, struct work *w, enum cst_status status,
     const char *text, int64_t now_ms, struct itn_out *out)
 {
-	bool second = g_str_has_suffix(w->writing, "/confirmed");
+	bool second = strstr(w->writing, "/lock") == NULL;
 
 	if (second && (status == CST_ACCEPTED || status == CST_PENDING)) {
 		on_work_written(t, w, status, text, out);
@@ -569,9 +569,15 @@
 	char *subject;
 
 	if (e != NULL && e->i.state != CFI_PROPOSED &&
-	    e->i.state != CFI_DROPPED) {
-		/* The executor completed it. */
-		end_work(t, w, ERR_NONE, "accepted", out);
+	    e->i.state != CFI_DROPPED && e->i.change != NULL) {
+		/*
+		 * The executor completed it. Writing the same change again only
+		 * asks whether it is accepted.
+		 */
+		set_writing(&w->writing,
+		    emit_write(out, w->id,
+			g_strdup_printf(INTENT_PREFIX "%s", w->id),
+			g_strdup(e->i.change), e->version, cfi_print(&e->i)));
 		return;
 	}
 	if (e == NULL || e->i.state == CFI_DROPPED || e->version != w->shown ||
--- /dev/null
+++ b/tests/lib/csim.c
@@ -0,0 +1,984 @@
+#include "lib/csim.h"
+
+#include <stdlib.h>
+
+#include "peer/pcst.h"
+
+#define LIST_MS 500
+#define PULL_MS 1000
+#define METRICS_MS 1000
+#define LATE_MS 5000
+/* Bounds of the checks. */
+#define BAD_BOUND_MS 2000
+#define RESTART_BOUND_MS 10000
+
+enum event_kind { EV_FRAME, EV_PUT, EV_PUT_DONE, EV_GET, EV_GOT, EV_LATE };
+
+struct event {
+	enum event_kind kind;
+	int64_t at_ms;
+	int vm;
+	struct vmid id;
+	enum pmsg_type type;
+	struct bbuf bytes;
+	char *key;
+	char *change;
+	uint64_t version;
+	json_t *value;
+	int result;
+};
+
+static void run_cst(struct csim_vm *v, struct cst_out *out);
+
+static void
+event_free(gpointer p)
+{
+	struct event *e = p;
+
+	bbuf_finish(&e->bytes);
+	g_free(e->key);
+	g_free(e->change);
+	json_decref(e->value);
+	g_free(e);
+}
+
+static void
+accepted_free(gpointer p)
+{
+	struct csim_accepted *a = p;
+
+	g_free(a->key);
+	g_free(a);
+}
+
+static void G_GNUC_PRINTF(2, 3) say(struct csim *s, const char *fmt, ...)
+{
+	va_list ap;
+
+	if (s->log == NULL)
+		return;
+	fprintf(s->log, "%6.1f ", (double)s->now_ms / 1000);
+	va_start(ap, fmt);
+	vfprintf(s->log, fmt, ap);
+	va_end(ap);
+	fputc('\n', s->log);
+}
+
+static void G_GNUC_PRINTF(2, 3) fail(struct csim *s, const char *fmt, ...)
+{
+	va_list ap;
+
+	s->errors++;
+	printf("%.1f s: ", (double)s->now_ms / 1000);
+	va_start(ap, fmt);
+	vprintf(fmt, ap);
+	va_end(ap);
+	printf("\n");
+}
+
+static bool
+is_executor(void *arg, const char *intent)
+{
+	struct csim_vm *v = arg;
+	struct csim *s = v->sim;
+	uint32_t alive = 0, order = 0, pick;
+
+	for (int i = 0; i < CSIM_VMS; i++) {
+		if (i == v->index)
+			order = alive;
+		alive += s->vms[i].alive;
+	}
+	pick = (uint32_t)bstr_hash(bstr_from(intent), 1);
+	if (order == pick % alive)
+		return (true);
+	return (s->two_executors != 0 &&
+	    order == (pick + (uint32_t)s->two_executors) % alive);
+}
+
+static int64_t
+service_load(void *arg, const char *service)
+{
+	(void)arg;
+	(void)service;
+	return (20);
+}
+
+static struct itn_view
+itn_view_of(struct csim_vm *v)
+{
+	return ((struct itn_view){.plan = {.set = cst_set(&v->cst),
+				      .wall_ms = CSIM_WALL_MS + v->sim->now_ms,
+				      .load = service_load,
+				      .store_ok = !v->sim->outage},
+	    .is_executor = is_executor,
+	    .arg = v});
+}
+
+static struct mov_view
+mov_view_of(struct csim_vm *v)
+{
+	return ((struct mov_view){.set = cst_set(&v->cst),
+	    .wall_ms = CSIM_WALL_MS + v->sim->now_ms,
+	    .is_executor = is_executor,
+	    .arg = v});
+}
+
+static struct event *
+post(struct csim *s, enum event_kind kind, int vm, int64_t delay_ms)
+{
+	struct event *e = g_new0(struct event, 1);
+
+	e->kind = kind;
+	e->vm = vm;
+	e->id = s->vms[vm].id;
+	e->at_ms = s->now_ms + delay_ms;
+	bbuf_init(&e->bytes);
+	g_ptr_array_add(s->queue, e);
+	return (e);
+}
+
+json_t *
+csim_value(struct csim *s, const char *key)
+{
+	json_t *v = json_object_get(json_object_get(s->store, key), "value");
+
+	return (json_is_null(v) ? NULL : v);
+}
+
+const char *
+csim_intent_state(struct csim *s, const char *id)
+{
+	char key[128];
+	const char *state;
+
+	snprintf(key, sizeof(key), "intent/%s", id);
+	state = json_string_value(json_object_get(csim_value(s, key), "state"));
+	return (state == NULL ? "" : state);
+}
+
+static uint64_t
+stored_version(struct csim *s, const char *key)
+{
+	return ((uint64_t)json_integer_value(
+	    json_object_get(json_object_get(s->store, key), "version")));
+}
+
+static void
+store_put(struct csim *s, const char *key, json_t *value)
+{
+	json_object_set_new(s->store, key,
+	    json_pack("{s:I,s:O}", "version", (json_int_t)++s->revision,
+		"value", value));
+}
+
+/* Only a confirmed intent may write configuration, and one for a subject. */
+static void
+check_config_write(struct csim *s, const char *key, const json_t *value)
+{
+	const char *change = cob_change_id(value);
+	char *id = g_strdup(change == NULL ? "" : change);
+
+	if (strchr(id, '/') != NULL)
+		*strchr(id, '/') = '\0';
+	if (g_str_has_prefix(key, "config/") && id[0] == 'i' &&
+	    (!g_hash_table_contains(s->confirmed, id) ||
+		strcmp(csim_intent_state(s, id), "proposed") == 0 ||
+		strcmp(csim_intent_state(s, id), "dropped") == 0))
+		fail(s, "%s written by unconfirmed intent %s", key, id);
+	g_free(id);
+}
+
+static const char *
+subject_of(const json_t *intent)
+{
+	const char *service =
+	    json_string_value(json_object_get(intent, "service"));
+
+	return (service == NULL ? "zones" : service);
+}
+
+static bool
+is_active(const json_t *intent)
+{
+	const char *state = json_string_value(json_object_get(intent, "state"));
+
+	return (state != NULL &&
+	    (strcmp(state, "confirmed") == 0 || strcmp(state, "running") == 0));
+}
+
+static void
+check_conflicts(struct csim *s, const char *written)
+{
+	json_t *mine = csim_value(s, written), *object;
+	const char *key;
+
+	if (!g_str_has_prefix(written, "intent/") || !is_active(mine))
+		return;
+	json_object_foreach(s->store, key, object)
+	{
+		json_t *other = json_object_get(object, "value");
+
+		if (g_str_has_prefix(key, "intent/") &&
+		    strcmp(key, written) != 0 && is_active(other) &&
+		    strcmp(subject_of(mine), subject_of(other)) == 0)
+			fail(s, "%s and %s run at once", written, key);
+	}
+}
+
+static json_int_t
+share_of(const json_t *service, const char *version)
+{
+	json_t *v;
+	size_t i;
+
+	json_array_foreach(json_object_get(service, "versions"), i, v)
+	{
+		if (strcmp(json_string_value(json_object_get(v, "name")),
+			version) == 0)
+			return (
+			    json_integer_value(json_object_get(v, "share")));
+	}
+	return (0);
+}
+
+/* The final state of a move agrees with the service in the store. */
+static void
+check_ended(struct csim *s, const char *key)
+{
+	const json_t *i = csim_value(s, key);
+	const char *state, *version;
+	const json_t *service;
+	char name[128];
+
+	if (!g_str_has_prefix(key, "intent/") ||
+	    json_object_get(i, "version") == NULL)
+		return;
+	state = json_string_value(json_object_get(i, "state"));
+	version = json_string_value(json_object_get(i, "version"));
+	snprintf(name, sizeof(name), "config/service/%s", subject_of(i));
+	service = csim_value(s, name);
+	if (strcmp(state, "done") == 0 && share_of(service, version) != 1000)
+		fail(s, "%s is done with share %lld", key,
+		    (long long)share_of(service, version));
+	if (strcmp(state, "rolled_back") == 0 &&
+	    share_of(service, version) != 0)
+		fail(s, "%s is rolled back with share %lld", key,
+		    (long long)share_of(service, version));
+}
+
+/* Carries out a conditional write. */
+static bool
+store_write(struct csim *s, struct event *e)
+{
+	if (stored_version(s, e->key) != e->version)
+		return (false);
+	check_config_write(s, e->key, e->value);
+	store_put(s, e->key, e->value);
+	check_conflicts(s, e->key);
+	check_ended(s, e->key);
+	return (true);
+}
+
+static struct event *
+copy_request(
+    struct csim *s, struct event *e, enum event_kind kind, int64_t delay_ms)
+{
+	struct event *c = post(s, kind, e->vm, delay_ms);
+
+	c->id = e->id;
+	c->key = g_strdup(e->key);
+	c->change = g_strdup(e->change);
+	c->version = e->version;
+	c->value = json_incref(e->value);
+	return (c);
+}
+
+static void
+on_put(struct csim *s, struct event *e)
+{
+	struct event *done = copy_request(s, e, EV_PUT_DONE, CSIM_STEP_MS);
+
+	done->result = CST_PUT_LOST;
+	if (s->outage) {
+		if (s->late_writes && rng_below(&s->rng, 10) == 0)
+			copy_request(s, e, EV_LATE, LATE_MS);
+		return;
+	}
+	done->result = store_write(s, e) ? CST_PUT_OK : CST_PUT_CONFLICT;
+	done->version = stored_version(s, e->key);
+	if (s->lose > 0) {
+		s->lose--;
+		done->result = CST_PUT_LOST;
+	}
+}
+
+static void
+on_get(struct csim *s, struct event *e)
+{
+	struct event *got = copy_request(s, e, EV_GOT, CSIM_STEP_MS);
+
+	got->result = CST_READ_FAILED;
+	if (s->outage)
+		return;
+	got->version = stored_version(s, e->key);
+	got->value = json_incref(csim_value(s, e->key));
+	got->result = got->value == NULL ? CST_READ_ABSENT : CST_READ_OK;
+}
+
+static void
+run_mov(struct csim_vm *v, struct mov_out *out)
+{
+	struct csim *s = v->sim;
+	struct cst_out more = {0};
+
+	for (uint32_t i = 0; i < out->n; i++) {
+		struct mov_effect *e = &out->effects[i];
+		struct cst_change w = {
+		    e->change, e->key, e->value, e->if_version};
+
+		if (e->kind == MOV_WRITE)
+			cst_write(&v->cst, &w, s->now_ms, &more);
+		if (e->kind == MOV_SHARES)
+			say(s, "vm%d shares of %s change", v->index,
+			    e->service);
+		for (int k = 0; e->msg != NULL && k < CSIM_VMS; k++) {
+			struct event *f;
+
+			if (k == v->index || !s->vms[k].alive)
+				continue;
+			if (e->kind == MOV_SEND_EXECUTOR &&
+			    !is_executor(&s->vms[k], e->intent))
+				continue;
+			if (e->kind == MOV_SEND_ANY &&
+			    rng_below(&s->rng, CSIM_VMS - 1) != 0)
+				continue;
+			if (e->kind == MOV_SEND_ALL &&
+			    !g_hash_table_contains(s->bad, e->msg->bad.intent))
+				g_hash_table_insert(s->bad,
+				    g_strdup(e->msg->bad.intent),
+				    GINT_TO_POINTER((int)s->now_ms));
+			f = post(s, EV_FRAME, k, CSIM_STEP_MS);
+			f->type = pcst_put_move(e->msg, &f->bytes);
+		}
+	}
+	mov_out_finish(out);
+	run_cst(v, &more);
+}
+
+static void
+run_itn(struct csim_vm *v, struct itn_out *out)
+{
+	struct csim *s = v->sim;
+	struct cst_out more = {0};
+
+	for (uint32_t i = 0; i < out->n; i++) {
+		struct itn_effect *e = &out->effects[i];
+		struct cst_change w = {e->change, e->key, e->value, e->version};
+		char *text;
+
+		if (e->kind == ITN_WRITE)
+			cst_write(&v->cst, &w, s->now_ms, &more);
+		if (e->kind == ITN_REPLY) {
+			text = json_dumps(json_object_get(e->value, "plan"),
+			    JSON_COMPACT | JSON_SORT_KEYS);
+			say(s, "vm%d reply %s: %s: %s%s%s", v->index, e->intent,
+			    err_answer(e->error)->name, e->text,
+			    text == NULL ? "" : " plan ",
+			    text == NULL ? "" : text);
+			free(text);
+		}
+		if (e->kind == ITN_ENDED) {
+			text = json_dumps(e->value, JSON_COMPACT);
+			say(s, "vm%d ended %s", v->index, text);
+			free(text);
+		}
+	}
+	itn_out_finish(out);
+	run_cst(v, &more);
+}
+
+static void
+send_cst(struct csim_vm *v, struct cst_effect *e)
+{
+	struct csim *s = v->sim;
+
+	for (int k = 0; k < CSIM_VMS; k++) {
+		struct csim_vm *to = &s->vms[k];
+		struct event *f;
+
+		if (k == v->index || !to->alive ||
+		    (!vmid_is_none(&e->to) && !vmid_eq(&e->to, &to->id)))
+			continue;
+		f = post(s, EV_FRAME, k, CSIM_STEP_MS);
+		f->type = pcst_put(e->msg, &f->bytes);
+	}
+}
+
+static int
+by_time(const void *a, const void *b)
+{
+	const int64_t *x = a, *y = b;
+
+	return ((*x > *y) - (*x < *y));
+}
+
+/* Rule 3 of freshness: responses of a majority, this VM included. */
+static void
+note_synced(struct csim_vm *v, struct cst_effect *e)
+{
+	struct csim *s = v->sim;
+	int64_t times[CSIM_VMS];
+
+	for (int k = 0; k < CSIM_VMS; k++) {
+		/* A VM that was never fresh does not count. */
+		if (vmid_eq(&s->vms[k].id, &e->to) && s->vms[k].fresh_ms >= 0)
+			v->synced_ms[k] = e->started_ms;
+	}
+	memcpy(times, v->synced_ms, sizeof(times));
+	times[v->index] = v->fresh_ms >= 0 ? s->now_ms : -1;
+	qsort(times, CSIM_VMS, sizeof(times[0]), by_time);
+	v->fresh_ms = MAX(v->fresh_ms, times[CSIM_VMS / 2]);
+}
+
+static void
+on_answer(struct csim_vm *v, struct cst_effect *e)
+{
+	struct csim *s = v->sim;
+	struct itn_view view = itn_view_of(v);
+	struct itn_out itn = {0};
+	struct csim_accepted *a;
+
+	if (e->status == CST_ACCEPTED) {
+		a = g_new0(struct csim_accepted, 1);
+		a->key = g_strdup(e->key);
+		a->version = e->version;
+		a->at_ms = s->now_ms;
+		g_ptr_array_add(s->accepted, a);
+	}
+	say(s, "vm%d %s: %s %s version %llu%s%s", v->index,
+	    cst_status_name(e->status), e->change, e->key,
+	    (unsigned long long)e->version, e->text == NULL ? "" : ": ",
+	    e->text == NULL ? "" : e->text);
+	mov_on_written(&v->mov, e->change, e->status, s->now_ms);
+	itn_on_written(
+	    &v->itn, e->change, e->status, e->text, &view, s->now_ms, &itn);
+	run_itn(v, &itn);
+}
+
+static void
+run_cst(struct csim_vm *v, struct cst_out *out)
+{
+	struct csim *s = v->sim;
+
+	for (uint32_t i = 0; i < out->n; i++) {
+		struct cst_effect *e = &out->effects[i];
+		struct itn_out itn = {0};
+		struct event *q;
+
+		switch (e->kind) {
+		case CST_PUT:
+		case CST_GET:
+			q = post(s, e->kind == CST_PUT ? EV_PUT : EV_GET,
+			    v->index, CSIM_STEP_MS);
+			q->key = g_strdup(e->key);
+			q->change = g_strdup(e->change);
+			q->version = e->version;
+			q->value = json_incref(e->value);
+			break;
+		case CST_SEND:
+			send_cst(v, e);
+			break;
+		case CST_PUBLISH:
+			itn_on_object(
+			    &v->itn, e->key, e->version, e->value, &itn);
+			run_itn(v, &itn);
+			break;
+		case CST_ANSWER:
+			on_answer(v, e);
+			break;
+		case CST_PROBLEM:
+			say(s, "vm%d problem %s version %llu: %s", v->index,
+			    e->key, (unsigned long long)e->version, e->text);
+			break;
+		case CST_SYNCED:
+			note_synced(v, e);
+			break;
+		}
+	}
+	cst_out_finish(out);
+}
+
+static void
+on_frame(struct csim_vm *v, struct event *e)
+{
+	struct mov_view view = mov_view_of(v);
+	struct cst_out cst = {0};
+	struct mov_out mov = {0};
+	struct cst_msg c;
+	struct mov_msg m;
+
+	if (e->type == PMSG_OBJECT || e->type == PMSG_OBJECT_ACK) {
+		if (!pcst_get(e->type, bbuf_str(&e->bytes), &c))
+			fail(v->sim, "frame of type %d rejected", e->type);
+		cst_on_msg(&v->cst, &c, v->sim->now_ms, &cst);
+		cst_msg_finish(&c);
+		run_cst(v, &cst);
+		return;
+	}
+	if (!pcst_get_move(e->type, bbuf_str(&e->bytes), &m))
+		fail(v->sim, "frame of type %d rejected", e->type);
+	mov_on_msg(&v->mov, &m, &view, v->sim->now_ms, &mov);
+	mov_msg_finish(&m);
+	run_mov(v, &mov);
+}
+
+static void
+dispatch(struct csim *s, struct event *e)
+{
+	struct csim_vm *v = &s->vms[e->vm];
+	struct cst_out cst = {0};
+
+	/* A request that was sent reaches the store although its VM is gone. */
+	if (e->kind == EV_PUT)
+		on_put(s, e);
+	if (e->kind == EV_LATE && !s->outage)
+		store_write(s, e);
+	if (!v->alive || !vmid_eq(&v->id, &e->id))
+		return;
+	if (e->kind == EV_GET)
+		on_get(s, e);
+	if (e->kind == EV_FRAME)
+		on_frame(v, e);
+	if (e->kind == EV_PUT_DONE)
+		cst_on_put(&v->cst, e->change, (enum cst_put)e->result,
+		    e->version, s->now_ms, &cst);
+	if (e->kind == EV_GOT)
+		cst_on_read(&v->cst, e->key, (enum cst_read)e->result,
+		    e->version, e->value, s->now_ms, &cst);
+	run_cst(v, &cst);
+}
+
+static void
+tell_members(struct csim *s)
+{
+	struct vmid members[CSIM_VMS];
+
+	for (int i = 0; i < CSIM_VMS; i++)
+		members[i] = s->vms[i].id;
+	for (int i = 0; i < CSIM_VMS; i++) {
+		if (s->vms[i].alive)
+			cst_on_members(&s->vms[i].cst, members, CSIM_VMS);
+	}
+}
+
+void
+csim_start(struct csim *s, int vm)
+{
+	struct csim_vm *v = &s->vms[vm];
+	char name[32];
+
+	if (v->alive)
+		return;
+	*v = (struct csim_vm){.alive = true, .sim = s, .index = vm};
+	snprintf(name, sizeof(name), "vm%d@%lld", vm, (long long)s->now_ms);
+	v->id = vmid_from(bstr_from(name));
+	v->started_ms = s->now_ms;
+	v->fresh_ms = -1;
+	for (int k = 0; k < CSIM_VMS; k++)
+		v->synced_ms[k] = -1;
+	cst_init(&v->cst, &(struct cst_desc){.self = v->id});
+	itn_init(&v->itn);
+	mov_init(&v->mov, &(struct mov_desc){.self = v->id});
+	tell_members(s);
+}
+
+void
+csim_kill(struct csim *s, int vm)
+{
+	struct csim_vm *v = &s->vms[vm];
+
+	if (!v->alive)
+		return;
+	v->alive = false;
+	cst_finish(&v->cst);
+	itn_finish(&v->itn);
+	mov_finish(&v->mov);
+}
+
+void
+csim_init(struct csim *s, uint64_t seed, FILE *log)
+{
+	*s = (struct csim){.log = log};
+	rng_init(&s->rng, seed);
+	s->store = json_object();
+	s->queue = g_ptr_array_new_with_free_func(event_free);
+	s->accepted = g_ptr_array_new_with_free_func(accepted_free);
+	s->confirmed =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	s->bad = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	s->calls_per_s[0] = 400;
+	s->calls_per_s[1] = 40;
+	for (int i = 0; i < CSIM_VMS; i++)
+		csim_start(s, i);
+}
+
+void
+csim_finish(struct csim *s)
+{
+	for (int i = 0; i < CSIM_VMS; i++)
+		csim_kill(s, i);
+	g_ptr_array_free(s->queue, TRUE);
+	g_ptr_array_free(s->accepted, TRUE);
+	g_hash_table_destroy(s->confirmed);
+	g_hash_table_destroy(s->bad);
+	json_decref(s->store);
+}
+
+/* The first two live VMs list the store, the others pull from a peer. */
+static void
+refresh(struct csim_vm *v)
+{
+	struct csim *s = v->sim;
+	struct cst_out cst = {0};
+	json_t *objects, *list, *o;
+	const char *key;
+	int peer = (int)rng_below(&s->rng, CSIM_VMS);
+	int before = 0;
+
+	for (int k = 0; k < v->index; k++)
+		before += s->vms[k].alive;
+	if (s->now_ms % PULL_MS == 0 && peer != v->index)
+		cst_pull(&v->cst, &s->vms[peer].id, s->now_ms, &cst);
+	if (before < 2 && !s->outage && s->now_ms % LIST_MS == 0) {
+		objects = json_array();
+		json_object_foreach(s->store, key, o)
+		    json_array_append_new(objects,
+			json_pack("{s:s,s:O,s:O}", "key", key, "version",
+			    json_object_get(o, "version"), "value",
+			    json_object_get(o, "value")));
+		list = json_pack("{s:I,s:o}", "revision",
+		    (json_int_t)s->revision, "objects", objects);
+		cst_on_list(&v->cst, "config/", list, s->now_ms, &cst);
+		cst_on_list(&v->cst, "intent/", list, s->now_ms, &cst);
+		v->fresh_ms = s->now_ms;
+		json_decref(list);
+	}
+	run_cst(v, &cst);
+}
+
+/* Draws the calls of a second by the shares in effect. */
+static void
+make_calls(struct csim_vm *v)
+{
+	static const char *const versions[] = {"v1", "v2"};
+	static const char *const routes[] = {"/", "/rare"};
+	struct csim *s = v->sim;
+	const struct cfg_entry *e = cst_set(&v->cst)->n_services == 0
+	    ? NULL
+	    : cfg_set_find(cst_set(&v->cst), "menu");
+	struct mov_view view = mov_view_of(v);
+	struct mov_out mov = {0};
+	struct mov_row rows[4];
+	uint32_t shares[8] = {0}, n = 0;
+
+	if (e == NULL || s->now_ms % METRICS_MS != 0)
+		return;
+	mov_shares(&v->mov, e->service, view.wall_ms, shares);
+	for (int r = 0; r < CSIM_ROUTES; r++) {
+		for (uint32_t c = 0; c < s->calls_per_s[r]; c++) {
+			int which = rng_below(&s->rng, 1000) < shares[1];
+
+			v->calls[which][r]++;
+			v->failed[which][r] +=
+			    rng_unit(&s->rng) < s->fail[which][r];
+		}
+		for (int w = 0; w < 2; w++)
+			rows[n++] = (struct mov_row){"menu",
+			    (char *)versions[w], (char *)routes[r],
+			    v->calls[w][r], v->failed[w][r], 0};
+	}
+	mov_on_local(&v->mov, rows, n, &view, s->now_ms, &mov);
+	run_mov(v, &mov);
+}
+
+static void
+check_vm(struct csim_vm *v)
+{
+	struct csim *s = v->sim;
+	const struct cfg_entry *e = cfg_set_find(cst_set(&v->cst), "menu");
+	uint32_t shares[8] = {0};
+	gpointer at;
+	int to;
+
+	for (guint i = 0; i < s->accepted->len; i++) {
+		struct csim_accepted *a = s->accepted->pdata[i];
+		const struct cob_object *o = cob_find(&v->cst.objects, a->key);
+
+		if (a->at_ms < v->fresh_ms &&
+		    (o == NULL || o->effect < a->version))
+			fail(s, "vm%d is fresh as of %lld without %s %llu",
+			    v->index, (long long)v->fresh_ms, a->key,
+			    (unsigned long long)a->version);
+	}
+	if (e == NULL || !e->service->has_move ||
+	    !g_hash_table_lookup_extended(
+		s->bad, e->service->move.intent, NULL, &at) ||
+	    s->now_ms - GPOINTER_TO_INT(at) < BAD_BOUND_MS ||
+	    (v->started_ms > 0 && s->now_ms - v->started_ms < RESTART_BOUND_MS))
+		return;
+	mov_shares(&v->mov, e->service, CSIM_WALL_MS + s->now_ms, shares);
+	to = cfg_find_version(e->service, e->service->move.to);
+	if (shares[to] != 0)
+		fail(s, "vm%d gives %u permille to the bad version", v->index,
+		    shares[to]);
+}
+
+static void
+tick_vm(struct csim_vm *v)
+{
+	int64_t now_ms = v->sim->now_ms;
+	struct cst_out cst = {0};
+	struct itn_out itn = {0};
+	struct mov_out mov = {0};
+	struct itn_view iv;
+	struct mov_view mv;
+
+	refresh(v);
+	make_calls(v);
+	cst_tick(&v->cst, now_ms, &cst);
+	run_cst(v, &cst);
+	iv = itn_view_of(v);
+	itn_tick(&v->itn, &iv, now_ms, &itn);
+	run_itn(v, &itn);
+	mv = mov_view_of(v);
+	mov_tick(&v->mov, &mv, now_ms, &mov);
+	run_mov(v, &mov);
+	check_vm(v);
+}
+
+void
+csim_step(struct csim *s)
+{
+	GPtrArray *queue;
+
+	s->now_ms += CSIM_STEP_MS;
+	queue = s->queue;
+	s->queue = g_ptr_array_new_with_free_func(event_free);
+	for (guint i = 0; i < queue->len; i++) {
+		struct event *e = queue->pdata[i];
+
+		if (e->at_ms > s->now_ms) {
+			queue->pdata[i] = NULL;
+			g_ptr_array_add(s->queue, e);
+		} else {
+			dispatch(s, e);
+		}
+	}
+	g_ptr_array_set_free_func(queue, NULL);
+	for (guint i = 0; i < queue->len; i++) {
+		if (queue->pdata[i] != NULL)
+			event_free(queue->pdata[i]);
+	}
+	g_ptr_array_free(queue, TRUE);
+	for (int i = 0; i < CSIM_VMS; i++) {
+		if (s->vms[i].alive)
+			tick_vm(&s->vms[i]);
+	}
+}
+
+void
+csim_put(struct csim *s, const char *key, const char *json)
+{
+	json_t *value = json_loads(json, 0, NULL);
+
+	if (value == NULL)
+		fail(s, "bad JSON in the script: %s", json);
+	else
+		store_put(s, key, value);
+	json_decref(value);
+}
+
+void
+csim_declare(struct csim *s, int vm, const char *json)
+{
+	struct csim_vm *v = &s->vms[vm];
+	json_t *value = json_loads(json, 0, NULL);
+	struct itn_view view;
+	struct itn_out itn = {0};
+	struct cfi_intent i;
+	struct bbuf problems;
+
+	if (!v->alive)
+		return;
+	bbuf_init(&problems);
+	view = itn_view_of(v);
+	if (cfi_parse(&i, value, &problems)) {
+		itn_declare(&v->itn, &i, &view, s->now_ms, &itn);
+		run_itn(v, &itn);
+	} else {
+		say(s, "vm%d invalid: %s", vm, problems.p);
+	}
+	cfi_finish(&i);
+	bbuf_finish(&problems);
+	json_decref(value);
+}
+
+void
+csim_confirm(struct csim *s, int vm, const char *id)
+{
+	struct csim_vm *v = &s->vms[vm];
+	struct itn_view view;
+	struct itn_out itn = {0};
+	uint64_t version = 0;
+
+	if (!v->alive)
+		return;
+	view = itn_view_of(v);
+	g_hash_table_add(s->confirmed, g_strdup(id));
+	itn_get(&v->itn, id, &version);
+	itn_confirm(&v->itn, id, version, &view, s->now_ms, &itn);
+	run_itn(v, &itn);
+}
+
+void
+csim_drop(struct csim *s, int vm, const char *id)
+{
+	struct csim_vm *v = &s->vms[vm];
+	struct itn_view view;
+	struct itn_out itn = {0};
+
+	if (!v->alive)
+		return;
+	view = itn_view_of(v);
+	itn_drop(&v->itn, id, &view, s->now_ms, &itn);
+	run_itn(v, &itn);
+}
+
+void
+csim_write(struct csim *s, int vm, const char *change, const char *key,
+    uint64_t if_version, const char *json)
+{
+	json_t *value = json_loads(json, 0, NULL);
+	struct cst_change w = {change, key, value, if_version};
+	struct cst_out cst = {0};
+
+	cst_write(&s->vms[vm].cst, &w, s->now_ms, &cst);
+	run_cst(&s->vms[vm], &cst);
+	json_decref(value);
+}
+
+static void
+show(struct csim *s, int vm, const char *key)
+{
+	const struct cob_object *o = cob_find(&s->vms[vm].cst.objects, key);
+	char *text = o == NULL || o->value == NULL
+	    ? NULL
+	    : json_dumps(o->value, JSON_COMPACT | JSON_SORT_KEYS);
+
+	say(s, "vm%d %s version %llu in effect %llu: %s", vm, key,
+	    o == NULL ? 0ull : (unsigned long long)o->version,
+	    o == NULL ? 0ull : (unsigned long long)o->effect,
+	    text == NULL ? "none" : text);
+	free(text);
+}
+
+static void
+show_report(struct csim *s, int vm, const char *id)
+{
+	json_t *report = itn_report(&s->vms[vm].itn, id);
+	char *text = json_dumps(report, JSON_COMPACT);
+
+	say(s, "vm%d report %s", vm, text == NULL ? "none" : text);
+	free(text);
+	json_decref(report);
+}
+
+static void
+show_shares(struct csim *s)
+{
+	for (int i = 0; i < CSIM_VMS; i++) {
+		struct csim_vm *v = &s->vms[i];
+		const struct cfg_entry *e =
+		    v->alive ? cfg_set_find(cst_set(&v->cst), "menu") : NULL;
+		uint32_t shares[8] = {0};
+
+		if (e == NULL)
+			continue;
+		mov_shares(
+		    &v->mov, e->service, CSIM_WALL_MS + s->now_ms, shares);
+		say(s, "vm%d shares %u %u", i, shares[0], shares[1]);
+	}
+}
+
+static void
+run_for(struct csim *s, int64_t ms)
+{
+	for (int64_t end = s->now_ms + ms; s->now_ms < end;)
+		csim_step(s);
+}
+
+/* One command: name, up to three words, and JSON or a number at the end. */
+static void
+run_line(struct csim *s, char *line)
+{
+	char cmd[32] = "", a[128] = "", b[128] = "", c[128] = "";
+	int used = 0;
+
+	sscanf(line, "%31s %127s %127s %127s", cmd, a, b, c);
+	if (strcmp(cmd, "run") == 0)
+		run_for(s, atoll(a));
+	else if (strcmp(cmd, "put") == 0 &&
+	    sscanf(line, "%*s %*s %n", &used) == 0)
+		csim_put(s, a, line + used);
+	else if (strcmp(cmd, "outage") == 0)
+		s->outage = strcmp(a, "on") == 0;
+	else if (strcmp(cmd, "lose") == 0)
+		s->lose = atoi(a);
+	else if (strcmp(cmd, "executors") == 0)
+		s->two_executors = atoi(a);
+	else if (strcmp(cmd, "kill") == 0)
+		csim_kill(s, atoi(a));
+	else if (strcmp(cmd, "start") == 0)
+		csim_start(s, atoi(a));
+	else if (strcmp(cmd, "fail") == 0)
+		s->fail[atoi(a)][atoi(b)] = atof(c);
+	else if (strcmp(cmd, "calls") == 0)
+		s->calls_per_s[atoi(a)] = (uint32_t)atoi(b);
+	else if (strcmp(cmd, "declare") == 0 &&
+	    sscanf(line, "%*s %*s %n", &used) == 0)
+		csim_declare(s, atoi(a), line + used);
+	else if (strcmp(cmd, "confirm") == 0)
+		csim_confirm(s, atoi(a), b);
+	else if (strcmp(cmd, "drop") == 0)
+		csim_drop(s, atoi(a), b);
+	else if (strcmp(cmd, "write") == 0 &&
+	    sscanf(line, "%*s %*s %*s %*s %n", &used) == 0)
+		csim_write(s, atoi(a), b, c, stored_version(s, c), line + used);
+	else if (strcmp(cmd, "show") == 0)
+		show(s, atoi(a), b);
+	else if (strcmp(cmd, "report") == 0)
+		show_report(s, atoi(a), b);
+	else if (strcmp(cmd, "shares") == 0)
+		show_shares(s);
+	else
+		fail(s, "unknown command %s", cmd);
+}
+
+void
+csim_script(struct csim *s, FILE *script)
+{
+	char *line = NULL;
+	size_t cap = 0;
+	ssize_t n;
+
+	while ((n = getline(&line, &cap, script)) >= 0) {
+		while (n > 0 && line[n - 1] == '\n')
+			line[--n] = '\0';
+		if (n == 0 || line[0] == '#')
+			continue;
+		if (s->log != NULL)
+			fprintf(s->log, "> %s\n", line);
+		run_line(s, line);
+	}
+	free(line);
+}
--- /dev/null
+++ b/tests/lib/csim.h
@@ -0,0 +1,97 @@
+/*
+ * csim - virtual-time simulation of VMs with cst, itn and mov, and a store.
+ *
+ * Peers exchange encoded messages. The store is in memory and can be down, lose
+ * responses after a write took effect, and apply writes late. Calls are drawn
+ * from the shares in effect.
+ *
+ *	struct csim s;
+ *	csim_init(&s, seed, log);
+ *	csim_script(&s, script);
+ *	csim_finish(&s);
+ */
+#ifndef TESTS_CSIM_H
+#define TESTS_CSIM_H
+
+#include <stdio.h>
+
+#include "base/rng.h"
+#include "move/itn.h"
+
+#define CSIM_VMS 5
+#define CSIM_STEP_MS 100
+#define CSIM_WALL_MS INT64_C(1000000)
+#define CSIM_ROUTES 2
+
+/* One VM; @started_ms identifies its process. */
+struct csim_vm {
+	bool alive;
+	struct vmid id;
+	int64_t started_ms;
+	struct cst cst;
+	struct itn itn;
+	struct mov mov;
+	struct csim *sim;
+	int index;
+	/* Everything accepted before this time is in effect; -1 for never. */
+	int64_t fresh_ms;
+	int64_t synced_ms[CSIM_VMS];
+	uint64_t calls[2][CSIM_ROUTES];
+	uint64_t failed[2][CSIM_ROUTES];
+};
+
+/* A change that was answered with CST_ACCEPTED. */
+struct csim_accepted {
+	char *key;
+	uint64_t version;
+	int64_t at_ms;
+};
+
+struct csim {
+	FILE *log; /* NULL for none */
+	struct rng rng;
+	int64_t now_ms;
+	struct csim_vm vms[CSIM_VMS];
+	json_t *store; /* key -> {"version", "value" or null} */
+	uint64_t revision;
+	bool outage;
+	int lose;
+	bool late_writes;
+	int two_executors; /* shift of a second executor, 0 for none */
+	GPtrArray *queue;  /* struct event */
+	double fail[2][CSIM_ROUTES]; /* of old and new version, by route */
+	uint32_t calls_per_s[CSIM_ROUTES];
+	GPtrArray *accepted;   /* struct csim_accepted */
+	GHashTable *confirmed; /* intents that an operator confirmed */
+	GHashTable *bad;       /* intent -> time of the decision */
+	int errors;
+};
+
+void csim_init(struct csim *s, uint64_t seed, FILE *log);
+void csim_finish(struct csim *s);
+
+/* Runs one step: store, messages, calls, ticks, then all checks. */
+void csim_step(struct csim *s);
+
+void csim_start(struct csim *s, int vm);
+void csim_kill(struct csim *s, int vm);
+
+/* Writes an object directly into the store. */
+void csim_put(struct csim *s, const char *key, const char *json);
+
+/* Value of an object in the store, or NULL. */
+json_t *csim_value(struct csim *s, const char *key);
+
+/* Member "state" of an intent in the store, or "". */
+const char *csim_intent_state(struct csim *s, const char *id);
+
+void csim_declare(struct csim *s, int vm, const char *json);
+void csim_confirm(struct csim *s, int vm, const char *id);
+void csim_drop(struct csim *s, int vm, const char *id);
+void csim_write(struct csim *s, int vm, const char *change, const char *key,
+    uint64_t if_version, const char *json);
+
+/* Runs the commands of a script. */
+void csim_script(struct csim *s, FILE *script);
+
+#endif
--- /dev/null
+++ b/tests/unit/test_cst.c
@@ -0,0 +1,233 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdlib.h>
+
+#include "lib/csim.h"
+#include "lib/golden.h"
+#include "peer/pcst.h"
+
+#define FUZZ_RUNS 20000
+#define MANY 3000
+
+static void
+run_script(FILE *script, FILE *out)
+{
+	struct csim s;
+
+	csim_init(&s, 1, out);
+	csim_script(&s, script);
+	if (s.errors != 0)
+		fprintf(out, "%d errors\n", s.errors);
+	csim_finish(&s);
+}
+
+/* Guards against changes in the course of changes and their answers. */
+static void
+test_golden(void **state)
+{
+	(void)state;
+	assert_int_equal(golden_check("cst", run_script), 0);
+}
+
+static json_t *
+intent(int n, size_t pad)
+{
+	json_t *v = json_pack(
+	    "{s:s+,s:s,s:s}", "id", "x", "", "kind", "drain-zone", "zone", "a");
+	char id[16];
+	char *text = g_strnfill(pad, 'x');
+
+	snprintf(id, sizeof(id), "x%d", n);
+	json_object_set_new(v, "id", json_string(id));
+	json_object_set_new(v, "plan", json_string(text));
+	g_free(text);
+	return (v);
+}
+
+/* Delivers messages between two instances until both are silent. */
+static int64_t
+exchange(struct cst *a, struct cst *b, struct cst_out *out, size_t *largest)
+{
+	struct cst_out answers = {0};
+	int64_t synced = -1;
+
+	while (out->n != 0) {
+		for (uint32_t i = 0; i < out->n; i++) {
+			struct cst_effect *e = &out->effects[i];
+			struct bbuf bytes;
+			struct cst_msg msg;
+			enum pmsg_type type;
+
+			if (e->kind == CST_SYNCED)
+				synced = e->started_ms;
+			if (e->kind != CST_SEND)
+				continue;
+			bbuf_init(&bytes);
+			type = pcst_put(e->msg, &bytes);
+			*largest = MAX(*largest, bytes.n);
+			assert_true(pcst_get(type, bbuf_str(&bytes), &msg));
+			cst_on_msg(
+			    vmid_eq(&e->msg->sender, &a->desc.self) ? b : a,
+			    &msg, 1, &answers);
+			cst_msg_finish(&msg);
+			bbuf_finish(&bytes);
+		}
+		cst_out_clear(out);
+		struct cst_out swap = *out;
+		*out = answers;
+		answers = swap;
+	}
+	cst_out_finish(&answers);
+	return (synced);
+}
+
+/*
+ * Guards against a synchronisation that exceeds a message, misses objects
+ * below the highest version, or deletes what the peer does not know.
+ */
+static void
+test_sync(void **state)
+{
+	struct cst a, b;
+	struct cst_out out = {0};
+	size_t largest = 0;
+	char key[32];
+
+	(void)state;
+	cst_init(&a, &(struct cst_desc){.self = vmid_from(BSTR("a@1"))});
+	cst_init(&b, &(struct cst_desc){.self = vmid_from(BSTR("b@1"))});
+	for (int i = 1; i <= MANY; i++) {
+		json_t *v =
+		    i % 7 == 0 ? NULL : intent(i, i % 100 == 0 ? 200000 : 50);
+
+		snprintf(key, sizeof(key), "intent/x%d", i);
+		cst_on_watch(&a, key, (uint64_t)i, v, 0, &out);
+		/* The peer has some objects and the highest version. */
+		if (i % 3 == 0 || i == MANY)
+			cst_on_watch(&b, key, (uint64_t)i, v, 0, &out);
+		json_decref(v);
+		cst_out_clear(&out);
+	}
+	json_t *own = intent(0, 1);
+	cst_on_watch(&b, "intent/x0", MANY + 1, own, 0, &out);
+	json_decref(own);
+	cst_out_clear(&out);
+	cst_pull(&b, &a.desc.self, 7, &out);
+	assert_int_equal(exchange(&a, &b, &out, &largest), 7);
+	assert_true(largest <= 1024 * 1024);
+	assert_non_null(cob_find(&b.objects, "intent/x0")->value);
+	cst_pull(&a, &b.desc.self, 8, &out);
+	assert_int_equal(exchange(&a, &b, &out, &largest), 8);
+	assert_true(cst_digest(&a).hash == cst_digest(&b).hash);
+	assert_int_equal(a.objects.order->len, b.objects.order->len);
+	print_message("largest message %zu bytes\n", largest);
+	cst_out_finish(&out);
+	cst_finish(&a);
+	cst_finish(&b);
+}
+
+/* Guards against going back after a stale list, and a wrong deletion. */
+static void
+test_stale_list(void **state)
+{
+	json_t *v1 = intent(1, 1), *v2 = intent(1, 2);
+	json_t *stale = json_pack("{s:i,s:[{s:s,s:i,s:O}]}", "revision", 5,
+	    "objects", "key", "intent/x1", "version", 4, "value", v1);
+	json_t *empty_old = json_pack("{s:i,s:[]}", "revision", 8, "objects");
+	json_t *empty_new = json_pack("{s:i,s:[]}", "revision", 10, "objects");
+	struct cst_out out = {0};
+	struct cst c;
+
+	(void)state;
+	cst_init(&c, &(struct cst_desc){.self = vmid_from(BSTR("a@1"))});
+	cst_on_watch(&c, "intent/x1", 9, v2, 0, &out);
+	cst_on_list(&c, "intent/", stale, 0, &out);
+	cst_on_list(&c, "intent/", empty_old, 0, &out);
+	assert_int_equal(cob_find(&c.objects, "intent/x1")->effect, 9);
+	assert_non_null(cob_find(&c.objects, "intent/x1")->value);
+	cst_on_list(&c, "intent/", empty_new, 0, &out);
+	assert_null(cob_find(&c.objects, "intent/x1")->value);
+	cst_on_watch(&c, "intent/x1", 9, v2, 0, &out);
+	assert_null(cob_find(&c.objects, "intent/x1")->value);
+	json_decref(v1);
+	json_decref(v2);
+	json_decref(stale);
+	json_decref(empty_old);
+	json_decref(empty_new);
+	cst_out_finish(&out);
+	cst_finish(&c);
+}
+
+static void
+decode_all(struct bstr bytes)
+{
+	for (int type = 0; type <= PMSG_TYPE_MAX; type++) {
+		struct cst_msg c;
+		struct mov_msg m;
+
+		pcst_get((enum pmsg_type)type, bytes, &c);
+		cst_msg_finish(&c);
+		pcst_get_move((enum pmsg_type)type, bytes, &m);
+		mov_msg_finish(&m);
+	}
+}
+
+/* Guards against a decoder that aborts or reads out of bounds. */
+static void
+test_fuzz(void **state)
+{
+	char key[] = "config/zones", text[] = "{}", v[] = "v", s[] = "s";
+	struct cst_item item = {key, 3, 2, false, text};
+	struct cst_msg c = {.kind = CST_MSG_PUSH,
+	    .sender = vmid_from(BSTR("a@1")),
+	    .items = &item,
+	    .n_items = 1};
+	struct mov_row row = {s, v, text, 9, 8, 7};
+	struct mov_msg m = {.sender = c.sender, .rows = &row, .n_rows = 1};
+	struct bbuf seeds[3], b;
+	struct rng r;
+	struct cst_msg back;
+
+	(void)state;
+	for (int i = 0; i < 3; i++)
+		bbuf_init(&seeds[i]);
+	bbuf_init(&b);
+	pcst_put(&c, &seeds[0]);
+	pcst_put_move(&m, &seeds[1]);
+	m.kind = MOV_MSG_BAD;
+	m.bad = (struct mov_bad){s, v, s, text};
+	pcst_put_move(&m, &seeds[2]);
+	assert_true(pcst_get(PMSG_OBJECT, bbuf_str(&seeds[0]), &back));
+	assert_string_equal(back.items[0].value, text);
+	cst_msg_finish(&back);
+	assert_false(pcst_get(PMSG_OBJECT_ACK, bbuf_str(&seeds[0]), &back));
+	cst_msg_finish(&back);
+	rng_init(&r, 4);
+	for (int i = 0; i < FUZZ_RUNS; i++) {
+		bbuf_clear(&b);
+		bbuf_add(&b, bbuf_str(&seeds[i % 3]));
+		for (uint32_t k = rng_below(&r, 4); k > 0; k--)
+			b.p[rng_below(&r, (uint32_t)b.n)] = (char)rng_next(&r);
+		b.n -= rng_below(&r, 4) == 0 ? rng_below(&r, (uint32_t)b.n) : 0;
+		decode_all(bbuf_str(&b));
+	}
+	for (int i = 0; i < 3; i++)
+		bbuf_finish(&seeds[i]);
+	bbuf_finish(&b);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_golden),
+	    cmocka_unit_test(test_sync),
+	    cmocka_unit_test(test_stale_list),
+	    cmocka_unit_test(test_fuzz),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
--- /dev/null
+++ b/tests/unit/test_itn.c
@@ -0,0 +1,272 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdlib.h>
+
+#include "lib/csim.h"
+#include "lib/golden.h"
+
+#define SEEDS 300
+#define CHAOS_MS 60000
+/* Time in which all confirmed intents must end once nothing fails. */
+#define HEAL_MS 120000
+#define MAX_INTENTS 12
+
+static const char zones[] =
+    "{\"zones\":[{\"name\":\"a\",\"state\":\"in\"},{\"name\":\"b\","
+    "\"state\":\"in\"},{\"name\":\"c\",\"state\":\"in\"}]}";
+static const char limits[] =
+    "{\"step_min_s\":1,\"observe_s\":2,\"margin_s\":4,\"step_min_calls\":5,"
+    "\"route_min_calls\":5,\"intent_expiry_s\":20}";
+static const char menu[] =
+    "{\"name\":\"menu\",\"hosts\":[\"menu\"],\"routes\":[{\"prefix\":\"/\","
+    "\"idempotent\":true},{\"prefix\":\"/rare\",\"idempotent\":true}],"
+    "\"versions\":[{\"name\":\"v1\",\"share\":1000},{\"name\":\"v2\","
+    "\"share\":0}],\"upstreams\":["
+    "{\"id\":\"m1\",\"addr\":\"127.0.0.1:1\",\"zone\":\"a\",\"version\":"
+    "\"v1\"},{\"id\":\"m2\",\"addr\":\"127.0.0.1:2\",\"zone\":\"b\","
+    "\"version\":\"v1\"},{\"id\":\"m3\",\"addr\":\"127.0.0.1:3\",\"zone\":"
+    "\"c\",\"version\":\"v1\"},{\"id\":\"m4\",\"addr\":\"127.0.0.1:4\","
+    "\"zone\":\"a\",\"version\":\"v1\"},"
+    "{\"id\":\"n1\",\"addr\":\"127.0.0.1:5\",\"zone\":\"a\",\"version\":"
+    "\"v2\"},{\"id\":\"n2\",\"addr\":\"127.0.0.1:6\",\"zone\":\"b\","
+    "\"version\":\"v2\"},{\"id\":\"n3\",\"addr\":\"127.0.0.1:7\",\"zone\":"
+    "\"c\",\"version\":\"v2\"},{\"id\":\"n4\",\"addr\":\"127.0.0.1:8\","
+    "\"zone\":\"b\",\"version\":\"v2\"}]}";
+
+static void
+run_script(FILE *script, FILE *out)
+{
+	struct csim s;
+
+	csim_init(&s, 1, out);
+	csim_script(&s, script);
+	if (s.errors != 0)
+		fprintf(out, "%d errors\n", s.errors);
+	csim_finish(&s);
+}
+
+/* Guards against changes in what operators are shown and told. */
+static void
+test_golden(void **state)
+{
+	(void)state;
+	assert_int_equal(golden_check("itn", run_script), 0);
+}
+
+static int
+random_alive(struct csim *s)
+{
+	int vm = (int)rng_below(&s->rng, CSIM_VMS);
+
+	while (!s->vms[vm].alive)
+		vm = (vm + 1) % CSIM_VMS;
+	return (vm);
+}
+
+static void
+declare_random(struct csim *s, int n)
+{
+	static const char *const zone_names[] = {"a", "b", "c"};
+	char json[256];
+	uint32_t kind = rng_below(&s->rng, 6);
+	const char *zone = zone_names[rng_below(&s->rng, 3)];
+	long long due =
+	    CSIM_WALL_MS + s->now_ms + 15000 + rng_below(&s->rng, 40000);
+
+	if (kind < 2)
+		snprintf(json, sizeof(json),
+		    "{\"id\":\"i%d\",\"kind\":\"%s-zone\",\"zone\":\"%s\"}", n,
+		    kind == 0 ? "drain" : "return", zone);
+	else if (kind < 5)
+		snprintf(json, sizeof(json),
+		    "{\"id\":\"i%d\",\"kind\":\"move-version\",\"service\":"
+		    "\"menu\",\"version\":\"%s\",\"due_ms\":%lld}",
+		    n, rng_below(&s->rng, 4) == 0 ? "v1" : "v2", due);
+	else
+		snprintf(json, sizeof(json),
+		    "{\"id\":\"i%d\",\"kind\":\"%s-upstream\",\"service\":"
+		    "\"menu\",\"upstream\":\"n1\"}",
+		    n, rng_below(&s->rng, 2) == 0 ? "drain" : "return");
+	csim_declare(s, random_alive(s), json);
+}
+
+static void
+disturb(struct csim *s)
+{
+	uint32_t alive = 0;
+	int vm = (int)rng_below(&s->rng, CSIM_VMS);
+
+	for (int i = 0; i < CSIM_VMS; i++)
+		alive += s->vms[i].alive;
+	switch (rng_below(&s->rng, 8)) {
+	case 0:
+		s->outage = !s->outage;
+		break;
+	case 1:
+	case 2:
+		s->lose += 1 + (int)rng_below(&s->rng, 3);
+		break;
+	case 3:
+	case 4:
+		if (alive > 3)
+			csim_kill(s, vm);
+		break;
+	case 5:
+		csim_start(s, vm);
+		break;
+	case 6:
+		s->two_executors = (int)rng_below(&s->rng, 3);
+		break;
+	default:
+		s->fail[1][rng_below(&s->rng, CSIM_ROUTES)] =
+		    rng_below(&s->rng, 3) == 0 ? 0.5 : 0;
+		break;
+	}
+}
+
+static void
+operate(struct csim *s, int *declared)
+{
+	char id[16];
+	int n;
+
+	if (*declared < MAX_INTENTS && rng_below(&s->rng, 3) == 0) {
+		declare_random(s, ++*declared);
+		return;
+	}
+	if (*declared == 0)
+		return;
+	n = *declared - (int)rng_below(&s->rng, MIN(*declared, 3));
+	snprintf(id, sizeof(id), "i%d", n);
+	/* Sometimes two operators act at the same time. */
+	if (rng_below(&s->rng, 10) == 0)
+		csim_drop(s, random_alive(s), id);
+	csim_confirm(s, random_alive(s), id);
+	snprintf(id, sizeof(id), "i%d", MAX(1, n - 1));
+	if (rng_below(&s->rng, 2) == 0)
+		csim_confirm(s, random_alive(s), id);
+}
+
+static void
+check_all_ended(struct csim *s, int declared)
+{
+	for (int n = 1; n <= declared; n++) {
+		char id[16];
+		const char *state;
+
+		snprintf(id, sizeof(id), "i%d", n);
+		state = csim_intent_state(s, id);
+		if (strcmp(state, "proposed") == 0 ||
+		    strcmp(state, "confirmed") == 0 ||
+		    strcmp(state, "running") == 0) {
+			printf("%s is still %s\n", id, state);
+			s->errors++;
+		}
+	}
+	if (json_array_size(
+		json_object_get(csim_value(s, CFI_LOCKS_KEY), "locks")) != 0) {
+		printf("locks are left\n");
+		s->errors++;
+	}
+}
+
+struct totals {
+	int done, rolled_back, refused, dropped, bad;
+};
+
+static void
+count_states(struct csim *s, int declared, struct totals *t)
+{
+	for (int n = 1; n <= declared; n++) {
+		char id[16];
+		const char *state;
+
+		snprintf(id, sizeof(id), "i%d", n);
+		state = csim_intent_state(s, id);
+		t->done += strcmp(state, "done") == 0;
+		t->rolled_back += strcmp(state, "rolled_back") == 0;
+		t->refused += strcmp(state, "refused") == 0;
+		t->dropped += strcmp(state, "dropped") == 0;
+	}
+	t->bad += (int)g_hash_table_size(s->bad);
+}
+
+static int
+run_seed(uint64_t seed, FILE *log, struct totals *t)
+{
+	struct csim s;
+	int declared = 0, errors;
+
+	csim_init(&s, seed, log);
+	csim_put(&s, "config/zones", zones);
+	csim_put(&s, "config/limits", limits);
+	csim_put(&s, "config/service/menu", menu);
+	s.late_writes = true;
+	s.calls_per_s[0] = 100;
+	s.calls_per_s[1] = 30;
+	while (s.now_ms < CHAOS_MS) {
+		csim_step(&s);
+		if (rng_below(&s.rng, 12) == 0)
+			operate(&s, &declared);
+		if (rng_below(&s.rng, 15) == 0)
+			disturb(&s);
+	}
+	s.outage = false;
+	s.lose = 0;
+	s.two_executors = 0;
+	for (int i = 0; i < CSIM_VMS; i++)
+		csim_start(&s, i);
+	while (s.now_ms < CHAOS_MS + HEAL_MS)
+		csim_step(&s);
+	check_all_ended(&s, declared);
+	count_states(&s, declared, t);
+	errors = s.errors;
+	csim_finish(&s);
+	return (errors);
+}
+
+/*
+ * Guards against lost or reverted accepted changes, conflicting intents that
+ * run at once, effects of unconfirmed intents, intents that never end, false
+ * final states and shares of a version that was decided to be bad.
+ */
+static void
+test_random(void **state)
+{
+	const char *one = getenv("SEED");
+	struct totals t = {0};
+	int failed = 0;
+
+	(void)state;
+	if (one != NULL) {
+		assert_int_equal(
+		    run_seed(strtoull(one, NULL, 10), stdout, &t), 0);
+		return;
+	}
+	for (uint64_t seed = 1; seed <= SEEDS && failed < 5; seed++) {
+		if (run_seed(seed, NULL, &t) == 0)
+			continue;
+		failed++;
+		printf("replay: SEED=%llu build/release/unit/test_itn\n",
+		    (unsigned long long)seed);
+	}
+	print_message("%d done, %d rolled back, %d refused, %d dropped, %d bad "
+		      "versions\n",
+	    t.done, t.rolled_back, t.refused, t.dropped, t.bad);
+	assert_int_equal(failed, 0);
+	assert_true(t.done > SEEDS && t.rolled_back > SEEDS / 4 && t.bad > 0);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_golden),
+	    cmocka_unit_test(test_random),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
