--- a/packages/config/cfg.c
+++ b/packages/config/cfg.c
@@ -30,12 +30,24 @@
 
 /* Adds @key to @seen; a second time is a problem. */
 static void
-check_unique(
-    GHashTable *seen, const char *key, const char *path, struct bbuf *problems)
+check_unique(GHashTable *seen, const char *key, const char *path,
+    const char *name, struct bbuf *problems)
 {
 	if (key == NULL || g_hash_table_add(seen, (gpointer)key))
 		return;
-	bbuf_addf(problems, "%s: \"%.60s\": must be unique\n", path, key);
+	bbuf_addf(
+	    problems, "%s%s: \"%.60s\": must be unique\n", path, name, key);
+}
+
+/* Reports a member of the object at @path. */
+static void
+report_member(const json_t *o, const char *path, const char *key,
+    const char *permitted, struct bbuf *problems)
+{
+	char full[PATH_BYTES + 16];
+
+	snprintf(full, sizeof(full), "%s%s", path, key);
+	jrd_report(problems, full, json_object_get(o, key), permitted);
 }
 
 static void
@@ -83,7 +95,7 @@
 			continue;
 		}
 		s->hosts[s->n_hosts] = g_strdup(json_string_value(e));
-		check_unique(seen, s->hosts[s->n_hosts++], path, problems);
+		check_unique(seen, s->hosts[s->n_hosts++], path, "", problems);
 	}
 	g_hash_table_destroy(seen);
 }
@@ -95,7 +107,7 @@
 	    "prefix", "idempotent", "timeout_ms", NULL};
 	const json_t *a = jrd_array(o, "routes", 1, MAX_LIST, problems);
 	GHashTable *seen;
-	char path[PATH_BYTES], member[PATH_BYTES + 16];
+	char path[PATH_BYTES];
 	size_t i;
 	json_t *e;
 
@@ -112,14 +124,13 @@
 		jrd_known(e, known, path, problems);
 		r->prefix = jrd_string(e, "prefix", path, problems);
 		if (r->prefix != NULL && r->prefix[0] != '/')
-			jrd_report(problems, path, json_object_get(e, "prefix"),
-			    "prefix must start with /");
-		check_unique(seen, r->prefix, path, problems);
+			report_member(
+			    e, path, "prefix", "must start with /", problems);
+		check_unique(seen, r->prefix, path, "prefix", problems);
 		r->idempotent = json_is_true(idem);
-		snprintf(member, sizeof(member), "%sidempotent", path);
 		if (!json_is_boolean(idem))
-			jrd_report(
-			    problems, member, idem, "must be true or false");
+			report_member(e, path, "idempotent",
+			    "must be true or false", problems);
 		r->timeout_ms = jrd_u32(e, "timeout_ms", 1, MAX_TIMEOUT_MS,
 		    DEFAULT_TIMEOUT_MS, path, problems);
 	}
@@ -148,7 +159,7 @@
 		snprintf(path, sizeof(path), "versions[%zu].", i);
 		jrd_known(e, known, path, problems);
 		v->name = jrd_string(e, "name", path, problems);
-		check_unique(seen, v->name, path, problems);
+		check_unique(seen, v->name, path, "name", problems);
 		v->share = jrd_u32(e, "share", 0, PERMILLE, 0, path, problems);
 		sum += v->share;
 	}
@@ -204,12 +215,11 @@
 
 		snprintf(path, sizeof(path), "upstreams[%zu].", i);
 		cfg_parse_upstream(u, e, path, problems);
-		check_unique(ids, u->id, path, problems);
-		check_unique(addrs, u->addr, path, problems);
+		check_unique(ids, u->id, path, "id", problems);
+		check_unique(addrs, u->addr, path, "addr", problems);
 		if (u->version != NULL && cfg_find_version(s, u->version) < 0)
-			jrd_report(problems, path,
-			    json_object_get(e, "version"),
-			    "must name a version of the service");
+			report_member(e, path, "version",
+			    "must name a version of the service", problems);
 	}
 	g_hash_table_destroy(ids);
 	g_hash_table_destroy(addrs);
@@ -353,7 +363,7 @@
 		snprintf(path, sizeof(path), "zones[%zu].", i);
 		jrd_known(e, known_zone, path, problems);
 		o->name = jrd_string(e, "name", path, problems);
-		check_unique(seen, o->name, path, problems);
+		check_unique(seen, o->name, path, "name", problems);
 		o->out = jrd_enum(e, "state", in_out, -1, path, problems) == 1;
 	}
 	g_hash_table_destroy(seen);
--- /dev/null
+++ b/tests/unit/test_cfg.c
@@ -0,0 +1,114 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "config/cfi.h"
+#include "config/cob.h"
+#include "lib/golden.h"
+
+/* Prints the problems of an object, or the object as it is written back. */
+static void
+check_line(const char *key, const char *json, FILE *out)
+{
+	json_t *value = json_loads(json, 0, NULL), *back = NULL;
+	struct bbuf problems;
+	struct cfg_service s;
+	struct cfg_zones z;
+	struct cfg_limits l;
+	struct cfi_intent i;
+	char *text;
+
+	bbuf_init(&problems);
+	if (strcmp(key, "service") == 0) {
+		if (cfg_parse_service(&s, value, &problems))
+			back = cfg_print_service(&s);
+		cfg_service_finish(&s);
+	} else if (strcmp(key, "zones") == 0) {
+		if (cfg_parse_zones(&z, value, &problems))
+			back = cfg_print_zones(&z);
+		cfg_zones_finish(&z);
+	} else if (strcmp(key, "limits") == 0) {
+		if (cfg_parse_limits(&l, value, &problems))
+			back = cfg_print_limits(&l);
+	} else {
+		if (cfi_parse(&i, value, &problems))
+			back = cfi_print(&i);
+		cfi_finish(&i);
+	}
+	text = json_dumps(back, JSON_COMPACT | JSON_SORT_KEYS);
+	fprintf(out, "%s%s", problems.n == 0 ? "" : problems.p,
+	    text == NULL ? "" : text);
+	fputs(text == NULL ? "" : "\n", out);
+	free(text);
+	json_decref(back);
+	json_decref(value);
+	bbuf_finish(&problems);
+}
+
+static void
+run_script(FILE *script, FILE *out)
+{
+	char line[4096], key[32];
+	int used;
+
+	while (fgets(line, sizeof(line), script) != NULL) {
+		if (line[0] == '#' || line[0] == '\n')
+			continue;
+		fprintf(out, "> %s", line);
+		used = 0;
+		if (sscanf(line, "%31s %n", key, &used) == 1)
+			check_line(key, line + used, out);
+	}
+}
+
+/* Guards against accepting a wrong object and against unclear problems. */
+static void
+test_golden(void **state)
+{
+	(void)state;
+	assert_int_equal(golden_check("cfg", run_script), 0);
+}
+
+/* Guards against a table that goes back to a lower version. */
+static void
+test_never_back(void **state)
+{
+	json_t *in = json_loads(
+	    "{\"zones\":[{\"name\":\"a\",\"state\":\"in\"}]}", 0, NULL);
+	json_t *bad = json_loads("{\"zones\":1}", 0, NULL);
+	struct cob t;
+
+	(void)state;
+	cob_init(&t);
+	assert_int_equal(
+	    cob_apply(&t, "config/zones", 5, in), COB_NEWER | COB_EFFECT);
+	assert_int_equal(cob_apply(&t, "config/zones", 5, bad), COB_NOTHING);
+	assert_int_equal(cob_apply(&t, "config/zones", 4, NULL), COB_NOTHING);
+	assert_int_equal(
+	    cob_apply(&t, "config/zones", 9, bad), COB_NEWER | COB_INVALID);
+	assert_int_equal(cob_apply(&t, "config/zones", 7, in), COB_EFFECT);
+	assert_int_equal(cob_set(&t)->zones_version, 7);
+	assert_int_equal(cob_find(&t, "config/zones")->version, 9);
+	assert_int_equal(
+	    cob_apply(&t, "config/zones", 10, NULL), COB_NEWER | COB_EFFECT);
+	assert_null(cob_set(&t)->zones);
+	assert_int_equal(t.digest.hash, 0);
+	cob_finish(&t);
+	json_decref(in);
+	json_decref(bad);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_golden),
+	    cmocka_unit_test(test_never_back),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
