--- a/packages/config/cst.c
+++ b/packages/config/cst.c
@@ -8,7 +8,6 @@
 #define STORE_WAIT_MS 20000
 #define STORE_RETRY_MS 300
 #define PUSH_RETRY_MS 500
-#define SYNC_WAIT_MS 3000
 /* A change that never reaches a majority is left to the digests. */
 #define PENDING_MAX_MS 600000
 
@@ -37,14 +36,6 @@
 	bool told_pending;
 };
 
-/* A synchronisation that was asked for. */
-struct sync {
-	struct vmid peer;
-	uint64_t seq;
-	int64_t started_ms;
-	GPtrArray *want; /* keys, owned */
-};
-
 static const char *const status_names[] = {
     "accepted", "pending", "conflict", "invalid", "unresolved"};
 
@@ -66,15 +57,6 @@
 	g_free(h);
 }
 
-static void
-sync_free(gpointer p)
-{
-	struct sync *s = p;
-
-	g_ptr_array_free(s->want, TRUE);
-	g_free(s);
-}
-
 void
 cst_init(struct cst *c, const struct cst_desc *desc)
 {
@@ -85,7 +67,7 @@
 		c->desc.store_wait_ms = STORE_WAIT_MS;
 	cob_init(&c->objects);
 	c->changes = g_ptr_array_new_with_free_func(change_free);
-	c->syncs = g_ptr_array_new_with_free_func(sync_free);
+	c->syncs = csy_new_syncs();
 }
 
 void
@@ -98,76 +80,11 @@
 	*c = (struct cst){0};
 }
 
-void
-cst_msg_finish(struct cst_msg *msg)
-{
-	for (uint32_t i = 0; i < msg->n_items; i++) {
-		g_free(msg->items[i].key);
-		free(msg->items[i].value);
-	}
-	g_free(msg->items);
-	g_free(msg->cursor);
-	*msg = (struct cst_msg){0};
-}
-
-void
-cst_out_clear(struct cst_out *out)
-{
-	for (uint32_t i = 0; i < out->n; i++) {
-		struct cst_effect *e = &out->effects[i];
-
-		g_free(e->key);
-		json_decref(e->value);
-		g_free(e->change);
-		g_free(e->text);
-		if (e->msg != NULL)
-			cst_msg_finish(e->msg);
-		g_free(e->msg);
-	}
-	out->n = 0;
-}
-
-void
-cst_out_finish(struct cst_out *out)
-{
-	cst_out_clear(out);
-	g_free(out->effects);
-	*out = (struct cst_out){0};
-}
-
-static struct cst_effect *
-emit(struct cst_out *out, enum cst_effect_kind kind, const char *key)
-{
-	if (out->n == out->cap) {
-		out->cap = out->cap == 0 ? 8 : out->cap * 2;
-		out->effects =
-		    g_renew(struct cst_effect, out->effects, out->cap);
-	}
-	out->effects[out->n] =
-	    (struct cst_effect){.kind = kind, .key = g_strdup(key)};
-	return (&out->effects[out->n++]);
-}
-
-/* Moves the content of @msg into an effect; @to NULL sends to all others. */
-static void
-emit_send(struct cst *c, struct cst_msg *msg, const struct vmid *to,
-    struct cst_out *out)
-{
-	struct cst_effect *e = emit(out, CST_SEND, NULL);
-
-	msg->sender = c->desc.self;
-	msg->digest = c->objects.digest;
-	if (to != NULL)
-		e->to = *to;
-	e->msg = g_new(struct cst_msg, 1);
-	*e->msg = *msg;
-}
-
 static void
 emit_answer(struct change *h, enum cst_status status, const char *text,
     struct cst_out *out)
 {
-	struct cst_effect *e = emit(out, CST_ANSWER, h->key);
+	struct cst_effect *e = csy_emit(out, CST_ANSWER, h->key);
 
 	e->change = g_strdup(h->id);
 	e->status = status;
@@ -184,7 +101,7 @@
 	if (o == NULL)
 		return;
 	csy_add_object(&msg, o);
-	emit_send(c, &msg, to, out);
+	csy_emit_send(c, &msg, to, out);
 }
 
 void
@@ -239,47 +156,23 @@
 		finish_change(c, h, CST_ACCEPTED, NULL, out);
 }
 
-/* Settles local changes that the newest version of the key shows as stored. */
+/* Settles local changes that the versions held show as stored. */
 static void
-settle(struct cst *c, const char *key, int64_t now_ms, struct cst_out *out)
+settle(struct cst *c, int64_t now_ms, struct cst_out *out)
 {
-	const struct cob_object *o = cob_find(&c->objects, key);
-	const char *id = o == NULL ? NULL : cob_change_id(o->raw);
-
-	for (guint i = c->changes->len; id != NULL && i-- > 0;) {
+	for (guint i = c->changes->len; i-- > 0;) {
 		struct change *h = c->changes->pdata[i];
+		const struct cob_object *o = cob_find(&c->objects, h->key);
 
-		if (h->phase != PHASE_ACK && strcmp(h->key, key) == 0 &&
-		    strcmp(h->id, id) == 0)
+		if (h->phase == PHASE_ACK || o == NULL)
+			continue;
+		if (g_strcmp0(cob_change_id(o->raw), h->id) == 0)
 			stored(c, h, o->version, now_ms, out);
+		else if (g_strcmp0(cob_change_id(o->value), h->id) == 0)
+			stored(c, h, o->effect, now_ms, out);
 	}
 }
 
-static unsigned
-apply(struct cst *c, const char *key, uint64_t version, json_t *value,
-    int64_t now_ms, struct cst_out *out)
-{
-	unsigned changed = cob_apply(&c->objects, key, version, value);
-	const struct cob_object *o;
-	struct cst_effect *e;
-
-	if (changed == COB_NOTHING)
-		return (changed);
-	o = cob_find(&c->objects, key);
-	if (o != NULL && (changed & COB_EFFECT) != 0) {
-		e = emit(out, CST_PUBLISH, key);
-		e->version = o->effect;
-		e->value = json_incref(o->value);
-	}
-	if (o != NULL && (changed & COB_INVALID) != 0) {
-		e = emit(out, CST_PROBLEM, key);
-		e->version = o->version;
-		e->text = g_strdup(o->problem);
-	}
-	settle(c, key, now_ms, out);
-	return (changed);
-}
-
 static struct change *
 find_change(struct cst *c, const char *id)
 {
@@ -295,7 +188,7 @@
 static void
 emit_put(struct change *h, int64_t now_ms, struct cst_out *out)
 {
-	struct cst_effect *e = emit(out, CST_PUT, h->key);
+	struct cst_effect *e = csy_emit(out, CST_PUT, h->key);
 
 	e->change = g_strdup(h->id);
 	e->version = h->if_version;
@@ -307,7 +200,7 @@
 static void
 emit_get(struct change *h, int64_t now_ms, struct cst_out *out)
 {
-	emit(out, CST_GET, h->key);
+	csy_emit(out, CST_GET, h->key);
 	h->phase = PHASE_READ;
 	h->phase_ms = now_ms;
 }
@@ -403,7 +296,8 @@
 		emit_get(h, now_ms, out);
 		return;
 	}
-	apply(c, h->key, version, h->value, now_ms, out);
+	csy_apply(c, h->key, version, h->value, out);
+	settle(c, now_ms, out);
 	h = find_change(c, change);
 	if (h != NULL && h->phase != PHASE_ACK)
 		stored(c, h, version, now_ms, out);
@@ -416,7 +310,7 @@
 {
 	if (h->value == NULL && !found && h->if_version != 0) {
 		/* The deletion has a version above the one it replaced. */
-		apply(c, h->key, h->if_version + 1, NULL, now_ms, out);
+		csy_apply(c, h->key, h->if_version + 1, NULL, out);
 		stored(c, h, h->if_version + 1, now_ms, out);
 	} else if (found && version > h->if_version) {
 		h->version = version;
@@ -458,8 +352,10 @@
 cst_on_watch(struct cst *c, const char *key, uint64_t version, json_t *value,
     int64_t now_ms, struct cst_out *out)
 {
-	if (apply(c, key, version, value, now_ms, out) != COB_NOTHING)
-		push(c, key, NULL, out);
+	if (csy_apply(c, key, version, value, out) == COB_NOTHING)
+		return;
+	push(c, key, NULL, out);
+	settle(c, now_ms, out);
 }
 
 void
@@ -500,28 +396,11 @@
 }
 
 static void
-apply_items(struct cst *c, const struct cst_msg *msg, int64_t now_ms,
-    struct cst_out *out)
-{
-	for (uint32_t i = 0; i < msg->n_items; i++) {
-		const struct cst_item *t = &msg->items[i];
-		json_t *value = NULL;
-
-		if (t->value != NULL)
-			value = json_loads(t->value, JSON_DECODE_ANY, NULL);
-		if ((value != NULL) != t->deleted)
-			apply(c, t->key, t->version, value, now_ms, out);
-		json_decref(value);
-	}
-}
-
-static void
-on_push(struct cst *c, const struct cst_msg *msg, int64_t now_ms,
-    struct cst_out *out)
+on_push(struct cst *c, const struct cst_msg *msg, struct cst_out *out)
 {
 	struct cst_msg ack = {.kind = CST_MSG_ACK};
 
-	apply_items(c, msg, now_ms, out);
+	csy_apply_items(c, msg, out);
 	for (uint32_t i = 0; i < msg->n_items; i++) {
 		const struct cob_object *o =
 		    cob_find(&c->objects, msg->items[i].key);
@@ -529,7 +408,7 @@
 		if (o != NULL && o->effect != 0)
 			csy_add_version(&ack, o->key, o->effect, 0, false);
 	}
-	emit_send(c, &ack, &msg->sender, out);
+	csy_emit_send(c, &ack, &msg->sender, out);
 }
 
 static void
@@ -556,95 +435,6 @@
 	}
 }
 
-static void
-ask(struct cst *c, struct sync *s, enum cst_msg_kind kind, uint64_t since,
-    const char *cursor, struct cst_out *out)
-{
-	struct cst_msg msg = {.kind = kind, .seq = s->seq, .since = since};
-
-	msg.cursor = g_strdup(cursor);
-	if (kind == CST_MSG_WANT) {
-		for (guint i = 0; i < MIN(s->want->len, CST_MAX_ITEMS); i++)
-			csy_add_version(&msg, s->want->pdata[i], 0, 0, false);
-	}
-	emit_send(c, &msg, &s->peer, out);
-}
-
-static void
-synced(struct cst *c, struct sync *s, struct cst_out *out)
-{
-	struct cst_effect *e = emit(out, CST_SYNCED, NULL);
-
-	e->to = s->peer;
-	e->started_ms = s->started_ms;
-	g_ptr_array_remove(c->syncs, s);
-}
-
-/* Collects the keys of which the peer holds a higher version. */
-static void
-compare_list(struct cst *c, struct sync *s, const struct cst_msg *msg,
-    int64_t now_ms, struct cst_out *out)
-{
-	for (uint32_t i = 0; i < msg->n_items; i++) {
-		const struct cst_item *t = &msg->items[i];
-		const struct cob_object *o;
-
-		if (t->deleted)
-			apply(c, t->key, t->version, NULL, now_ms, out);
-		o = cob_find(&c->objects, t->key);
-		if (!t->deleted &&
-		    (o == NULL || o->version < t->version ||
-			o->effect < t->effect))
-			g_ptr_array_add(s->want, g_strdup(t->key));
-	}
-}
-
-/* Removes the keys that the answer brought. */
-static void
-strike_wanted(struct sync *s, const struct cst_msg *msg)
-{
-	for (uint32_t i = 0; i < msg->n_items; i++) {
-		for (guint k = s->want->len; k-- > 0;) {
-			if (strcmp(s->want->pdata[k], msg->items[i].key) == 0)
-				g_ptr_array_remove_index(s->want, k);
-		}
-	}
-}
-
-static void
-on_answer(struct cst *c, const struct cst_msg *msg, int64_t now_ms,
-    struct cst_out *out)
-{
-	struct sync *s = NULL;
-
-	for (guint i = 0; i < c->syncs->len; i++) {
-		struct sync *k = c->syncs->pdata[i];
-
-		if (k->seq == msg->seq && vmid_eq(&k->peer, &msg->sender))
-			s = k;
-	}
-	if (s == NULL)
-		return;
-	if (msg->answers == CST_MSG_LIST) {
-		compare_list(c, s, msg, now_ms, out);
-	} else {
-		apply_items(c, msg, now_ms, out);
-		strike_wanted(s, msg);
-	}
-	if (msg->more && msg->answers != CST_MSG_WANT)
-		ask(c, s, msg->answers, msg->since, msg->cursor, out);
-	else if (msg->digest.hash == c->objects.digest.hash)
-		synced(c, s, out);
-	else if (msg->answers == CST_MSG_PULL)
-		ask(c, s, CST_MSG_LIST, 0, NULL, out);
-	else if (s->want->len == 0)
-		synced(c, s, out);
-	else if (msg->answers == CST_MSG_WANT && msg->n_items == 0)
-		g_ptr_array_remove(c->syncs, s);
-	else
-		ask(c, s, CST_MSG_WANT, 0, NULL, out);
-}
-
 void
 cst_on_msg(struct cst *c, const struct cst_msg *msg, int64_t now_ms,
     struct cst_out *out)
@@ -653,19 +443,21 @@
 
 	switch (msg->kind) {
 	case CST_MSG_PUSH:
-		on_push(c, msg, now_ms, out);
+		on_push(c, msg, out);
+		settle(c, now_ms, out);
 		break;
 	case CST_MSG_ACK:
 		on_ack(c, msg, out);
 		break;
 	case CST_MSG_ANSWER:
-		on_answer(c, msg, now_ms, out);
+		csy_on_answer(c, msg, out);
+		settle(c, now_ms, out);
 		break;
 	case CST_MSG_PULL:
 	case CST_MSG_LIST:
 	case CST_MSG_WANT:
 		csy_answer(&c->objects, msg, &answer);
-		emit_send(c, &answer, &msg->sender, out);
+		csy_emit_send(c, &answer, &msg->sender, out);
 		break;
 	case CST_MSG_KIND_COUNT:
 		break;
@@ -676,20 +468,7 @@
 cst_pull(
     struct cst *c, const struct vmid *peer, int64_t now_ms, struct cst_out *out)
 {
-	struct sync *s;
-
-	for (guint i = c->syncs->len; i-- > 0;) {
-		s = c->syncs->pdata[i];
-		if (vmid_eq(&s->peer, peer))
-			g_ptr_array_remove_index(c->syncs, i);
-	}
-	s = g_new0(struct sync, 1);
-	s->peer = *peer;
-	s->seq = ++c->seq;
-	s->started_ms = now_ms;
-	s->want = g_ptr_array_new_with_free_func(g_free);
-	g_ptr_array_add(c->syncs, s);
-	ask(c, s, CST_MSG_PULL, c->objects.digest.highest, NULL, out);
+	csy_pull(c, peer, now_ms, out);
 }
 
 /* Pushes again to the members that have not acknowledged. */
@@ -738,12 +517,7 @@
 {
 	for (guint i = c->changes->len; i-- > 0;)
 		tick_change(c, c->changes->pdata[i], now_ms, out);
-	for (guint i = c->syncs->len; i-- > 0;) {
-		struct sync *s = c->syncs->pdata[i];
-
-		if (now_ms - s->started_ms > SYNC_WAIT_MS)
-			g_ptr_array_remove_index(c->syncs, i);
-	}
+	csy_tick(c, now_ms);
 }
 
 const struct cfg_set *
--- a/packages/config/csy.c
+++ b/packages/config/csy.c
@@ -9,6 +9,25 @@
  */
 #define INVALID_MAX_BYTES 1024
 
+#define SYNC_WAIT_MS 3000
+
+/* A synchronisation that was asked for. */
+struct sync {
+	struct vmid peer;
+	uint64_t seq;
+	int64_t started_ms;
+	GPtrArray *want; /* keys, owned */
+};
+
+static void
+sync_free(gpointer p)
+{
+	struct sync *s = p;
+
+	g_ptr_array_free(s->want, TRUE);
+	g_free(s);
+}
+
 static struct cst_item *
 add_item(struct cst_msg *msg, const char *key, uint64_t version)
 {
@@ -195,3 +214,228 @@
 	else
 		answer_want(t, request, answer);
 }
+
+void
+cst_msg_finish(struct cst_msg *msg)
+{
+	for (uint32_t i = 0; i < msg->n_items; i++) {
+		g_free(msg->items[i].key);
+		free(msg->items[i].value);
+	}
+	g_free(msg->items);
+	g_free(msg->cursor);
+	*msg = (struct cst_msg){0};
+}
+
+void
+cst_out_clear(struct cst_out *out)
+{
+	for (uint32_t i = 0; i < out->n; i++) {
+		struct cst_effect *e = &out->effects[i];
+
+		g_free(e->key);
+		json_decref(e->value);
+		g_free(e->change);
+		g_free(e->text);
+		if (e->msg != NULL)
+			cst_msg_finish(e->msg);
+		g_free(e->msg);
+	}
+	out->n = 0;
+}
+
+void
+cst_out_finish(struct cst_out *out)
+{
+	cst_out_clear(out);
+	g_free(out->effects);
+	*out = (struct cst_out){0};
+}
+
+struct cst_effect *
+csy_emit(struct cst_out *out, enum cst_effect_kind kind, const char *key)
+{
+	if (out->n == out->cap) {
+		out->cap = out->cap == 0 ? 8 : out->cap * 2;
+		out->effects =
+		    g_renew(struct cst_effect, out->effects, out->cap);
+	}
+	out->effects[out->n] =
+	    (struct cst_effect){.kind = kind, .key = g_strdup(key)};
+	return (&out->effects[out->n++]);
+}
+
+void
+csy_emit_send(struct cst *c, struct cst_msg *msg, const struct vmid *to,
+    struct cst_out *out)
+{
+	struct cst_effect *e = csy_emit(out, CST_SEND, NULL);
+
+	msg->sender = c->desc.self;
+	msg->digest = c->objects.digest;
+	if (to != NULL)
+		e->to = *to;
+	e->msg = g_new(struct cst_msg, 1);
+	*e->msg = *msg;
+}
+
+unsigned
+csy_apply(struct cst *c, const char *key, uint64_t version, json_t *value,
+    struct cst_out *out)
+{
+	unsigned changed = cob_apply(&c->objects, key, version, value);
+	const struct cob_object *o = cob_find(&c->objects, key);
+	struct cst_effect *e;
+
+	if (o != NULL && (changed & COB_EFFECT) != 0) {
+		e = csy_emit(out, CST_PUBLISH, key);
+		e->version = o->effect;
+		e->value = json_incref(o->value);
+	}
+	if (o != NULL && (changed & COB_INVALID) != 0) {
+		e = csy_emit(out, CST_PROBLEM, key);
+		e->version = o->version;
+		e->text = g_strdup(o->problem);
+	}
+	return (changed);
+}
+
+void
+csy_apply_items(struct cst *c, const struct cst_msg *msg, struct cst_out *out)
+{
+	for (uint32_t i = 0; i < msg->n_items; i++) {
+		const struct cst_item *t = &msg->items[i];
+		json_t *value = NULL;
+
+		if (t->value != NULL)
+			value = json_loads(t->value, JSON_DECODE_ANY, NULL);
+		if ((value != NULL) != t->deleted)
+			csy_apply(c, t->key, t->version, value, out);
+		json_decref(value);
+	}
+}
+
+static void
+ask(struct cst *c, struct sync *s, enum cst_msg_kind kind, uint64_t since,
+    const char *cursor, struct cst_out *out)
+{
+	struct cst_msg msg = {.kind = kind, .seq = s->seq, .since = since};
+
+	msg.cursor = g_strdup(cursor);
+	if (kind == CST_MSG_WANT) {
+		for (guint i = 0; i < MIN(s->want->len, CST_MAX_ITEMS); i++)
+			csy_add_version(&msg, s->want->pdata[i], 0, 0, false);
+	}
+	csy_emit_send(c, &msg, &s->peer, out);
+}
+
+static void
+synced(struct cst *c, struct sync *s, struct cst_out *out)
+{
+	struct cst_effect *e = csy_emit(out, CST_SYNCED, NULL);
+
+	e->to = s->peer;
+	e->started_ms = s->started_ms;
+	g_ptr_array_remove(c->syncs, s);
+}
+
+/* Collects the keys of which the peer holds a higher version. */
+static void
+compare_list(struct cst *c, struct sync *s, const struct cst_msg *msg,
+    struct cst_out *out)
+{
+	for (uint32_t i = 0; i < msg->n_items; i++) {
+		const struct cst_item *t = &msg->items[i];
+		const struct cob_object *o;
+
+		if (t->deleted)
+			csy_apply(c, t->key, t->version, NULL, out);
+		o = cob_find(&c->objects, t->key);
+		if (!t->deleted &&
+		    (o == NULL || o->version < t->version ||
+			o->effect < t->effect))
+			g_ptr_array_add(s->want, g_strdup(t->key));
+	}
+}
+
+/* Removes the keys that the answer brought. */
+static void
+strike_wanted(struct sync *s, const struct cst_msg *msg)
+{
+	for (uint32_t i = 0; i < msg->n_items; i++) {
+		for (guint k = s->want->len; k-- > 0;) {
+			if (strcmp(s->want->pdata[k], msg->items[i].key) == 0)
+				g_ptr_array_remove_index(s->want, k);
+		}
+	}
+}
+
+void
+csy_on_answer(struct cst *c, const struct cst_msg *msg, struct cst_out *out)
+{
+	struct sync *s = NULL;
+
+	for (guint i = 0; i < c->syncs->len; i++) {
+		struct sync *k = c->syncs->pdata[i];
+
+		if (k->seq == msg->seq && vmid_eq(&k->peer, &msg->sender))
+			s = k;
+	}
+	if (s == NULL)
+		return;
+	if (msg->answers == CST_MSG_LIST) {
+		compare_list(c, s, msg, out);
+	} else {
+		csy_apply_items(c, msg, out);
+		strike_wanted(s, msg);
+	}
+	/* An equal digest, or nothing left that is missing, ends it. */
+	if (msg->more && msg->answers != CST_MSG_WANT)
+		ask(c, s, msg->answers, msg->since, msg->cursor, out);
+	else if (msg->digest.hash == c->objects.digest.hash ||
+	    (msg->answers != CST_MSG_PULL && s->want->len == 0))
+		synced(c, s, out);
+	else if (msg->answers == CST_MSG_PULL)
+		ask(c, s, CST_MSG_LIST, 0, NULL, out);
+	else if (msg->answers == CST_MSG_WANT && msg->n_items == 0)
+		g_ptr_array_remove(c->syncs, s);
+	else
+		ask(c, s, CST_MSG_WANT, 0, NULL, out);
+}
+
+void
+csy_pull(
+    struct cst *c, const struct vmid *peer, int64_t now_ms, struct cst_out *out)
+{
+	struct sync *s;
+
+	for (guint i = c->syncs->len; i-- > 0;) {
+		s = c->syncs->pdata[i];
+		if (vmid_eq(&s->peer, peer))
+			g_ptr_array_remove_index(c->syncs, i);
+	}
+	s = g_new0(struct sync, 1);
+	s->peer = *peer;
+	s->seq = ++c->seq;
+	s->started_ms = now_ms;
+	s->want = g_ptr_array_new_with_free_func(g_free);
+	g_ptr_array_add(c->syncs, s);
+	ask(c, s, CST_MSG_PULL, c->objects.digest.highest, NULL, out);
+}
+
+GPtrArray *
+csy_new_syncs(void)
+{
+	return (g_ptr_array_new_with_free_func(sync_free));
+}
+
+void
+csy_tick(struct cst *c, int64_t now_ms)
+{
+	for (guint i = c->syncs->len; i-- > 0;) {
+		struct sync *s = c->syncs->pdata[i];
+
+		if (now_ms - s->started_ms > SYNC_WAIT_MS)
+			g_ptr_array_remove_index(c->syncs, i);
+	}
+}
--- a/packages/config/csy.h
+++ b/packages/config/csy.h
@@ -1,18 +1,37 @@
 /*
- * csy - building and answering the synchronisation messages of cst.
+ * csy - effects, applying of objects, and synchronisation with peers for cst.
  *
- * Plain functions over an object table; the state of a synchronisation is in
- * cst.
+ * The part of cst that does not depend on local changes. The asking side keeps
+ * a list of synchronisations in struct cst; the answering side has no state.
  *
- *	csy_answer(&table, request, &answer);
- *	send(&answer);
- *	cst_msg_finish(&answer);
+ *	csy_pull(c, &peer, now_ms, out);            asking side
+ *	csy_answer(&c->objects, request, &answer);  answering side
+ *	csy_on_answer(c, &answer, out);             asking side
  */
 #ifndef CONFIG_CSY_H
 #define CONFIG_CSY_H
 
 #include "config/cst.h"
 
+/** csy_emit() - append an effect */
+struct cst_effect *csy_emit(
+    struct cst_out *out, enum cst_effect_kind kind, const char *key);
+
+/**
+ * csy_emit_send() - append a message, whose content moves into the effect
+ * @to: NULL sends to all other members
+ */
+void csy_emit_send(struct cst *c, struct cst_msg *msg, const struct vmid *to,
+    struct cst_out *out);
+
+/** csy_apply() - take one version; Return: bits of enum cob_change */
+unsigned csy_apply(struct cst *c, const char *key, uint64_t version,
+    json_t *value, struct cst_out *out);
+
+/** csy_apply_items() - take all items of a message */
+void csy_apply_items(
+    struct cst *c, const struct cst_msg *msg, struct cst_out *out);
+
 /** csy_add_object() - add the value of an object, both values if invalid */
 void csy_add_object(struct cst_msg *msg, const struct cob_object *o);
 
@@ -24,4 +43,18 @@
 void csy_answer(
     const struct cob *t, const struct cst_msg *request, struct cst_msg *answer);
 
+/** csy_new_syncs() - empty list of synchronisations */
+GPtrArray *csy_new_syncs(void);
+
+/** csy_pull() - start a synchronisation; replaces one with the same peer */
+void csy_pull(struct cst *c, const struct vmid *peer, int64_t now_ms,
+    struct cst_out *out);
+
+/** csy_on_answer() - continue a synchronisation */
+void csy_on_answer(
+    struct cst *c, const struct cst_msg *msg, struct cst_out *out);
+
+/** csy_tick() - drop synchronisations without an answer */
+void csy_tick(struct cst *c, int64_t now_ms);
+
 #endif
--- a/packages/move/mov.c
+++ b/packages/move/mov.c
@@ -2,38 +2,22 @@
 
 #include <stdio.h>
 
-#include "move/can.h"
+#include "move/pol.h"
 
 #define PERMILLE 1000
 #define GOSSIP_MS 1000
 #define WRITE_RETRY_MS 500
 #define MS_PER_S 1000
-/* A route counts as used by callers from this number of old calls. */
-#define ROUTE_USED_CALLS 20
 
 static const uint32_t standard_steps[] = {10, 50, 200, 500, 1000};
 
-/* Last counters of one sender, version and route. */
-struct last {
-	struct can_count count;
-};
-
-/* Test of one route. */
-struct route {
-	char *name;
-	struct can_route can;
-};
-
 /* State of the executor of one move. */
 struct run {
 	char *service;
 	char *intent;
-	GHashTable *last; /* "sender version route" -> struct last */
-	GPtrArray *routes;
-	int64_t rotated_ms;
+	struct pol metrics;
 	uint32_t step;
 	int64_t step_ms;
-	uint64_t step_calls;
 	char *writing;
 	int64_t next_write_ms;
 	bool seen;
@@ -62,15 +46,6 @@
 	    g_strdup(b->intent), g_strdup(b->reason)});
 }
 
-static void
-route_free(gpointer p)
-{
-	struct route *r = p;
-
-	g_free(r->name);
-	g_free(r);
-}
-
 static void
 run_free(gpointer p)
 {
@@ -79,8 +54,7 @@
 	g_free(r->service);
 	g_free(r->intent);
 	g_free(r->writing);
-	g_hash_table_destroy(r->last);
-	g_ptr_array_free(r->routes, TRUE);
+	pol_finish(&r->metrics);
 	g_free(r);
 }
 
@@ -312,112 +286,23 @@
 	r = g_new0(struct run, 1);
 	r->service = g_strdup(s->name);
 	r->intent = g_strdup(s->move.intent);
-	r->last =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	r->routes = g_ptr_array_new_with_free_func(route_free);
+	pol_init(&r->metrics, now_ms);
 	r->step = s->move.step;
 	r->step_ms = now_ms;
-	r->rotated_ms = now_ms;
 	g_ptr_array_add(m->runs, r);
 	return (r);
 }
 
-static struct route *
-get_route(struct run *r, const char *name)
-{
-	struct route *t;
-
-	for (guint i = 0; i < r->routes->len; i++) {
-		t = r->routes->pdata[i];
-		if (strcmp(t->name, name) == 0)
-			return (t);
-	}
-	if (r->routes->len == MOV_MAX_ROWS)
-		return (NULL);
-	t = g_new0(struct route, 1);
-	t->name = g_strdup(name);
-	g_ptr_array_add(r->routes, t);
-	return (t);
-}
-
-/*
- * Calls of a row since the last row of its sender. The counters grow during the
- * life of a process, so a repeated row adds nothing and a late one is ignored.
- * The first row of a sender is the base: an executor that takes over must not
- * count what its predecessor saw.
- */
-static struct can_count
-row_delta(struct run *r, const struct vmid *sender, const struct mov_row *row)
-{
-	char *key = g_strdup_printf("%.*s\n%s\n%s", BSTR_ARG(vmid_str(sender)),
-	    row->version, row->route);
-	struct last *l = g_hash_table_lookup(r->last, key);
-	struct can_count d = {0};
-
-	if (l == NULL) {
-		l = g_new0(struct last, 1);
-		l->count =
-		    (struct can_count){row->calls, row->failed, row->slow};
-		g_hash_table_insert(r->last, key, l);
-		return (d);
-	}
-	g_free(key);
-	if (row->calls <= l->count.calls || row->failed < l->count.failed ||
-	    row->slow < l->count.slow)
-		return (d);
-	d.calls = row->calls - l->count.calls;
-	d.failed = MIN(row->failed - l->count.failed, d.calls);
-	d.slow = MIN(row->slow - l->count.slow, d.calls);
-	l->count = (struct can_count){row->calls, row->failed, row->slow};
-	return (d);
-}
-
-static void
-take_row(struct run *r, const struct cfg_service *s, const struct vmid *sender,
-    const struct mov_row *row, bool new_version)
-{
-	const char *version = new_version ? s->move.to : s->move.from;
-	struct can_count d;
-	struct route *t;
-
-	if (strcmp(row->service, s->name) != 0 ||
-	    strcmp(row->version, version) != 0)
-		return;
-	t = get_route(r, row->route);
-	d = row_delta(r, sender, row);
-	if (t == NULL || d.calls == 0)
-		return;
-	if (!new_version) {
-		can_add_old(&t->can, d.calls, d.failed, d.slow);
-		return;
-	}
-	can_add_new(&t->can, d.calls, d.failed, d.slow);
-	r->step_calls += d.calls;
-}
-
 static void
 decide_bad(struct mov *m, struct run *r, const struct cfg_service *s,
     struct mov_out *out)
 {
-	for (guint i = 0; i < r->routes->len; i++) {
-		struct route *t = r->routes->pdata[i];
-		enum can_verdict v = can_is_bad(&t->can);
-		const struct can_count *n = &t->can.new_total;
-		struct mov_bad b;
+	struct mov_bad b = {s->name, s->move.to, s->move.intent, NULL};
 
-		if (v == CAN_GOOD)
-			continue;
-		b = (struct mov_bad){s->name, s->move.to, s->move.intent, NULL};
-		b.reason = g_strdup_printf(
-		    "bad version: %s on route %.100s, %llu of %llu calls",
-		    v == CAN_SLOW ? "slow" : "failing", t->name,
-		    (unsigned long long)(v == CAN_SLOW ? n->slow : n->failed),
-		    (unsigned long long)n->calls);
-		if (learn_bad(m, &b, out))
-			emit_bad(m, &b, MOV_SEND_ALL, out);
-		g_free(b.reason);
-		return;
-	}
+	b.reason = pol_why_bad(&r->metrics);
+	if (b.reason != NULL && learn_bad(m, &b, out))
+		emit_bad(m, &b, MOV_SEND_ALL, out);
+	g_free(b.reason);
 }
 
 static void
@@ -427,10 +312,7 @@
 {
 	struct run *r = get_run(m, s, now_ms);
 
-	for (uint32_t i = 0; i < n; i++)
-		take_row(r, s, sender, &rows[i], false);
-	for (uint32_t i = 0; i < n; i++)
-		take_row(r, s, sender, &rows[i], true);
+	pol_add(&r->metrics, sender, rows, n, s);
 	decide_bad(m, r, s, out);
 }
 
@@ -543,32 +425,6 @@
 	r->writing = g_strdup(change);
 }
 
-/* Whether every route that callers use was tried on the new version. */
-static bool
-routes_tried(const struct run *r, const struct cfg_limits *l)
-{
-	for (guint i = 0; i < r->routes->len; i++) {
-		const struct route *t = r->routes->pdata[i];
-
-		if (t->can.old_total.calls >= ROUTE_USED_CALLS &&
-		    t->can.new_total.calls < l->route_min_calls)
-			return (false);
-	}
-	return (true);
-}
-
-static bool
-is_suspect(const struct run *r)
-{
-	for (guint i = 0; i < r->routes->len; i++) {
-		const struct route *t = r->routes->pdata[i];
-
-		if (can_is_suspect(&t->can))
-			return (true);
-	}
-	return (false);
-}
-
 /* Takes the next step when the present one has lasted and seen enough. */
 static void
 advance(struct run *r, const struct cfg_entry *e, const struct cfg_limits *l,
@@ -582,13 +438,14 @@
 
 	if (v->step > 0 &&
 	    (now_ms - r->step_ms < need_ms ||
-		r->step_calls < l->step_min_calls || is_suspect(r)))
+		r->metrics.step_calls < l->step_min_calls ||
+		pol_is_suspect(&r->metrics)))
 		return;
 	if (!last) {
 		write_move(r, e, l, v->step + 1, CFG_MOVE_RUNNING, NULL, out);
 		return;
 	}
-	if (!routes_tried(r, l) ||
+	if (!pol_is_tried(&r->metrics, l) ||
 	    view->wall_ms >= v->due_ms - 2 * (int64_t)l->margin_s * MS_PER_S)
 		return;
 	write_move(r, e, l, v->step, CFG_MOVE_DONE, "all steps passed", out);
@@ -614,13 +471,9 @@
 	if (v->step != r->step) {
 		r->step = v->step;
 		r->step_ms = now_ms;
-		r->step_calls = 0;
-	}
-	if (now_ms - r->rotated_ms >= CAN_WINDOW_MS / 2) {
-		r->rotated_ms = now_ms;
-		for (guint i = 0; i < r->routes->len; i++)
-			can_rotate(&((struct route *)r->routes->pdata[i])->can);
+		r->metrics.step_calls = 0;
 	}
+	pol_tick(&r->metrics, now_ms);
 	if (now_ms < r->next_write_ms)
 		return;
 	if (bad != NULL)
@@ -629,7 +482,8 @@
 		return;
 	else if (view->wall_ms >= v->due_ms - margin_ms)
 		roll_back(r, e, l,
-		    r->step_calls < l->step_min_calls || !routes_tried(r, l)
+		    r->metrics.step_calls < l->step_min_calls ||
+			    !pol_is_tried(&r->metrics, l)
 			? "too few calls to decide before the due time"
 			: "not finished before the due time",
 		    out);
--- a/tests/unit/test_cst.c
+++ b/tests/unit/test_cst.c
@@ -187,12 +187,12 @@
 	    .n_items = 1};
 	struct mov_row row = {s, v, text, 9, 8, 7};
 	struct mov_msg m = {.sender = c.sender, .rows = &row, .n_rows = 1};
-	struct bbuf seeds[3], b;
+	struct bbuf seeds[4], b;
 	struct rng r;
 	struct cst_msg back;
 
 	(void)state;
-	for (int i = 0; i < 3; i++)
+	for (int i = 0; i < 4; i++)
 		bbuf_init(&seeds[i]);
 	bbuf_init(&b);
 	pcst_put(&c, &seeds[0]);
@@ -200,6 +200,8 @@
 	m.kind = MOV_MSG_BAD;
 	m.bad = (struct mov_bad){s, v, s, text};
 	pcst_put_move(&m, &seeds[2]);
+	/* An array that announces 2^32 - 1 values. */
+	bbuf_add(&seeds[3], BSTR("\xdd\xff\xff\xff\xff"));
 	assert_true(pcst_get(PMSG_OBJECT, bbuf_str(&seeds[0]), &back));
 	assert_string_equal(back.items[0].value, text);
 	cst_msg_finish(&back);
@@ -208,13 +210,13 @@
 	rng_init(&r, 4);
 	for (int i = 0; i < FUZZ_RUNS; i++) {
 		bbuf_clear(&b);
-		bbuf_add(&b, bbuf_str(&seeds[i % 3]));
+		bbuf_add(&b, bbuf_str(&seeds[i % 4]));
 		for (uint32_t k = rng_below(&r, 4); k > 0; k--)
 			b.p[rng_below(&r, (uint32_t)b.n)] = (char)rng_next(&r);
 		b.n -= rng_below(&r, 4) == 0 ? rng_below(&r, (uint32_t)b.n) : 0;
 		decode_all(bbuf_str(&b));
 	}
-	for (int i = 0; i < 3; i++)
+	for (int i = 0; i < 4; i++)
 		bbuf_finish(&seeds[i]);
 	bbuf_finish(&b);
 }
