--- /dev/null
+++ b/packages/move/itx.c
@@ -0,0 +1,388 @@
+#include "move/itx.h"
+
+#include <stdio.h>
+
+#define INTENT_PREFIX "intent/"
+#define MS_PER_S 1000
+#define RETRY_MS 500
+
+void
+itx_entry_free(gpointer p)
+{
+	struct itx_entry *e = p;
+
+	cfi_finish(&e->i);
+	g_free(e->writing);
+	g_free(e->accepted);
+	g_free(e);
+}
+
+struct itn_effect *
+itx_emit(struct itn_out *out, enum itn_effect_kind kind, const char *intent)
+{
+	if (out->n == out->cap) {
+		out->cap = out->cap == 0 ? 8 : out->cap * 2;
+		out->effects =
+		    g_renew(struct itn_effect, out->effects, out->cap);
+	}
+	out->effects[out->n] =
+	    (struct itn_effect){.kind = kind, .intent = g_strdup(intent)};
+	return (&out->effects[out->n++]);
+}
+
+/* Emits a write; takes @change and @value. */
+const char *
+itx_emit_write(struct itn_out *out, const char *id, char *key, char *change,
+    uint64_t if_version, json_t *value)
+{
+	struct itn_effect *w = itx_emit(out, ITN_WRITE, id);
+
+	w->key = key;
+	w->change = change;
+	w->version = if_version;
+	w->value = value;
+	return (change);
+}
+
+void
+itx_set_writing(char **slot, const char *change)
+{
+	g_free(*slot);
+	*slot = g_strdup(change);
+}
+
+/* Whether a lock entry can no longer lead to a confirmed intent. */
+bool
+itx_is_stale(const struct itn *t, const struct cfi_lock *l)
+{
+	const struct itx_entry *e = g_hash_table_lookup(t->intents, l->intent);
+
+	return (e != NULL && e->version > l->version &&
+	    (e->i.state == CFI_PROPOSED || cfi_is_final(e->i.state)));
+}
+
+const struct cfi_lock *
+itx_find_lock(const struct itn *t, const char *id)
+{
+	for (uint32_t k = 0; k < t->locks.n_locks; k++) {
+		if (strcmp(t->locks.locks[k].intent, id) == 0)
+			return (&t->locks.locks[k]);
+	}
+	return (NULL);
+}
+
+/* Writes the locks without stale entries, and with one for @add if given. */
+const char *
+itx_write_locks(struct itn *t, const char *id, const char *add,
+    uint64_t version, struct itn_out *out)
+{
+	struct cfi_lock *kept = g_new0(struct cfi_lock, t->locks.n_locks + 1);
+	struct cfi_locks next = {kept, 0};
+	const char *change;
+
+	for (uint32_t k = 0; k < t->locks.n_locks; k++) {
+		const struct cfi_lock *l = &t->locks.locks[k];
+
+		if (!itx_is_stale(t, l) && strcmp(l->intent, id) != 0)
+			kept[next.n_locks++] = *l;
+	}
+	if (add != NULL)
+		kept[next.n_locks++] =
+		    (struct cfi_lock){(char *)add, (char *)id, version};
+	change = itx_emit_write(out, id, g_strdup(CFI_LOCKS_KEY),
+	    g_strdup_printf("%s/%s%llu", id, add != NULL ? "lock" : "unlock",
+		(unsigned long long)t->locks_version),
+	    t->locks_version, cfi_print_locks(&next));
+	g_free(kept);
+	return (change);
+}
+
+/* Writes an intent in another state. */
+const char *
+itx_write_state(const struct itx_entry *e, enum cfi_state state,
+    const char *reason, int64_t wall_ms, struct itn_out *out)
+{
+	struct cfi_intent copy;
+	const char *change;
+
+	cfi_copy(&copy, &e->i);
+	copy.state = state;
+	if (cfi_is_final(state)) {
+		copy.finished_ms = wall_ms;
+		g_free(copy.reason);
+		copy.reason = g_strdup(reason);
+	}
+	change = itx_emit_write(out, e->i.id,
+	    g_strdup_printf(INTENT_PREFIX "%s", e->i.id),
+	    g_strdup_printf("%s/%s", e->i.id, cfi_state_name(state)),
+	    e->version, cfi_print(&copy));
+	cfi_finish(&copy);
+	return (change);
+}
+
+int64_t
+itx_expiry_ms(const struct itx_entry *e, const struct itn_view *view)
+{
+	return (e->i.created_ms +
+	    (int64_t)view->plan.set->limits.intent_expiry_s * MS_PER_S);
+}
+
+void
+itx_on_written(struct itx_entry *e, const char *change, enum cst_status status,
+    const struct itn_view *view, int64_t now_ms)
+{
+	if (status == CST_ACCEPTED) {
+		itx_set_writing(&e->accepted, change);
+		e->accepted_wall_ms = view->plan.wall_ms;
+	}
+	if (e->writing == NULL || strcmp(e->writing, change) != 0)
+		return;
+	if (status == CST_PENDING) {
+		e->stuck = "a majority of the members does not acknowledge";
+		return;
+	}
+	g_free(e->writing);
+	e->writing = NULL;
+	e->next_ms = status == CST_ACCEPTED ? now_ms : now_ms + RETRY_MS;
+	if (status == CST_UNRESOLVED)
+		e->stuck = "the store does not respond";
+	else if (status == CST_CONFLICT)
+		e->stuck = "another change was first, trying again";
+	else if (status == CST_INVALID)
+		e->stuck = "the change does not pass the checks";
+}
+
+static void
+set_state(struct itx_entry *e, enum cfi_state state, const char *reason,
+    const struct itn_view *view, struct itn_out *out)
+{
+	itx_set_writing(&e->writing,
+	    itx_write_state(e, state, reason, view->plan.wall_ms, out));
+}
+
+/* Version of the object that the intent writes. */
+static uint64_t
+target_version(const struct itx_entry *e, const struct cfg_set *set)
+{
+	const struct cfg_entry *s;
+
+	if (e->i.zone != NULL)
+		return (set->zones_version);
+	s = cfg_set_find(set, e->i.service);
+	return (s == NULL ? 0 : s->version);
+}
+
+static const char *
+target_change(const struct itx_entry *e, const struct cfg_set *set)
+{
+	const struct cfg_entry *s;
+
+	if (e->i.zone != NULL)
+		return (set->zones == NULL ? NULL : set->zones->change);
+	s = cfg_set_find(set, e->i.service);
+	return (s == NULL ? NULL : s->service->change);
+}
+
+/* Writes the target object; takes @value. */
+static void
+write_target(struct itx_entry *e, const char *suffix, json_t *value,
+    const struct itn_view *view, struct itn_out *out)
+{
+	itx_set_writing(&e->writing,
+	    itx_emit_write(out, e->i.id, pln_key(&e->i),
+		g_strdup_printf("%s%s", e->i.id, suffix),
+		target_version(e, view->plan.set), value));
+}
+
+static bool
+was_accepted(const struct itx_entry *e, const char *suffix)
+{
+	return (e->accepted != NULL && g_str_has_prefix(e->accepted, e->i.id) &&
+	    strcmp(e->accepted + strlen(e->i.id), suffix) == 0);
+}
+
+/* Refuses a confirmed intent after the fencing write described above. */
+static void
+refuse(struct itx_entry *e, const char *reason, const struct itn_view *view,
+    struct itn_out *out)
+{
+	const struct cfg_set *set = view->plan.set;
+	const struct cfg_entry *s;
+	json_t *value;
+
+	s = e->i.zone == NULL ? cfg_set_find(set, e->i.service) : NULL;
+	if ((s == NULL && e->i.zone == NULL) ||
+	    (e->i.zone != NULL && set->zones == NULL) ||
+	    was_accepted(e, "/refuse")) {
+		set_state(e, CFI_REFUSED, reason, view, out);
+		return;
+	}
+	value = s == NULL ? cfg_print_zones(set->zones)
+			  : cfg_print_service(s->service);
+	write_target(e, "/refuse", value, view, out);
+}
+
+static bool
+holds_move(const struct itx_entry *e, const struct cfg_entry *s)
+{
+	return (s != NULL && s->service->has_move &&
+	    strcmp(s->service->move.intent, e->i.id) == 0);
+}
+
+/* A confirmed move starts with its move object in the service. */
+static void
+start(struct itx_entry *e, const struct itn_view *view, struct itn_out *out)
+{
+	const struct cfg_set *set = view->plan.set;
+	bool is_move = e->i.kind == CFI_MOVE_VERSION;
+	const struct cfg_entry *s =
+	    is_move ? cfg_set_find(set, e->i.service) : NULL;
+	struct pln plan;
+	bool possible;
+
+	if (was_accepted(e, "") || (is_move && holds_move(e, s))) {
+		set_state(e, CFI_RUNNING, NULL, view, out);
+		return;
+	}
+	possible = pln_compute(&plan, &e->i, &view->plan);
+	if (!possible)
+		refuse(e, plan.refusal, view, out);
+	else if (is_move)
+		write_target(e, "", pln_target(&e->i, set), view, out);
+	else
+		set_state(e, CFI_RUNNING, NULL, view, out);
+	pln_finish(&plan);
+}
+
+/* A running intent other than a move is one write. */
+static void
+run_change(
+    struct itx_entry *e, const struct itn_view *view, struct itn_out *out)
+{
+	const struct cfg_set *set = view->plan.set;
+	const char *change = target_change(e, set);
+	bool written = change != NULL && strcmp(change, e->i.id) == 0;
+	json_t *value = pln_target(&e->i, set);
+
+	if (was_accepted(e, "")) {
+		set_state(e, CFI_DONE, "in effect", view, out);
+	} else if (value == NULL ||
+	    (!written && view->plan.wall_ms >= e->i.due_ms)) {
+		refuse(e, "not accepted before the due time", view, out);
+	} else {
+		write_target(e, "", json_incref(value), view, out);
+	}
+	json_decref(value);
+}
+
+/* The move object of a running intent was replaced by someone else. */
+static void
+end_replaced(struct itx_entry *e, const struct cfg_entry *s,
+    const struct itn_view *view, struct itn_out *out)
+{
+	int to = s == NULL ? -1 : cfg_find_version(s->service, e->i.version);
+	bool none = to < 0 || s->service->versions[to].share == 0;
+
+	/* An object older than this state of the intent is a stale view. */
+	if (s != NULL && s->version < e->version)
+		return;
+	/* So may be a missing one; it can no longer move anything then. */
+	if (s == NULL && view->plan.wall_ms < e->i.due_ms)
+		return;
+	set_state(e, none ? CFI_ROLLED_BACK : CFI_REFUSED,
+	    "the move was replaced by another change", view, out);
+}
+
+static void
+run_move(struct itx_entry *e, const struct itn_view *view, struct itn_out *out)
+{
+	const struct cfg_set *set = view->plan.set;
+	const struct cfg_entry *s = cfg_set_find(set, e->i.service);
+	int64_t last_ms =
+	    e->i.due_ms - (int64_t)set->limits.margin_s * MS_PER_S;
+	const struct cfg_move *m;
+
+	if (!holds_move(e, s)) {
+		end_replaced(e, s, view, out);
+		return;
+	}
+	m = &s->service->move;
+	if (m->state == CFG_MOVE_RUNNING) {
+		e->stuck = view->plan.wall_ms >= e->i.due_ms
+		    ? "rolled back everywhere, waiting for the store"
+		    : NULL;
+	} else if (m->state == CFG_MOVE_ROLLED_BACK) {
+		if (was_accepted(e, "/back"))
+			set_state(e, CFI_ROLLED_BACK, m->reason, view, out);
+		else
+			write_target(e, "/back",
+			    mov_value(s->service, &set->limits, 0,
+				CFG_MOVE_ROLLED_BACK, m->reason),
+			    view, out);
+	} else if (was_accepted(e, "/done") && e->accepted_wall_ms < last_ms) {
+		set_state(e, CFI_DONE, m->reason, view, out);
+	} else if (view->plan.wall_ms >= last_ms) {
+		write_target(e, "/back",
+		    mov_value(s->service, &set->limits, 0, CFG_MOVE_ROLLED_BACK,
+			"not accepted before the due time"),
+		    view, out);
+	} else {
+		write_target(e, "/done",
+		    mov_value(s->service, &set->limits, m->step, CFG_MOVE_DONE,
+			m->reason),
+		    view, out);
+	}
+}
+
+/* Frees the subject; corrects a move that was found bad after it was done. */
+static void
+clean_up(struct itn *t, struct itx_entry *e, const struct itn_view *view,
+    struct itn_out *out)
+{
+	const struct cfg_entry *s = e->i.kind == CFI_MOVE_VERSION
+	    ? cfg_set_find(view->plan.set, e->i.service)
+	    : NULL;
+
+	if (e->i.state == CFI_DONE && holds_move(e, s) &&
+	    s->service->move.state == CFG_MOVE_ROLLED_BACK)
+		set_state(
+		    e, CFI_ROLLED_BACK, s->service->move.reason, view, out);
+	else if (itx_find_lock(t, e->i.id) != NULL)
+		itx_set_writing(
+		    &e->writing, itx_write_locks(t, e->i.id, NULL, 0, out));
+}
+
+static void
+tick_proposed(struct itn *t, struct itx_entry *e, const struct itn_view *view,
+    struct itn_out *out)
+{
+	const struct cfi_lock *l = itx_find_lock(t, e->i.id);
+
+	if (view->plan.wall_ms >= itx_expiry_ms(e, view))
+		set_state(e, CFI_DROPPED, "not confirmed in time", view, out);
+	else if (l != NULL && l->version == e->version)
+		set_state(e, CFI_CONFIRMED, NULL, view, out);
+}
+
+void
+itx_tick(struct itn *t, struct itx_entry *e, const struct itn_view *view,
+    struct itn_out *out)
+{
+	switch (e->i.state) {
+	case CFI_PROPOSED:
+		tick_proposed(t, e, view, out);
+		break;
+	case CFI_CONFIRMED:
+		start(e, view, out);
+		break;
+	case CFI_RUNNING:
+		if (e->i.kind == CFI_MOVE_VERSION)
+			run_move(e, view, out);
+		else
+			run_change(e, view, out);
+		break;
+	default:
+		clean_up(t, e, view, out);
+		break;
+	}
+}
--- a/packages/slo/srd.c
+++ b/packages/slo/srd.c
@@ -104,7 +104,9 @@
 	}
 	bbuf_add(out, BSTR("\n"));
 	json_array_foreach(json_object_get(s, "alerts"), i, e)
-	    bbuf_addf(out, "  ALERT %s\n", json_string_value(e));
+	{
+		bbuf_addf(out, "  ALERT %s\n", json_string_value(e));
+	}
 	json_array_foreach(json_object_get(s, "causes"), i, e)
 	{
 		bbuf_addf(out,
@@ -148,11 +150,15 @@
 		bbuf_addf(out, "%lld service reports omitted for size\n",
 		    int_of(report, "omitted"));
 	json_array_foreach(json_object_get(report, "services"), i, e)
-	    text_service(e, out);
+	{
+		text_service(e, out);
+	}
 	if (json_array_size(json_object_get(report, "moves")) != 0)
 		bbuf_add(out, BSTR("\n"));
 	json_array_foreach(json_object_get(report, "moves"), i, e)
-	    text_move(e, out);
+	{
+		text_move(e, out);
+	}
 }
 
 /* Appends text with the characters of HTML escaped. */
@@ -257,7 +263,9 @@
 
 	bbuf_add(out, BSTR("<table><tr><th>window"));
 	json_array_foreach(json_object_get(s, "windows"), i, e)
-	    bbuf_addf(out, "<th>%s", text_of(e, "window"));
+	{
+		bbuf_addf(out, "<th>%s", text_of(e, "window"));
+	}
 	bbuf_add(out, BSTR("<tr><th>burn rate"));
 	json_array_foreach(json_object_get(s, "windows"), i, e)
 	{
@@ -271,7 +279,9 @@
 	}
 	bbuf_add(out, BSTR("<tr><th>covered"));
 	json_array_foreach(json_object_get(s, "windows"), i, e)
-	    bbuf_addf(out, "<td>%lld%%", int_of(e, "covered") / 10);
+	{
+		bbuf_addf(out, "<td>%lld%%", int_of(e, "covered") / 10);
+	}
 	bbuf_add(out, BSTR("</table>"));
 }
 
@@ -311,8 +321,11 @@
 	bbuf_addf(out, "</h2><p>target %.3f%%, error budget left ",
 	    100 * json_number_value(json_object_get(s, "target")));
 	add_budget(out, json_object_get(s, "budget_left"));
-	json_array_foreach(json_object_get(s, "alerts"), i, e) bbuf_addf(
-	    out, "<br><span class=\"bad\">%s</span>", json_string_value(e));
+	json_array_foreach(json_object_get(s, "alerts"), i, e)
+	{
+		bbuf_addf(out, "<br><span class=\"bad\">%s</span>",
+		    json_string_value(e));
+	}
 	bbuf_add(out, BSTR("</p>"));
 	html_windows(s, out);
 	bbuf_addf(out,
@@ -381,7 +394,9 @@
 		    int_of(report, "omitted"));
 	bbuf_add(out, BSTR("</p>"));
 	json_array_foreach(json_object_get(report, "services"), i, e)
-	    html_service(report, e, out);
+	{
+		html_service(report, e, out);
+	}
 	html_moves(report, out);
 	bbuf_add(out, BSTR("</body></html>\n"));
 }
--- a/packages/slo/srp.c
+++ b/packages/slo/srp.c
@@ -251,7 +251,9 @@
 		add_causes(s, json_object_get(e, "causes"));
 	}
 	json_array_foreach(json_object_get(object, "moves"), i, e)
-	    add_move(r, e);
+	{
+		add_move(r, e);
+	}
 	return (true);
 }
 
