Withstand lost frames and late acceptance in moves

Cause: the simulation had no lost frames, stale reads or bursts of failures. A bad decision that was broadcast once did not reach all VMs. A move whose last write was stored but not accepted before the margin stayed in effect until the members were back.

Change: a missing target object is waited for until the due time; the executor repeats a bad decision every second; a move that is not accepted in time ends by the same monotonic decision; state writes have their own change ids.

--- a/packages/move/itn.c
+++ b/packages/move/itn.c
@@ -470,7 +470,7 @@
 		if (!view->is_executor(view->arg, e->i.id)) {
 			g_clear_pointer(&e->writing, g_free);
 			g_clear_pointer(&e->accepted, g_free);
-		} else if (e->writing == NULL && now_ms >= e->next_ms) {
+		} else if (!itx_is_waiting(e, view) && now_ms >= e->next_ms) {
 			itx_tick(t, e, view, out);
 		}
 	}
--- a/packages/move/itn.h
+++ b/packages/move/itn.h
@@ -37,7 +37,8 @@
 /**
  * struct itn_view - what the module reads
  * @plan: input of plans
- * @is_executor: whether this VM is now the executor of an intent
+ * @is_executor: whether this VM is now the executor of an intent; false while
+ *     its configuration is not fresh
  */
 struct itn_view {
 	struct pln_view plan;
--- a/packages/move/itx.c
+++ b/packages/move/itx.c
@@ -114,7 +114,7 @@
 	}
 	change = itx_emit_write(out, e->i.id,
 	    g_strdup_printf(INTENT_PREFIX "%s", e->i.id),
-	    g_strdup_printf("%s/%s", e->i.id, cfi_state_name(state)),
+	    g_strdup_printf("%s/state-%s", e->i.id, cfi_state_name(state)),
 	    e->version, cfi_print(&copy));
 	cfi_finish(&copy);
 	return (change);
@@ -208,12 +208,17 @@
 {
 	const struct cfg_set *set = view->plan.set;
 	const struct cfg_entry *s;
+	bool missing;
 	json_t *value;
 
 	s = e->i.zone == NULL ? cfg_set_find(set, e->i.service) : NULL;
-	if ((s == NULL && e->i.zone == NULL) ||
-	    (e->i.zone != NULL && set->zones == NULL) ||
-	    was_accepted(e, "/refuse")) {
+	missing = e->i.zone == NULL ? s == NULL : set->zones == NULL;
+	if (missing && view->plan.wall_ms < e->i.due_ms) {
+		/* A VM that has just started may not have it yet. */
+		e->stuck = "the object to change is not known";
+		return;
+	}
+	if (missing || was_accepted(e, "/refuse")) {
 		set_state(e, CFI_REFUSED, reason, view, out);
 		return;
 	}
@@ -364,6 +369,18 @@
 		set_state(e, CFI_CONFIRMED, NULL, view, out);
 }
 
+bool
+itx_is_waiting(const struct itx_entry *e, const struct itn_view *view)
+{
+	int64_t margin_ms = (int64_t)view->plan.set->limits.margin_s * MS_PER_S;
+
+	/* Too late to be done: roll back although the write may be accepted. */
+	if (e->writing != NULL && e->i.kind == CFI_MOVE_VERSION &&
+	    g_str_has_suffix(e->writing, "/done"))
+		return (view->plan.wall_ms < e->i.due_ms - margin_ms);
+	return (e->writing != NULL);
+}
+
 void
 itx_tick(struct itn *t, struct itx_entry *e, const struct itn_view *view,
     struct itn_out *out)
--- a/packages/move/itx.h
+++ b/packages/move/itx.h
@@ -76,6 +76,9 @@
 void itx_on_written(struct itx_entry *e, const char *change,
     enum cst_status status, const struct itn_view *view, int64_t now_ms);
 
+/** itx_is_waiting() - whether the write in progress must end first */
+bool itx_is_waiting(const struct itx_entry *e, const struct itn_view *view);
+
 /** itx_tick() - next action of the executor; none is in progress */
 void itx_tick(struct itn *t, struct itx_entry *e, const struct itn_view *view,
     struct itn_out *out);
--- a/packages/move/mov.c
+++ b/packages/move/mov.c
@@ -459,15 +459,40 @@
 		write_move(r, e, l, 0, CFG_MOVE_ROLLED_BACK, reason, out);
 }
 
+/* Whether the last write of the move is not accepted yet. */
+static bool
+awaits_done(const struct run *r)
+{
+	return (r != NULL && r->writing != NULL &&
+	    g_str_has_suffix(r->writing, "/done"));
+}
+
+/*
+ * A move whose last write is not accepted in time ends like a bad version, so
+ * that also the VMs that have seen the write return to the old version.
+ */
+static void
+decide_late(struct mov *m, const struct cfg_service *s, struct mov_out *out)
+{
+	char reason[] = "not accepted before the due time";
+	struct mov_bad b = {s->name, s->move.to, s->move.intent, reason};
+
+	if (learn_bad(m, &b, out))
+		emit_bad(m, &b, MOV_SEND_ALL, out);
+}
+
 static void
 tick_run(struct mov *m, struct run *r, const struct cfg_entry *e,
     const struct mov_view *view, int64_t now_ms, struct mov_out *out)
 {
 	const struct cfg_limits *l = &view->set->limits;
 	const struct cfg_move *v = &e->service->move;
-	const struct mov_bad *bad = find_bad(m->bad, e->service);
 	int64_t margin_ms = (int64_t)l->margin_s * MS_PER_S;
+	const struct mov_bad *bad;
 
+	if (awaits_done(r) && view->wall_ms >= v->due_ms - margin_ms)
+		decide_late(m, e->service, out);
+	bad = find_bad(m->bad, e->service);
 	if (v->step != r->step) {
 		r->step = v->step;
 		r->step_ms = now_ms;
@@ -523,15 +548,20 @@
 		const struct cfg_service *s = e->service;
 		const struct mov_bad *bad;
 		struct run *r;
+		bool executor;
 
 		if (!s->has_move || s->move.state == CFG_MOVE_ROLLED_BACK)
 			continue;
 		check_due(m, s, view, out);
 		bad = find_bad(m->bad, s);
+		executor = view->is_executor(view->arg, s->move.intent);
+		/* Messages may be lost and VMs start later: say it again. */
 		if (gossip && bad != NULL)
-			emit_bad(m, bad, MOV_SEND_ANY, out);
-		if (!view->is_executor(view->arg, s->move.intent) ||
-		    (bad == NULL && !is_running(s)))
+			emit_bad(m, bad, executor ? MOV_SEND_ALL : MOV_SEND_ANY,
+			    out);
+		if (!executor ||
+		    (bad == NULL && !is_running(s) &&
+			!awaits_done(find_run(m, s))))
 			continue;
 		r = get_run(m, s, now_ms);
 		r->seen = true;
--- a/packages/move/mov.h
+++ b/packages/move/mov.h
@@ -68,7 +68,8 @@
  * struct mov_view - what the module reads
  * @set: configuration in effect
  * @wall_ms: Unix milliseconds
- * @is_executor: whether this VM is now the executor of an intent
+ * @is_executor: whether this VM is now the executor of an intent; false while
+ *     its configuration is not fresh
  */
 struct mov_view {
 	const struct cfg_set *set;
--- a/tests/lib/csim.h
+++ b/tests/lib/csim.h
@@ -57,6 +57,11 @@
 	bool outage;
 	int lose;
 	bool late_writes;
+	uint32_t loss;    /* permille of frames that are lost */
+	int64_t lossy_ms; /* last time with loss */
+	/* Store of some seconds ago, which a starting VM reads first. */
+	json_t *old_store;
+	uint64_t old_revision;
 	int two_executors; /* shift of a second executor, 0 for none */
 	GPtrArray *queue;  /* struct event */
 	double fail[2][CSIM_ROUTES]; /* of old and new version, by route */
