--- /dev/null
+++ b/packages/config/csy.c
@@ -0,0 +1,441 @@
+#include "config/csy.h"
+
+#include <stdlib.h>
+
+#define ITEM_OVERHEAD_BYTES 64
+/*
+ * A larger value that does not pass its checks is not sent: it has no effect,
+ * and together with the value in effect it might exceed a message.
+ */
+#define INVALID_MAX_BYTES 1024
+
+#define SYNC_WAIT_MS 3000
+
+/* A synchronisation that was asked for. */
+struct sync {
+	struct vmid peer;
+	uint64_t seq;
+	int64_t started_ms;
+	GPtrArray *want; /* keys, owned */
+};
+
+static void
+sync_free(gpointer p)
+{
+	struct sync *s = p;
+
+	g_ptr_array_free(s->want, TRUE);
+	g_free(s);
+}
+
+static struct cst_item *
+add_item(struct cst_msg *msg, const char *key, uint64_t version)
+{
+	struct cst_item *i;
+
+	msg->items = g_renew(struct cst_item, msg->items, msg->n_items + 1);
+	i = &msg->items[msg->n_items++];
+	*i = (struct cst_item){.key = g_strdup(key), .version = version};
+	return (i);
+}
+
+static void
+add_value(struct cst_msg *msg, const struct cob_object *o, uint64_t version,
+    const json_t *value)
+{
+	struct cst_item *i = add_item(msg, o->key, version);
+
+	i->deleted = value == NULL;
+	if (value != NULL)
+		i->value = json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY);
+}
+
+void
+csy_add_object(struct cst_msg *msg, const struct cob_object *o)
+{
+	if (o->effect != 0)
+		add_value(msg, o, o->effect, o->value);
+	if (o->effect != o->version &&
+	    json_dumpb(o->raw, NULL, 0, JSON_COMPACT | JSON_ENCODE_ANY) <=
+		INVALID_MAX_BYTES)
+		add_value(msg, o, o->version, o->raw);
+}
+
+void
+csy_add_version(struct cst_msg *msg, const char *key, uint64_t version,
+    uint64_t effect, bool deleted)
+{
+	struct cst_item *i = add_item(msg, key, version);
+
+	i->effect = effect;
+	i->deleted = deleted;
+}
+
+static size_t
+size_from(const struct cst_msg *msg, uint32_t first)
+{
+	size_t n = 0;
+
+	for (uint32_t i = first; i < msg->n_items; i++) {
+		const struct cst_item *t = &msg->items[i];
+
+		n += ITEM_OVERHEAD_BYTES + strlen(t->key);
+		n += t->value == NULL ? 0 : strlen(t->value);
+	}
+	return (n);
+}
+
+static void
+drop_from(struct cst_msg *msg, uint32_t first)
+{
+	while (msg->n_items > first) {
+		struct cst_item *i = &msg->items[--msg->n_items];
+
+		g_free(i->key);
+		free(i->value);
+	}
+}
+
+/*
+ * Adds an object unless the answer would exceed its bounds; the first object
+ * always fits, because an object has at most COB_VALUE_MAX bytes.
+ */
+static bool
+add_bounded(struct cst_msg *msg, const struct cob_object *o, size_t *bytes)
+{
+	uint32_t first = msg->n_items;
+	size_t added;
+
+	csy_add_object(msg, o);
+	added = size_from(msg, first);
+	if (first != 0 &&
+	    (*bytes + added > CST_ANSWER_BYTES ||
+		msg->n_items > CST_MAX_ITEMS)) {
+		drop_from(msg, first);
+		return (false);
+	}
+	*bytes += added;
+	return (true);
+}
+
+static gint
+by_version(gconstpointer a, gconstpointer b)
+{
+	const struct cob_object *const *x = a, *const *y = b;
+
+	if ((*x)->version == (*y)->version)
+		return (0);
+	return ((*x)->version < (*y)->version ? -1 : 1);
+}
+
+static void
+answer_pull(
+    const struct cob *t, const struct cst_msg *request, struct cst_msg *answer)
+{
+	GPtrArray *newer;
+	size_t bytes = 0;
+
+	answer->since = request->since;
+	if (request->digest.hash == t->digest.hash)
+		return;
+	newer = g_ptr_array_new();
+	for (guint i = 0; i < t->order->len; i++) {
+		struct cob_object *o = t->order->pdata[i];
+
+		if (o->version > request->since)
+			g_ptr_array_add(newer, o);
+	}
+	g_ptr_array_sort(newer, by_version);
+	for (guint i = 0; i < newer->len && !answer->more; i++) {
+		struct cob_object *o = newer->pdata[i];
+
+		/* Objects of one version must not be split over answers. */
+		if (add_bounded(answer, o, &bytes))
+			answer->since = o->version;
+		else
+			answer->more = true;
+	}
+	g_ptr_array_free(newer, TRUE);
+}
+
+static void
+answer_list(
+    const struct cob *t, const struct cst_msg *request, struct cst_msg *answer)
+{
+	const char *after = request->cursor == NULL ? "" : request->cursor;
+
+	for (guint i = 0; i < t->order->len; i++) {
+		const struct cob_object *o = t->order->pdata[i];
+
+		if (strcmp(o->key, after) <= 0)
+			continue;
+		if (answer->n_items == CST_MAX_ITEMS) {
+			answer->more = true;
+			break;
+		}
+		csy_add_version(answer, o->key, o->version, o->effect,
+		    o->raw == NULL && o->effect == o->version);
+	}
+	if (answer->n_items != 0)
+		answer->cursor =
+		    g_strdup(answer->items[answer->n_items - 1].key);
+}
+
+static void
+answer_want(
+    const struct cob *t, const struct cst_msg *request, struct cst_msg *answer)
+{
+	size_t bytes = 0;
+
+	for (uint32_t i = 0; i < request->n_items; i++) {
+		const struct cob_object *o = cob_find(t, request->items[i].key);
+
+		if (o == NULL)
+			continue;
+		if (!add_bounded(answer, o, &bytes)) {
+			answer->more = true;
+			return;
+		}
+	}
+}
+
+void
+csy_answer(
+    const struct cob *t, const struct cst_msg *request, struct cst_msg *answer)
+{
+	*answer = (struct cst_msg){.kind = CST_MSG_ANSWER,
+	    .seq = request->seq,
+	    .answers = request->kind,
+	    .digest = t->digest};
+	if (request->kind == CST_MSG_PULL)
+		answer_pull(t, request, answer);
+	else if (request->kind == CST_MSG_LIST)
+		answer_list(t, request, answer);
+	else
+		answer_want(t, request, answer);
+}
+
+void
+cst_msg_finish(struct cst_msg *msg)
+{
+	for (uint32_t i = 0; i < msg->n_items; i++) {
+		g_free(msg->items[i].key);
+		free(msg->items[i].value);
+	}
+	g_free(msg->items);
+	g_free(msg->cursor);
+	*msg = (struct cst_msg){0};
+}
+
+void
+cst_out_clear(struct cst_out *out)
+{
+	for (uint32_t i = 0; i < out->n; i++) {
+		struct cst_effect *e = &out->effects[i];
+
+		g_free(e->key);
+		json_decref(e->value);
+		g_free(e->change);
+		g_free(e->text);
+		if (e->msg != NULL)
+			cst_msg_finish(e->msg);
+		g_free(e->msg);
+	}
+	out->n = 0;
+}
+
+void
+cst_out_finish(struct cst_out *out)
+{
+	cst_out_clear(out);
+	g_free(out->effects);
+	*out = (struct cst_out){0};
+}
+
+struct cst_effect *
+csy_emit(struct cst_out *out, enum cst_effect_kind kind, const char *key)
+{
+	if (out->n == out->cap) {
+		out->cap = out->cap == 0 ? 8 : out->cap * 2;
+		out->effects =
+		    g_renew(struct cst_effect, out->effects, out->cap);
+	}
+	out->effects[out->n] =
+	    (struct cst_effect){.kind = kind, .key = g_strdup(key)};
+	return (&out->effects[out->n++]);
+}
+
+void
+csy_emit_send(struct cst *c, struct cst_msg *msg, const struct vmid *to,
+    struct cst_out *out)
+{
+	struct cst_effect *e = csy_emit(out, CST_SEND, NULL);
+
+	msg->sender = c->desc.self;
+	msg->digest = c->objects.digest;
+	if (to != NULL)
+		e->to = *to;
+	e->msg = g_new(struct cst_msg, 1);
+	*e->msg = *msg;
+}
+
+unsigned
+csy_apply(struct cst *c, const char *key, uint64_t version, json_t *value,
+    struct cst_out *out)
+{
+	unsigned changed = cob_apply(&c->objects, key, version, value);
+	const struct cob_object *o = cob_find(&c->objects, key);
+	struct cst_effect *e;
+
+	if (o != NULL && (changed & COB_EFFECT) != 0) {
+		e = csy_emit(out, CST_PUBLISH, key);
+		e->version = o->effect;
+		e->value = json_incref(o->value);
+	}
+	if (o != NULL && (changed & COB_INVALID) != 0) {
+		e = csy_emit(out, CST_PROBLEM, key);
+		e->version = o->version;
+		e->text = g_strdup(o->problem);
+	}
+	return (changed);
+}
+
+void
+csy_apply_items(struct cst *c, const struct cst_msg *msg, struct cst_out *out)
+{
+	for (uint32_t i = 0; i < msg->n_items; i++) {
+		const struct cst_item *t = &msg->items[i];
+		json_t *value = NULL;
+
+		if (t->value != NULL)
+			value = json_loads(t->value, JSON_DECODE_ANY, NULL);
+		if ((value != NULL) != t->deleted)
+			csy_apply(c, t->key, t->version, value, out);
+		json_decref(value);
+	}
+}
+
+static void
+ask(struct cst *c, struct sync *s, enum cst_msg_kind kind, uint64_t since,
+    const char *cursor, struct cst_out *out)
+{
+	struct cst_msg msg = {.kind = kind, .seq = s->seq, .since = since};
+
+	msg.cursor = g_strdup(cursor);
+	if (kind == CST_MSG_WANT) {
+		for (guint i = 0; i < MIN(s->want->len, CST_MAX_ITEMS); i++)
+			csy_add_version(&msg, s->want->pdata[i], 0, 0, false);
+	}
+	csy_emit_send(c, &msg, &s->peer, out);
+}
+
+static void
+synced(struct cst *c, struct sync *s, struct cst_out *out)
+{
+	struct cst_effect *e = csy_emit(out, CST_SYNCED, NULL);
+
+	e->to = s->peer;
+	e->started_ms = s->started_ms;
+	g_ptr_array_remove(c->syncs, s);
+}
+
+/* Collects the keys of which the peer holds a higher version. */
+static void
+compare_list(struct cst *c, struct sync *s, const struct cst_msg *msg,
+    struct cst_out *out)
+{
+	for (uint32_t i = 0; i < msg->n_items; i++) {
+		const struct cst_item *t = &msg->items[i];
+		const struct cob_object *o;
+
+		if (t->deleted)
+			csy_apply(c, t->key, t->version, NULL, out);
+		o = cob_find(&c->objects, t->key);
+		if (!t->deleted &&
+		    (o == NULL || o->version < t->version ||
+			o->effect < t->effect))
+			g_ptr_array_add(s->want, g_strdup(t->key));
+	}
+}
+
+/* Removes the keys that the answer brought. */
+static void
+strike_wanted(struct sync *s, const struct cst_msg *msg)
+{
+	for (uint32_t i = 0; i < msg->n_items; i++) {
+		for (guint k = s->want->len; k-- > 0;) {
+			if (strcmp(s->want->pdata[k], msg->items[i].key) == 0)
+				g_ptr_array_remove_index(s->want, k);
+		}
+	}
+}
+
+void
+csy_on_answer(struct cst *c, const struct cst_msg *msg, struct cst_out *out)
+{
+	struct sync *s = NULL;
+
+	for (guint i = 0; i < c->syncs->len; i++) {
+		struct sync *k = c->syncs->pdata[i];
+
+		if (k->seq == msg->seq && vmid_eq(&k->peer, &msg->sender))
+			s = k;
+	}
+	if (s == NULL)
+		return;
+	if (msg->answers == CST_MSG_LIST) {
+		compare_list(c, s, msg, out);
+	} else {
+		csy_apply_items(c, msg, out);
+		strike_wanted(s, msg);
+	}
+	/* An equal digest, or nothing left that is missing, ends it. */
+	if (msg->more && msg->answers != CST_MSG_WANT)
+		ask(c, s, msg->answers, msg->since, msg->cursor, out);
+	else if (msg->digest.hash == c->objects.digest.hash ||
+	    (msg->answers != CST_MSG_PULL && s->want->len == 0))
+		synced(c, s, out);
+	else if (msg->answers == CST_MSG_PULL)
+		ask(c, s, CST_MSG_LIST, 0, NULL, out);
+	else if (msg->answers == CST_MSG_WANT && msg->n_items == 0)
+		g_ptr_array_remove(c->syncs, s);
+	else
+		ask(c, s, CST_MSG_WANT, 0, NULL, out);
+}
+
+void
+csy_pull(
+    struct cst *c, const struct vmid *peer, int64_t now_ms, struct cst_out *out)
+{
+	struct sync *s;
+
+	for (guint i = c->syncs->len; i-- > 0;) {
+		s = c->syncs->pdata[i];
+		if (vmid_eq(&s->peer, peer))
+			g_ptr_array_remove_index(c->syncs, i);
+	}
+	s = g_new0(struct sync, 1);
+	s->peer = *peer;
+	s->seq = ++c->seq;
+	s->started_ms = now_ms;
+	s->want = g_ptr_array_new_with_free_func(g_free);
+	g_ptr_array_add(c->syncs, s);
+	ask(c, s, CST_MSG_PULL, c->objects.digest.highest, NULL, out);
+}
+
+GPtrArray *
+csy_new_syncs(void)
+{
+	return (g_ptr_array_new_with_free_func(sync_free));
+}
+
+void
+csy_tick(struct cst *c, int64_t now_ms)
+{
+	for (guint i = c->syncs->len; i-- > 0;) {
+		struct sync *s = c->syncs->pdata[i];
+
+		if (now_ms - s->started_ms > SYNC_WAIT_MS)
+			g_ptr_array_remove_index(c->syncs, i);
+	}
+}
