--- a/packages/front/clf.c
+++ b/packages/front/clf.c
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include "front/fe.h"
+#include "front/svc.h"
 #include "front/wrk.h"
 #include "sys/clk.h"
 
