--- /dev/null
+++ b/packages/control/ctr.h
@@ -0,0 +1,253 @@
+/*
+ * ctr - controllers of the control thread.
+ *
+ * A controller wraps the decision modules of one concern: it passes events in
+ * and carries out their effects. All controllers share struct ctl and run on
+ * the control thread only.
+ *
+ *	static const struct ctr_ops ops = {.name = "claim", .tick = tick, ...};
+ *	struct ctr ctr_claim = {&ops};
+ */
+#ifndef CONTROL_CTR_H
+#define CONTROL_CTR_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/vmid.h"
+#include "claim/clm.h"
+#include "claim/prt.h"
+#include "config/cst.h"
+#include "control/ctl.h"
+#include "control/pro.h"
+#include "control/sth.h"
+#include "member/frs.h"
+#include "member/mbr.h"
+#include "move/itn.h"
+#include "move/mov.h"
+#include "ops/ops.h"
+#include "peer/lnk.h"
+#include "route/cold.h"
+#include "route/prb.h"
+#include "route/rt.h"
+#include "slo/slo.h"
+#include "sys/mq.h"
+
+struct ctr;
+
+/** enum ctr_id - controllers, also the upper half of store tags */
+enum ctr_id {
+	CTR_MEMBER,
+	CTR_CONFIG,
+	CTR_CLAIM,
+	CTR_UPSTREAM,
+	CTR_MOVE,
+	CTR_COUNT
+};
+
+#define CTR_TAG(id, n) (((uint64_t)(id) << 32) | (uint32_t)(n))
+#define CTR_TAG_ID(tag) ((enum ctr_id)((tag) >> 32))
+#define CTR_TAG_N(tag) ((uint32_t)(tag))
+
+/** enum ctl_msg - mq_msg.type of messages that are not in front/cmsg.h */
+enum ctl_msg { CTL_MSG_STORE = 100, CTL_MSG_PROBE, CTL_MSG_OPS };
+
+/**
+ * struct ctl_upstream - what the control thread knows of one upstream
+ * @id: key of the table, owned
+ * @addr: "ip:port", owned
+ * @stat: statistics shared with the workers, one reference
+ * @state: by probes and responses, PRB_UNKNOWN counts as ready
+ * @cold: the cold-start permits apply
+ * @service: name of the service, owned
+ * @version: name of the version, owned
+ * @zone: availability zone, owned
+ * @slots: slots
+ * @seen: the configuration in effect names it; used while reconciling
+ * @last_good: rt_stat.good already counted for the burn report
+ * @last_failed: likewise
+ * @last_slow: likewise
+ */
+struct ctl_upstream {
+	char *id;
+	char *addr;
+	struct rt_stat *stat;
+	enum prb_state state;
+	bool cold;
+	char *service;
+	char *version;
+	char *zone;
+	uint32_t slots;
+	bool seen;
+	uint64_t last_good;
+	uint64_t last_failed;
+	uint64_t last_slow;
+	uint64_t last_cold_good;
+	int64_t last_reported_us;
+	int32_t probe_own;
+};
+
+/**
+ * struct ctl - state of the control thread
+ * @self: identity of this process
+ * @now_ms: time of the present event, boot-time clock
+ * @members: live members of the last tick
+ * @n_members: their number
+ * @upstreams: id -> struct ctl_upstream
+ * @tallies: "service route version" -> struct rt_tally
+ * @refused: service -> struct rt_tally of calls that this VM refused
+ * @table_dirty: the routing table is rebuilt at the end of the tick
+ * @store_ok_ms: last answer of the store
+ * @claims: claim id -> struct cmsg_claim that waits for its verdict
+ * @ops_changes: change id -> struct ops_request that waits for acceptance
+ * @ops_intents: intent id -> struct ops_request that waits for a reply
+ * @ops_reports: tag -> struct ops_request that waits for a list of reports
+ */
+struct ctl {
+	struct ctl_desc desc;
+	struct vmid self;
+	int64_t now_ms;
+	struct mq inbox;
+	int epfd;
+	int timer_fd;
+	GThread *thread;
+	_Atomic bool stop;
+	_Atomic bool leave;
+	_Atomic bool idle;
+	bool leaving;
+	struct rng rng;
+
+	struct lnk lnk;
+	struct sth *sth;
+	struct pro *pro;
+
+	struct mbr mbr;
+	struct frs frs;
+	struct prt prt;
+	struct clm clm;
+	struct cold cold;
+	struct prb prb;
+	struct cst cst;
+	struct itn itn;
+	struct mov mov;
+	struct slo slo;
+
+	struct mbr_info *members;
+	uint32_t n_members;
+	uint64_t revision;
+	int64_t store_ok_ms;
+	GHashTable *upstreams;
+	GHashTable *tallies;
+	GHashTable *problems; /* key -> text */
+	bool table_dirty;
+	GHashTable *claims;
+	uint64_t next_claim;
+	uint64_t next_tag;
+	uint64_t next_change;
+	GHashTable *ops_changes;
+	GHashTable *ops_intents;
+	GHashTable *ops_reports;
+	int64_t next_vms_ms;
+	int64_t next_members_ms;
+	int64_t next_second_ms;
+};
+
+/**
+ * struct ctr_ops - behaviour of a controller; members may be NULL
+ * @tick: every 50 ms
+ * @on_peer: a message; Return: whether the type is handled here
+ * @on_store: the result of a store call with the controller's tag
+ */
+struct ctr_ops {
+	const char *name;
+	void (*setup)(struct ctl *c);
+	void (*finish)(struct ctl *c);
+	void (*tick)(struct ctl *c);
+	bool (*on_peer)(struct ctl *c, enum pmsg_type type,
+	    const struct vmid *from, struct bstr body);
+	void (*on_store)(struct ctl *c, struct sth_result *r);
+};
+
+/** struct ctr - head of each controller */
+struct ctr {
+	const struct ctr_ops *ops;
+};
+
+extern const struct ctr ctr_member;
+extern const struct ctr ctr_config;
+extern const struct ctr ctr_claim;
+extern const struct ctr ctr_upstream;
+extern const struct ctr ctr_move;
+
+/* ctl.c */
+
+/** ctl_send() - send an encoded body to one process, itself excluded */
+void ctl_send(struct ctl *c, const struct vmid *to, enum pmsg_type type,
+    struct bstr body);
+
+/** ctl_broadcast() - send an encoded body to all connected processes */
+void ctl_broadcast(struct ctl *c, enum pmsg_type type, struct bstr body);
+
+/** ctl_is_fresh() - whether this VM may route and decide now */
+bool ctl_is_fresh(const struct ctl *c);
+
+/* ctr_member.c */
+
+/** ctl_on_synced() - objects of a peer (NULL after a push) were applied */
+void ctl_on_synced(
+    struct ctl *c, const struct vmid *from, const struct frs_digest *fetched);
+
+/* ctr_config.c */
+
+/** ctl_cst() - carry out and clear the effects of cst */
+void ctl_cst(struct ctl *c, struct cst_out *out);
+
+/** ctl_digest() - digest of the configuration held, as frs wants it */
+struct frs_digest ctl_digest(const struct ctl *c);
+
+/** ctl_on_store_list() - a list of the store below "config/" and "intent/" */
+void ctl_on_store_list(struct ctl *c, json_t *list, bool whole);
+
+/* ctr_claim.c */
+
+/** ctl_on_claim() - claim of a worker; takes the message over */
+void ctl_on_claim(struct ctl *c, struct mq_msg *m);
+
+/** ctl_on_finish() - end of a claimed request; takes the message over */
+void ctl_on_finish(struct ctl *c, struct mq_msg *m);
+
+/** ctl_is_executor() - whether this VM is the executor of an intent now */
+bool ctl_is_executor(void *c, const char *intent);
+
+/* ctr_upstream.c */
+
+/** ctl_on_upstream_state() - X-State of a response; takes the message over */
+void ctl_on_upstream_state(struct ctl *c, struct mq_msg *m);
+
+/** ctl_on_probe() - result of a probe; takes the message over */
+void ctl_on_probe(struct ctl *c, struct mq_msg *m);
+
+/** ctl_upstream_added() - an upstream is new in the configuration in effect */
+void ctl_upstream_added(struct ctl *c, struct ctl_upstream *u);
+
+/** ctl_upstream_removed() - it left; @u is freed by the caller */
+void ctl_upstream_removed(struct ctl *c, struct ctl_upstream *u);
+
+/** ctl_upstream_state() - state for the routing table */
+enum rt_state ctl_upstream_state(const struct ctl_upstream *u);
+
+/* ctr_move.c */
+
+/** ctl_on_published() - an object came into effect */
+void ctl_on_published(
+    struct ctl *c, const char *key, uint64_t version, const json_t *value);
+
+/** ctl_on_written() - answer of cst to a change */
+void ctl_on_written(struct ctl *c, const char *change, enum cst_status status,
+    const char *text);
+
+/** ctl_on_ops() - request of an operator; takes the message over */
+void ctl_on_ops(struct ctl *c, struct mq_msg *m);
+
+#endif
