--- a/packages/camphorhollowd/main.c
+++ b/packages/camphorhollowd/main.c
@@ -10,21 +10,25 @@
 #include <unistd.h>
 #include <urcu.h>
 
-#include "config/cfg.h"
+#include "control/ctl.h"
 #include "front/env.h"
 #include "front/wrk.h"
+#include "ops/lgr.h"
+#include "ops/ops.h"
 #include "ops/set.h"
-#include "platform/sto.h"
 #include "sys/clk.h"
 
 #define EXIT_USAGE 2
 #define EXIT_SETTINGS 3
 #define MAX_WORKERS 64
+#define HANDOVER_MS 5000
 
 struct daemon {
 	struct set set;
 	struct env env;
 	struct met met;
+	struct ctl *ctl;
+	struct ops *ops;
 	struct wrk *workers[MAX_WORKERS];
 	pthread_t threads[MAX_WORKERS];
 };
@@ -36,108 +40,6 @@
 	return (NULL);
 }
 
-static void
-add_service(struct rt_service *out, const struct cfg_service *c)
-{
-	out->name = bstr_from(c->name);
-	out->slots = c->slots;
-	out->n_hosts = c->n_hosts;
-	out->hosts = calloc(c->n_hosts, sizeof(*out->hosts));
-	for (uint32_t i = 0; i < c->n_hosts; i++)
-		out->hosts[i] = bstr_from(c->hosts[i]);
-	out->n_routes = c->n_routes;
-	out->routes = calloc(c->n_routes, sizeof(*out->routes));
-	for (uint32_t i = 0; i < c->n_routes; i++)
-		out->routes[i] =
-		    (struct rt_route){bstr_from(c->routes[i].prefix),
-			c->routes[i].idempotent, c->routes[i].timeout_ms};
-	out->n_versions = c->n_versions;
-	out->versions = calloc(c->n_versions, sizeof(*out->versions));
-	for (uint32_t i = 0; i < c->n_versions; i++)
-		out->versions[i] = (struct rt_version){
-		    bstr_from(c->versions[i].name), c->versions[i].share};
-	out->n_upstreams = c->n_upstreams;
-	out->upstreams = calloc(c->n_upstreams, sizeof(*out->upstreams));
-	for (uint32_t i = 0; i < c->n_upstreams; i++) {
-		const struct cfg_upstream *u = &c->upstreams[i];
-		struct rt_upstream *o = &out->upstreams[i];
-
-		o->id = bstr_from(u->id);
-		o->addr = bstr_from(u->addr);
-		o->zone = bstr_from(u->zone);
-		o->slots = c->slots;
-		o->state = u->out ? RT_DRAINING : RT_READY;
-		o->stat = rt_stat_new();
-		for (uint32_t v = 0; v < c->n_versions; v++) {
-			if (strcmp(c->versions[v].name, u->version) == 0)
-				o->version = v;
-		}
-	}
-}
-
-static void
-free_service(struct rt_service *s)
-{
-	for (uint32_t i = 0; i < s->n_upstreams; i++)
-		rt_stat_unref(s->upstreams[i].stat);
-	free(s->hosts);
-	free(s->routes);
-	free(s->versions);
-	free(s->upstreams);
-}
-
-/* Reads all service objects from the store and publishes the routing table. */
-static bool
-load_config(struct daemon *d)
-{
-	struct sto_desc desc = {.addr = d->set.platform.addr,
-	    .port = (uint16_t)d->set.platform.port};
-	struct rt_service *services;
-	struct cfg_service *parsed;
-	struct rt_desc rd = {0};
-	struct bbuf problems;
-	GError *error = NULL;
-	struct sto s;
-	json_t *list, *objects, *o;
-	size_t i;
-
-	sto_init(&s, &desc);
-	list = sto_list(&s, "config/service/", &error);
-	sto_finish(&s);
-	if (list == NULL) {
-		g_message("config: %s", error->message);
-		g_clear_error(&error);
-		return (false);
-	}
-	bbuf_init(&problems);
-	objects = json_object_get(list, "objects");
-	services = calloc(json_array_size(objects) + 1, sizeof(*services));
-	parsed = calloc(json_array_size(objects) + 1, sizeof(*parsed));
-	json_array_foreach(objects, i, o)
-	{
-		struct cfg_service *c = &parsed[rd.n_services];
-
-		if (cfg_parse_service(
-			c, json_object_get(o, "value"), &problems))
-			add_service(&services[rd.n_services++], c);
-		else
-			cfg_service_finish(c);
-	}
-	if (problems.n != 0)
-		g_warning("config: %s", problems.p);
-	rd.services = services;
-	env_publish(&d->env, rt_table_new(&rd));
-	for (uint32_t k = 0; k < rd.n_services; k++) {
-		free_service(&services[k]);
-		cfg_service_finish(&parsed[k]);
-	}
-	free(services);
-	free(parsed);
-	bbuf_finish(&problems);
-	json_decref(list);
-	return (true);
-}
-
 static bool
 start_workers(struct daemon *d)
 {
@@ -161,13 +63,112 @@
 	return (true);
 }
 
+static bool
+routable(void *arg)
+{
+	const struct env *env = arg;
+
+	return (!atomic_load(&env->leaving) && !atomic_load(&env->unhealthy) &&
+	    clk_mono_us() <= atomic_load(&env->fresh_until_us));
+}
+
+static bool
+start_control(struct daemon *d)
+{
+	struct ctl_desc desc = {.set = &d->set,
+	    .env = &d->env,
+	    .met = &d->met,
+	    .seed = (uint64_t)d->set.seed};
+	GError *error = NULL;
+
+	d->ctl = ctl_new(&desc, &error);
+	if (d->ctl == NULL) {
+		g_warning("control: %s", error->message);
+		g_error_free(error);
+		return (false);
+	}
+	d->env.control = ctl_queue(d->ctl);
+	return (true);
+}
+
+static bool
+start_ops(struct daemon *d)
+{
+	struct ops_desc desc = {.addr = d->set.ops.addr,
+	    .port = (uint16_t)d->set.ops.port,
+	    .token = d->set.token,
+	    .allow = d->set.ops_allow,
+	    .met = &d->met,
+	    .routable = routable,
+	    .routable_arg = &d->env,
+	    .control = d->env.control,
+	    .msg_type = ctl_ops_type()};
+	GError *error = NULL;
+
+	d->ops = ops_start(&desc, &error);
+	if (d->ops != NULL)
+		return (true);
+	g_warning("ops: %s", error->message);
+	g_error_free(error);
+	return (false);
+}
+
+static void
+pause_ms(long ms)
+{
+	const struct timespec ts = {ms / 1000, (ms % 1000) * 1000000};
+
+	nanosleep(&ts, NULL);
+}
+
+/*
+ * The health endpoint fails first, so that the platform's balancer sends new
+ * requests elsewhere while this VM still serves those that come.
+ */
+static void
+shut_down(struct daemon *d)
+{
+	g_message("main: shutting down");
+	atomic_store(&d->env.unhealthy, true);
+	ctl_leave(d->ctl);
+	pause_ms((long)d->set.leave_notice_ms);
+	for (int64_t i = 0; i < d->set.workers; i++)
+		wrk_stop(d->workers[i]);
+	for (int64_t i = 0; i < d->set.workers; i++)
+		pthread_join(d->threads[i], NULL);
+	atomic_store(&d->env.leaving, true);
+	if (!ctl_wait_idle(d->ctl, HANDOVER_MS))
+		g_warning("main: partitions were not all handed over");
+	ctl_stop(d->ctl);
+	ops_stop(d->ops);
+	ctl_free(d->ctl);
+	for (int64_t i = 0; i < d->set.workers; i++)
+		wrk_free(d->workers[i]);
+	g_message("main: stopped");
+}
+
+/* Ends the process when a caller keeps the shutdown from finishing. */
+static void *
+limit_shutdown(void *arg)
+{
+	const struct daemon *d = arg;
+
+	pause_ms((long)d->set.drain_timeout_ms);
+	g_warning("main: shutdown took longer than %lld ms, ending now",
+	    (long long)d->set.drain_timeout_ms);
+	_exit(EXIT_FAILURE);
+}
+
 static int
 run(struct daemon *d)
 {
 	static struct rt_desc empty;
+	struct lgr_desc log = {d->set.log_json, d->set.log_debug, d->set.id};
+	pthread_t limit;
 	sigset_t set;
 	int sig;
 
+	lgr_setup(&log);
 	signal(SIGPIPE, SIG_IGN);
 	sigemptyset(&set);
 	sigaddset(&set, SIGTERM);
@@ -175,23 +176,18 @@
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	rcu_register_thread();
+	if (d->set.seed == 0)
+		d->set.seed = clk_wall_ms() ^ (int64_t)getpid() << 32;
 	d->env.met = &d->met;
 	d->env.max_keyed_body = (size_t)d->set.max_keyed_body;
 	d->env.table = rt_table_new(&empty);
-	if (load_config(d))
-		atomic_store(&d->env.fresh_until_us, INT64_MAX);
-	if (!start_workers(d))
+	if (!start_control(d) || !start_workers(d) || !start_ops(d))
 		return (EXIT_FAILURE);
+	ctl_start(d->ctl);
 	g_message("main: ready");
 	sigwait(&set, &sig);
-	g_message("main: shutting down");
-	atomic_store(&d->env.leaving, true);
-	for (int64_t i = 0; i < d->set.workers; i++)
-		wrk_stop(d->workers[i]);
-	for (int64_t i = 0; i < d->set.workers; i++) {
-		pthread_join(d->threads[i], NULL);
-		wrk_free(d->workers[i]);
-	}
+	pthread_create(&limit, NULL, limit_shutdown, d);
+	shut_down(d);
 	rt_table_free(d->env.table);
 	rcu_unregister_thread();
 	return (EXIT_SUCCESS);
--- /dev/null
+++ b/packages/control/ctl.c
@@ -0,0 +1,352 @@
+#include "control/ctl.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/epoll.h>
+#include <sys/timerfd.h>
+#include <unistd.h>
+#include <urcu.h>
+
+#include "control/ctr.h"
+#include "front/cmsg.h"
+#include "sys/clk.h"
+
+#define TICK_MS 50
+#define MAX_EVENTS 8
+#define IDLE_POLL_US 20000
+
+static const struct ctr *const controllers[CTR_COUNT] = {
+    [CTR_MEMBER] = &ctr_member,
+    [CTR_CONFIG] = &ctr_config,
+    [CTR_CLAIM] = &ctr_claim,
+    [CTR_UPSTREAM] = &ctr_upstream,
+    [CTR_MOVE] = &ctr_move,
+};
+
+void
+ctl_send(
+    struct ctl *c, const struct vmid *to, enum pmsg_type type, struct bstr body)
+{
+	if (!vmid_eq(to, &c->self))
+		lnk_send(&c->lnk, to, type, body);
+}
+
+void
+ctl_broadcast(struct ctl *c, enum pmsg_type type, struct bstr body)
+{
+	lnk_broadcast(&c->lnk, type, body);
+}
+
+bool
+ctl_is_fresh(const struct ctl *c)
+{
+	return (frs_fresh_as_of(&c->frs) != FRS_NEVER &&
+	    c->now_ms <= frs_fresh_until(&c->frs));
+}
+
+static void
+on_peer_message(
+    void *arg, enum pmsg_type type, const struct vmid *from, struct bstr body)
+{
+	struct ctl *c = arg;
+
+	for (int i = 0; i < CTR_COUNT; i++) {
+		const struct ctr_ops *ops = controllers[i]->ops;
+
+		if (ops->on_peer != NULL && ops->on_peer(c, type, from, body))
+			return;
+	}
+}
+
+static void
+on_peer_up(void *arg, const struct vmid *id)
+{
+	(void)arg;
+	g_debug("peer: connected to %.*s", BSTR_ARG(vmid_str(id)));
+}
+
+static void
+on_peer_down(void *arg, const struct vmid *id)
+{
+	(void)arg;
+	g_debug("peer: lost %.*s", BSTR_ARG(vmid_str(id)));
+}
+
+static const struct lnk_ops peer_ops = {
+    .on_message = on_peer_message,
+    .on_up = on_peer_up,
+    .on_down = on_peer_down,
+};
+
+static bool
+open_links(struct ctl *c, GError **error)
+{
+	const struct set *s = c->desc.set;
+	char listen[32];
+	uint32_t n = 0;
+
+	while (n < SET_MAX_ALLOW && s->peer_allow[n] != NULL)
+		n++;
+	snprintf(listen, sizeof(listen), "%s:%lld", s->peer.addr,
+	    (long long)s->peer.port);
+	if (lnk_init(&c->lnk,
+		&(struct lnk_desc){.listen = listen,
+		    .self = c->self,
+		    .allow = (const char *const *)s->peer_allow,
+		    .n_allow = n,
+		    .ops = &peer_ops,
+		    .arg = c,
+		    .seed = c->desc.seed}) == 0)
+		return (true);
+	g_set_error(error, ERR_QUARK, ERR_INTERNAL,
+	    "cannot listen for peers on %s: %s", listen, g_strerror(errno));
+	return (false);
+}
+
+static void
+watch_fd(struct ctl *c, int fd)
+{
+	struct epoll_event ev = {.events = EPOLLIN, .data.fd = fd};
+
+	epoll_ctl(c->epfd, EPOLL_CTL_ADD, fd, &ev);
+}
+
+static void
+open_events(struct ctl *c)
+{
+	const struct itimerspec every = {
+	    .it_interval = {.tv_nsec = TICK_MS * 1000000L},
+	    .it_value = {.tv_nsec = TICK_MS * 1000000L}};
+
+	c->epfd = epoll_create1(EPOLL_CLOEXEC);
+	c->timer_fd =
+	    timerfd_create(CLOCK_BOOTTIME, TFD_NONBLOCK | TFD_CLOEXEC);
+	if (c->epfd < 0 || c->timer_fd < 0 || mq_init(&c->inbox) != 0)
+		abort();
+	timerfd_settime(c->timer_fd, 0, &every, NULL);
+	watch_fd(c, c->timer_fd);
+	watch_fd(c, mq_fd(&c->inbox));
+	watch_fd(c, lnk_fd(&c->lnk));
+}
+
+struct ctl *
+ctl_new(const struct ctl_desc *desc, GError **error)
+{
+	struct ctl *c = calloc(1, sizeof(*c));
+	char id[VMID_MAX + 1];
+
+	if (c == NULL)
+		abort();
+	c->desc = *desc;
+	snprintf(id, sizeof(id), "%.40s@%lld", desc->set->id,
+	    (long long)clk_wall_ms());
+	c->self = vmid_from(bstr_from(id));
+	c->now_ms = clk_mono_ms();
+	rng_init(&c->rng, desc->seed);
+	if (!open_links(c, error)) {
+		free(c);
+		return (NULL);
+	}
+	open_events(c);
+	for (int i = 0; i < CTR_COUNT; i++) {
+		if (controllers[i]->ops->setup != NULL)
+			controllers[i]->ops->setup(c);
+	}
+	return (c);
+}
+
+struct mq *
+ctl_queue(struct ctl *c)
+{
+	return (&c->inbox);
+}
+
+int
+ctl_ops_type(void)
+{
+	return (CTL_MSG_OPS);
+}
+
+static void
+on_store_result(struct ctl *c, struct mq_msg *m)
+{
+	struct sth_result *r = sth_result_of(m);
+	enum ctr_id id = CTR_TAG_ID(r->tag);
+
+	if (r->err != ERR_STORE)
+		c->store_ok_ms = c->now_ms;
+	if (id < CTR_COUNT && controllers[id]->ops->on_store != NULL)
+		controllers[id]->ops->on_store(c, r);
+	sth_result_free(r);
+}
+
+static void
+on_message(struct ctl *c, struct mq_msg *m)
+{
+	switch (m->type) {
+	case CMSG_CLAIM:
+		ctl_on_claim(c, m);
+		break;
+	case CMSG_FINISH:
+		ctl_on_finish(c, m);
+		break;
+	case CMSG_UPSTREAM_STATE:
+		ctl_on_upstream_state(c, m);
+		break;
+	case CTL_MSG_STORE:
+		on_store_result(c, m);
+		break;
+	case CTL_MSG_PROBE:
+		ctl_on_probe(c, m);
+		break;
+	case CTL_MSG_OPS:
+		ctl_on_ops(c, m);
+		break;
+	default:
+		g_warning("control: unknown message type %d", m->type);
+		break;
+	}
+}
+
+static void
+drain_inbox(struct ctl *c)
+{
+	struct mq_msg *m;
+
+	mq_clear_event(&c->inbox);
+	while ((m = mq_pop(&c->inbox)) != NULL) {
+		c->now_ms = clk_mono_ms();
+		on_message(c, m);
+	}
+}
+
+static void
+publish_freshness(struct ctl *c)
+{
+	int64_t until = 0;
+
+	if (frs_fresh_as_of(&c->frs) != FRS_NEVER)
+		until = frs_fresh_until(&c->frs) * 1000;
+	atomic_store(&c->desc.env->fresh_until_us, until);
+}
+
+static void
+tick(struct ctl *c)
+{
+	const struct lnk_stats *s = lnk_stats(&c->lnk);
+	struct met *met = c->desc.met;
+	uint64_t n;
+
+	if (read(c->timer_fd, &n, sizeof(n)) < 0)
+		return;
+	for (int i = 0; i < CTR_COUNT; i++) {
+		if (controllers[i]->ops->tick != NULL)
+			controllers[i]->ops->tick(c);
+	}
+	atomic_store(&met->count[MET_PEER_BYTES_IN], s->bytes_in);
+	atomic_store(&met->count[MET_PEER_BYTES_OUT], s->bytes_out);
+	atomic_store(&c->idle, prt_idle(&c->prt));
+}
+
+static gpointer
+run(gpointer arg)
+{
+	struct ctl *c = arg;
+	struct epoll_event ev[MAX_EVENTS];
+
+	rcu_register_thread();
+	while (!atomic_load(&c->stop)) {
+		int n = epoll_wait(c->epfd, ev, MAX_EVENTS, TICK_MS);
+
+		c->now_ms = clk_mono_ms();
+		for (int i = 0; i < n; i++) {
+			if (ev[i].data.fd == c->timer_fd)
+				tick(c);
+			else if (ev[i].data.fd == mq_fd(&c->inbox))
+				drain_inbox(c);
+		}
+		lnk_run(&c->lnk, c->now_ms);
+		publish_freshness(c);
+	}
+	rcu_unregister_thread();
+	return (NULL);
+}
+
+void
+ctl_start(struct ctl *c)
+{
+	const struct set *s = c->desc.set;
+
+	c->sth = sth_start(&(struct sth_desc){.addr = s->platform.addr,
+	    .port = (uint16_t)s->platform.port,
+	    .control = &c->inbox,
+	    .msg_type = CTL_MSG_STORE,
+	    .met = c->desc.met});
+	c->pro = pro_start(&(struct pro_desc){
+	    .control = &c->inbox, .msg_type = CTL_MSG_PROBE});
+	c->thread = g_thread_new("control", run, c);
+}
+
+void
+ctl_leave(struct ctl *c)
+{
+	atomic_store(&c->leave, true);
+}
+
+bool
+ctl_wait_idle(struct ctl *c, int64_t timeout_ms)
+{
+	int64_t end = clk_mono_ms() + timeout_ms;
+
+	while (!atomic_load(&c->idle) && clk_mono_ms() < end)
+		usleep(IDLE_POLL_US);
+	return (atomic_load(&c->idle));
+}
+
+void
+ctl_stop(struct ctl *c)
+{
+	atomic_store(&c->stop, true);
+	g_thread_join(c->thread);
+	sth_stop(c->sth);
+	pro_stop(c->pro);
+}
+
+static void
+free_message(struct mq_msg *m)
+{
+	switch (m->type) {
+	case CTL_MSG_STORE:
+		sth_result_free(sth_result_of(m));
+		break;
+	case CTL_MSG_PROBE:
+		pro_result_free(pro_result_of(m));
+		break;
+	case CTL_MSG_OPS:
+		ops_answer_error(
+		    ops_request_of(m), ERR_LEAVING, "shutting down");
+		break;
+	default:
+		free(m);
+		break;
+	}
+}
+
+void
+ctl_free(struct ctl *c)
+{
+	struct mq_msg *m;
+
+	while ((m = mq_pop(&c->inbox)) != NULL)
+		free_message(m);
+	for (int i = CTR_COUNT - 1; i >= 0; i--) {
+		if (controllers[i]->ops->finish != NULL)
+			controllers[i]->ops->finish(c);
+	}
+	lnk_finish(&c->lnk);
+	mq_finish(&c->inbox);
+	close(c->timer_fd);
+	close(c->epfd);
+	free(c);
+}
--- a/packages/control/ctr.h
+++ b/packages/control/ctr.h
@@ -139,6 +139,10 @@
 	int64_t store_ok_ms;
 	GHashTable *upstreams;
 	GHashTable *tallies;
+	GHashTable *peer_addrs; /* addresses given to lnk */
+	GHashTable *fetches;    /* vmid text -> digest to be fetched */
+	int64_t paused_ms;
+	GHashTable *puts;     /* store tag -> change id */
 	GHashTable *problems; /* key -> text */
 	bool table_dirty;
 	GHashTable *claims;
@@ -151,6 +155,7 @@
 	int64_t next_vms_ms;
 	int64_t next_members_ms;
 	int64_t next_second_ms;
+	int64_t next_rebuild_ms;
 };
 
 /**
@@ -194,9 +199,11 @@
 
 /* ctr_member.c */
 
-/** ctl_on_synced() - objects of a peer (NULL after a push) were applied */
-void ctl_on_synced(
-    struct ctl *c, const struct vmid *from, const struct frs_digest *fetched);
+/**
+ * ctl_on_synced() - objects of a peer (NULL after a push) were applied
+ * @started_ms: everything that the peer held then is held here
+ */
+void ctl_on_synced(struct ctl *c, const struct vmid *from, int64_t started_ms);
 
 /* ctr_config.c */
 
@@ -211,6 +218,9 @@
 
 /* ctr_claim.c */
 
+/** ctl_prt() - carry out and clear the effects of prt */
+void ctl_prt(struct ctl *c, struct prt_out *out);
+
 /** ctl_on_claim() - claim of a worker; takes the message over */
 void ctl_on_claim(struct ctl *c, struct mq_msg *m);
 
--- /dev/null
+++ b/packages/control/ctr_config.c
@@ -0,0 +1,422 @@
+/* Configuration in effect, acceptance of changes, and the routing table. */
+#include <stdlib.h>
+
+#include "control/ctr.h"
+#include "peer/pcst.h"
+#include "sys/clk.h"
+
+#define US_PER_MS 1000
+#define REBUILD_MS 1000
+
+struct frs_digest
+ctl_digest(const struct ctl *c)
+{
+	struct cob_digest d = cst_digest(&c->cst);
+
+	return ((struct frs_digest){.highest = d.highest, .set = d.hash});
+}
+
+static void
+send_cst(struct ctl *c, const struct cst_effect *e)
+{
+	struct bbuf body;
+	enum pmsg_type type;
+
+	bbuf_init(&body);
+	type = pcst_put(e->msg, &body);
+	if (vmid_is_none(&e->to))
+		ctl_broadcast(c, type, bbuf_str(&body));
+	else
+		ctl_send(c, &e->to, type, bbuf_str(&body));
+	bbuf_finish(&body);
+}
+
+static void
+put(struct ctl *c, const struct cst_effect *e)
+{
+	uint32_t n = (uint32_t)++c->next_tag;
+
+	g_hash_table_insert(c->puts, GUINT_TO_POINTER(n), g_strdup(e->change));
+	sth_put(c->sth, e->key, e->value, e->version, CTR_TAG(CTR_CONFIG, n));
+}
+
+static void
+publish(struct ctl *c, const struct cst_effect *e)
+{
+	g_hash_table_remove(c->problems, e->key);
+	ctl_on_published(c, e->key, e->version, e->value);
+	c->table_dirty = true;
+}
+
+static void
+note_problem(struct ctl *c, const struct cst_effect *e)
+{
+	g_hash_table_replace(c->problems, g_strdup(e->key), g_strdup(e->text));
+	g_warning("config: %s has no effect: %s", e->key, e->text);
+}
+
+void
+ctl_cst(struct ctl *c, struct cst_out *out)
+{
+	bool changed = false;
+
+	for (uint32_t i = 0; i < out->n; i++) {
+		struct cst_effect *e = &out->effects[i];
+
+		switch (e->kind) {
+		case CST_PUT:
+			put(c, e);
+			break;
+		case CST_GET:
+			sth_get(c->sth, e->key, CTR_TAG(CTR_CONFIG, 0));
+			break;
+		case CST_SEND:
+			send_cst(c, e);
+			break;
+		case CST_PUBLISH:
+			publish(c, e);
+			changed = true;
+			break;
+		case CST_ANSWER:
+			ctl_on_written(c, e->change, e->status, e->text);
+			break;
+		case CST_PROBLEM:
+			note_problem(c, e);
+			changed = true;
+			break;
+		case CST_SYNCED:
+			ctl_on_synced(c, &e->to, e->started_ms);
+			break;
+		}
+	}
+	cst_out_finish(out);
+	if (changed)
+		ctl_on_synced(c, NULL, c->now_ms);
+}
+
+void
+ctl_on_store_list(struct ctl *c, json_t *list, bool whole)
+{
+	struct cst_out out = {0};
+	json_t *o;
+	size_t i;
+
+	if (whole) {
+		cst_on_list(&c->cst, "config/", list, c->now_ms, &out);
+		cst_on_list(&c->cst, "intent/", list, c->now_ms, &out);
+	} else {
+		json_array_foreach(json_object_get(list, "objects"), i, o)
+		{
+			const char *key =
+			    json_string_value(json_object_get(o, "key"));
+			json_t *value = json_object_get(o, "value");
+
+			if (json_is_true(json_object_get(o, "deleted")))
+				value = NULL;
+			if (key != NULL)
+				cst_on_watch(&c->cst, key,
+				    (uint64_t)json_integer_value(
+					json_object_get(o, "version")),
+				    value, c->now_ms, &out);
+		}
+	}
+	c->revision =
+	    (uint64_t)json_integer_value(json_object_get(list, "revision"));
+	ctl_cst(c, &out);
+}
+
+static void
+on_put(struct ctl *c, const struct sth_result *r)
+{
+	gpointer tag = GUINT_TO_POINTER(CTR_TAG_N(r->tag));
+	char *change = g_strdup(g_hash_table_lookup(c->puts, tag));
+	enum cst_put result = CST_PUT_LOST;
+	struct cst_out out = {0};
+
+	if (change == NULL)
+		return;
+	g_hash_table_remove(c->puts, tag);
+	if (r->err == ERR_NONE)
+		result = CST_PUT_OK;
+	else if (r->err == ERR_CONFLICT)
+		result = CST_PUT_CONFLICT;
+	cst_on_put(&c->cst, change, result, r->version, c->now_ms, &out);
+	ctl_cst(c, &out);
+	g_free(change);
+}
+
+static void
+on_get(struct ctl *c, const struct sth_result *r)
+{
+	enum cst_read result = CST_READ_FAILED;
+	struct cst_out out = {0};
+
+	if (r->err == ERR_NONE)
+		result = CST_READ_OK;
+	else if (r->err == ERR_NOT_FOUND)
+		result = CST_READ_ABSENT;
+	cst_on_read(
+	    &c->cst, r->key, result, r->version, r->value, c->now_ms, &out);
+	ctl_cst(c, &out);
+}
+
+static void
+on_store(struct ctl *c, struct sth_result *r)
+{
+	if (r->op == STH_PUT)
+		on_put(c, r);
+	else
+		on_get(c, r);
+}
+
+static bool
+on_peer(struct ctl *c, enum pmsg_type type, const struct vmid *from,
+    struct bstr body)
+{
+	struct cst_out out = {0};
+	struct cst_msg msg;
+
+	if (type != PMSG_OBJECT && type != PMSG_OBJECT_ACK)
+		return (false);
+	/* The envelope names the sender of the connection, so it decides. */
+	if (pcst_get(type, body, &msg)) {
+		msg.sender = *from;
+		cst_on_msg(&c->cst, &msg, c->now_ms, &out);
+	}
+	cst_msg_finish(&msg);
+	ctl_cst(c, &out);
+	return (true);
+}
+
+static void
+upstream_free(struct ctl_upstream *u)
+{
+	rt_stat_unref(u->stat);
+	g_free(u->id);
+	g_free(u->addr);
+	g_free(u->service);
+	g_free(u->version);
+	g_free(u->zone);
+	g_free(u);
+}
+
+static struct ctl_upstream *
+upstream_new(const struct cfg_service *s, const struct cfg_upstream *cu)
+{
+	struct ctl_upstream *u = g_new0(struct ctl_upstream, 1);
+
+	u->id = g_strdup(cu->id);
+	u->addr = g_strdup(cu->addr);
+	u->service = g_strdup(s->name);
+	u->version = g_strdup(cu->version);
+	u->zone = g_strdup(cu->zone);
+	u->slots = s->slots;
+	u->stat = rt_stat_new();
+	return (u);
+}
+
+static bool
+is_same_upstream(const struct ctl_upstream *u, const struct cfg_service *s,
+    const struct cfg_upstream *cu)
+{
+	return (strcmp(u->addr, cu->addr) == 0 &&
+	    strcmp(u->service, s->name) == 0 &&
+	    strcmp(u->version, cu->version) == 0 &&
+	    strcmp(u->zone, cu->zone) == 0 && u->slots == s->slots);
+}
+
+static struct ctl_upstream *
+take_upstream(
+    struct ctl *c, const struct cfg_service *s, const struct cfg_upstream *cu)
+{
+	struct ctl_upstream *u = g_hash_table_lookup(c->upstreams, cu->id);
+
+	if (u != NULL && !is_same_upstream(u, s, cu)) {
+		ctl_upstream_removed(c, u);
+		g_hash_table_remove(c->upstreams, cu->id);
+		u = NULL;
+	}
+	if (u == NULL) {
+		u = upstream_new(s, cu);
+		g_hash_table_insert(c->upstreams, u->id, u);
+		ctl_upstream_added(c, u);
+	}
+	u->seen = true;
+	return (u);
+}
+
+static struct rt_tally *
+take_tally(struct ctl *c, const struct cfg_service *s, const char *route,
+    const char *version)
+{
+	char *key = g_strdup_printf("%s\n%s\n%s", s->name, route, version);
+	struct rt_tally *t = g_hash_table_lookup(c->tallies, key);
+
+	if (t == NULL) {
+		t = rt_tally_new();
+		g_hash_table_insert(c->tallies, key, t);
+	} else {
+		g_free(key);
+	}
+	return (t);
+}
+
+static void
+fill_routes(struct ctl *c, const struct cfg_service *s, struct rt_service *out)
+{
+	out->hosts = g_new0(struct bstr, s->n_hosts);
+	out->n_hosts = s->n_hosts;
+	for (uint32_t i = 0; i < s->n_hosts; i++)
+		out->hosts[i] = bstr_from(s->hosts[i]);
+	out->routes = g_new0(struct rt_route, s->n_routes);
+	out->n_routes = s->n_routes;
+	out->tallies = g_new0(struct rt_tally *, s->n_routes * s->n_versions);
+	for (uint32_t i = 0; i < s->n_routes; i++) {
+		const struct cfg_route *r = &s->routes[i];
+
+		out->routes[i] = (struct rt_route){
+		    bstr_from(r->prefix), r->idempotent, r->timeout_ms};
+		for (uint32_t v = 0; v < s->n_versions; v++)
+			out->tallies[i * s->n_versions + v] =
+			    take_tally(c, s, r->prefix, s->versions[v].name);
+	}
+}
+
+static void
+fill_versions(
+    struct ctl *c, const struct cfg_service *s, struct rt_service *out)
+{
+	uint32_t *shares = g_new0(uint32_t, s->n_versions);
+
+	mov_shares(&c->mov, s, clk_wall_ms(), shares);
+	out->versions = g_new0(struct rt_version, s->n_versions);
+	out->n_versions = s->n_versions;
+	for (uint32_t v = 0; v < s->n_versions; v++)
+		out->versions[v] = (struct rt_version){
+		    bstr_from(s->versions[v].name), shares[v]};
+	g_free(shares);
+}
+
+static void
+fill_upstreams(
+    struct ctl *c, const struct cfg_service *s, struct rt_service *out)
+{
+	out->upstreams = g_new0(struct rt_upstream, s->n_upstreams);
+	out->n_upstreams = s->n_upstreams;
+	for (uint32_t i = 0; i < s->n_upstreams; i++) {
+		const struct cfg_upstream *cu = &s->upstreams[i];
+		struct ctl_upstream *u = take_upstream(c, s, cu);
+		struct rt_upstream *o = &out->upstreams[i];
+
+		o->id = bstr_from(cu->id);
+		o->addr = bstr_from(cu->addr);
+		o->zone = bstr_from(cu->zone);
+		o->version = (uint32_t)cfg_find_version(s, cu->version);
+		o->slots = s->slots;
+		o->stat = u->stat;
+		o->state = ctl_upstream_state(u);
+		if (cu->out || cfg_zone_is_out(cst_set(&c->cst), cu->zone))
+			o->state = RT_DRAINING;
+	}
+}
+
+static void
+fill_service(struct ctl *c, const struct cfg_service *s, struct rt_service *out)
+{
+	out->name = bstr_from(s->name);
+	out->slots = s->slots;
+	out->slow_us = (int64_t)s->slo_latency_ms * US_PER_MS;
+	fill_routes(c, s, out);
+	fill_versions(c, s, out);
+	fill_upstreams(c, s, out);
+}
+
+static void
+remove_unseen(struct ctl *c)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, c->upstreams);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct ctl_upstream *u = v;
+
+		if (!u->seen) {
+			ctl_upstream_removed(c, u);
+			g_hash_table_iter_remove(&it);
+		} else {
+			u->seen = false;
+		}
+	}
+}
+
+static void
+rebuild_table(struct ctl *c)
+{
+	const struct cfg_set *set = cst_set(&c->cst);
+	struct rt_service *s = g_new0(struct rt_service, set->n_services);
+
+	for (uint32_t i = 0; i < set->n_services; i++)
+		fill_service(c, set->services[i].service, &s[i]);
+	remove_unseen(c);
+	env_publish(
+	    c->desc.env, rt_table_new(&(struct rt_desc){s, set->n_services}));
+	for (uint32_t i = 0; i < set->n_services; i++) {
+		g_free(s[i].hosts);
+		g_free(s[i].routes);
+		g_free(s[i].tallies);
+		g_free(s[i].versions);
+		g_free(s[i].upstreams);
+	}
+	g_free(s);
+}
+
+static void
+tick(struct ctl *c)
+{
+	struct cst_out out = {0};
+
+	cst_tick(&c->cst, c->now_ms, &out);
+	ctl_cst(c, &out);
+	/* Shares also depend on the wall clock: a move may pass its due time.
+	 */
+	if (!c->table_dirty && c->now_ms < c->next_rebuild_ms)
+		return;
+	c->table_dirty = false;
+	c->next_rebuild_ms = c->now_ms + REBUILD_MS;
+	rebuild_table(c);
+}
+
+static void
+setup(struct ctl *c)
+{
+	cst_init(&c->cst, &(struct cst_desc){.self = c->self});
+	c->upstreams = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, (GDestroyNotify)upstream_free);
+	c->tallies = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)rt_tally_unref);
+	c->puts = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	c->problems =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+static void
+finish(struct ctl *c)
+{
+	cst_finish(&c->cst);
+	g_hash_table_destroy(c->upstreams);
+	g_hash_table_destroy(c->tallies);
+	g_hash_table_destroy(c->puts);
+	g_hash_table_destroy(c->problems);
+}
+
+static const struct ctr_ops ops = {
+    .name = "config",
+    .setup = setup,
+    .finish = finish,
+    .tick = tick,
+    .on_peer = on_peer,
+    .on_store = on_store,
+};
+
+const struct ctr ctr_config = {&ops};
--- /dev/null
+++ b/packages/control/ctr_member.c
@@ -0,0 +1,406 @@
+/* Membership, freshness, the VM list and the connections to peers. */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "control/ctr.h"
+#include "peer/pmbr.h"
+
+#define VMS_MS 5000
+#define VMS_START_MS 500
+#define MEMBERS_MS 250
+#define STORE_PREFIXES "config/,intent/"
+
+enum { TAG_VMS = 1, TAG_READ };
+
+/* Digest that a peer had when it was found to hold newer objects. */
+struct fetch {
+	struct frs_digest digest;
+	int64_t at_ms;
+};
+
+static GHashTable *
+fetches(struct ctl *c)
+{
+	return (c->fetches);
+}
+
+static char *
+vmid_key(const struct vmid *id)
+{
+	return (g_strndup(id->s, id->n));
+}
+
+static void
+send_frs(struct ctl *c, const struct frs_effect *e)
+{
+	struct bbuf body;
+
+	bbuf_init(&body);
+	pmbr_put_frs(&body, &e->msg);
+	ctl_send(c, &e->to,
+	    e->msg.kind == FRS_PULL ? PMSG_PULL : PMSG_PULL_ANSWER,
+	    bbuf_str(&body));
+	bbuf_finish(&body);
+}
+
+static void
+start_fetch(struct ctl *c, const struct frs_effect *e)
+{
+	struct fetch *f = g_new(struct fetch, 1);
+	struct cst_out out = {0};
+
+	f->digest = e->digest;
+	f->at_ms = c->now_ms;
+	g_hash_table_replace(fetches(c), vmid_key(&e->to), f);
+	cst_pull(&c->cst, &e->to, c->now_ms, &out);
+	ctl_cst(c, &out);
+}
+
+static void
+read_store(struct ctl *c, const struct frs_effect *e)
+{
+	uint64_t tag = CTR_TAG(CTR_MEMBER, TAG_READ);
+
+	if (c->revision == 0)
+		sth_list(c->sth, STORE_PREFIXES, tag);
+	else
+		sth_watch(c->sth, STORE_PREFIXES, c->revision, e->wait_ms, tag);
+}
+
+static void
+carry_out_frs(struct ctl *c, struct frs_out *out)
+{
+	for (uint32_t i = 0; i < out->n; i++) {
+		const struct frs_effect *e = &out->e[i];
+
+		switch (e->kind) {
+		case FRS_SEND:
+			send_frs(c, e);
+			break;
+		case FRS_STORE:
+			read_store(c, e);
+			break;
+		case FRS_FETCH:
+			start_fetch(c, e);
+			break;
+		}
+	}
+	frs_out_clear(out);
+}
+
+void
+ctl_on_synced(struct ctl *c, const struct vmid *from, int64_t started_ms)
+{
+	struct frs_digest held = ctl_digest(c);
+	struct frs_out out = {0};
+	struct fetch *f = NULL;
+	char *key;
+
+	if (from != NULL) {
+		key = vmid_key(from);
+		f = g_hash_table_lookup(fetches(c), key);
+		g_free(key);
+		if (f == NULL)
+			return;
+	}
+	if (f != NULL && f->at_ms > started_ms) {
+		struct cst_out again = {0};
+
+		cst_pull(&c->cst, from, c->now_ms, &again);
+		ctl_cst(c, &again);
+		return;
+	}
+	frs_on_applied(&c->frs, from, f == NULL ? NULL : &f->digest, &held,
+	    c->now_ms, &out);
+	carry_out_frs(c, &out);
+}
+
+static void
+send_gossip(struct ctl *c, const struct mbr_effect *e)
+{
+	struct bbuf body;
+
+	bbuf_init(&body);
+	pmbr_put_gossip(&body, &e->msg);
+	if (!vmid_is_none(&e->id))
+		ctl_send(c, &e->id, PMSG_GOSSIP, bbuf_str(&body));
+	else
+		lnk_send_addr(
+		    &c->lnk, mbr_str(&e->addr), PMSG_GOSSIP, bbuf_str(&body));
+	bbuf_finish(&body);
+}
+
+static void
+add_peer(struct ctl *c, struct bstr addr)
+{
+	if (lnk_add_peer(&c->lnk, addr))
+		g_hash_table_add(c->peer_addrs, g_strndup(addr.p, addr.n));
+}
+
+static void
+add_peer_of(struct ctl *c, const struct vmid *id)
+{
+	for (uint32_t i = 0; i < c->mbr.n; i++) {
+		if (vmid_eq(&c->mbr.members[i].e.id, id))
+			add_peer(c, mbr_str(&c->mbr.members[i].e.addr));
+	}
+}
+
+static void
+log_member(const struct mbr_effect *e, const char *what)
+{
+	g_message("member: %.*s %s", BSTR_ARG(vmid_str(&e->id)), what);
+}
+
+static void
+carry_out_mbr(struct ctl *c, struct mbr_out *out)
+{
+	for (uint32_t i = 0; i < out->n; i++) {
+		const struct mbr_effect *e = &out->e[i];
+
+		switch (e->kind) {
+		case MBR_SEND:
+			send_gossip(c, e);
+			break;
+		case MBR_JOINED:
+			add_peer_of(c, &e->id);
+			log_member(e, "joined");
+			break;
+		case MBR_LEFT:
+			log_member(e, "is leaving");
+			break;
+		case MBR_SUSPECTED:
+			g_debug("member: %.*s is suspect",
+			    BSTR_ARG(vmid_str(&e->id)));
+			break;
+		case MBR_REFUTED:
+			break;
+		case MBR_DIED:
+			log_member(e, "is dead");
+			break;
+		case MBR_PAUSED:
+			g_warning("member: this process stood still for "
+				  "%lld ms",
+			    (long long)e->gap_ms);
+			c->paused_ms = c->now_ms;
+			break;
+		}
+	}
+	mbr_out_clear(out);
+}
+
+static void
+setup(struct ctl *c)
+{
+	const struct set *s = c->desc.set;
+	char addr[32];
+
+	snprintf(addr, sizeof(addr), "%s:%lld", s->peer.addr,
+	    (long long)s->peer.port);
+	mbr_init(&c->mbr,
+	    &(struct mbr_desc){.self = c->self,
+		.zone = mbr_text(bstr_from(s->zone)),
+		.addr = mbr_text(bstr_from(addr)),
+		.seed = c->desc.seed});
+	frs_init(&c->frs,
+	    &(struct frs_desc){.self = c->self,
+		.zone = mbr_text(bstr_from(s->zone)),
+		.seed = c->desc.seed});
+	c->members = g_new0(struct mbr_info, MBR_MAX_MEMBERS);
+	c->peer_addrs =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	c->fetches =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+static void
+finish(struct ctl *c)
+{
+	mbr_finish(&c->mbr);
+	frs_finish(&c->frs);
+	g_free(c->members);
+	g_hash_table_destroy(c->peer_addrs);
+	g_hash_table_destroy(c->fetches);
+}
+
+/* Tells the modules that keep a list of all members, dead ones included. */
+static void
+spread_members(struct ctl *c)
+{
+	struct mbr_info *all = g_new(struct mbr_info, MBR_MAX_MEMBERS);
+	uint32_t n = mbr_all(&c->mbr, all, MBR_MAX_MEMBERS);
+	struct prt_member *pm = g_new0(struct prt_member, n);
+	struct cold_member *cm = g_new0(struct cold_member, n);
+	struct vmid *ids = g_new0(struct vmid, n);
+	struct prt_out out = {0};
+
+	for (uint32_t i = 0; i < n; i++) {
+		bool dead = all[i].state == MBR_DEAD;
+
+		pm[i].id = all[i].id;
+		snprintf(pm[i].zone, sizeof(pm[i].zone), "%.*s",
+		    BSTR_ARG(mbr_str(&all[i].zone)));
+		pm[i].alive = !dead;
+		pm[i].leaving = all[i].state == MBR_LEAVING;
+		cm[i] = (struct cold_member){all[i].id, !dead};
+		ids[i] = all[i].id;
+	}
+	cst_on_members(&c->cst, ids, n);
+	cold_on_members(&c->cold, cm, n);
+	if (mbr_majority(&c->mbr) != 0)
+		prt_on_members(&c->prt, pm, n, c->now_ms, &out);
+	ctl_prt(c, &out);
+	g_free(all);
+	g_free(pm);
+	g_free(cm);
+	g_free(ids);
+}
+
+static void
+tick(struct ctl *c)
+{
+	struct mbr_out mo = {0};
+	struct frs_out fo = {0};
+
+	if (c->now_ms >= c->next_vms_ms) {
+		c->next_vms_ms = c->now_ms +
+		    (mbr_majority(&c->mbr) == 0 ? VMS_START_MS : VMS_MS);
+		sth_vms(c->sth, CTR_TAG(CTR_MEMBER, TAG_VMS));
+	}
+	if (atomic_load(&c->leave) && !c->leaving) {
+		c->leaving = true;
+		mbr_leave(&c->mbr, c->now_ms, &mo);
+	}
+	mbr_tick(&c->mbr, c->now_ms, &mo);
+	carry_out_mbr(c, &mo);
+	c->n_members =
+	    mbr_live(&c->mbr, (struct bstr){0}, c->members, MBR_MAX_MEMBERS);
+	frs_on_members(&c->frs, c->members, c->n_members, mbr_majority(&c->mbr),
+	    c->now_ms, &fo);
+	frs_tick(&c->frs, c->now_ms, &fo);
+	carry_out_frs(c, &fo);
+	if (c->now_ms >= c->next_members_ms) {
+		c->next_members_ms = c->now_ms + MEMBERS_MS;
+		spread_members(c);
+	}
+}
+
+static bool
+on_peer(struct ctl *c, enum pmsg_type type, const struct vmid *from,
+    struct bstr body)
+{
+	struct mbr_out mo = {0};
+	struct frs_out fo = {0};
+	struct mbr_msg gossip;
+	struct frs_msg pull;
+
+	switch (type) {
+	case PMSG_GOSSIP:
+		if (pmbr_get_gossip(body, &gossip))
+			mbr_on_gossip(&c->mbr, from, &gossip, c->now_ms, &mo);
+		carry_out_mbr(c, &mo);
+		return (true);
+	case PMSG_PULL:
+	case PMSG_PULL_ANSWER:
+		if (pmbr_get_frs(body, &pull))
+			frs_on_message(&c->frs, from, &pull, c->now_ms, &fo);
+		carry_out_frs(c, &fo);
+		return (true);
+	default:
+		return (false);
+	}
+}
+
+static bool
+is_member_addr(const struct ctl *c, const char *addr)
+{
+	for (uint32_t i = 0; i < c->n_members; i++) {
+		if (bstr_eq(mbr_str(&c->members[i].addr), bstr_from(addr)))
+			return (true);
+	}
+	return (false);
+}
+
+/* Stops connecting to addresses that no list and no live member has. */
+static void
+drop_old_peers(struct ctl *c, GHashTable *listed)
+{
+	GHashTableIter it;
+	gpointer addr;
+
+	g_hash_table_iter_init(&it, c->peer_addrs);
+	while (g_hash_table_iter_next(&it, &addr, NULL)) {
+		if (g_hash_table_contains(listed, addr) ||
+		    is_member_addr(c, addr))
+			continue;
+		lnk_remove_peer(&c->lnk, bstr_from(addr));
+		g_hash_table_iter_remove(&it);
+	}
+}
+
+static void
+on_vms(struct ctl *c, const struct sth_result *r)
+{
+	struct mbr_text *addrs = g_new0(struct mbr_text, MBR_MAX_MEMBERS);
+	GHashTable *listed = g_hash_table_new(g_str_hash, g_str_equal);
+	struct mbr_out out = {0};
+	uint32_t n = 0;
+	size_t i;
+	json_t *v;
+
+	json_array_foreach(r->value, i, v)
+	{
+		const char *peer =
+		    json_string_value(json_object_get(v, "peer"));
+
+		if (peer == NULL || n == MBR_MAX_MEMBERS)
+			continue;
+		addrs[n] = mbr_text(bstr_from(peer));
+		if (addrs[n].n == 0)
+			continue;
+		g_hash_table_add(listed, (gpointer)(uintptr_t)peer);
+		add_peer(c, mbr_str(&addrs[n++]));
+	}
+	mbr_on_vm_list(
+	    &c->mbr, addrs, n, r->sent_ms > c->paused_ms, c->now_ms, &out);
+	carry_out_mbr(c, &out);
+	drop_old_peers(c, listed);
+	g_hash_table_destroy(listed);
+	g_free(addrs);
+}
+
+static void
+on_read(struct ctl *c, struct sth_result *r)
+{
+	struct frs_out out = {0};
+	struct frs_digest held;
+
+	if (r->err != ERR_NONE || r->value == NULL) {
+		frs_on_store_failed(&c->frs, c->now_ms, &out);
+	} else {
+		ctl_on_store_list(c, r->value, r->op == STH_LIST);
+		held = ctl_digest(c);
+		frs_on_store(&c->frs, r->sent_ms, &held, c->now_ms, &out);
+	}
+	carry_out_frs(c, &out);
+}
+
+static void
+on_store(struct ctl *c, struct sth_result *r)
+{
+	if (CTR_TAG_N(r->tag) == TAG_READ)
+		on_read(c, r);
+	else if (r->err == ERR_NONE && json_is_array(r->value))
+		on_vms(c, r);
+}
+
+static const struct ctr_ops ops = {
+    .name = "member",
+    .setup = setup,
+    .finish = finish,
+    .tick = tick,
+    .on_peer = on_peer,
+    .on_store = on_store,
+};
+
+const struct ctr ctr_member = {&ops};
--- a/packages/front/env.h
+++ b/packages/front/env.h
@@ -25,7 +25,8 @@
  * struct env - shared environment
  * @table: routing table, read with env_table() under the RCU read lock
  * @fresh_until_us: boot-time limit after which this VM does not route
- * @leaving: a graceful shutdown has begun
+ * @unhealthy: the health endpoint fails, requests are still served
+ * @leaving: new requests are refused
  * @control: queue of the control thread, receives enum env_msg_type messages
  * @met: counters
  * @max_keyed_body: largest body of a keyed request in bytes
@@ -33,6 +34,7 @@
 struct env {
 	struct rt_table *table;
 	_Atomic int64_t fresh_until_us;
+	_Atomic bool unhealthy;
 	_Atomic bool leaving;
 	struct mq *control;
 	struct met *met;
--- a/packages/ops/set.c
+++ b/packages/ops/set.c
@@ -52,6 +52,7 @@
 	262144},
     {"claim_retention_s", IT_INT, AT(claim_retention_s), false, 60, 604800,
 	3600},
+    {"leave_notice_ms", IT_INT, AT(leave_notice_ms), false, 0, 60000, 1500},
     {"drain_timeout_ms", IT_INT, AT(drain_timeout_ms), false, 1000, 600000,
 	30000},
     {"log.json", IT_BOOL, AT(log_json), false, 0, 1, 0},
--- a/packages/ops/set.h
+++ b/packages/ops/set.h
@@ -42,6 +42,8 @@
  * @seed: seed of random choices, 0 draws one at start
  * @max_keyed_body: largest body of a keyed request in bytes
  * @claim_retention_s: how long claim records are kept in seconds
+ * @leave_notice_ms: time between the failing health endpoint and the end of
+ *	accepting connections, in milliseconds
  * @drain_timeout_ms: longest graceful shutdown in milliseconds
  * @log_json: log as JSON lines
  * @log_debug: log at debug level
@@ -60,6 +62,7 @@
 	int64_t seed;
 	int64_t max_keyed_body;
 	int64_t claim_retention_s;
+	int64_t leave_notice_ms;
 	int64_t drain_timeout_ms;
 	bool log_json;
 	bool log_debug;
--- a/packages/platform/sto.c
+++ b/packages/platform/sto.c
@@ -8,6 +8,7 @@
 #include "base/bstr.h"
 
 #define MAX_TARGET 512
+#define MAX_QUERY 256
 #define MAX_ANSWER (64 * 1024 * 1024)
 #define DEFAULT_CONNECT_TIMEOUT_S 1
 #define DEFAULT_READ_TIMEOUT_S 2
@@ -127,11 +128,14 @@
     uint64_t if_version, uint64_t *version, GError **error)
 {
 	char target[MAX_TARGET];
-	char *body = json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY);
+	char *body = value == NULL
+	    ? bstr_dup(BSTR(""))
+	    : json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY);
 	json_t *answer;
 
 	snprintf(target, sizeof(target), "/objects/%s", key);
-	answer = request(s, "PUT", target, body, if_version, error);
+	answer = request(s, value == NULL ? "DELETE" : "PUT", target, body,
+	    if_version, error);
 	free(body);
 	if (answer == NULL)
 		return (false);
@@ -141,12 +145,33 @@
 	return (true);
 }
 
+/* Writes "prefix=a&prefix=b" for the prefixes "a,b". */
+static void
+prefix_query(const char *prefixes, char *out, size_t max)
+{
+	size_t n = 0;
+
+	out[0] = '\0';
+	for (const char *p = prefixes; n < max;) {
+		size_t len = strcspn(p, ",");
+
+		n += (size_t)snprintf(out + n, max - n, "%sprefix=%.*s",
+		    n == 0 ? "" : "&", (int)len, p);
+		if (p[len] == '\0')
+			break;
+		p += len + 1;
+	}
+}
+
 json_t *
 sto_list(struct sto *s, const char *prefix, GError **error)
 {
 	char target[MAX_TARGET];
 
-	snprintf(target, sizeof(target), "/objects?prefix=%s", prefix);
+	char query[MAX_QUERY];
+
+	prefix_query(prefix, query, sizeof(query));
+	snprintf(target, sizeof(target), "/objects?%s", query);
 	return (request(s, "GET", target, NULL, 0, error));
 }
 
@@ -155,11 +180,12 @@
     GError **error)
 {
 	char target[MAX_TARGET];
+	char query[MAX_QUERY];
 	json_t *v;
 
-	snprintf(target, sizeof(target),
-	    "/watch?prefix=%s&since=%llu&wait_ms=%d", prefix,
-	    (unsigned long long)since, wait_ms);
+	prefix_query(prefix, query, sizeof(query));
+	snprintf(target, sizeof(target), "/watch?%s&since=%llu&wait_ms=%d",
+	    prefix, (unsigned long long)since, wait_ms);
 	ne_set_read_timeout(s->session, s->read_timeout_s + wait_ms / 1000);
 	v = request(s, "GET", target, NULL, 0, error);
 	ne_set_read_timeout(s->session, s->read_timeout_s);
--- a/packages/platform/sto.h
+++ b/packages/platform/sto.h
@@ -63,6 +63,7 @@
 
 /**
  * sto_put() - conditional write
+ * @value: new value, NULL deletes the object
  * @if_version: version that is replaced, 0 to create
  * @version: receives the new version
  *
@@ -74,6 +75,7 @@
 
 /**
  * sto_list() - all objects below a prefix
+ * @prefix: one prefix, or several separated by commas
  *
  * Return: {"revision", "objects": [{"key", "version", "value"}]} or NULL with
  * ERR_STORE.
@@ -82,6 +84,7 @@
 
 /**
  * sto_watch() - wait for changes below a prefix
+ * @prefix: as for sto_list()
  * @since: revision already known
  * @wait_ms: longest wait in milliseconds
  *
