Wire partitions and claims into the control thread

Cause: the decision modules prt and clm had no caller in the daemon.

Change: ctr_claim carries out their effects from two growing lists instead of by recursion, those of clm first, so that prt_on_copied() runs before the next view is passed on. ctl_prt() does the same for the effects of prt_on_members().

Ruled out: delivery of messages to this process itself. prt sends to other members only, and clm handles its own messages inside clm_post().

It was not run, because the other controllers are not there yet.

--- a/packages/control/ctr.h
+++ b/packages/control/ctr.h
@@ -211,6 +211,9 @@
 
 /* ctr_claim.c */
 
+/** ctl_prt() - carry out and clear the effects of prt */
+void ctl_prt(struct ctl *c, struct prt_out *out);
+
 /** ctl_on_claim() - claim of a worker; takes the message over */
 void ctl_on_claim(struct ctl *c, struct mq_msg *m);
 
