Let the store take several prefixes

The daemon lists and watches config/ and intent/ in one call; the store matched only one prefix. GET /objects and GET /watch now match any of the prefix arguments. t-standin.sh checks both with two prefixes and passes.

--- a/tests/script/t-standin.sh
+++ b/tests/script/t-standin.sh
@@ -52,6 +52,10 @@
 	forget "$w"
 done
 judge "19 watches wake at once" "$(store_stat watch_wakeups)" -eq 20
+put_object intent/i1 '{"v":1}'
+put_object report/r1 '{"v":1}'
+judge "list takes several prefixes" "$(curl -s "$url/objects?prefix=config/&prefix=intent/" | jget 'objects.#')" -eq 3
+judge "watch takes several prefixes" "$(curl -s "$url/watch?prefix=intent/&prefix=report/&since=0&wait_ms=0" | jget 'objects.#')" -eq 2
 store_admin '{"writes_per_s":0.001}'
 for i in 1 2 3 4 5; do
 	status -X PUT -H 'If-Match: 999' -d 1 "$url/objects/config/x" >>"$dir/codes"
--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -1,16 +1,18 @@
 /*
  * store - stand-in for the platform's store and VM list.
  *
- * Objects live in memory. POST /admin changes its behaviour:
+ * Objects live in memory. GET /objects and GET /watch take any number of
+ * prefix arguments: an object matches when its key begins with one of them, and
+ * every object matches when there is none. POST /admin changes its behaviour:
  *
  *	"outage": bool           every call is answered with 503
  *	"delay_ms": n            every answer is this late
  *	"lose_answers": n        the next n writes take effect, their
- *connections are closed without an answer "reads_per_s", "writes_per_s": n 429
- *above this rate; 0 is no limit "vms": [...]             the VM list from now
- *on "vms_lag_ms": n          GET /vms shows the list of that long ago
- *	"stale_read_ms": n       GET of one object shows the version before the
- *	                         last one for this time after a write
+ *connections are closed without an answer "reads_per_s": n         429 above
+ *this rate; 0 is no limit "writes_per_s": n        the same for writes "vms":
+ *[...]             the VM list from now on "vms_lag_ms": n          GET /vms
+ *shows the list of that long ago "stale_read_ms": n       GET of one object
+ *shows the version before the last one for this time after a write
  *	"reset_counts": true     counters start from 0
  *
  * Both GET and POST /admin answer with the counters. A waiting watch counts as
@@ -33,6 +35,7 @@
 
 #define MAX_WAIT_MS 60000
 #define MAX_CLIENTS 512
+#define MAX_PREFIXES 16
 #define DEFAULT_READS_PER_S 2000
 #define DEFAULT_WRITES_PER_S 300
 #define SECOND_US 1000000
@@ -81,6 +84,12 @@
 	struct counts n;
 };
 
+/** struct prefixes - the prefix arguments of a call; none matches every key */
+struct prefixes {
+	const char *list[MAX_PREFIXES];
+	size_t n;
+};
+
 struct request {
 	char *body;
 	size_t n;
@@ -114,8 +123,40 @@
 	return (v == NULL ? def : v);
 }
 
+static enum MHD_Result
+add_prefix(void *cls, enum MHD_ValueKind kind, const char *key, const char *v)
+{
+	struct prefixes *p = cls;
+
+	(void)kind;
+	if (strcmp(key, "prefix") != 0)
+		return (MHD_YES);
+	if (p->n == MAX_PREFIXES)
+		return (MHD_NO);
+	p->list[p->n++] = v == NULL ? "" : v;
+	return (MHD_YES);
+}
+
+static struct prefixes
+prefix_args(struct MHD_Connection *conn)
+{
+	struct prefixes p = {.n = 0};
+
+	MHD_get_connection_values(conn, MHD_GET_ARGUMENT_KIND, add_prefix, &p);
+	return (p);
+}
+
+static bool
+has_prefix(const char *key, const struct prefixes *p)
+{
+	for (size_t i = 0; i < p->n; i++)
+		if (strncmp(key, p->list[i], strlen(p->list[i])) == 0)
+			return (true);
+	return (p->n == 0);
+}
+
 static json_t *
-changed_since(const char *prefix, json_int_t since, bool deleted_too)
+changed_since(const struct prefixes *p, json_int_t since, bool deleted_too)
 {
 	json_t *list = json_array(), *o;
 	const char *key;
@@ -125,7 +166,7 @@
 		json_int_t v =
 		    json_integer_value(json_object_get(o, "version"));
 
-		if (strncmp(key, prefix, strlen(prefix)) != 0 || v <= since)
+		if (!has_prefix(key, p) || v <= since)
 			continue;
 		if (!deleted_too && json_object_get(o, "deleted") != NULL)
 			continue;
@@ -142,7 +183,7 @@
 }
 
 static json_t *
-wait_for_change(const char *prefix, json_int_t since, int wait_ms)
+wait_for_change(const struct prefixes *p, json_int_t since, int wait_ms)
 {
 	struct timespec end;
 	json_t *list;
@@ -157,7 +198,7 @@
 		end.tv_nsec -= 1000000000;
 	}
 	for (;;) {
-		list = changed_since(prefix, since, true);
+		list = changed_since(p, since, true);
 		if (json_array_size(list) > 0 || st.outage)
 			break;
 		if (pthread_cond_timedwait(&st.changed, &st.lock, &end) != 0)
@@ -323,18 +364,19 @@
 read_path(
     struct MHD_Connection *conn, enum kind kind, const char *url, json_t **out)
 {
+	struct prefixes p = prefix_args(conn);
+
 	switch (kind) {
 	case K_VMS:
 		*out = lagging_vms();
 		return (200);
 	case K_WATCH:
-		*out = listing(wait_for_change(arg(conn, "prefix", ""),
-		    atoll(arg(conn, "since", "0")),
-		    atoi(arg(conn, "wait_ms", "0"))));
+		*out =
+		    listing(wait_for_change(&p, atoll(arg(conn, "since", "0")),
+			atoi(arg(conn, "wait_ms", "0"))));
 		return (st.outage ? 503 : 200);
 	case K_LIST:
-		*out =
-		    listing(changed_since(arg(conn, "prefix", ""), 0, false));
+		*out = listing(changed_since(&p, 0, false));
 		return (200);
 	case K_GET:
 		*out = read_object(url + 9);
