--- a/packages/control/ctr_member.c
+++ b/packages/control/ctr_member.c
@@ -250,6 +250,7 @@
 	if (mbr_majority(&c->mbr) != 0)
 		prt_on_members(&c->prt, pm, n, c->now_ms, &out);
 	ctl_prt(c, &out);
+	prt_out_finish(&out);
 	g_free(all);
 	g_free(pm);
 	g_free(cm);
