Add the upstream controller of the control thread

The modules cold and prb decided about permits and probes, but nothing passed them leases, use and responses or carried out their effects.

ctr_upstream passes the leases of all partitions in each tick, with no lease while this VM is not fresh. The use is read for cold upstreams only, at most 256 in one tick; a use that is some ticks old is safe because cold adds the most permits held since. Responses are checked for a tenth of the upstreams in each tick, at least 64. A full pass in each tick was ruled out, because each response costs a search in prb.

Demand needs to know whether calls want a cold upstream that has no permits; statistics of finished calls cannot show that, so a pick stores the time at which it considered a cold upstream (rt_stat.wanted_us). A draining or down upstream takes no new work even while it is cold.

struct ctl gets lists of upstreams for work spread over ticks. Compiled and linted only.

--- a/packages/control/ctr.h
+++ b/packages/control/ctr.h
@@ -68,6 +68,9 @@
  * @last_good: rt_stat.good already counted for the burn report
  * @last_failed: likewise
  * @last_slow: likewise
+ * @last_cold_good: rt_stat.good already told to cold
+ * @last_reported_us: rt_stat.reported_us already told to prb
+ * @probe_own: own calls in flight when the running probe was sent
  */
 struct ctl_upstream {
 	char *id;
@@ -95,6 +98,11 @@
  * @members: live members of the last tick
  * @n_members: their number
  * @upstreams: id -> struct ctl_upstream
+ * @upstream_list: the same upstreams, not owned, for work spread over ticks
+ * @cold_list: those of them that are cold
+ * @next_upstream: place in @upstream_list at which the next tick goes on
+ * @next_cold: likewise in @cold_list
+ * @next_cold_members_ms: when cold is told the members again
  * @tallies: "service route version" -> struct rt_tally
  * @refused: service -> struct rt_tally of calls that this VM refused
  * @table_dirty: the routing table is rebuilt at the end of the tick
@@ -138,6 +146,11 @@
 	uint64_t revision;
 	int64_t store_ok_ms;
 	GHashTable *upstreams;
+	GPtrArray *upstream_list;
+	GPtrArray *cold_list;
+	uint32_t next_upstream;
+	uint32_t next_cold;
+	int64_t next_cold_members_ms;
 	GHashTable *tallies;
 	GHashTable *problems; /* key -> text */
 	bool table_dirty;
--- /dev/null
+++ b/packages/control/ctr_upstream.c
@@ -0,0 +1,490 @@
+#include "control/ctr.h"
+
+#include <stdlib.h>
+
+#include "front/cmsg.h"
+#include "ops/met.h"
+#include "peer/pcold.h"
+
+/* A full round over all upstreams takes this many ticks. */
+#define ROUND_TICKS 10
+/* Fewer upstreams than this are visited in each tick. */
+#define MIN_PER_TICK 64
+/* Cold upstreams whose use is read in one tick. */
+#define MAX_COLD_PER_TICK 256
+#define MEMBERS_MS 250
+/* Calls that may start before the next request for permits. */
+#define DEMAND_AHEAD 2
+#define WANTED_US 1000000
+/* A load seen in a response is preferred to that of a probe for this time. */
+#define RESPONSE_LOAD_US 1000000
+#define US_PER_MS 1000
+
+static const char *const STATE_NAMES[] = {
+    [PRB_UNKNOWN] = "unknown",
+    [PRB_READY] = "ready",
+    [PRB_COLD] = "cold",
+    [PRB_DRAINING] = "draining",
+    [PRB_DOWN] = "down",
+};
+
+static struct ctl_upstream *
+find(const struct ctl *c, struct bstr id)
+{
+	char key[COLD_ID_MAX + 1] = {0};
+
+	if (id.n > COLD_ID_MAX)
+		return (NULL);
+	memcpy(key, id.p, id.n);
+	return (g_hash_table_lookup(c->upstreams, key));
+}
+
+static enum prb_state
+prb_state_of(enum rt_state state)
+{
+	switch (state) {
+	case RT_READY:
+		return (PRB_READY);
+	case RT_COLD:
+		return (PRB_COLD);
+	case RT_DRAINING:
+		return (PRB_DRAINING);
+	case RT_DOWN:
+		break;
+	}
+	return (PRB_DOWN);
+}
+
+/* Effects of cold. */
+
+static void
+send_cold(struct ctl *c, const struct cold_effect *e)
+{
+	struct bbuf b;
+
+	bbuf_init(&b);
+	pcold_put_cold(&b, &e->msg);
+	if (e->type == COLD_SEND)
+		ctl_send(c, &e->to, PMSG_PERMIT, bbuf_str(&b));
+	else
+		ctl_broadcast(c, PMSG_PERMIT, bbuf_str(&b));
+	bbuf_finish(&b);
+}
+
+/*
+ * A worker that reads between the two stores sees either the old number or the
+ * new one with an end that was granted for at least that number.
+ */
+static void
+set_permits(struct rt_stat *s, uint32_t count, int64_t until_us)
+{
+	int32_t n = count > COLD_MAX_SLOTS ? COLD_MAX_SLOTS : (int32_t)count;
+
+	if (n > atomic_load(&s->permits)) {
+		atomic_store(&s->permits_until_us, until_us);
+		atomic_store(&s->permits, n);
+		return;
+	}
+	atomic_store(&s->permits, n);
+	atomic_store(&s->permits_until_us, until_us);
+}
+
+static void
+set_cold(struct ctl *c, struct ctl_upstream *u, bool cold)
+{
+	if (u->cold == cold)
+		return;
+	u->cold = cold;
+	u->last_cold_good = atomic_load(&u->stat->good);
+	set_permits(u->stat, 0, 0);
+	if (cold)
+		g_ptr_array_add(c->cold_list, u);
+	else
+		g_ptr_array_remove_fast(c->cold_list, u);
+	c->table_dirty = true;
+	g_message("upstream: %s %s", u->id,
+	    cold ? "starts cold" : "has finished its cold start");
+}
+
+/* Carries out and frees the effects of cold. */
+static void
+apply_cold(struct ctl *c, struct cold_out *out)
+{
+	for (uint32_t i = 0; i < out->n; i++) {
+		const struct cold_effect *e = &out->v[i];
+		struct ctl_upstream *u;
+
+		if (e->type == COLD_SEND || e->type == COLD_BROADCAST) {
+			send_cold(c, e);
+			continue;
+		}
+		u = find(c, e->upstream);
+		if (u == NULL)
+			continue;
+		if (e->type == COLD_STATE) {
+			set_cold(c, u, e->cold);
+			continue;
+		}
+		set_permits(u->stat, e->count, e->until_ms * US_PER_MS);
+		met_add(c->desc.met, MET_PERMITS, e->count);
+	}
+	cold_out_finish(out);
+}
+
+/* Effects of prb. */
+
+static void
+send_prb(struct ctl *c, const struct prb_msg *m)
+{
+	struct bbuf b;
+
+	bbuf_init(&b);
+	pcold_put_prb(&b, m);
+	ctl_broadcast(c, PMSG_UPSTREAM_STATE, bbuf_str(&b));
+	bbuf_finish(&b);
+}
+
+static void
+send_probe(struct ctl *c, struct ctl_upstream *u)
+{
+	u->probe_own = atomic_load(&u->stat->in_flight);
+	met_add(c->desc.met, MET_PROBES, 1);
+	pro_probe(c->pro, bstr_from(u->id), bstr_from(u->addr));
+}
+
+static void
+change_state(struct ctl *c, struct ctl_upstream *u, enum prb_state state)
+{
+	struct cold_out out = {0};
+
+	u->state = state;
+	c->table_dirty = true;
+	g_message("upstream: %s is %s", u->id, STATE_NAMES[state]);
+	cold_on_state(
+	    &c->cold, bstr_from(u->id), state == PRB_COLD, c->now_ms, &out);
+	apply_cold(c, &out);
+}
+
+static void
+store_load(struct ctl *c, struct ctl_upstream *u, int32_t load)
+{
+	int64_t now_us = c->now_ms * US_PER_MS;
+	int64_t seen_us = atomic_load(&u->stat->reported_us);
+
+	if (seen_us != 0 && seen_us != u->last_reported_us)
+		return;
+	if (seen_us != 0 && now_us - seen_us < RESPONSE_LOAD_US)
+		return;
+	atomic_store(&u->stat->reported, load);
+	atomic_store(&u->stat->started_since, 0);
+	atomic_store(&u->stat->reported_us, now_us);
+	u->last_reported_us = now_us;
+}
+
+/* Carries out and frees the effects of prb. */
+static void
+apply_prb(struct ctl *c, struct prb_out *out)
+{
+	for (uint32_t i = 0; i < out->n; i++) {
+		const struct prb_effect *e = &out->v[i];
+		struct ctl_upstream *u = find(c, e->upstream);
+
+		if (u == NULL)
+			continue;
+		switch (e->type) {
+		case PRB_PROBE:
+			send_probe(c, u);
+			break;
+		case PRB_BROADCAST:
+			send_prb(c, &e->msg);
+			break;
+		case PRB_STATE:
+			change_state(c, u, e->state);
+			break;
+		case PRB_LOAD:
+			store_load(c, u, e->load);
+			break;
+		}
+	}
+	prb_out_finish(out);
+}
+
+/* The tick. */
+
+static void
+update_leases(struct ctl *c, struct cold_out *out)
+{
+	bool fresh = ctl_is_fresh(c);
+
+	for (uint32_t p = 0; p < PRT_COUNT; p++) {
+		struct cold_lease l = {.partition = p,
+		    .owner = prt_owner(&c->prt, p),
+		    .epoch = prt_epoch(&c->prt, p),
+		    .act_from_ms = prt_act_from(&c->prt, p)};
+
+		if (fresh)
+			l.act_until_ms = prt_act_until(&c->prt, p);
+		cold_on_lease(&c->cold, &l, c->now_ms, out);
+		prb_on_lease(&c->prb, &l, c->now_ms);
+	}
+}
+
+static void
+update_members(struct ctl *c)
+{
+	struct mbr_info *all;
+	struct cold_member *m;
+	uint32_t n;
+
+	if (c->now_ms < c->next_cold_members_ms)
+		return;
+	c->next_cold_members_ms = c->now_ms + MEMBERS_MS;
+	all = g_new0(struct mbr_info, MBR_MAX_MEMBERS);
+	n = mbr_all(&c->mbr, all, MBR_MAX_MEMBERS);
+	m = g_new0(struct cold_member, n + 1);
+	for (uint32_t i = 0; i < n; i++) {
+		m[i].id = all[i].id;
+		m[i].alive = all[i].state != MBR_DEAD;
+	}
+	cold_on_members(&c->cold, m, n);
+	g_free(m);
+	g_free(all);
+}
+
+static uint32_t
+demand_of(const struct ctl_upstream *u, uint32_t own, int64_t now_us)
+{
+	int64_t wanted = atomic_load(&u->stat->wanted_us);
+	uint32_t n = own + DEMAND_AHEAD;
+
+	if (own == 0 && (wanted == 0 || now_us - wanted > WANTED_US))
+		return (0);
+	if (n > u->slots)
+		n = u->slots;
+	return (n > own ? n : own);
+}
+
+static void
+update_use(struct ctl *c, struct ctl_upstream *u)
+{
+	int32_t own = atomic_load(&u->stat->in_flight);
+	uint64_t good = atomic_load(&u->stat->good);
+	struct cold_use use = {.in_flight = own > 0 ? (uint32_t)own : 0,
+	    .successes = (uint32_t)(good - u->last_cold_good)};
+
+	use.demand = demand_of(u, use.in_flight, c->now_ms * US_PER_MS);
+	u->last_cold_good = good;
+	cold_on_use(&c->cold, bstr_from(u->id), &use, c->now_ms);
+}
+
+/*
+ * A use that is some ticks old is safe: cold adds the most permits held since
+ * it was read.
+ */
+static void
+update_uses(struct ctl *c)
+{
+	uint32_t n = c->cold_list->len;
+	uint32_t todo = n < MAX_COLD_PER_TICK ? n : MAX_COLD_PER_TICK;
+
+	for (; todo > 0; todo--) {
+		c->next_cold = c->next_cold + 1 < n ? c->next_cold + 1 : 0;
+		update_use(c, g_ptr_array_index(c->cold_list, c->next_cold));
+	}
+}
+
+static void
+check_response(struct ctl *c, struct ctl_upstream *u, struct prb_out *out)
+{
+	int64_t seen_us = atomic_load(&u->stat->reported_us);
+	struct prb_seen seen = {.state = PRB_UNKNOWN};
+
+	if (seen_us == u->last_reported_us)
+		return;
+	u->last_reported_us = seen_us;
+	seen.load = atomic_load(&u->stat->reported);
+	prb_on_response(
+	    &c->prb, bstr_from(u->id), &seen, seen_us / US_PER_MS, out);
+}
+
+static void
+check_responses(struct ctl *c, struct prb_out *out)
+{
+	uint32_t n = c->upstream_list->len;
+	uint32_t todo = (n + ROUND_TICKS - 1) / ROUND_TICKS;
+
+	if (todo < MIN_PER_TICK)
+		todo = n < MIN_PER_TICK ? n : MIN_PER_TICK;
+	for (; todo > 0; todo--) {
+		c->next_upstream =
+		    c->next_upstream + 1 < n ? c->next_upstream + 1 : 0;
+		check_response(c,
+		    g_ptr_array_index(c->upstream_list, c->next_upstream), out);
+	}
+}
+
+static void
+tick(struct ctl *c)
+{
+	struct cold_out cold = {0};
+	struct prb_out prb = {0};
+
+	update_leases(c, &cold);
+	update_members(c);
+	update_uses(c);
+	cold_tick(&c->cold, c->now_ms, &cold);
+	apply_cold(c, &cold);
+	check_responses(c, &prb);
+	prb_tick(&c->prb, c->now_ms, &prb);
+	apply_prb(c, &prb);
+}
+
+static void
+setup(struct ctl *c)
+{
+	struct cold_desc cold = {.self = c->self, .seed = rng_next(&c->rng)};
+	struct prb_desc prb = {.self = c->self, .seed = rng_next(&c->rng)};
+
+	cold_init(&c->cold, &cold);
+	prb_init(&c->prb, &prb);
+	c->upstream_list = g_ptr_array_new();
+	c->cold_list = g_ptr_array_new();
+}
+
+static void
+finish(struct ctl *c)
+{
+	cold_finish(&c->cold);
+	prb_finish(&c->prb);
+	g_ptr_array_free(c->upstream_list, TRUE);
+	g_ptr_array_free(c->cold_list, TRUE);
+}
+
+/* Messages. */
+
+static void
+on_permit(struct ctl *c, const struct vmid *from, struct bstr body)
+{
+	struct cold_out out = {0};
+	struct cold_msg m;
+	char id[COLD_ID_MAX];
+
+	if (!pcold_get_cold(&m, id, body))
+		return;
+	cold_on_msg(&c->cold, from, &m, c->now_ms, &out);
+	apply_cold(c, &out);
+}
+
+static void
+on_state(struct ctl *c, const struct vmid *from, struct bstr body)
+{
+	struct prb_out out = {0};
+	struct prb_msg m;
+	char id[COLD_ID_MAX];
+
+	if (!pcold_get_prb(&m, id, body))
+		return;
+	prb_on_msg(&c->prb, from, &m, c->now_ms, &out);
+	apply_prb(c, &out);
+}
+
+static bool
+on_peer(struct ctl *c, enum pmsg_type type, const struct vmid *from,
+    struct bstr body)
+{
+	if (type == PMSG_PERMIT)
+		on_permit(c, from, body);
+	else if (type == PMSG_UPSTREAM_STATE)
+		on_state(c, from, body);
+	else
+		return (false);
+	return (true);
+}
+
+void
+ctl_on_upstream_state(struct ctl *c, struct mq_msg *m)
+{
+	struct cmsg_upstream_state *s =
+	    caa_container_of(m, struct cmsg_upstream_state, m);
+	struct bstr id = {s->id, strnlen(s->id, CMSG_ID_MAX)};
+	struct prb_seen seen = {
+	    .load = PRB_NO_LOAD, .state = prb_state_of(s->state)};
+	struct cold_out cold = {0};
+	struct prb_out prb = {0};
+
+	prb_on_response(&c->prb, id, &seen, c->now_ms, &prb);
+	apply_prb(c, &prb);
+	/* An upstream can become cold again while prb still shows it as cold.
+	 */
+	cold_on_state(&c->cold, id, s->state == RT_COLD, c->now_ms, &cold);
+	apply_cold(c, &cold);
+	free(s);
+}
+
+void
+ctl_on_probe(struct ctl *c, struct mq_msg *m)
+{
+	struct pro_result *r = pro_result_of(m);
+	struct ctl_upstream *u = find(c, r->upstream);
+	struct prb_out out = {0};
+
+	if (u != NULL) {
+		struct prb_result result = {.ok = r->ok,
+		    .state = prb_state_of(r->state),
+		    .load = r->load,
+		    .own_at_start = u->probe_own,
+		    .own_at_end = atomic_load(&u->stat->in_flight)};
+
+		prb_on_result(&c->prb, r->upstream, &result, c->now_ms, &out);
+		apply_prb(c, &out);
+	}
+	pro_result_free(r);
+}
+
+void
+ctl_upstream_added(struct ctl *c, struct ctl_upstream *u)
+{
+	struct bstr id = bstr_from(u->id);
+	uint32_t partition = prt_of(id);
+	uint32_t known = c->cold.n_up;
+
+	if (!cold_add(&c->cold, id, u->slots, partition) ||
+	    !prb_add(&c->prb, id, partition)) {
+		g_warning("upstream: %s cannot be watched", u->id);
+		return;
+	}
+	if (c->cold.n_up != known)
+		g_ptr_array_add(c->upstream_list, u);
+}
+
+void
+ctl_upstream_removed(struct ctl *c, struct ctl_upstream *u)
+{
+	struct bstr id = bstr_from(u->id);
+
+	cold_remove(&c->cold, id);
+	prb_remove(&c->prb, id);
+	g_ptr_array_remove_fast(c->upstream_list, u);
+	g_ptr_array_remove_fast(c->cold_list, u);
+}
+
+enum rt_state
+ctl_upstream_state(const struct ctl_upstream *u)
+{
+	/* A draining upstream takes no new work, cold or not. */
+	if (u->state == PRB_DRAINING)
+		return (RT_DRAINING);
+	if (u->state == PRB_DOWN)
+		return (RT_DOWN);
+	return (u->cold ? RT_COLD : RT_READY);
+}
+
+static const struct ctr_ops ops = {
+    .name = "upstream",
+    .setup = setup,
+    .finish = finish,
+    .tick = tick,
+    .on_peer = on_peer,
+};
+
+const struct ctr ctr_upstream = {&ops};
--- a/packages/route/rt.c
+++ b/packages/route/rt.c
@@ -346,6 +346,9 @@
 	const struct rt_upstream *u = &s->upstreams[i];
 	double x;
 
+	if (u->state == RT_COLD)
+		atomic_store_explicit(
+		    &u->stat->wanted_us, now_us, memory_order_relaxed);
 	if ((u->state == RT_COLD && !has_permit(u->stat, now_us)) ||
 	    lim_is_full(u->stat, u->slots, now_us)) {
 		if (c->best == RT_NONE)
--- a/packages/route/rt.h
+++ b/packages/route/rt.h
@@ -48,6 +48,7 @@
  * @fail_permille: moving average of failed calls
  * @permits: own calls allowed in flight while the upstream is cold
  * @permits_until_us: when @permits end
+ * @wanted_us: when a pick last considered the upstream while it was cold
  * @good: calls that ended well, only grows
  * @failed: calls that failed, only grows
  * @slow: good calls slower than the service's limit, only grows
@@ -63,6 +64,7 @@
 	_Atomic int32_t fail_permille;
 	_Atomic int32_t permits;
 	_Atomic int64_t permits_until_us;
+	_Atomic int64_t wanted_us;
 	_Atomic uint64_t good;
 	_Atomic uint64_t failed;
 	_Atomic uint64_t slow;
