Wire intents, moves, burn report and operator API

Cause: itn, mov and slo are decision modules without a caller, and requests of the operator API have nothing that answers them.

Ruled out: storing the operator requests bare in the tables of struct ctl, because a request needs a deadline of its own. Keying replies by the intent alone would let a late reply answer a later request, so an intent whose request was given up stays in the table until its reply came.

Change: ctr_move.c passes events to itn, mov and slo and carries out their effects; ctr_ops.c holds requests until an answer or 12 s; ctr_show.c prints status, upstreams, intents, objects and the burn report.

Not run: the control thread does not exist yet.

--- /dev/null
+++ b/packages/control/ctr_move.c
@@ -0,0 +1,461 @@
+#include "control/ctr_move.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "peer/pcst.h"
+#include "sys/clk.h"
+
+#define SECOND_MS 1000
+#define STORE_OK_MS 2000
+#define SERVICE_PREFIX "config/service/"
+/* Objects of older intents arrive at the start; their end is not logged. */
+#define ENDED_LOG_MS 60000
+/* The burn report covers this time. */
+#define ENDED_REPORT_MS ((int64_t)SLO_COARSE_MS * SLO_COARSE_BUCKETS)
+
+static int64_t
+service_load(void *arg, const char *service)
+{
+	const struct ctl *c = arg;
+	const struct ctl_upstream *u;
+	int64_t load = -1;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, c->upstreams);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		u = value;
+		if (strcmp(u->service, service) != 0 ||
+		    atomic_load(&u->stat->reported_us) == 0)
+			continue;
+		load = MAX(load, 0) + atomic_load(&u->stat->reported);
+	}
+	return (load);
+}
+
+static bool
+upstream_is_ready(void *arg, const char *upstream)
+{
+	const struct ctl *c = arg;
+	const struct ctl_upstream *u =
+	    g_hash_table_lookup(c->upstreams, upstream);
+
+	return (u != NULL && ctl_upstream_state(u) == RT_READY);
+}
+
+struct itn_view
+ctr_move_view(struct ctl *c)
+{
+	return ((struct itn_view){
+	    .plan = {.set = cst_set(&c->cst),
+		.wall_ms = clk_wall_ms(),
+		.load = service_load,
+		.is_ready = upstream_is_ready,
+		.arg = c,
+		.store_ok = c->now_ms - c->store_ok_ms < STORE_OK_MS},
+	    .is_executor = ctl_is_executor,
+	    .arg = c});
+}
+
+static struct mov_view
+move_view(struct ctl *c)
+{
+	return ((struct mov_view){.set = cst_set(&c->cst),
+	    .wall_ms = clk_wall_ms(),
+	    .is_executor = ctl_is_executor,
+	    .arg = c});
+}
+
+static void
+write_change(struct ctl *c, const struct cst_change *change)
+{
+	struct cst_out out = {0};
+
+	cst_write(&c->cst, change, c->now_ms, &out);
+	ctl_cst(c, &out);
+	cst_out_finish(&out);
+}
+
+static const struct cfg_move *
+running_move(const struct ctl *c, const char *service)
+{
+	const struct cfg_entry *e = cfg_set_find(cst_set(&c->cst), service);
+
+	if (e == NULL || !e->service->has_move ||
+	    e->service->move.state != CFG_MOVE_RUNNING)
+		return (NULL);
+	return (&e->service->move);
+}
+
+static void
+on_ended(struct ctl *c, const struct itn_effect *e)
+{
+	const struct cfi_intent *i = itn_get(&c->itn, e->intent, NULL);
+	int64_t age_ms;
+	const char *why;
+
+	if (i == NULL)
+		return;
+	age_ms = clk_wall_ms() - i->finished_ms;
+	why = json_string_value(json_object_get(e->value, "why"));
+	if (age_ms < ENDED_LOG_MS)
+		g_message("intent: %s (%s) is %s%s%s", e->intent,
+		    json_string_value(json_object_get(e->value, "what")),
+		    cfi_state_name(i->state), why == NULL ? "" : ": ",
+		    why == NULL ? "" : why);
+	if (i->kind != CFI_MOVE_VERSION || i->state == CFI_DROPPED ||
+	    age_ms > ENDED_REPORT_MS)
+		return;
+	slo_on_move(&c->slo,
+	    &(struct slo_move){.intent = i->id,
+		.service = i->service,
+		.version = i->version,
+		.state = (char *)(uintptr_t)cfi_state_name(i->state),
+		.at_ms = i->finished_ms});
+}
+
+void
+ctr_move_carry_out(struct ctl *c, struct itn_out *out)
+{
+	for (uint32_t n = 0; n < out->n; n++) {
+		const struct itn_effect *e = &out->effects[n];
+
+		switch (e->kind) {
+		case ITN_WRITE:
+			write_change(c,
+			    &(struct cst_change){.id = e->change,
+				.key = e->key,
+				.value = e->value,
+				.if_version = e->version});
+			break;
+		case ITN_REPLY:
+			ctr_ops_on_reply(c, e);
+			break;
+		case ITN_ENDED:
+			on_ended(c, e);
+			break;
+		}
+	}
+	itn_out_finish(out);
+}
+
+static void carry_out_move(struct ctl *c, struct mov_out *out);
+
+static void
+deliver(struct ctl *c, const struct mov_msg *msg)
+{
+	struct mov_view view = move_view(c);
+	struct mov_out out = {0};
+
+	mov_on_msg(&c->mov, msg, &view, c->now_ms, &out);
+	carry_out_move(c, &out);
+}
+
+/* A live member other than this process, "none" when there is no other. */
+static struct vmid
+any_member(struct ctl *c)
+{
+	struct vmid chosen = {0};
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < c->n_members; i++) {
+		if (vmid_eq(&c->members[i].id, &c->self))
+			continue;
+		if (rng_below(&c->rng, ++n) == 0)
+			chosen = c->members[i].id;
+	}
+	return (chosen);
+}
+
+static void
+send_move(struct ctl *c, const struct mov_effect *e)
+{
+	enum pmsg_type type;
+	struct bbuf body;
+	struct vmid to = {0};
+
+	if (e->kind == MOV_SEND_EXECUTOR) {
+		to = prt_owner(&c->prt, prt_of(bstr_from(e->intent)));
+		if (vmid_eq(&to, &c->self)) {
+			deliver(c, e->msg);
+			return;
+		}
+	} else if (e->kind == MOV_SEND_ANY) {
+		to = any_member(c);
+	}
+	if (e->kind != MOV_SEND_ALL && vmid_is_none(&to))
+		return;
+	bbuf_init(&body);
+	type = pcst_put_move(e->msg, &body);
+	if (e->kind == MOV_SEND_ALL)
+		ctl_broadcast(c, type, bbuf_str(&body));
+	else
+		ctl_send(c, &to, type, bbuf_str(&body));
+	bbuf_finish(&body);
+}
+
+static void
+carry_out_move(struct ctl *c, struct mov_out *out)
+{
+	for (uint32_t n = 0; n < out->n; n++) {
+		const struct mov_effect *e = &out->effects[n];
+
+		switch (e->kind) {
+		case MOV_SEND_EXECUTOR:
+		case MOV_SEND_ALL:
+		case MOV_SEND_ANY:
+			send_move(c, e);
+			break;
+		case MOV_WRITE:
+			write_change(c,
+			    &(struct cst_change){.id = e->change,
+				.key = e->key,
+				.value = e->value,
+				.if_version = e->if_version});
+			break;
+		case MOV_SHARES:
+			c->table_dirty = true;
+			break;
+		}
+	}
+	mov_out_finish(out);
+}
+
+static void
+row_clear(gpointer p)
+{
+	struct mov_row *row = p;
+
+	g_free(row->service);
+	g_free(row->route);
+	g_free(row->version);
+}
+
+/* Reads a tally of a service with a running move; its key is
+ * "service\nroute\nversion". */
+static void
+add_row(
+    const struct ctl *c, const char *key, struct rt_tally *tally, GArray *rows)
+{
+	gchar **part = g_strsplit(key, "\n", 3);
+	struct mov_row row;
+
+	if (g_strv_length(part) != 3 || running_move(c, part[0]) == NULL) {
+		g_strfreev(part);
+		return;
+	}
+	row = (struct mov_row){.service = part[0],
+	    .route = part[1],
+	    .version = part[2],
+	    .calls = atomic_load(&tally->calls),
+	    .failed = atomic_load(&tally->failures),
+	    .slow = atomic_load(&tally->slow)};
+	g_free(part);
+	g_array_append_val(rows, row);
+}
+
+static void
+report_metrics(struct ctl *c)
+{
+	GArray *rows = g_array_new(FALSE, FALSE, sizeof(struct mov_row));
+	struct mov_view view = move_view(c);
+	struct mov_out out = {0};
+	GHashTableIter it;
+	gpointer key, value;
+
+	g_array_set_clear_func(rows, row_clear);
+	g_hash_table_iter_init(&it, c->tallies);
+	while (g_hash_table_iter_next(&it, &key, &value))
+		add_row(c, key, value, rows);
+	if (rows->len != 0)
+		mov_on_local(&c->mov,
+		    (const struct mov_row *)(void *)rows->data, rows->len,
+		    &view, c->now_ms, &out);
+	g_array_free(rows, TRUE);
+	carry_out_move(c, &out);
+}
+
+static uint64_t
+take_delta(_Atomic uint64_t *counter, uint64_t *last)
+{
+	uint64_t now = atomic_load(counter);
+	uint64_t delta = now - *last;
+
+	*last = now;
+	return (delta);
+}
+
+static void
+count_calls(struct ctl *c, struct ctl_upstream *u, int64_t wall_ms)
+{
+	const struct cfg_move *m = running_move(c, u->service);
+	struct slo_calls calls = {.service = u->service,
+	    .upstream = u->id,
+	    .version = u->version,
+	    .zone = u->zone,
+	    .good = take_delta(&u->stat->good, &u->last_good),
+	    .failed = take_delta(&u->stat->failed, &u->last_failed),
+	    .slow = take_delta(&u->stat->slow, &u->last_slow)};
+
+	if (m != NULL && strcmp(m->to, u->version) == 0)
+		calls.move = m->intent;
+	if (calls.good + calls.failed + calls.slow != 0)
+		slo_on_calls(&c->slo, &calls, wall_ms);
+}
+
+static void
+count_all_calls(struct ctl *c)
+{
+	int64_t wall_ms = clk_wall_ms();
+	GHashTableIter it;
+	gpointer value;
+
+	slo_on_config(&c->slo, cst_set(&c->cst));
+	g_hash_table_iter_init(&it, c->upstreams);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		count_calls(c, value, wall_ms);
+}
+
+static void
+tick_slo(struct ctl *c)
+{
+	struct slo_out out = {0};
+
+	slo_tick(&c->slo, c->now_ms, clk_wall_ms(), &out);
+	if (out.has_write)
+		sth_put(c->sth, out.write.key, out.write.value,
+		    out.write.if_version, CTR_TAG(CTR_MOVE, 0));
+	slo_out_clear(&out);
+}
+
+static void
+tick(struct ctl *c)
+{
+	struct itn_view view = ctr_move_view(c);
+	struct itn_out intents = {0};
+	struct mov_out moves = {0};
+	struct mov_view mview;
+
+	itn_tick(&c->itn, &view, c->now_ms, &intents);
+	ctr_move_carry_out(c, &intents);
+	mview = move_view(c);
+	mov_tick(&c->mov, &mview, c->now_ms, &moves);
+	carry_out_move(c, &moves);
+	if (c->now_ms >= c->next_second_ms) {
+		c->next_second_ms = c->now_ms + SECOND_MS;
+		report_metrics(c);
+		count_all_calls(c);
+	}
+	tick_slo(c);
+	ctr_ops_tick(c);
+}
+
+static void
+setup(struct ctl *c)
+{
+	itn_init(&c->itn);
+	mov_init(&c->mov, &(struct mov_desc){.self = c->self});
+	slo_init(&c->slo, &(struct slo_desc){.self = c->self});
+	ctr_ops_setup(c);
+}
+
+static void
+finish(struct ctl *c)
+{
+	ctr_ops_finish(c);
+	itn_finish(&c->itn);
+	mov_finish(&c->mov);
+	slo_finish(&c->slo);
+}
+
+static bool
+on_peer(struct ctl *c, enum pmsg_type type, const struct vmid *from,
+    struct bstr body)
+{
+	struct mov_msg msg;
+
+	if (type != PMSG_METRICS && type != PMSG_BAD_VERSION)
+		return (false);
+	if (pcst_get_move(type, body, &msg) && vmid_eq(&msg.sender, from))
+		deliver(c, &msg);
+	mov_msg_finish(&msg);
+	return (true);
+}
+
+/* The burn report of this VM was written or read. */
+static void
+on_own_report(struct ctl *c, const struct sth_result *r)
+{
+	if (r->err == ERR_NONE)
+		slo_on_written(&c->slo, r->version);
+	else if (r->op == STH_GET && r->err == ERR_NOT_FOUND)
+		slo_on_written(&c->slo, 0);
+	else if (r->op == STH_PUT)
+		sth_get(c->sth, r->key, CTR_TAG(CTR_MOVE, 0));
+}
+
+static void
+on_store(struct ctl *c, struct sth_result *r)
+{
+	if (r->op == STH_LIST)
+		ctr_ops_on_list(c, r);
+	else
+		on_own_report(c, r);
+}
+
+/* The burn report names a move while it runs. */
+static void
+on_service(struct ctl *c, const char *service)
+{
+	const struct cfg_move *m = running_move(c, service);
+	const struct cfi_intent *i;
+	char state[] = "running";
+
+	if (m == NULL)
+		return;
+	i = itn_get(&c->itn, m->intent, NULL);
+	if (i != NULL && cfi_is_final(i->state))
+		return;
+	slo_on_move(&c->slo,
+	    &(struct slo_move){.intent = m->intent,
+		.service = (char *)(uintptr_t)service,
+		.version = m->to,
+		.state = state});
+}
+
+void
+ctl_on_published(
+    struct ctl *c, const char *key, uint64_t version, const json_t *value)
+{
+	struct itn_out out = {0};
+
+	itn_on_object(&c->itn, key, version, value, &out);
+	ctr_move_carry_out(c, &out);
+	if (g_str_has_prefix(key, SERVICE_PREFIX))
+		on_service(c, key + strlen(SERVICE_PREFIX));
+}
+
+void
+ctl_on_written(
+    struct ctl *c, const char *change, enum cst_status status, const char *text)
+{
+	struct itn_view view = ctr_move_view(c);
+	struct itn_out out = {0};
+
+	itn_on_written(&c->itn, change, status, text, &view, c->now_ms, &out);
+	ctr_move_carry_out(c, &out);
+	mov_on_written(&c->mov, change, status, c->now_ms);
+	ctr_ops_on_change(c, change, status, text);
+}
+
+static const struct ctr_ops ops = {
+    .name = "move",
+    .setup = setup,
+    .finish = finish,
+    .tick = tick,
+    .on_peer = on_peer,
+    .on_store = on_store,
+};
+
+const struct ctr ctr_move = {&ops};
--- /dev/null
+++ b/packages/control/ctr_ops.c
@@ -0,0 +1,485 @@
+#include <string.h>
+
+#include "config/jrd.h"
+#include "control/ctr_move.h"
+#include "sys/clk.h"
+
+#define CONFIG_PREFIX "config/"
+#define SERVICE_PREFIX "config/service/"
+#define INTENTS "intents"
+#define INTENTS_PREFIX "intents/"
+/* Below the wait of the operator API for the control thread. */
+#define GIVE_UP_MS 12000
+/* Longest time after which itn replies, counted from the end of the wait. */
+#define FORGET_MS 30000
+#define NO_STORE "the store does not respond, the change may be stored"
+
+/* Problems may quote bytes that are not UTF-8, which JSON cannot hold. */
+static void
+answer_problems(struct ops_request *r, const char *problems)
+{
+	char *text = g_utf8_make_valid(
+	    problems == NULL ? "the value is not valid" : problems, -1);
+
+	ops_answer_error(r, ERR_INVALID, g_strchomp(text));
+	g_free(text);
+}
+
+static void
+wait_free(gpointer p)
+{
+	struct ctr_wait *w = p;
+
+	g_free(w->key);
+	g_free(w);
+}
+
+void
+ctr_ops_setup(struct ctl *c)
+{
+	c->ops_changes =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, wait_free);
+	c->ops_intents =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, wait_free);
+	c->ops_reports = g_hash_table_new_full(
+	    g_direct_hash, g_direct_equal, NULL, wait_free);
+}
+
+static void
+finish_table(GHashTable **table)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, *table);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct ctr_wait *w = value;
+
+		if (w->request != NULL)
+			ops_answer_error(
+			    w->request, ERR_LEAVING, "this VM stops");
+	}
+	g_hash_table_destroy(*table);
+	*table = NULL;
+}
+
+void
+ctr_ops_finish(struct ctl *c)
+{
+	finish_table(&c->ops_changes);
+	finish_table(&c->ops_intents);
+	finish_table(&c->ops_reports);
+}
+
+static struct ctr_wait *
+wait_new(struct ctl *c, struct ops_request *r, const char *key)
+{
+	struct ctr_wait *w = g_new0(struct ctr_wait, 1);
+
+	w->request = r;
+	w->deadline_ms = c->now_ms + GIVE_UP_MS;
+	w->key = g_strdup(key);
+	return (w);
+}
+
+static void
+tick_changes(struct ctl *c)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, c->ops_changes);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct ctr_wait *w = value;
+
+		if (c->now_ms < w->deadline_ms)
+			continue;
+		ops_answer_error(w->request, ERR_STORE, NO_STORE);
+		g_hash_table_iter_remove(&it);
+	}
+}
+
+/*
+ * An intent stays in the table after its request was answered without a reply:
+ * the reply that is still to come must not answer a later request.
+ */
+static void
+tick_intents(struct ctl *c)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, c->ops_intents);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct ctr_wait *w = value;
+
+		if (c->now_ms < w->deadline_ms)
+			continue;
+		if (w->request == NULL) {
+			g_hash_table_iter_remove(&it);
+			continue;
+		}
+		ops_answer_error(w->request, ERR_STORE, NO_STORE);
+		w->request = NULL;
+		w->deadline_ms = c->now_ms + FORGET_MS;
+	}
+}
+
+static void
+tick_reports(struct ctl *c)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, c->ops_reports);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct ctr_wait *w = value;
+
+		if (c->now_ms < w->deadline_ms)
+			continue;
+		ctr_show_report(c, w->request, NULL);
+		g_hash_table_iter_remove(&it);
+	}
+}
+
+void
+ctr_ops_tick(struct ctl *c)
+{
+	tick_changes(c);
+	tick_intents(c);
+	tick_reports(c);
+}
+
+/* Answer to a failed request that shows the present intent, if any. */
+static void
+answer_with_intent(struct ops_request *r, const struct itn_effect *e)
+{
+	const struct err_answer *a = err_answer(e->error);
+	json_t *o = json_pack("{s:s,s:s,s:O,s:I}", "error", a->name, "detail",
+	    e->text == NULL ? a->name : e->text, "intent", e->value,
+	    "object_version", (json_int_t)e->version);
+
+	ops_answer(r, a->status, o);
+}
+
+void
+ctr_ops_on_reply(struct ctl *c, const struct itn_effect *e)
+{
+	struct ctr_wait *w = g_hash_table_lookup(c->ops_intents, e->intent);
+	struct ops_request *r = w == NULL ? NULL : w->request;
+	json_t *o;
+
+	if (w == NULL)
+		return;
+	g_hash_table_remove(c->ops_intents, e->intent);
+	if (r == NULL)
+		return;
+	if (e->error != ERR_NONE && e->value != NULL) {
+		answer_with_intent(r, e);
+		return;
+	}
+	if (e->error != ERR_NONE) {
+		ops_answer_error(r, e->error,
+		    e->text == NULL ? err_answer(e->error)->name : e->text);
+		return;
+	}
+	o = e->value == NULL ? json_object() : json_copy(e->value);
+	json_object_set_new(
+	    o, "object_version", json_integer((json_int_t)e->version));
+	json_object_set_new(
+	    o, "status", json_string(e->text == NULL ? "accepted" : e->text));
+	ops_answer(r, g_strcmp0(e->text, "accepted") == 0 ? 200 : 202, o);
+}
+
+/* Version that the change wrote, null when another one has followed. */
+static json_t *
+written_version(const struct ctl *c, const char *key, const char *change)
+{
+	const struct cob_object *o = cob_find(&c->cst.objects, key);
+
+	if (o == NULL ||
+	    (o->raw != NULL && g_strcmp0(cob_change_id(o->raw), change) != 0))
+		return (json_null());
+	return (json_integer((json_int_t)o->version));
+}
+
+void
+ctr_ops_on_change(
+    struct ctl *c, const char *change, enum cst_status status, const char *text)
+{
+	struct ctr_wait *w = g_hash_table_lookup(c->ops_changes, change);
+
+	if (w == NULL)
+		return;
+	switch (status) {
+	case CST_ACCEPTED:
+		ops_answer(w->request, 200,
+		    json_pack("{s:s,s:o}", "status", "accepted", "version",
+			written_version(c, w->key, change)));
+		break;
+	case CST_PENDING:
+		ops_answer(w->request, 202,
+		    json_pack("{s:s}", "status", "stored, not yet accepted"));
+		break;
+	case CST_CONFLICT:
+		ops_answer_error(
+		    w->request, ERR_CONFLICT, "the object has another version");
+		break;
+	case CST_INVALID:
+		answer_problems(w->request, text);
+		break;
+	case CST_UNRESOLVED:
+		ops_answer_error(w->request, ERR_STORE, NO_STORE);
+		break;
+	}
+	g_hash_table_remove(c->ops_changes, change);
+}
+
+void
+ctr_ops_on_list(struct ctl *c, const struct sth_result *r)
+{
+	gpointer tag = GUINT_TO_POINTER(CTR_TAG_N(r->tag));
+	struct ctr_wait *w = g_hash_table_lookup(c->ops_reports, tag);
+
+	if (w == NULL)
+		return;
+	ctr_show_report(c, w->request, r->err == ERR_NONE ? r->value : NULL);
+	g_hash_table_remove(c->ops_reports, tag);
+}
+
+static void
+get_report(struct ctl *c, struct ops_request *r)
+{
+	uint32_t tag = (uint32_t)++c->next_tag;
+
+	g_hash_table_replace(
+	    c->ops_reports, GUINT_TO_POINTER(tag), wait_new(c, r, NULL));
+	sth_list(c->sth, "report/", CTR_TAG(CTR_MOVE, tag));
+}
+
+/* Registers a request for an intent; answers it when another one waits. */
+static bool
+wait_for_intent(struct ctl *c, struct ops_request *r, const char *id)
+{
+	if (g_hash_table_contains(c->ops_intents, id)) {
+		ops_answer_error(r, ERR_CONFLICT,
+		    "another request for this intent is in progress");
+		return (false);
+	}
+	g_hash_table_replace(
+	    c->ops_intents, g_strdup(id), wait_new(c, r, NULL));
+	return (true);
+}
+
+/* "i-<wall ms in base 36>-<4 hex digits>" */
+static char *
+new_intent_id(struct ctl *c)
+{
+	static const char digits[] = "0123456789abcdefghijklmnopqrstuvwxyz";
+	uint64_t ms = (uint64_t)clk_wall_ms();
+	char text[16];
+	size_t at = sizeof(text) - 1;
+
+	text[at] = '\0';
+	do {
+		text[--at] = digits[ms % 36];
+		ms /= 36;
+	} while (ms != 0 && at > 0);
+	return (g_strdup_printf(
+	    "i-%s-%04x", text + at, rng_below(&c->rng, 1 << 16)));
+}
+
+static bool
+parse_intent(struct ctl *c, const json_t *body, struct cfi_intent *i,
+    struct bbuf *problems)
+{
+	static const char *const known[] = {"kind", "zone", "service",
+	    "version", "upstream", "slots", "upstreams", "due_ms", NULL};
+	json_t *o = json_is_object(body) ? json_copy((json_t *)(uintptr_t)body)
+					 : json_object();
+	char *id = new_intent_id(c);
+	bool ok;
+
+	jrd_known(o, known, "", problems);
+	json_object_set_new(o, "id", json_string(id));
+	ok = cfi_parse(i, o, problems) && problems->n == 0;
+	json_decref(o);
+	g_free(id);
+	return (ok);
+}
+
+static void
+declare(struct ctl *c, struct ops_request *r)
+{
+	struct itn_view view = ctr_move_view(c);
+	struct itn_out out = {0};
+	struct cfi_intent intent;
+	struct bbuf problems;
+
+	bbuf_init(&problems);
+	if (!parse_intent(c, r->body, &intent, &problems)) {
+		answer_problems(r, problems.p);
+	} else if (wait_for_intent(c, r, intent.id)) {
+		itn_declare(&c->itn, &intent, &view, c->now_ms, &out);
+		ctr_move_carry_out(c, &out);
+	}
+	cfi_finish(&intent);
+	bbuf_finish(&problems);
+}
+
+static void
+confirm(struct ctl *c, struct ops_request *r, const char *id)
+{
+	json_int_t shown =
+	    json_integer_value(json_object_get(r->body, "version"));
+	struct itn_view view = ctr_move_view(c);
+	struct itn_out out = {0};
+	uint64_t version = 0;
+
+	itn_get(&c->itn, id, &version);
+	if (shown > 0)
+		version = (uint64_t)shown;
+	if (!wait_for_intent(c, r, id))
+		return;
+	itn_confirm(&c->itn, id, version, &view, c->now_ms, &out);
+	ctr_move_carry_out(c, &out);
+}
+
+static void
+drop(struct ctl *c, struct ops_request *r, const char *id)
+{
+	struct itn_view view = ctr_move_view(c);
+	struct itn_out out = {0};
+
+	if (!wait_for_intent(c, r, id))
+		return;
+	itn_drop(&c->itn, id, &view, c->now_ms, &out);
+	ctr_move_carry_out(c, &out);
+}
+
+/* POST intents/<id>/confirm and intents/<id>/drop. */
+static void
+post_intent(struct ctl *c, struct ops_request *r)
+{
+	gchar **part = g_strsplit(r->path, "/", 3);
+	guint n = g_strv_length(part);
+
+	if (n == 3 && strcmp(part[2], "confirm") == 0)
+		confirm(c, r, part[1]);
+	else if (n == 3 && strcmp(part[2], "drop") == 0)
+		drop(c, r, part[1]);
+	else
+		ops_answer_error(r, ERR_NOT_FOUND, "no such path");
+	g_strfreev(part);
+}
+
+static bool
+check_value(const struct ctl *c, const char *key, const json_t *value,
+    struct bbuf *problems)
+{
+	struct cfg_service s;
+	bool ok = cob_check(key, value, problems);
+
+	if (!ok || value == NULL || !g_str_has_prefix(key, SERVICE_PREFIX))
+		return (ok);
+	ok = cfg_parse_service(&s, value, problems) &&
+	    cfg_check_refs(&s, cst_set(&c->cst), problems);
+	cfg_service_finish(&s);
+	return (ok);
+}
+
+static void
+write_object(
+    struct ctl *c, struct ops_request *r, json_t *value, uint64_t if_version)
+{
+	char *key = g_strdup(r->path);
+	char *change = g_strdup_printf("op-%.*s-%llu",
+	    BSTR_ARG(vmid_str(&c->self)), (unsigned long long)++c->next_change);
+	json_t *held = json_incref(value);
+	struct cst_out out = {0};
+
+	g_hash_table_replace(
+	    c->ops_changes, g_strdup(change), wait_new(c, r, key));
+	cst_write(&c->cst,
+	    &(struct cst_change){.id = change,
+		.key = key,
+		.value = held,
+		.if_version = if_version},
+	    c->now_ms, &out);
+	ctl_cst(c, &out);
+	cst_out_finish(&out);
+	json_decref(held);
+	g_free(change);
+	g_free(key);
+}
+
+static void
+put_object(struct ctl *c, struct ops_request *r)
+{
+	json_t *value = json_object_get(r->body, "value");
+	json_t *version = json_object_get(r->body, "if_version");
+	struct bbuf problems;
+
+	bbuf_init(&problems);
+	if (!json_is_object(value))
+		ops_answer_error(r, ERR_INVALID, "value: must be an object");
+	else if (version != NULL &&
+	    (!json_is_integer(version) || json_integer_value(version) < 0))
+		ops_answer_error(
+		    r, ERR_INVALID, "if_version: must be a version or 0");
+	else if (!check_value(c, r->path, value, &problems))
+		answer_problems(r, problems.p);
+	else
+		write_object(
+		    c, r, value, (uint64_t)json_integer_value(version));
+	bbuf_finish(&problems);
+}
+
+static void
+delete_object(struct ctl *c, struct ops_request *r)
+{
+	const struct cob_object *o = cob_find(&c->cst.objects, r->path);
+	json_int_t version =
+	    json_integer_value(json_object_get(r->body, "if_version"));
+
+	if (o == NULL || o->raw == NULL)
+		ops_answer_error(r, ERR_NOT_FOUND, "no such object");
+	else
+		write_object(
+		    c, r, NULL, version > 0 ? (uint64_t)version : o->version);
+}
+
+static void
+serve_change(struct ctl *c, struct ops_request *r)
+{
+	bool post = strcmp(r->method, "POST") == 0;
+	bool config = g_str_has_prefix(r->path, CONFIG_PREFIX) &&
+	    cob_is_replicated(r->path);
+
+	if (!ctl_is_fresh(c))
+		ops_answer_error(r, ERR_NOT_FRESH,
+		    "the configuration on this VM is not fresh");
+	else if (post && strcmp(r->path, INTENTS) == 0)
+		declare(c, r);
+	else if (post && g_str_has_prefix(r->path, INTENTS_PREFIX))
+		post_intent(c, r);
+	else if (config && strcmp(r->method, "PUT") == 0)
+		put_object(c, r);
+	else if (config && strcmp(r->method, "DELETE") == 0)
+		delete_object(c, r);
+	else
+		ops_answer_error(r, ERR_NOT_FOUND, "no such path");
+}
+
+void
+ctl_on_ops(struct ctl *c, struct mq_msg *m)
+{
+	struct ops_request *r = ops_request_of(m);
+
+	if (strcmp(r->method, "GET") != 0)
+		serve_change(c, r);
+	else if (strcmp(r->path, "report") == 0)
+		get_report(c, r);
+	else
+		ctr_show(c, r);
+}
--- /dev/null
+++ b/packages/control/ctr_show.c
@@ -0,0 +1,433 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "control/ctr_move.h"
+#include "slo/srp.h"
+#include "sys/clk.h"
+
+#define CONFIG_PREFIX "config/"
+#define INTENTS "intents"
+#define INTENTS_PREFIX "intents/"
+#define STORE_OK_MS 2000
+#define US_PER_MS 1000
+#define INCOMPLETE                                                             \
+	"The store does not respond: this report holds only what this VM has " \
+	"counted, the other VMs are missing."
+
+static json_t *
+text_json(struct bstr s)
+{
+	return (json_stringn(s.p == NULL ? "" : s.p, s.n));
+}
+
+static json_t *
+u64_json(uint64_t v)
+{
+	return (json_integer((json_int_t)v));
+}
+
+static json_t *
+optional_json(const char *s)
+{
+	return (s == NULL ? json_null() : json_string(s));
+}
+
+static const char *
+member_state_name(enum mbr_state s)
+{
+	static const char *const names[] = {
+	    [MBR_ALIVE] = "alive",
+	    [MBR_LEAVING] = "leaving",
+	    [MBR_SUSPECT] = "suspect",
+	    [MBR_DEAD] = "dead",
+	};
+
+	return (names[s]);
+}
+
+static const char *
+upstream_state_name(enum rt_state s)
+{
+	static const char *const names[] = {
+	    [RT_READY] = "ready",
+	    [RT_COLD] = "cold",
+	    [RT_DRAINING] = "draining",
+	    [RT_DOWN] = "down",
+	};
+
+	return (names[s]);
+}
+
+static json_t *
+members_json(const struct ctl *c)
+{
+	struct mbr_info *all = g_new(struct mbr_info, MBR_MAX_MEMBERS);
+	uint32_t n = mbr_all(&c->mbr, all, MBR_MAX_MEMBERS);
+	json_t *a = json_array();
+
+	for (uint32_t i = 0; i < n; i++)
+		json_array_append_new(a,
+		    json_pack("{s:o,s:o,s:o,s:s}", "id",
+			text_json(vmid_str(&all[i].id)), "zone",
+			text_json(mbr_str(&all[i].zone)), "peer",
+			text_json(mbr_str(&all[i].addr)), "state",
+			member_state_name(all[i].state)));
+	g_free(all);
+	return (a);
+}
+
+static json_t *
+partitions_json(const struct ctl *c)
+{
+	int owned = 0, unowned = 0;
+
+	for (uint32_t i = 0; i < PRT_COUNT; i++) {
+		struct vmid owner = prt_owner(&c->prt, i);
+
+		owned += vmid_eq(&owner, &c->self);
+		unowned += vmid_is_none(&owner);
+	}
+	return (json_pack("{s:i,s:i,s:i}", "all", PRT_COUNT, "owned", owned,
+	    "without_owner", unowned));
+}
+
+static json_t *
+problems_json(const struct ctl *c)
+{
+	json_t *o = json_object();
+	GHashTableIter it;
+	gpointer key, value;
+
+	if (c->problems == NULL)
+		return (o);
+	g_hash_table_iter_init(&it, c->problems);
+	while (g_hash_table_iter_next(&it, &key, &value))
+		json_object_set_new(o, key, optional_json(value));
+	return (o);
+}
+
+static json_t *
+running_json(const struct ctl *c)
+{
+	json_t *a = json_array();
+	GHashTableIter it;
+	gpointer key;
+
+	g_hash_table_iter_init(&it, c->itn.intents);
+	while (g_hash_table_iter_next(&it, &key, NULL)) {
+		const struct cfi_intent *i = itn_get(&c->itn, key, NULL);
+
+		if (i != NULL && i->state != CFI_PROPOSED &&
+		    !cfi_is_final(i->state))
+			json_array_append_new(a, itn_report(&c->itn, i->id));
+	}
+	return (a);
+}
+
+static json_t *
+freshness_json(const struct ctl *c)
+{
+	int64_t as_of = frs_fresh_as_of(&c->frs);
+
+	if (as_of == FRS_NEVER)
+		return (json_null());
+	return (json_integer(c->now_ms - as_of));
+}
+
+static void
+show_status(struct ctl *c, struct ops_request *r)
+{
+	json_t *o = json_object();
+
+	json_object_set_new(o, "vm", text_json(vmid_str(&c->self)));
+	json_object_set_new(o, "zone", optional_json(c->desc.set->zone));
+	json_object_set_new(o, "fresh", json_boolean(ctl_is_fresh(c)));
+	json_object_set_new(o, "fresh_age_ms", freshness_json(c));
+	json_object_set_new(o, "leaving", json_boolean(c->leaving));
+	json_object_set_new(o, "members", members_json(c));
+	json_object_set_new(
+	    o, "majority_base", json_integer(mbr_base(&c->mbr)));
+	json_object_set_new(o, "majority", json_integer(mbr_majority(&c->mbr)));
+	json_object_set_new(o, "partitions", partitions_json(c));
+	json_object_set_new(o, "store_reachable",
+	    json_boolean(c->now_ms - c->store_ok_ms < STORE_OK_MS));
+	json_object_set_new(
+	    o, "config_version", u64_json(cst_digest(&c->cst).highest));
+	json_object_set_new(o, "problems", problems_json(c));
+	json_object_set_new(o, "intents", running_json(c));
+	ops_answer(r, 200, o);
+}
+
+static json_t *
+upstream_json(const struct ctl_upstream *u, int64_t now_us)
+{
+	int64_t reported_us = atomic_load(&u->stat->reported_us);
+	json_t *o = json_pack("{s:s,s:s,s:s,s:s,s:s,s:s}", "id", u->id, "addr",
+	    u->addr, "service", u->service, "version", u->version, "zone",
+	    u->zone, "state", upstream_state_name(ctl_upstream_state(u)));
+
+	json_object_set_new(o, "slots", json_integer(u->slots));
+	json_object_set_new(
+	    o, "in_flight", json_integer(atomic_load(&u->stat->in_flight)));
+	json_object_set_new(o, "reported_load",
+	    reported_us == 0 ? json_null()
+			     : json_integer(atomic_load(&u->stat->reported)));
+	json_object_set_new(o, "reported_age_ms",
+	    reported_us == 0
+		? json_null()
+		: json_integer((now_us - reported_us) / US_PER_MS));
+	json_object_set_new(o, "good", u64_json(atomic_load(&u->stat->good)));
+	json_object_set_new(
+	    o, "failed", u64_json(atomic_load(&u->stat->failed)));
+	json_object_set_new(o, "slow", u64_json(atomic_load(&u->stat->slow)));
+	return (o);
+}
+
+static int
+compare_upstreams(gconstpointer a, gconstpointer b)
+{
+	const struct ctl_upstream *const *x = a;
+	const struct ctl_upstream *const *y = b;
+	int by_service = strcmp((*x)->service, (*y)->service);
+
+	return (by_service != 0 ? by_service : strcmp((*x)->id, (*y)->id));
+}
+
+static void
+show_upstreams(struct ctl *c, struct ops_request *r)
+{
+	GPtrArray *sorted = g_ptr_array_new();
+	int64_t now_us = clk_mono_us();
+	json_t *a = json_array();
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, c->upstreams);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		g_ptr_array_add(sorted, value);
+	g_ptr_array_sort(sorted, compare_upstreams);
+	for (guint i = 0; i < sorted->len; i++)
+		json_array_append_new(
+		    a, upstream_json(sorted->pdata[i], now_us));
+	g_ptr_array_free(sorted, TRUE);
+	ops_answer(r, 200, json_pack("{s:o}", "upstreams", a));
+}
+
+static int
+compare_intents(gconstpointer a, gconstpointer b)
+{
+	const struct cfi_intent *const *x = a;
+	const struct cfi_intent *const *y = b;
+
+	if ((*x)->created_ms != (*y)->created_ms)
+		return ((*x)->created_ms < (*y)->created_ms ? -1 : 1);
+	return (strcmp((*x)->id, (*y)->id));
+}
+
+static json_t *
+intent_line(const struct ctl *c, const struct cfi_intent *i)
+{
+	json_t *o = itn_report(&c->itn, i->id);
+
+	json_object_set_new(o, "id", json_string(i->id));
+	json_object_set_new(o, "created_ms", json_integer(i->created_ms));
+	json_object_del(o, "intent");
+	return (o);
+}
+
+static void
+show_intents(struct ctl *c, struct ops_request *r)
+{
+	GPtrArray *sorted = g_ptr_array_new();
+	json_t *a = json_array();
+	GHashTableIter it;
+	gpointer key;
+
+	g_hash_table_iter_init(&it, c->itn.intents);
+	while (g_hash_table_iter_next(&it, &key, NULL))
+		g_ptr_array_add(
+		    sorted, (gpointer)(uintptr_t)itn_get(&c->itn, key, NULL));
+	g_ptr_array_sort(sorted, compare_intents);
+	for (guint i = 0; i < sorted->len; i++)
+		json_array_append_new(a, intent_line(c, sorted->pdata[i]));
+	g_ptr_array_free(sorted, TRUE);
+	ops_answer(r, 200, json_pack("{s:o}", "intents", a));
+}
+
+/* Why a confirmed intent does not advance, NULL when nothing is known. */
+static const char *
+why_stuck(const struct ctl *c, const struct cfi_intent *i, const json_t *report)
+{
+	struct vmid owner = prt_owner(&c->prt, prt_of(bstr_from(i->id)));
+
+	if (cfi_is_final(i->state))
+		return (NULL);
+	if (i->state != CFI_PROPOSED &&
+	    (vmid_is_none(&owner) || mbr_state(&c->mbr, &owner) == MBR_DEAD))
+		return ("no live VM is its executor");
+	return (json_string_value(json_object_get(report, "why")));
+}
+
+static void
+show_intent(struct ctl *c, struct ops_request *r, const char *id)
+{
+	uint64_t version = 0;
+	const struct cfi_intent *i = itn_get(&c->itn, id, &version);
+	json_t *o, *report;
+	const char *why;
+
+	if (i == NULL) {
+		ops_answer_error(r, ERR_NOT_FOUND, "no such intent");
+		return;
+	}
+	o = cfi_print(i);
+	report = itn_report(&c->itn, id);
+	why = why_stuck(c, i, report);
+	json_object_set_new(o, "object_version", u64_json(version));
+	json_object_set_new(o, "stuck", json_boolean(why != NULL));
+	if (why != NULL)
+		json_object_set_new(o, "reason", json_string(why));
+	json_object_set_new(o, "report", report);
+	ops_answer(r, 200, o);
+}
+
+static void
+show_objects(struct ctl *c, struct ops_request *r)
+{
+	const GPtrArray *order = c->cst.objects.order;
+	json_t *a = json_array();
+
+	for (guint i = 0; i < order->len; i++) {
+		const struct cob_object *o = order->pdata[i];
+
+		if (!g_str_has_prefix(o->key, CONFIG_PREFIX) || o->raw == NULL)
+			continue;
+		json_array_append_new(a,
+		    json_pack("{s:s,s:o,s:o}", "key", o->key, "version",
+			u64_json(o->version), "effect", u64_json(o->effect)));
+	}
+	ops_answer(r, 200, json_pack("{s:o}", "objects", a));
+}
+
+static void
+show_object(struct ctl *c, struct ops_request *r)
+{
+	const struct cob_object *o = cob_find(&c->cst.objects, r->path);
+	json_t *v;
+
+	if (o == NULL || (o->raw == NULL && o->value == NULL)) {
+		ops_answer_error(r, ERR_NOT_FOUND, "no such object");
+		return;
+	}
+	v = json_pack("{s:s,s:o,s:o,s:O?}", "key", o->key, "version",
+	    u64_json(o->version), "effect", u64_json(o->effect), "value",
+	    o->value);
+	if (o->problem != NULL) {
+		json_object_set_new(v, "problem", json_string(o->problem));
+		json_object_set_new(v, "newest",
+		    o->raw == NULL ? json_null() : json_incref(o->raw));
+	}
+	ops_answer(r, 200, v);
+}
+
+void
+ctr_show(struct ctl *c, struct ops_request *r)
+{
+	if (strcmp(r->path, "status") == 0)
+		show_status(c, r);
+	else if (strcmp(r->path, "upstreams") == 0)
+		show_upstreams(c, r);
+	else if (strcmp(r->path, INTENTS) == 0)
+		show_intents(c, r);
+	else if (g_str_has_prefix(r->path, INTENTS_PREFIX))
+		show_intent(c, r, r->path + strlen(INTENTS_PREFIX));
+	else if (strcmp(r->path, "config") == 0)
+		show_objects(c, r);
+	else if (g_str_has_prefix(r->path, CONFIG_PREFIX))
+		show_object(c, r);
+	else
+		ops_answer_error(r, ERR_NOT_FOUND, "no such path");
+}
+
+/* The own object in the store is older than the counters here. */
+static void
+add_reports(const struct ctl *c, struct srp *merged, const json_t *list)
+{
+	char *own =
+	    g_strdup_printf("report/%.*s", BSTR_ARG(vmid_str(&c->self)));
+	json_t *objects = json_object_get(list, "objects");
+	json_t *o, *mine;
+	size_t i;
+
+	json_array_foreach(objects, i, o)
+	{
+		if (g_strcmp0(
+			json_string_value(json_object_get(o, "key")), own) != 0)
+			srp_add(merged, json_object_get(o, "value"));
+	}
+	mine = slo_print(&c->slo, clk_wall_ms());
+	srp_add(merged, mine);
+	json_decref(mine);
+	g_free(own);
+}
+
+static void
+answer_html(struct ops_request *r, const json_t *report, bool whole)
+{
+	static const char body[] = "<body>";
+	struct bbuf page, out;
+	const char *at;
+
+	bbuf_init(&page);
+	bbuf_init(&out);
+	srp_html(report, &page);
+	at = whole || page.p == NULL ? NULL : strstr(page.p, body);
+	if (at != NULL) {
+		size_t head = (size_t)(at - page.p) + strlen(body);
+
+		bbuf_add(&out, (struct bstr){page.p, head});
+		bbuf_add(&out, BSTR("<p><strong>" INCOMPLETE "</strong></p>"));
+		bbuf_drop_front(&page, head);
+	}
+	bbuf_add(&out, bbuf_str(&page));
+	ops_answer_text(r, 200, "text/html; charset=utf-8", bbuf_str(&out));
+	bbuf_finish(&out);
+	bbuf_finish(&page);
+}
+
+static void
+answer_text(struct ops_request *r, const json_t *report, bool whole)
+{
+	struct bbuf out;
+
+	bbuf_init(&out);
+	if (!whole)
+		bbuf_add(&out, BSTR(INCOMPLETE "\n\n"));
+	srp_text(report, &out);
+	ops_answer_text(r, 200, "text/plain; charset=utf-8", bbuf_str(&out));
+	bbuf_finish(&out);
+}
+
+void
+ctr_show_report(struct ctl *c, struct ops_request *r, const json_t *list)
+{
+	bool whole = list != NULL;
+	struct srp merged;
+	json_t *report;
+
+	srp_init(&merged);
+	add_reports(c, &merged, list);
+	report = srp_report(&merged, clk_wall_ms());
+	srp_finish(&merged);
+	if (strcmp(r->format, "json") == 0) {
+		json_object_set_new(report, "incomplete",
+		    whole ? json_null() : json_string(INCOMPLETE));
+		ops_answer(r, 200, report);
+		return;
+	}
+	if (strcmp(r->format, "html") == 0)
+		answer_html(r, report, whole);
+	else
+		answer_text(r, report, whole);
+	json_decref(report);
+}
