Add fault scripts for the integrated daemon

SEEDS=n repeats a script with other seeds. The scripts themselves have not been run against the integrated daemon yet.

t-path.sh lists its VM, sets a token and waits until calls are no longer refused, because a VM without a configuration refuses them with 503.

--- a/tests/script/demo.sh
+++ b/tests/script/demo.sh
@@ -59,29 +59,6 @@
 	measured_from=$SECONDS
 }
 
-# intent_is ID STATE...
-intent_is() {
-	local id=$1 state
-	shift
-	state=$(ctl show "$id" --json | jget state) || return 1
-	case " $* " in *" $state "*) return 0 ;; esac
-	return 1
-}
-
-# declare_and_confirm ARGS...: sets $intent; fails when it is not accepted.
-declare_and_confirm() {
-	intent=$(ctl declare "$@" --json | jget id) || return 1
-	ctl confirm "$intent" --wait 10 >/dev/null
-}
-
-# mark_zone ZONE JSON: counts new work of the upstreams of a zone as late.
-mark_zone() {
-	local name
-	for name in menu order report; do
-		ups_set "$name" "{\"upstream\":$(zone_indexes "$name" "$1"),\"mark\":$2}"
-	done
-}
-
 late_work() {
 	ups_sum late
 }
--- a/tests/script/lib.sh
+++ b/tests/script/lib.sh
@@ -22,8 +22,20 @@
 failed=0
 pids=()
 
+# Runs the script once for each of $SEEDS seeds from $SEED on.
+lib_soak() {
+	local first=${SEED:-$((RANDOM * 32768 + RANDOM))} i broken=0
+	for i in $(seq "$SEEDS"); do
+		SEEDS='' SEED=$((first + i - 1)) "$0" "$@" || broken=$((broken + 1))
+	done
+	echo "$broken of $SEEDS seeds broken"
+	[ "$broken" -eq 0 ]
+	exit
+}
+
 # Prepares a run: build folder, scratch folder, seed (from $SEED or random).
 lib_init() {
+	[ -n "${SEEDS:-}" ] && lib_soak "$@"
 	build=$1
 	dir=$(mktemp -d)
 	seed=${SEED:-$((RANDOM * 32768 + RANDOM))}
@@ -35,6 +47,11 @@
 	trap lib_cleanup EXIT
 	trap 'exit 130' INT TERM
 	echo "seed $seed"
+	RANDOM=$((seed % 32768)) # draws of the script follow the seed
+}
+
+now_ms() {
+	echo $((${EPOCHREALTIME/./} / 1000))
 }
 
 lib_cleanup() {
@@ -191,9 +208,9 @@
 	echo "[$out]"
 }
 
-# put_service NAME HOST UPSTREAMS [VERSIONS]: one or two versions, v1 has all
-# traffic. Routes match the kinds of the load tool.
-put_service() {
+# service_json NAME HOST[,HOST] UPSTREAMS [VERSIONS]: one or two versions, v1 has
+# all traffic. Routes match the kinds of the load tool.
+service_json() {
 	local list='' i=0 p version versions='{"name":"v1","share":1000}'
 	[ "${4:-1}" = 2 ] && versions=$versions',{"name":"v2","share":0}'
 	for p in ${UPS_PORTS[$3]}; do
@@ -203,8 +220,8 @@
 		    "$1" "$i" "$p" "$(ups_zone "$i")" "$version")
 		i=$((i + 1))
 	done
-	put_object "config/service/$1" "$(cat <<-JSON
-		{"name":"$1","hosts":["$2"],"change":"$1-$seed","slots":6,
+	cat <<-JSON
+		{"name":"$1","hosts":["${2//,/\",\"}"],"change":"$1-$seed","slots":6,
 		 "routes":[{"prefix":"/","idempotent":true,"timeout_ms":2000},
 		  {"prefix":"/pay","idempotent":false,"timeout_ms":2000},
 		  {"prefix":"/upload","idempotent":false,"timeout_ms":10000},
@@ -212,7 +229,35 @@
 		 "slo":{"target":0.999,"latency_ms":100},
 		 "versions":[$versions],"upstreams":[$list],"move":null}
 	JSON
-	)"
+}
+
+# put_service ARGS...: as service_json, written into the store.
+put_service() {
+	put_object "config/service/$1" "$(service_json "$@")"
+}
+
+# put_limits JSON-MEMBERS
+put_limits() {
+	put_object config/limits "{\"change\":\"limits-$seed\",$1}"
+}
+
+# object_version KEY: version in the store, 0 when there is none.
+object_version() {
+	curl -sf "http://127.0.0.1:$store/objects/$1" | jget version || echo 0
+}
+
+# partition_owner: number of the VM that owns most partitions.
+partition_owner() {
+	curl -sf "http://127.0.0.1:$store/objects/part/table" |
+	    jget $(seq -f 'value.parts.%g.owner' 0 63) |
+	    sed 's/@.*//; s/^vm//' | sort | uniq -c | sort -rn |
+	    awk 'NR == 1 { print $2 }'
+}
+
+# Whether every partition has an owner.
+partitions_owned() {
+	[ "$(curl -sf "http://127.0.0.1:$store/objects/part/table" |
+	    jget $(seq -f 'value.parts.%g.owner' 0 63) | grep -c .)" -eq 64 ]
 }
 
 put_zones() {
@@ -241,7 +286,8 @@
 	cat >"$dir/vm$i.json" <<-JSON
 		{"id":"vm$i","zone":"${VM_ZONE[$i]}","seed":$((seed + i)),
 		 "listen":{"addr":"127.0.0.1","port":${VM_PORT[$i]}},
-		 "peer":{"addr":"127.0.0.1","port":${VM_PEER[$i]}},
+		 "peer":{"addr":"127.0.0.1","port":${VM_PEER[$i]},
+		  "allow":["127.0.0.1"]},
 		 "ops":{"addr":"127.0.0.1","port":${VM_OPS[$i]},"token":"$token"},
 		 "platform":{"addr":"127.0.0.1","port":${VM_STORE[$i]:-$store}}}
 	JSON
@@ -347,35 +393,75 @@
 	return $rc
 }
 
+# ctl_vm I ARGS...: camphorctl against VM I.
+ctl_vm() {
+	local i=$1
+	shift
+	timeout 30 "$build/camphorctl" --ops "127.0.0.1:${VM_OPS[$i]}" \
+	    --token "$token" "$@"
+}
+
 # ctl ARGS...: camphorctl against the first VM that runs.
 ctl() {
 	local i
 	for i in "${!VM_PID[@]}"; do
 		[ -n "${VM_PID[$i]}" ] && break
 	done
-	"$build/camphorctl" --ops "127.0.0.1:${VM_OPS[$i]}" --token "$token" "$@"
+	ctl_vm "$i" "$@"
+}
+
+# intent_is ID STATE...
+intent_is() {
+	local id=$1 state
+	shift
+	state=$(ctl show "$id" --json | jget state) || return 1
+	case " $* " in *" $state "*) return 0 ;; esac
+	return 1
+}
+
+# declare_and_confirm ARGS...: sets $intent; fails when it is not accepted.
+declare_and_confirm() {
+	intent=$(ctl declare "$@" --json | jget id) || return 1
+	ctl confirm "$intent" --wait 10 >/dev/null
+}
+
+# mark_zone ZONE JSON: counts new work of the upstreams of a zone as late.
+mark_zone() {
+	local name
+	for name in "${!UPS_ADMIN[@]}"; do
+		ups_set "$name" "{\"upstream\":$(zone_indexes "$name" "$1"),\"mark\":$2}"
+	done
 }
 
 # write_plan FILE UPSTREAMS:HOST:WEIGHT...: plan for all VMs and services;
-# $kinds is JSON of the kinds, empty for the default mix.
+# $kinds is JSON of the kinds, empty for the default mix; $plan_order are the
+# VMs in the order of their turns, empty for all.
 kinds=
+plan_order=
 write_plan() {
-	local file=$1 part name host weight services='' entries='' direct i
+	local file=$1 part name host weight services='' entries='' direct i ops=1
 	shift
+	[ "${#VM_PID[@]}" -gt 0 ] && ! vm_has_ops 1 && ops=0
 	for part in "$@"; do
 		IFS=: read -r name host weight <<<"$part"
 		direct=$(printf '"127.0.0.1:%s",' ${UPS_PORTS[$name]} | sed 's/,$//')
 		services=$services${services:+,}"{\"host\":\"$host\",\"weight\":$weight,\"direct\":[$direct]}"
 	done
-	for i in "${!VM_PID[@]}"; do
+	for i in ${plan_order:-${!VM_PID[@]}}; do
 		entries=$entries${entries:+,}"{\"addr\":\"127.0.0.1:${VM_PORT[$i]}\""
-		vm_has_ops "$i" && entries=$entries",\"ops\":\"127.0.0.1:${VM_OPS[$i]}\""
+		[ "$ops" = 1 ] && entries=$entries",\"ops\":\"127.0.0.1:${VM_OPS[$i]}\""
 		entries=$entries"}"
 	done
 	echo "{\"services\":[$services],\"entries\":[$entries]${kinds:+,\"kinds\":$kinds}}" >"$file"
 	plan=$file
 }
 
+# vm_status I HOST [PATH]: HTTP status of a call through VM I, 000 for none.
+vm_status() {
+	curl -s -m 2 -o /dev/null -w '%{http_code}' -H "Host: $2" \
+	    "http://127.0.0.1:${VM_PORT[$1]}${3:-/lookup/1}"
+}
+
 # start_load LABEL ARGS...: callers in the background; sets $load_pid.
 start_load() {
 	local label=$1
--- a/tests/script/t-path.sh
+++ b/tests/script/t-path.sh
@@ -47,17 +47,22 @@
 JSON
 curl -sf -X PUT -H 'If-Match: 0' --data-binary "@$dir/svc.json" \
     "http://127.0.0.1:$store/objects/config/service/menu" >/dev/null
+curl -sf -o /dev/null --data-binary \
+    '{"vms":[{"id":"vm1","zone":"a","peer":"127.0.0.1:'"$p2"'","state":"live"}]}' \
+    "http://127.0.0.1:$store/admin"
 cat >"$dir/vm1.json" <<JSON
 {"id":"vm1","zone":"a","listen":{"addr":"127.0.0.1","port":$p1},
- "peer":{"addr":"127.0.0.1","port":$p2},"ops":{"addr":"127.0.0.1","port":$p3},
+ "peer":{"addr":"127.0.0.1","port":$p2},"ops":{"addr":"127.0.0.1","port":$p3,"token":"path"},
  "platform":{"addr":"127.0.0.1","port":$store}}
 JSON
 "$build/camphorhollowd" --check-settings "$dir/vm1.json"
 "$build/camphorhollowd" --settings "$dir/vm1.json" >"$dir/vm1.log" 2>&1 &
 daemon=$!
 pids+=($daemon)
+# Calls are refused with 503 until the VM has read its configuration.
 for _ in $(seq 200); do
-	curl -s -o /dev/null "http://127.0.0.1:$p1/" && break
+	code=$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.1:$p1/") || true
+	[ "$code" = 404 ] && break
 	sleep 0.05
 done
 for i in $(seq 20); do
--- a/tests/script/t-standin.sh
+++ b/tests/script/t-standin.sh
@@ -83,6 +83,10 @@
 run_load lost --direct --closed 4 --seconds 60 --calls 400
 judge "lost answers are retried" "$(load_get lost all retries)" -eq 20
 judge "each retry ran again and is counted" "$(ups_sum duplicates)" -eq 20
+before=$(ups_sum duplicates)
+run_load same --direct --rate 400 --seconds 60 --calls 100 --ids same
+run_load again --direct --rate 400 --seconds 60 --calls 100 --ids same
+judge "runs with the same ids send the same keys" $(($(ups_sum duplicates) - before)) -eq 100
 ups_set u '{"queue_limit":0,"slots":0}'
 run_load shed --direct --closed 4 --seconds 60 --calls 20 --tries 2
 judge "shed payments are told not-run" "$(load_get shed all keys_not_run)" -eq 20
--- /dev/null
+++ b/tests/script/t-zone.sh
@@ -0,0 +1,61 @@
+#!/usr/bin/env bash
+# Drain and return of a zone. One VM is frozen from before the drain until after
+# its bound, another starts while the store is down. Guards against a VM that
+# sends work to the zone from an old configuration (G3).
+set -u
+. "$(dirname "$0")/lib.sh"
+lib_init "$1"
+
+bound_ms=5000 # "a few seconds" of guarantee G3
+zone=b
+
+zone_received() {
+	local i total=0 v
+	for i in $(zone_indexes u "$zone" | tr -d '[]' | tr , ' '); do
+		v=$(ups_stat u "upstreams.$i.received") || return 1
+		total=$((total + v))
+	done
+	echo "$total"
+}
+
+zone_gets_work() {
+	[ "$(zone_received)" -gt "$before" ]
+}
+
+start_store || exit 1
+start_upstreams u 9 --service-us 3000 || exit 1
+put_zones
+put_service u u.example u
+start_vms 6 || exit 1
+kinds='{"lookup":{"weight":3,"timeout_ms":1000},"pay":{"weight":1,"timeout_ms":1000}}'
+write_plan "$dir/plan.json" u:u.example:1
+kill_vm 6
+late_vm=6
+frozen=$((RANDOM % 4 + 2))
+start_load drain --rate 300 --seconds 11
+sleep 1
+freeze_vm "$frozen"
+declare_and_confirm drain-zone "$zone"
+judge "drain is accepted" $? -eq 0
+mark_zone "$zone" "{\"grace_ms\":$bound_ms}"
+store_admin '{"outage":true}'
+start_vm "$late_vm"
+sleep 6
+resume_vm "$frozen"
+sleep 2
+store_admin '{"outage":false}'
+end_load
+judge "work received by the zone after $bound_ms ms" "$(ups_sum late)" -eq 0
+judge "calls that succeeded" "$(load_get drain all ok)" -gt 1000
+judge "wrong answers" "$(load_sum wrong)" -eq 0
+judge "payments run twice" "$(ups_sum duplicates)" -eq 0
+mark_zone "$zone" null
+wait_vm "$late_vm" 30
+judge "the VM started in the outage routes" $? -eq 0
+before=$(zone_received)
+declare_and_confirm return-zone "$zone"
+judge "return is accepted" $? -eq 0
+run_load return --rate 300 --seconds 2
+wait_until 1 zone_gets_work
+judge "the zone gets work again" $? -eq 0
+lib_finish
--- a/tests/standin/callers.c
+++ b/tests/standin/callers.c
@@ -76,7 +76,7 @@
 	bool stopping;
 	FILE *not_run;
 	/* Options. */
-	const char *plan_path, *out_path, *not_run_path;
+	const char *plan_path, *out_path, *not_run_path, *ids;
 	double rate;
 	int64_t closed;
 	double seconds;
@@ -233,8 +233,7 @@
 	c->pause.fn = on_pause;
 	c->service = draw_service(ld);
 	c->start_us = start_us;
-	/* The process id keeps keys of different runs apart. */
-	snprintf(c->id, sizeof(c->id), "%d-%llu-%llu", (int)getpid(),
+	snprintf(c->id, sizeof(c->id), "%s-%llu-%llu", ld->ids,
 	    (unsigned long long)ld->seed, (unsigned long long)ld->started);
 	c->try = (struct cx){.kind = draw_kind(ld),
 	    .host = ld->plan.services[c->service].host,
@@ -358,18 +357,23 @@
 static void
 usage(FILE *out)
 {
-	fputs("usage: callers --plan FILE (--rate PER_S | --closed N)\n"
-	      "  --seconds S     length of the load phase (10)\n"
-	      "  --calls N       at most this many calls (5000000)\n"
-	      "  --conns N       connections to one target (250)\n"
-	      "  --tries N       attempts of a payment before asking (5)\n"
-	      "  --seed N        of arrivals and kinds (1)\n"
-	      "  --direct        call the upstreams themselves\n"
-	      "  --label TEXT    name of the run in the report\n"
-	      "  --out FILE      append the report as JSON lines\n"
-	      "  --not-run FILE  append keys whose every attempt was told "
-	      "not-run\n"
-	      "  --quiet         print no table\n",
+	fputs(
+	    "usage: callers --plan FILE (--rate PER_S | --closed N)\n"
+	    "  --seconds S     length of the load phase (10)\n"
+	    "  --calls N       at most this many calls (5000000)\n"
+	    "  --conns N       connections to one target (250)\n"
+	    "  --tries N       attempts of a payment before asking (5)\n"
+	    "  --seed N        of arrivals and kinds (1)\n"
+	    "  --ids TEXT      start of the request ids; two runs with the "
+	    "same\n"
+	    "                  ids, seed and rate send the same keys (process "
+	    "id)\n"
+	    "  --direct        call the upstreams themselves\n"
+	    "  --label TEXT    name of the run in the report\n"
+	    "  --out FILE      append the report as JSON lines\n"
+	    "  --not-run FILE  append keys whose every attempt was told "
+	    "not-run\n"
+	    "  --quiet         print no table\n",
 	    out);
 }
 
@@ -389,6 +393,9 @@
 	case 'k':
 		ld->not_run_path = optarg;
 		return (true);
+	case 'i':
+		ld->ids = optarg;
+		return (true);
 	case 'd':
 		ld->direct = true;
 		return (true);
@@ -442,6 +449,7 @@
 	    {"conns", required_argument, NULL, 'm'},
 	    {"tries", required_argument, NULL, 't'},
 	    {"seed", required_argument, NULL, 'e'},
+	    {"ids", required_argument, NULL, 'i'},
 	    {"direct", no_argument, NULL, 'd'},
 	    {"label", required_argument, NULL, 'l'},
 	    {"out", required_argument, NULL, 'o'},
@@ -487,7 +495,11 @@
 	    .rep.label = "run"};
 	struct bbuf problem;
 	struct rlimit lim;
+	char own_ids[24];
 
+	/* The process id keeps keys of different runs apart. */
+	snprintf(own_ids, sizeof(own_ids), "%d", (int)getpid());
+	ld.ids = own_ids;
 	if (!parse(&ld, argc, argv)) {
 		usage(stderr);
 		return (2);
