--- a/packages/control/ctl.c
+++ b/packages/control/ctl.c
@@ -267,6 +267,9 @@
 				drain_inbox(c);
 		}
 		lnk_run(&c->lnk, c->now_ms);
+		/* A request must not pass the freshness check on an old table.
+		 */
+		ctl_rebuild(c);
 		publish_freshness(c);
 	}
 	rcu_unregister_thread();
--- a/packages/control/ctr.h
+++ b/packages/control/ctr.h
@@ -105,7 +105,7 @@
  * @next_cold_members_ms: when cold is told the members again
  * @tallies: "service route version" -> struct rt_tally
  * @refused: service -> struct rt_tally of calls that this VM refused
- * @table_dirty: the routing table is rebuilt at the end of the tick
+ * @table_dirty: the routing table is rebuilt before the next freshness limit
  * @store_ok_ms: last answer of the store
  * @claims: claim id -> struct cmsg_claim that waits for its verdict
  * @ops_changes: change id -> struct ops_request that waits for acceptance
@@ -223,6 +223,9 @@
 /** ctl_cst() - carry out and clear the effects of cst */
 void ctl_cst(struct ctl *c, struct cst_out *out);
 
+/** ctl_rebuild() - rebuild and publish the routing table if it changed */
+void ctl_rebuild(struct ctl *c);
+
 /** ctl_digest() - digest of the configuration held, as frs wants it */
 struct frs_digest ctl_digest(const struct ctl *c);
 
--- a/packages/control/ctr_config.c
+++ b/packages/control/ctr_config.c
@@ -380,7 +380,14 @@
 	ctl_cst(c, &out);
 	/* Shares also depend on the wall clock: a move may pass its due time.
 	 */
-	if (!c->table_dirty && c->now_ms < c->next_rebuild_ms)
+	if (c->now_ms >= c->next_rebuild_ms)
+		c->table_dirty = true;
+}
+
+void
+ctl_rebuild(struct ctl *c)
+{
+	if (!c->table_dirty)
 		return;
 	c->table_dirty = false;
 	c->next_rebuild_ms = c->now_ms + REBUILD_MS;
