Test operator requests, intents and moves of the control thread

Cause: the controller of intents and moves had never run.

Ruled out: the real operator server, because the tests need to count answers and to advance the time themselves.

--- /dev/null
+++ b/tests/unit/ctr_move_rig.h
@@ -0,0 +1,354 @@
+/*
+ * ctr_move_rig - operator requests, intents and moves without other threads.
+ *
+ * Replaces the other controllers, the store thread and the operator server, and
+ * counts the answers to requests. Included by one test program.
+ */
+#ifndef UNIT_CTR_MOVE_RIG_H
+#define UNIT_CTR_MOVE_RIG_H
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdlib.h>
+
+#include "control/ctr_move.h"
+
+#define START_MS 100000
+#define TICK_MS 50
+
+static const char zones[] =
+    "{\"zones\":[{\"name\":\"a\",\"state\":\"in\"},{\"name\":\"b\","
+    "\"state\":\"in\"},{\"name\":\"c\",\"state\":\"in\"}]}";
+static const char menu[] =
+    "{\"name\":\"menu\",\"hosts\":[\"menu\"],\"routes\":[{\"prefix\":\"/\","
+    "\"idempotent\":true}],\"versions\":[{\"name\":\"v1\",\"share\":1000},"
+    "{\"name\":\"v2\",\"share\":0}],\"upstreams\":["
+    "{\"id\":\"m1\",\"addr\":\"127.0.0.1:1\",\"zone\":\"a\",\"version\":"
+    "\"v1\"},{\"id\":\"m2\",\"addr\":\"127.0.0.1:2\",\"zone\":\"b\","
+    "\"version\":\"v1\"},{\"id\":\"n1\",\"addr\":\"127.0.0.1:5\",\"zone\":"
+    "\"a\",\"version\":\"v2\"},{\"id\":\"n2\",\"addr\":\"127.0.0.1:6\","
+    "\"zone\":\"b\",\"version\":\"v2\"}]}";
+
+/*
+ * The control thread with a store that answers at once, or not at all; the
+ * functions of the other controllers are replaced below.
+ */
+static struct rig {
+	struct ctl c;
+	struct set set;
+	GHashTable *store; /* key -> version */
+	uint64_t revision;
+	bool store_up;
+	bool fresh;
+	bool executor;
+	int waiting; /* requests without an answer */
+	unsigned status;
+	json_t *answer;
+	char *text;
+	uint64_t list_tag;
+	uint64_t put_tag;
+	int puts;
+	int gets;
+	struct vmid sent_to;
+	int sent;
+} rig;
+
+struct ops_request *
+ops_request_of(struct mq_msg *m)
+{
+	return (caa_container_of(m, struct ops_request, m));
+}
+
+static void
+request_free(struct ops_request *r)
+{
+	assert_true(rig.waiting > 0);
+	rig.waiting--;
+	json_decref(r->body);
+	free(r->method);
+	free(r->path);
+	free(r->format);
+	free(r);
+}
+
+void
+ops_answer(struct ops_request *r, unsigned status, json_t *value)
+{
+	assert_non_null(value);
+	json_decref(rig.answer);
+	rig.answer = value;
+	rig.status = status;
+	request_free(r);
+}
+
+void
+ops_answer_text(struct ops_request *r, unsigned status,
+    const char *content_type, struct bstr text)
+{
+	(void)content_type;
+	free(rig.text);
+	rig.text = bstr_dup(text);
+	rig.status = status;
+	request_free(r);
+}
+
+void
+ops_answer_error(struct ops_request *r, enum err_kind kind, const char *detail)
+{
+	const struct err_answer *a = err_answer(kind);
+
+	ops_answer(r, a->status,
+	    json_pack("{s:s,s:s}", "error", a->name, "detail", detail));
+}
+
+void
+sth_get(struct sth *s, const char *key, uint64_t tag)
+{
+	(void)s;
+	(void)key;
+	(void)tag;
+	rig.gets++;
+}
+
+void
+sth_put(struct sth *s, const char *key, json_t *value, uint64_t if_version,
+    uint64_t tag)
+{
+	(void)s;
+	(void)key;
+	(void)value;
+	(void)if_version;
+	rig.put_tag = tag;
+	rig.puts++;
+}
+
+void
+sth_list(struct sth *s, const char *prefix, uint64_t tag)
+{
+	(void)s;
+	assert_string_equal(prefix, "report/");
+	rig.list_tag = tag;
+}
+
+void
+ctl_send(
+    struct ctl *c, const struct vmid *to, enum pmsg_type type, struct bstr body)
+{
+	(void)c;
+	(void)type;
+	(void)body;
+	rig.sent_to = *to;
+	rig.sent++;
+}
+
+void
+ctl_broadcast(struct ctl *c, enum pmsg_type type, struct bstr body)
+{
+	(void)c;
+	(void)type;
+	(void)body;
+}
+
+bool
+ctl_is_fresh(const struct ctl *c)
+{
+	(void)c;
+	return (rig.fresh);
+}
+
+bool
+ctl_is_executor(void *c, const char *intent)
+{
+	(void)c;
+	(void)intent;
+	return (rig.executor);
+}
+
+enum rt_state
+ctl_upstream_state(const struct ctl_upstream *u)
+{
+	(void)u;
+	return (RT_READY);
+}
+
+static void
+store_put(struct ctl *c, const struct cst_effect *e)
+{
+	struct cst_out out = {0};
+	uint64_t held =
+	    GPOINTER_TO_SIZE(g_hash_table_lookup(rig.store, e->key));
+
+	if (!rig.store_up)
+		return;
+	if (held == e->version) {
+		g_hash_table_replace(rig.store, g_strdup(e->key),
+		    GSIZE_TO_POINTER(++rig.revision));
+		cst_on_put(&c->cst, e->change, CST_PUT_OK, rig.revision,
+		    c->now_ms, &out);
+	} else {
+		const struct cob_object *o = cob_find(&c->cst.objects, e->key);
+
+		cst_on_put(
+		    &c->cst, e->change, CST_PUT_CONFLICT, 0, c->now_ms, &out);
+		cst_out_clear(&out);
+		cst_on_read(&c->cst, e->key,
+		    o == NULL ? CST_READ_ABSENT : CST_READ_OK, held,
+		    o == NULL ? NULL : o->raw, c->now_ms, &out);
+	}
+	ctl_cst(c, &out);
+	cst_out_finish(&out);
+}
+
+void
+ctl_cst(struct ctl *c, struct cst_out *out)
+{
+	for (uint32_t i = 0; i < out->n; i++) {
+		const struct cst_effect *e = &out->effects[i];
+
+		if (e->kind == CST_PUT)
+			store_put(c, e);
+		else if (e->kind == CST_PUBLISH)
+			ctl_on_published(c, e->key, e->version, e->value);
+		else if (e->kind == CST_ANSWER)
+			ctl_on_written(c, e->change, e->status, e->text);
+	}
+	cst_out_clear(out);
+}
+
+static void
+request(const char *method, const char *path, const char *format, json_t *body)
+{
+	struct ops_request *r = calloc(1, sizeof(*r));
+
+	assert_non_null(r);
+	r->method = bstr_dup(bstr_from(method));
+	r->path = bstr_dup(bstr_from(path));
+	r->format = bstr_dup(bstr_from(format));
+	r->body = body;
+	rig.waiting++;
+	rig.status = 0;
+	ctl_on_ops(&rig.c, &r->m);
+}
+
+static json_t *
+object_body(const char *value, int if_version)
+{
+	return (json_pack("{s:o,s:i}", "value", json_loads(value, 0, NULL),
+	    "if_version", if_version));
+}
+
+static void
+run_ms(int64_t ms)
+{
+	for (int64_t t = 0; t < ms; t += TICK_MS) {
+		struct cst_out out = {0};
+
+		rig.c.now_ms += TICK_MS;
+		if (rig.store_up)
+			rig.c.store_ok_ms = rig.c.now_ms;
+		cst_tick(&rig.c.cst, rig.c.now_ms, &out);
+		ctl_cst(&rig.c, &out);
+		cst_out_finish(&out);
+		ctr_move.ops->tick(&rig.c);
+	}
+}
+
+static const char *
+answer_text(const char *key)
+{
+	const char *s = json_string_value(json_object_get(rig.answer, key));
+
+	return (s == NULL ? "" : s);
+}
+
+/* Adds an upstream that the configuration names, with one good call. */
+static void
+add_upstream(const char *id, const char *version, const char *zone)
+{
+	struct ctl_upstream *u = g_new0(struct ctl_upstream, 1);
+
+	u->id = g_strdup(id);
+	u->addr = g_strdup("127.0.0.1:1");
+	u->service = g_strdup("menu");
+	u->version = g_strdup(version);
+	u->zone = g_strdup(zone);
+	u->stat = rt_stat_new();
+	u->stat->good = 1;
+	g_hash_table_insert(rig.c.upstreams, u->id, u);
+}
+
+static void
+upstream_free(gpointer p)
+{
+	struct ctl_upstream *u = p;
+
+	rt_stat_unref(u->stat);
+	g_free(u->id);
+	g_free(u->addr);
+	g_free(u->service);
+	g_free(u->version);
+	g_free(u->zone);
+	g_free(u);
+}
+
+static int
+setup(void **state)
+{
+	static char zone[] = "a";
+	struct ctl *c = &rig.c;
+
+	(void)state;
+	rig = (struct rig){
+	    .store_up = true, .fresh = true, .executor = true, .revision = 1};
+	rig.set.zone = zone;
+	rig.store =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	c->desc.set = &rig.set;
+	c->self = vmid_from(BSTR("vm1@1"));
+	c->now_ms = START_MS;
+	c->store_ok_ms = START_MS;
+	rng_init(&c->rng, 1);
+	mbr_init(&c->mbr, &(struct mbr_desc){.self = c->self});
+	frs_init(&c->frs, &(struct frs_desc){.self = c->self});
+	prt_init(&c->prt, &(struct prt_desc){.self = c->self});
+	cst_init(&c->cst, &(struct cst_desc){.self = c->self});
+	cst_on_members(&c->cst, &c->self, 1);
+	c->upstreams =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, upstream_free);
+	c->tallies = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)rt_tally_unref);
+	ctr_move.ops->setup(c);
+	add_upstream("m1", "v1", "a");
+	add_upstream("m2", "v1", "b");
+	add_upstream("n1", "v2", "a");
+	add_upstream("n2", "v2", "b");
+	request("PUT", "config/zones", "", object_body(zones, 0));
+	assert_int_equal(rig.status, 200);
+	request("PUT", "config/service/menu", "", object_body(menu, 0));
+	assert_int_equal(rig.status, 200);
+	return (0);
+}
+
+static int
+teardown(void **state)
+{
+	struct ctl *c = &rig.c;
+
+	(void)state;
+	ctr_move.ops->finish(c);
+	g_hash_table_destroy(c->upstreams);
+	g_hash_table_destroy(c->tallies);
+	g_hash_table_destroy(rig.store);
+	cst_finish(&c->cst);
+	prt_finish(&c->prt);
+	frs_finish(&c->frs);
+	mbr_finish(&c->mbr);
+	json_decref(rig.answer);
+	free(rig.text);
+	return (rig.waiting);
+}
+
+#endif
