Refuse object keys that a request line cannot hold

Cause: the path of an operator request arrives decoded and becomes the target of a store request, so a space or a line break in it would change that request.

Ruled out: encoding the key, because the store compares keys as they are sent.

Change: PUT and DELETE accept letters, digits and . _ - / only.

--- a/packages/control/ctr_ops.c
+++ b/packages/control/ctr_ops.c
@@ -373,6 +373,16 @@
 	g_strfreev(part);
 }
 
+/* The key becomes part of a request line to the store. */
+static bool
+is_plain_key(const char *key)
+{
+	static const char permitted[] =
+	    G_CSET_A_2_Z G_CSET_a_2_z G_CSET_DIGITS "._-/";
+
+	return (key[strspn(key, permitted)] == '\0');
+}
+
 static bool
 check_value(const struct ctl *c, const char *key, const json_t *value,
     struct bbuf *problems)
@@ -463,6 +473,9 @@
 		declare(c, r);
 	else if (post && g_str_has_prefix(r->path, INTENTS_PREFIX))
 		post_intent(c, r);
+	else if (config && !is_plain_key(r->path))
+		ops_answer_error(r, ERR_INVALID,
+		    "a key may hold only letters, digits and . _ - /");
 	else if (config && strcmp(r->method, "PUT") == 0)
 		put_object(c, r);
 	else if (config && strcmp(r->method, "DELETE") == 0)
--- a/tests/unit/test_ctr_move.c
+++ b/tests/unit/test_ctr_move.c
@@ -23,6 +23,10 @@
 	assert_int_equal(rig.status, 422);
 	request("PUT", "config/z\xff", "", object_body("{}", 0));
 	assert_int_equal(rig.status, 422);
+	request("PUT", "config/service/a HTTP/1.1\r\nX: b", "",
+	    object_body("{}", 0));
+	assert_int_equal(rig.status, 422);
+	assert_non_null(strstr(answer_text("detail"), "letters"));
 	request("GET", "config/service/menu", "", NULL);
 	assert_int_equal(rig.status, 200);
 	assert_string_equal(answer_text("key"), "config/service/menu");
