--- a/tests/script/lib.sh
+++ b/tests/script/lib.sh
@@ -16,7 +16,7 @@
 # UPS_PORTS[name], RELAY_ADMIN[name] and RELAY_PORTS[name], VM_*[i] from 1 on.
 
 declare -A UPS_ADMIN UPS_PORTS RELAY_ADMIN RELAY_PORTS
-declare -a VM_ZONE VM_PORT VM_PEER VM_OPS VM_PID
+declare -a VM_ZONE=() VM_PORT=() VM_PEER=() VM_OPS=() VM_PID=()
 zones=(a b c)
 token=demo-token
 failed=0
@@ -280,7 +280,7 @@
 }
 
 # Writes the settings of VM i; VM_STORE[i] overrides the port of the store.
-declare -a VM_STORE
+declare -a VM_STORE=()
 vm_settings() {
 	local i=$1
 	cat >"$dir/vm$i.json" <<-JSON
