--- a/packages/control/ctr.h
+++ b/packages/control/ctr.h
@@ -68,6 +68,9 @@
  * @last_good: rt_stat.good already counted for the burn report
  * @last_failed: likewise
  * @last_slow: likewise
+ * @last_cold_good: rt_stat.good already told to cold
+ * @last_reported_us: rt_stat.reported_us already told to prb
+ * @probe_own: own calls in flight when the running probe was sent
  */
 struct ctl_upstream {
 	char *id;
@@ -95,9 +98,14 @@
  * @members: live members of the last tick
  * @n_members: their number
  * @upstreams: id -> struct ctl_upstream
+ * @upstream_list: the same upstreams, not owned, for work spread over ticks
+ * @cold_list: those of them that are cold
+ * @next_upstream: place in @upstream_list at which the next tick goes on
+ * @next_cold: likewise in @cold_list
+ * @next_cold_members_ms: when cold is told the members again
  * @tallies: "service route version" -> struct rt_tally
  * @refused: service -> struct rt_tally of calls that this VM refused
- * @table_dirty: the routing table is rebuilt at the end of the tick
+ * @table_dirty: the routing table is rebuilt before the next freshness limit
  * @store_ok_ms: last answer of the store
  * @claims: claim id -> struct cmsg_claim that waits for its verdict
  * @ops_changes: change id -> struct ops_request that waits for acceptance
@@ -138,7 +146,16 @@
 	uint64_t revision;
 	int64_t store_ok_ms;
 	GHashTable *upstreams;
+	GPtrArray *upstream_list;
+	GPtrArray *cold_list;
+	uint32_t next_upstream;
+	uint32_t next_cold;
+	int64_t next_cold_members_ms;
 	GHashTable *tallies;
+	GHashTable *peer_addrs; /* addresses given to lnk */
+	GHashTable *fetches;    /* vmid text -> digest to be fetched */
+	int64_t paused_ms;
+	GHashTable *puts;     /* store tag -> change id */
 	GHashTable *problems; /* key -> text */
 	bool table_dirty;
 	GHashTable *claims;
@@ -151,6 +168,7 @@
 	int64_t next_vms_ms;
 	int64_t next_members_ms;
 	int64_t next_second_ms;
+	int64_t next_rebuild_ms;
 };
 
 /**
@@ -194,15 +212,20 @@
 
 /* ctr_member.c */
 
-/** ctl_on_synced() - objects of a peer (NULL after a push) were applied */
-void ctl_on_synced(
-    struct ctl *c, const struct vmid *from, const struct frs_digest *fetched);
+/**
+ * ctl_on_synced() - objects of a peer (NULL after a push) were applied
+ * @started_ms: everything that the peer held then is held here
+ */
+void ctl_on_synced(struct ctl *c, const struct vmid *from, int64_t started_ms);
 
 /* ctr_config.c */
 
 /** ctl_cst() - carry out and clear the effects of cst */
 void ctl_cst(struct ctl *c, struct cst_out *out);
 
+/** ctl_rebuild() - rebuild and publish the routing table if it changed */
+void ctl_rebuild(struct ctl *c);
+
 /** ctl_digest() - digest of the configuration held, as frs wants it */
 struct frs_digest ctl_digest(const struct ctl *c);
 
@@ -211,6 +234,9 @@
 
 /* ctr_claim.c */
 
+/** ctl_prt() - carry out and clear the effects of prt */
+void ctl_prt(struct ctl *c, struct prt_out *out);
+
 /** ctl_on_claim() - claim of a worker; takes the message over */
 void ctl_on_claim(struct ctl *c, struct mq_msg *m);
 
