Close the listening socket without resetting callers

Cause: wrk_stop() took the listening socket out of MHD's epoll set at once but left it open until wrk_free(). The kernel went on to complete connections into its accept queue, and close() reset them all. With SO_REUSEPORT, a closing listener loses its queue although another one lives.

Ruled out: shutdown() of the listening socket, which resets the queue as close() does; accepting until the queue is empty alone, which leaves a window between the last accept and close().

Change: the worker goes on accepting for linger_ms with "Connection: close" on its answers, then drops new SYNs with a socket filter, lets handshakes in progress complete, accepts until the queue is empty, and only then closes. An idle connection is closed only when no bytes wait in it, and that shutdown is no longer taken for a hang-up of the caller.

Conclusion: a stop costs a worker at least 300 ms more than before.

--- a/packages/front/fe.c
+++ b/packages/front/fe.c
@@ -28,6 +28,7 @@
  * @call: request in progress, NULL between requests
  * @read_by_us: the head or body that is being read must be complete by then
  * @hung_up: the caller closed its side
+ * @closing: closed from here for want of a request
  */
 struct fe_conn {
 	struct wrk_source source;
@@ -35,6 +36,7 @@
 	struct call *call;
 	int64_t read_by_us;
 	bool hung_up;
+	bool closing;
 };
 
 static void
@@ -438,11 +440,30 @@
 {
 	struct fe_conn *p = (struct fe_conn *)s;
 
+	/* Shutting the socket down here is reported as a hang-up, too. */
+	if (p->closing)
+		return;
 	p->hung_up = true;
 	if (p->call != NULL && p->call->suspended)
 		end_for_hangup(p->call);
 }
 
+/*
+ * A request that arrived before the shutdown is still read and answered, so
+ * only callers that have sent nothing are closed.
+ */
+static void
+close_idle(struct fe_conn *p)
+{
+	char ch;
+
+	if (p->closing ||
+	    recv(p->source.fd, &ch, 1, MSG_PEEK | MSG_DONTWAIT) > 0)
+		return;
+	p->closing = true;
+	shutdown(p->source.fd, SHUT_RD);
+}
+
 void
 fe_sweep(struct wrk *w, int64_t now_us, bool idle_too)
 {
@@ -455,7 +476,7 @@
 		if (now_us >= p->read_by_us)
 			shutdown(p->source.fd, SHUT_RDWR);
 		else if (p->call == NULL && idle_too)
-			shutdown(p->source.fd, SHUT_RD);
+			close_idle(p);
 		else if (p->hung_up && p->call != NULL && p->call->suspended)
 			end_for_hangup(p->call);
 	}
--- a/packages/front/wrk.c
+++ b/packages/front/wrk.c
@@ -1,33 +1,43 @@
 #include "front/wrk.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
-#include <sys/socket.h>
 #include <unistd.h>
 #include <urcu.h>
 
 #include "front/clf.h"
 #include "front/fe.h"
+#include "front/lsn.h"
 #include "front/mul.h"
 #include "front/svc.h"
 #include "front/ups.h"
 #include "sys/clk.h"
 
 #define MAX_EVENTS 64
-#define LISTEN_BACKLOG 1024
 #define DEFAULT_HOST_CONNECTIONS 6
 #define DEFAULT_HEAD_TIMEOUT_MS 10000
 #define MAX_WAIT_MS 1000
 #define SWEEP_MS 250
+#define DEFAULT_LINGER_MS 100
+#define HANDSHAKE_MS 200  /* for handshakes in progress, above a round trip */
+#define FLUSH_MAX_MS 5000 /* longest wait for the accept queue to empty */
 #define DRAIN_POLL_MS 20
 #define DRAIN_IDLE_MS 500    /* then connections without request are closed */
 #define DRAIN_CLAIMS_MS 2000 /* longest wait for replies to given up claims */
 
+/*
+ * Steps of wrk_stop(): keep accepting, accept only what the kernel has begun,
+ * finish the calls with the listening socket closed.
+ */
+enum stage {
+	STAGE_RUN,
+	STAGE_LINGER,
+	STAGE_FLUSH,
+	STAGE_DRAIN,
+};
+
 struct wrk {
 	struct env *env;
 	struct rng rng;
@@ -40,7 +50,9 @@
 	int64_t timer_due_us;
 	int64_t sweep_us;
 	bool mhd_pending;
-	int64_t stopping_us; /* 0 while running */
+	enum stage stage;
+	int64_t stage_us; /* start of the stage */
+	int64_t linger_us;
 	_Atomic bool stop;
 	struct call *unpause;
 	struct wrk_source mhd_source;
@@ -150,7 +162,7 @@
 bool
 wrk_stopping(const struct wrk *w)
 {
-	return (w->stopping_us != 0);
+	return (w->stage != STAGE_RUN);
 }
 
 int64_t
@@ -248,30 +260,6 @@
 	c->in_unpause = false;
 }
 
-static int
-listen_on(const char *addr, uint16_t port)
-{
-	struct sockaddr_in sin = {
-	    .sin_family = AF_INET, .sin_port = htons(port)};
-	const int one = 1;
-	int fd;
-
-	if (inet_pton(AF_INET, addr, &sin.sin_addr) != 1)
-		return (-1);
-	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (fd < 0)
-		return (-1);
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &one, sizeof(one));
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-	if (bind(fd, (struct sockaddr *)&sin, sizeof(sin)) != 0 ||
-	    listen(fd, LISTEN_BACKLOG) != 0) {
-		close(fd);
-		return (-1);
-	}
-	return (fd);
-}
-
 static void
 add_source(struct wrk *w, struct wrk_source *s)
 {
@@ -299,12 +287,15 @@
 setup_state(struct wrk *w, const struct wrk_desc *desc)
 {
 	uint32_t head_ms = desc->head_timeout_ms;
+	uint32_t linger_ms = desc->linger_ms;
 
 	w->env = desc->env;
 	rng_init(&w->rng, desc->seed);
 	w->pick = desc->pick == NULL ? rt_pick : desc->pick;
 	w->head_timeout_us =
 	    (head_ms == 0 ? DEFAULT_HEAD_TIMEOUT_MS : head_ms) * 1000LL;
+	w->linger_us =
+	    (linger_ms == 0 ? DEFAULT_LINGER_MS : linger_ms) * 1000LL;
 	w->timer_due_us = INT64_MAX;
 	CDS_INIT_LIST_HEAD(&w->timers);
 	CDS_INIT_LIST_HEAD(&w->callers);
@@ -341,7 +332,7 @@
 
 	if (w == NULL)
 		abort();
-	w->listen_fd = listen_on(desc->addr, desc->port);
+	w->listen_fd = lsn_open(desc->addr, desc->port);
 	if (w->listen_fd >= 0)
 		w->mhd = fe_start(w, w->listen_fd);
 	if (w->mhd == NULL) {
@@ -488,8 +479,8 @@
 	w->sweep_us = now_us;
 	w->mhd_pending = true;
 	fe_sweep(w, now_us,
-	    w->stopping_us != 0 &&
-		now_us - w->stopping_us >= DRAIN_IDLE_MS * 1000);
+	    w->stage == STAGE_DRAIN &&
+		now_us - w->stage_us >= DRAIN_IDLE_MS * 1000);
 }
 
 static int64_t
@@ -506,7 +497,7 @@
 wait_ms(struct wrk *w)
 {
 	MHD_UNSIGNED_LONG_LONG mhd_ms;
-	int64_t ms = w->stopping_us != 0 ? DRAIN_POLL_MS : MAX_WAIT_MS;
+	int64_t ms = w->stage != STAGE_RUN ? DRAIN_POLL_MS : MAX_WAIT_MS;
 	int64_t now_us = clk_mono_us();
 
 	if (w->mhd_pending || w->unpause != NULL || w->to_wake->len != 0)
@@ -531,10 +522,58 @@
 	const union MHD_DaemonInfo *info =
 	    MHD_get_daemon_info(w->mhd, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
 
+	if (w->stage != STAGE_DRAIN)
+		return (false);
 	if (info != NULL && info->num_connections != 0)
 		return (false);
 	return (g_hash_table_size(w->claims) == 0 ||
-	    clk_mono_us() - w->stopping_us > DRAIN_CLAIMS_MS * 1000);
+	    clk_mono_us() - w->stage_us > DRAIN_CLAIMS_MS * 1000);
+}
+
+static void
+enter(struct wrk *w, enum stage stage, int64_t now_us)
+{
+	w->stage = stage;
+	w->stage_us = now_us;
+}
+
+static bool
+flushed(const struct wrk *w, int64_t now_us)
+{
+	int64_t spent_us = now_us - w->stage_us;
+
+	if (spent_us >= FLUSH_MAX_MS * 1000)
+		return (true);
+	return (
+	    spent_us >= HANDSHAKE_MS * 1000 && !lsn_has_waiting(w->listen_fd));
+}
+
+/* Moves on to the next stage of stopping when it is due. */
+static void
+run_stop(struct wrk *w, int64_t now_us)
+{
+	switch (w->stage) {
+	case STAGE_RUN:
+		if (atomic_load(&w->stop))
+			enter(w, STAGE_LINGER, now_us);
+		break;
+	case STAGE_LINGER:
+		if (now_us - w->stage_us < w->linger_us)
+			break;
+		lsn_ignore_new(w->listen_fd);
+		enter(w, STAGE_FLUSH, now_us);
+		break;
+	case STAGE_FLUSH:
+		if (!flushed(w, now_us))
+			break;
+		MHD_quiesce_daemon(w->mhd);
+		close(w->listen_fd);
+		w->listen_fd = -1;
+		enter(w, STAGE_DRAIN, now_us);
+		break;
+	case STAGE_DRAIN:
+		break;
+	}
 }
 
 /* MHD_run() costs a system call, so it runs only when there may be work. */
@@ -567,11 +606,8 @@
 		run_unpaused(w);
 		collect_finished(w);
 		sweep(w, clk_mono_us());
-		if (atomic_load(&w->stop) && w->stopping_us == 0) {
-			w->stopping_us = clk_mono_us();
-			MHD_quiesce_daemon(w->mhd);
-		}
-		if (w->stopping_us != 0 && drained(w))
+		run_stop(w, clk_mono_us());
+		if (drained(w))
 			break;
 	}
 	rcu_unregister_thread();
@@ -598,7 +634,8 @@
 		free(m);
 	mq_finish(&w->replies);
 	finish_state(w);
-	close(w->listen_fd);
+	if (w->listen_fd >= 0)
+		close(w->listen_fd);
 	close(w->wake_source.fd);
 	close(w->epfd);
 	free(w);
--- a/packages/front/wrk.h
+++ b/packages/front/wrk.h
@@ -32,6 +32,8 @@
  * @max_host_connections: connections to one upstream, 0 means 6
  * @head_timeout_ms: time for the rest of a request head after its first line,
  *	0 means 10,000
+ * @linger_ms: time to go on accepting connections after wrk_stop(), with
+ *	"Connection: close" on the answers, 0 means 100
  * @pick: choice of an upstream, NULL means rt_pick(); measurements put the
  *	baselines here
  */
@@ -42,6 +44,7 @@
 	uint64_t seed;
 	long max_host_connections;
 	uint32_t head_timeout_ms;
+	uint32_t linger_ms;
 	wrk_pick_fn pick;
 };
 
@@ -51,7 +54,11 @@
 /** wrk_run() - loop until wrk_stop(); returns after the last call ended */
 void wrk_run(struct wrk *w);
 
-/** wrk_stop() - stop accepting and return from wrk_run() when drained */
+/**
+ * wrk_stop() - stop accepting and return from wrk_run() when drained
+ *
+ * Every connection that the kernel has established is served; see lsn.h.
+ */
 void wrk_stop(struct wrk *w);
 
 /**
