Tell TSan about the hand-over of messages

Cause: liburcu is not built with TSan, so its barriers are invisible and every message that one thread fills and another reads is reported as a race.

Change: mq_push() releases and mq_pop() acquires the message for TSan.

--- a/packages/sys/mq.c
+++ b/packages/sys/mq.c
@@ -4,6 +4,19 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+/*
+ * liburcu is not built with TSan, so that TSan does not see the barriers that
+ * hand a message over. These calls tell it.
+ */
+#ifdef __SANITIZE_THREAD__
+#include <sanitizer/tsan_interface.h>
+#define HAND_OVER(m) __tsan_release(m)
+#define TAKE_OVER(m) __tsan_acquire(m)
+#else
+#define HAND_OVER(m) ((void)(m))
+#define TAKE_OVER(m) ((void)(m))
+#endif
+
 int
 mq_init(struct mq *q)
 {
@@ -25,6 +38,7 @@
 	const uint64_t one = 1;
 
 	cds_wfcq_node_init(&m->node);
+	HAND_OVER(m);
 	if (cds_wfcq_enqueue(&q->head, &q->tail, &m->node))
 		return; /* The queue was not empty: the event is pending. */
 	while (write(q->fd, &one, sizeof(one)) < 0)
@@ -34,12 +48,15 @@
 struct mq_msg *
 mq_pop(struct mq *q)
 {
+	struct mq_msg *m;
 	struct cds_wfcq_node *n =
 	    __cds_wfcq_dequeue_blocking(&q->head, &q->tail);
 
 	if (n == NULL)
 		return (NULL);
-	return (caa_container_of(n, struct mq_msg, node));
+	m = caa_container_of(n, struct mq_msg, node);
+	TAKE_OVER(m);
+	return (m);
 }
 
 int
