Test the limits of waiting calls, shared tallies and late grants

Cause: no test covered the 128 calls and 50 ms of the waiting queue, a tally held by two tables, or a grant that expires between pick and write.

--- a/tests/unit/front_rig.h
+++ b/tests/unit/front_rig.h
@@ -38,6 +38,7 @@
 #define LONG_MS 10000
 #define HEAD_TIMEOUT_MS 400
 #define MAX_FINISHES 256
+#define LONG_GRANT_US 5000000
 #define MAX_REPLY (16 * 1024 * 1024)
 #define CLIENT_TIMEOUT_S 20
 #define N_SERVICES 6
@@ -54,6 +55,7 @@
 	_Atomic bool full;
 	_Atomic bool dead_first; /* for "two" */
 	_Atomic bool hold; /* claims with the word "hold" are not answered */
+	_Atomic int64_t grant_us; /* how long a grant is valid, 0 for long */
 	_Atomic int states;
 	_Atomic uint64_t fingerprint;
 	pthread_mutex_t lock;
@@ -247,7 +249,9 @@
 			r->verdict = (enum cmsg_verdict)v;
 	}
 	r->attempt = 7;
-	r->valid_until_us = clk_mono_us() + 5000000;
+	r->valid_until_us = clk_mono_us() +
+	    (atomic_load(&rig.grant_us) != 0 ? atomic_load(&rig.grant_us)
+					     : LONG_GRANT_US);
 	if (rig_key_is(&c->key, "expired"))
 		r->valid_until_us = clk_mono_us() - 1;
 	if (r->verdict == CMSG_DONE) {
