Test the upstream controller and accept probes without a load

A probe reads GET /health, whose answer need not carry X-Load. Such an answer counted as a failed probe, and three of them take an upstream down that no response was heard of. It now counts for the state only; the load is not judged and not announced. A report above the limit still fails.

The test drives the controller with stand-ins for the peers, the partition table and the prober: a whole ramp and its repetition, permits of a remote owner, the end of permits when this VM is not fresh, states of probes, and the visit of all of 7,300 upstreams.

--- a/packages/route/prb.c
+++ b/packages/route/prb.c
@@ -318,7 +318,7 @@
 	int32_t own =
 	    r->own_at_start < r->own_at_end ? r->own_at_start : r->own_at_end;
 
-	if (r->load < own)
+	if (r->load != PRB_NO_LOAD && r->load < own)
 		return (true);
 	return (r->state == PRB_READY && u->said != PRB_UNKNOWN &&
 	    u->said != PRB_READY && now - u->said_ms <= p->desc.silent_ms);
@@ -328,7 +328,7 @@
 static bool
 judge(struct prb *p, struct prb_up *u, const struct prb_result *r, int64_t now)
 {
-	bool frozen = is_frozen(u, r->load);
+	bool frozen = r->load != PRB_NO_LOAD && is_frozen(u, r->load);
 	bool lie = is_contradicted(p, u, r, now);
 
 	u->lies = lie ? u->lies + 1 : 0;
@@ -376,7 +376,7 @@
 	if (u == NULL || u->probing_ms == 0)
 		return;
 	u->probing_ms = 0;
-	if (!r->ok || r->load < 0 || r->load > PRB_MAX_LOAD) {
+	if (!r->ok || r->load < PRB_NO_LOAD || r->load > PRB_MAX_LOAD) {
 		on_failed(p, u, now_ms, out);
 		return;
 	}
--- a/packages/route/prb.h
+++ b/packages/route/prb.h
@@ -61,9 +61,9 @@
 
 /**
  * struct prb_result - end of a probe
- * @ok: both endpoints answered
+ * @ok: a well-formed answer came in time
  * @state: state in the answer
- * @load: requests in flight in the answer
+ * @load: requests in flight in the answer, PRB_NO_LOAD when it told none
  * @own_at_start: own calls in flight when the probe was sent
  * @own_at_end: own calls in flight when its answer came
  */
--- /dev/null
+++ b/tests/unit/test_ctr_upstream.c
@@ -0,0 +1,419 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <cmocka.h>
+
+#include "control/ctr.h"
+#include "front/cmsg.h"
+#include "ops/met.h"
+#include "peer/pcold.h"
+#include "sys/clk.h"
+
+#define FLEET 7300
+#define TICK_MS 50
+#define SLOTS 6
+
+/* What the controller did, and the ownership that it sees. */
+struct rig {
+	struct ctl c;
+	struct met met;
+	struct ctl_upstream *ups;
+	uint32_t n;
+	struct vmid owner;
+	int64_t act_until;
+	bool fresh;
+	unsigned probes;
+	unsigned probed[FLEET];
+	unsigned sent;
+	unsigned broadcast;
+	struct cold_msg last;
+	char last_id[COLD_ID_MAX];
+};
+
+static struct rig *rig;
+
+/* Stand-ins for the parts of the daemon around the controller. */
+
+void
+ctl_send(
+    struct ctl *c, const struct vmid *to, enum pmsg_type type, struct bstr body)
+{
+	(void)c;
+	assert_false(vmid_eq(to, &rig->c.self));
+	assert_int_equal(type, PMSG_PERMIT);
+	assert_true(pcold_get_cold(&rig->last, rig->last_id, body));
+	rig->sent++;
+}
+
+void
+ctl_broadcast(struct ctl *c, enum pmsg_type type, struct bstr body)
+{
+	(void)c;
+	(void)type;
+	assert_true(body.n > 0);
+	rig->broadcast++;
+}
+
+bool
+ctl_is_fresh(const struct ctl *c)
+{
+	(void)c;
+	return (rig->fresh);
+}
+
+uint32_t
+prt_of(struct bstr key)
+{
+	return ((uint32_t)(bstr_hash(key, 0) % PRT_COUNT));
+}
+
+int64_t
+prt_act_until(const struct prt *p, uint32_t partition)
+{
+	(void)p;
+	(void)partition;
+	return (rig->act_until);
+}
+
+int64_t
+prt_act_from(const struct prt *p, uint32_t partition)
+{
+	(void)p;
+	(void)partition;
+	return (1);
+}
+
+uint64_t
+prt_epoch(const struct prt *p, uint32_t partition)
+{
+	(void)p;
+	(void)partition;
+	return (1);
+}
+
+struct vmid
+prt_owner(const struct prt *p, uint32_t partition)
+{
+	(void)p;
+	(void)partition;
+	return (rig->owner);
+}
+
+void
+pro_probe(struct pro *p, struct bstr upstream, struct bstr addr)
+{
+	(void)p;
+	(void)addr;
+	rig->probes++;
+	rig->probed[atoi(upstream.p + 1)]++;
+}
+
+struct pro_result *
+pro_result_of(struct mq_msg *m)
+{
+	return (caa_container_of(m, struct pro_result, m));
+}
+
+void
+pro_result_free(struct pro_result *r)
+{
+	free(r);
+}
+
+static void
+setup(uint32_t n, bool own)
+{
+	rig = calloc(1, sizeof(*rig));
+	rig->ups = calloc(n, sizeof(*rig->ups));
+	rig->n = n;
+	rig->fresh = true;
+	rig->act_until = INT64_MAX;
+	rig->c.self = vmid_from(BSTR("a@1"));
+	rig->owner = own ? rig->c.self : vmid_from(BSTR("b@1"));
+	rig->c.desc.met = &rig->met;
+	rig->c.now_ms = 1000;
+	rng_init(&rig->c.rng, 1);
+	rig->c.upstreams = g_hash_table_new(g_str_hash, g_str_equal);
+	mbr_init(&rig->c.mbr, &(struct mbr_desc){.self = rig->c.self});
+	ctr_upstream.ops->setup(&rig->c);
+	for (uint32_t i = 0; i < n; i++) {
+		struct ctl_upstream *u = &rig->ups[i];
+
+		u->id = g_strdup_printf("u%u", i);
+		u->addr = g_strdup("127.0.0.1:1");
+		u->slots = SLOTS;
+		u->stat = rt_stat_new();
+		g_hash_table_insert(rig->c.upstreams, u->id, u);
+		ctl_upstream_added(&rig->c, u);
+	}
+}
+
+static void
+teardown(void)
+{
+	for (uint32_t i = 0; i < rig->n; i++) {
+		ctl_upstream_removed(&rig->c, &rig->ups[i]);
+		rt_stat_unref(rig->ups[i].stat);
+		g_free(rig->ups[i].id);
+		g_free(rig->ups[i].addr);
+	}
+	assert_int_equal(rig->c.upstream_list->len, 0);
+	assert_int_equal(rig->c.cold_list->len, 0);
+	ctr_upstream.ops->finish(&rig->c);
+	mbr_finish(&rig->c.mbr);
+	g_hash_table_destroy(rig->c.upstreams);
+	free(rig->ups);
+	free(rig);
+}
+
+static void
+ticks(unsigned n)
+{
+	for (unsigned i = 0; i < n; i++) {
+		rig->c.now_ms += TICK_MS;
+		ctr_upstream.ops->tick(&rig->c);
+	}
+}
+
+static void
+report(const char *id, enum rt_state state)
+{
+	struct cmsg_upstream_state *m = calloc(1, sizeof(*m));
+
+	strcpy(m->id, id);
+	m->state = state;
+	ctl_on_upstream_state(&rig->c, &m->m);
+}
+
+static void
+probe_result(const char *id, bool ok, enum rt_state state, int32_t load)
+{
+	struct pro_result *r = calloc(1, sizeof(*r));
+
+	r->upstream = bstr_from(id);
+	r->ok = ok;
+	r->state = state;
+	r->load = load;
+	ctl_on_probe(&rig->c, &r->m);
+}
+
+/* A worker's call on the first upstream. Return: whether it was started. */
+static bool
+call(void)
+{
+	struct rt_stat *s = rig->ups[0].stat;
+	struct rt_result r = {.latency_us = 1000, .reported = -1};
+	int64_t now_us = rig->c.now_ms * 1000;
+
+	atomic_store(&s->wanted_us, now_us);
+	if (!rt_try_start(s, true, now_us))
+		return (false);
+	rt_on_finish(s, SLOTS, &r, now_us);
+	return (true);
+}
+
+/* Calls after each of @n ticks. Return: whether the last one was started. */
+static bool
+call_for(unsigned n)
+{
+	bool started = false;
+
+	for (unsigned i = 0; i < n; i++) {
+		ticks(1);
+		started = call();
+	}
+	return (started);
+}
+
+/* Guards against permits that never come, that outlive the lease, or a ramp
+ * that never ends, with this VM as the owner and the only member. */
+static void
+test_ramp(void **state)
+{
+	struct ctl_upstream *u;
+	unsigned started = 0;
+
+	(void)state;
+	setup(3, true);
+	u = &rig->ups[0];
+	ticks(20);
+	report("u0", RT_COLD);
+	assert_true(u->cold);
+	assert_true(rig->c.table_dirty);
+	assert_int_equal(ctl_upstream_state(u), RT_COLD);
+	assert_int_equal(rig->c.cold_list->len, 1);
+	assert_false(call());
+	for (int i = 0; i < 400 && u->cold; i++) {
+		ticks(1);
+		probe_result("u0", true, RT_READY, -1);
+		assert_true(atomic_load(&u->stat->permits) <= SLOTS);
+		started += call();
+	}
+	assert_false(u->cold);
+	assert_true(started > SLOTS);
+	assert_true(met_get(&rig->met, MET_PERMITS) > 0);
+	assert_int_equal(ctl_upstream_state(u), RT_READY);
+	assert_int_equal(rig->c.cold_list->len, 0);
+	assert_int_equal(atomic_load(&u->stat->permits), 0);
+	report("u0", RT_COLD);
+	assert_true(u->cold);
+	assert_true(call_for(40));
+	/* Permits end when this VM is no longer fresh. */
+	rig->fresh = false;
+	assert_false(call_for(40));
+	teardown();
+}
+
+/* Guards against permits from another owner that are ignored, and against
+ * requests for an upstream that no call wants. */
+static void
+test_remote_owner(void **state)
+{
+	struct cold_msg grant = {
+	    .type = COLD_MSG_GRANT, .upstream = BSTR("u0"), .count = 2};
+	struct bbuf b;
+
+	(void)state;
+	setup(2, false);
+	ticks(20);
+	report("u0", RT_COLD);
+	ticks(1);
+	assert_int_equal(rig->last.type, COLD_MSG_REQUEST);
+	assert_true(rig->last.saw_cold);
+	call();
+	ticks(20);
+	assert_int_equal(rig->last.use.demand, 2);
+	grant.seq = rig->last.seq;
+	bbuf_init(&b);
+	pcold_put_cold(&b, &grant);
+	assert_true(ctr_upstream.ops->on_peer(
+	    &rig->c, PMSG_PERMIT, &rig->owner, bbuf_str(&b)));
+	assert_int_equal(atomic_load(&rig->ups[0].stat->permits), 2);
+	assert_true(call());
+	assert_true(ctr_upstream.ops->on_peer(
+	    &rig->c, PMSG_PERMIT, &rig->owner, BSTR("x")));
+	assert_false(ctr_upstream.ops->on_peer(
+	    &rig->c, PMSG_GOSSIP, &rig->owner, bbuf_str(&b)));
+	bbuf_finish(&b);
+	ticks(60);
+	assert_int_equal(rig->last.use.demand, 0);
+	assert_int_equal(rig->probes, 0);
+	teardown();
+}
+
+/* Guards against states of probes that do not reach the routing table, a cold
+ * upstream that takes new work while it drains, and a load report of a response
+ * that a probe replaces. */
+static void
+test_probes(void **state)
+{
+	struct ctl_upstream *u;
+
+	(void)state;
+	setup(2, true);
+	u = &rig->ups[0];
+	ticks(20);
+	assert_true(rig->probes > 0);
+	assert_int_equal(met_get(&rig->met, MET_PROBES), rig->probes);
+	probe_result("u0", true, RT_READY, 4);
+	assert_int_equal(atomic_load(&u->stat->reported), 4);
+	atomic_store(&u->stat->reported, 9);
+	atomic_store(&u->stat->reported_us, rig->c.now_ms * 1000);
+	ticks(12);
+	probe_result("u0", true, RT_DRAINING, 5);
+	assert_int_equal(atomic_load(&u->stat->reported), 9);
+	assert_int_equal(ctl_upstream_state(u), RT_DRAINING);
+	report("u0", RT_COLD);
+	assert_true(u->cold);
+	report("u0", RT_DRAINING);
+	assert_int_equal(ctl_upstream_state(u), RT_DRAINING);
+	probe_result("gone", true, RT_READY, 0);
+	for (int i = 0; i < 10; i++) {
+		ticks(12);
+		probe_result("u1", false, RT_DOWN, -1);
+	}
+	assert_int_equal(ctl_upstream_state(&rig->ups[1]), RT_DOWN);
+	ticks(12);
+	probe_result("u1", true, RT_READY, -1);
+	assert_int_equal(ctl_upstream_state(&rig->ups[1]), RT_READY);
+	teardown();
+}
+
+/* Return: elapsed time of a tick in microseconds, the mean of many. */
+static double
+tick_cost(unsigned n)
+{
+	int64_t start = clk_mono_us();
+
+	ticks(n);
+	return ((double)(clk_mono_us() - start) / n);
+}
+
+/* Guards against upstreams that the spread work never visits. Prints the cost
+ * of a tick; the verdict does not depend on it. */
+static void
+test_fleet(void **state)
+{
+	unsigned seen = 0;
+	double idle, busy = 0, cold;
+
+	(void)state;
+	setup(FLEET, false);
+	ticks(20);
+	idle = tick_cost(100);
+	for (unsigned i = 0; i < 200; i++) {
+		int64_t now_us = rig->c.now_ms * 1000;
+
+		for (uint32_t k = 0; i % 10 == 0 && k < FLEET; k++) {
+			atomic_store(&rig->ups[k].stat->reported, 3);
+			atomic_store(&rig->ups[k].stat->reported_us, now_us);
+		}
+		busy += tick_cost(1);
+	}
+	ticks(10);
+	for (uint32_t k = 0; k < FLEET; k++)
+		seen += rig->ups[k].last_reported_us ==
+		    atomic_load(&rig->ups[k].stat->reported_us);
+	assert_int_equal(seen, FLEET);
+	for (uint32_t k = 0; k < FLEET; k++)
+		report(rig->ups[k].id, RT_COLD);
+	assert_int_equal(rig->c.cold_list->len, FLEET);
+	cold = tick_cost(100);
+	print_message("tick with %d upstreams: idle %.0f us, a response of "
+		      "each in 500 ms %.0f us, all cold %.0f us\n",
+	    FLEET, idle, busy / 200, cold);
+	teardown();
+}
+
+/* Guards against a probe budget that depends on the size of the fleet. */
+static void
+test_fleet_probes(void **state)
+{
+	double own;
+
+	(void)state;
+	setup(FLEET, true);
+	ticks(20);
+	own = tick_cost(20);
+	print_message(
+	    "tick that owns and probes %d upstreams: %.0f us\n", FLEET, own);
+	for (uint32_t k = 0; k < FLEET; k++)
+		assert_true(rig->probed[k] >= 1 && rig->probed[k] <= 3);
+	teardown();
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_ramp),
+	    cmocka_unit_test(test_remote_owner),
+	    cmocka_unit_test(test_probes),
+	    cmocka_unit_test(test_fleet),
+	    cmocka_unit_test(test_fleet_probes),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
