Hand over only when another copy of the records remains

A process that was leaving handed 50 partitions over to their only other replica, 530 ms after that one had been stopped and before membership had noticed it. Then it was idle and stopped, and the records were lost although it had held all of them.

Ruled out: asking for a recent acknowledgement of the heir; any limit that covers a heartbeat leaves a window in which the heir may be gone.

Change: a leaving owner hands over when another staying replica remains in the row, or when no staying process is left to become one. Otherwise the empty place is filled first, as it is for an owner that stays.

--- a/packages/claim/prt_plan.c
+++ b/packages/claim/prt_plan.c
@@ -174,6 +174,21 @@
 		st->joiner = (struct vmid){0};
 }
 
+/* Whether the records survive the loss of @heir once this process has left.
+ * Otherwise plan_join() first fills a place, unless nobody is there to fill it.
+ * Membership shows a lost heir as alive for a while. */
+static bool
+may_hand_over(const struct prt *p, uint32_t i, const struct prt_part *row,
+    const struct vmid *heir)
+{
+	for (int k = 0; k < PRT_REPLICAS; k++) {
+		if (!vmid_eq(&row->replica[k], heir) &&
+		    staying(p, &row->replica[k]))
+			return (true);
+	}
+	return (choose(p, i, row, -1) == NULL);
+}
+
 static void
 plan_owned(struct prt *p, uint32_t i, struct prt_part *row)
 {
@@ -186,9 +201,9 @@
 	if (!p->leaving)
 		return;
 	for (int k = 0; k < PRT_REPLICAS; k++) {
-		if (staying(p, &row->replica[k])) {
-			struct vmid heir = row->replica[k];
+		struct vmid heir = row->replica[k];
 
+		if (staying(p, &heir) && may_hand_over(p, i, row, &heir)) {
 			swap_in_owner(p, row, &heir);
 			return;
 		}
