Read the store at once when the last replica is gone

Without a replica the lease comes from reads of the store. The next read was scheduled by the state at the last one, so an owner that lost its last replica read 30 to 60 s later and held no lease until then. Two VMs of which one fails are such a case.

Change: a new view without a replica brings the next read forward. As nothing is planned during a read, 100 ms without one follow each answer; with a store that takes longer than 300 ms no replica would be added otherwise.

--- a/packages/claim/prt.c
+++ b/packages/claim/prt.c
@@ -8,6 +8,9 @@
 #define READ_RETRY_MS 300
 #define READ_REFRESH_MS 30000
 #define SOLE_READ_MS 300
+/* Nothing is planned during a read, so a slow store must leave room for a plan
+ * that adds a replica. */
+#define SOLE_READ_GAP_MS 100
 #define PULL_MIN_MS 100
 #define WRITE_RETRY_MS 200
 
@@ -212,6 +215,16 @@
 	    vmid_eq(&a->owner, &b->owner) && vmid_eq(&a->joiner, &b->joiner));
 }
 
+static bool
+is_sole(const struct prt *p)
+{
+	for (uint32_t i = 0; i < PRT_COUNT; i++) {
+		if (p->st[i].view.acting && p->st[i].view.sole)
+			return (true);
+	}
+	return (false);
+}
+
 static void
 update_views(struct prt *p, struct prt_out *out)
 {
@@ -228,6 +241,9 @@
 		p->st[i].view = v;
 		prt_emit(out, PRT_VIEW)->view = v;
 	}
+	/* The last replica may have gone since the read was scheduled. */
+	if (is_sole(p) && p->next_read_ms > p->read_sent_ms + SOLE_READ_MS)
+		p->next_read_ms = p->read_sent_ms + SOLE_READ_MS;
 }
 
 int64_t
@@ -491,16 +507,6 @@
 	update_views(p, out);
 }
 
-static bool
-is_sole(const struct prt *p)
-{
-	for (uint32_t i = 0; i < PRT_COUNT; i++) {
-		if (p->st[i].view.acting && p->st[i].view.sole)
-			return (true);
-	}
-	return (false);
-}
-
 static void
 read_if_due(struct prt *p, int64_t now, struct prt_out *out)
 {
@@ -539,13 +545,16 @@
 static void
 schedule_read(struct prt *p, int64_t now)
 {
-	if (is_sole(p))
+	if (is_sole(p)) {
 		p->next_read_ms = p->read_sent_ms + SOLE_READ_MS;
-	else if (p->table.version == 0)
+		if (p->next_read_ms < now + SOLE_READ_GAP_MS)
+			p->next_read_ms = now + SOLE_READ_GAP_MS;
+	} else if (p->table.version == 0) {
 		p->next_read_ms = now + READ_RETRY_MS;
-	else
+	} else {
 		p->next_read_ms =
 		    now + READ_REFRESH_MS + rng_below(&p->rng, READ_REFRESH_MS);
+	}
 }
 
 void
