Give records the version of a new owner

A new owner of epoch 4 confirmed a grant that it held with version 1.1. An owner of epoch 3 that was cut off had left a grant of another attempt with version 3.1 that was never confirmed. When it became a replica again, its record won by version and replaced the confirmed one; its attempt then ended as not run, and the key was granted again.

Change: a process that becomes the owner gives each record that it holds a version of its epoch. It holds all confirmed records, so what it outranks was not confirmed. Ownership counts as kept only if the epoch grew by one at most, because another process may have owned the partition in between otherwise.

--- a/packages/claim/clm.c
+++ b/packages/claim/clm.c
@@ -249,16 +249,36 @@
 		p->need = p->all;
 }
 
+/* Whether no other process owned the partition since the old view. */
+static bool
+kept_ownership(const struct clm_part *old, const struct prt_view *v)
+{
+	return (vmid_eq(&old->view.owner, &v->owner) &&
+	    v->epoch <= old->view.epoch + 1);
+}
+
+/* A record that is confirmed from here on must outrank what an earlier owner
+ * may have left at some process without a confirmation. */
+static void
+restamp(struct clm_part *p, struct clm_rec *r)
+{
+	r->m->ver = (struct clm_ver){p->view.epoch, ++p->seq};
+	r->acked = 0;
+}
+
 static void
 recheck(struct clm *c, struct clm_part *p, const struct clm_part *old,
     int64_t now, struct clm_out *out)
 {
-	bool kept = vmid_eq(&old->view.owner, &p->view.owner);
+	bool kept = kept_ownership(old, &p->view);
 	struct clm_rec *next;
 
 	for (struct clm_rec *r = p->recs.head; r != NULL; r = next) {
 		next = r->part_next;
-		r->acked = kept ? map_bits(old, p, r->acked) : 0;
+		if (kept)
+			r->acked = map_bits(old, p, r->acked);
+		else
+			restamp(p, r);
 		clm_rec_set_dirty(c, r, (r->acked & p->all) != p->all, now);
 		notify(c, r, now, out);
 	}
--- a/packages/claim/clm.h
+++ b/packages/claim/clm.h
@@ -7,9 +7,11 @@
  * report only after every process that the view requires holds the record.
  *
  * A record has a version (epoch of the owner that changed it, sequence number);
- * the higher version wins everywhere. A new owner pushes each record it holds
- * to its replicas again and confirms it only after that, record by record. A
- * replica with a newer version answers with it, and the owner takes it over.
+ * the higher version wins everywhere. A new owner gives each record it holds a
+ * version of its own epoch, so that it outranks what an earlier owner has left
+ * somewhere without a confirmation. It pushes the records to its replicas again
+ * and confirms each only after that. A replica with a newer version answers
+ * with it, and the owner takes it over.
  *
  * Times: a grant is valid for validity_ms from when the ingress VM first sent
  * the claim, on its own clock, so the validity that the worker sees never ends
