Test the claim controller of one VM

Cause: ctr_claim was compiled but not run.

Change: the test links the controller with stand-ins for sending, freshness and store calls. It covers the first table, a grant and its validity, replay, mismatch, a key returned as not run, a VM that is not fresh, a deadline that has passed, and a grant that arrives when the VM is no longer fresh.

Not covered: messages between processes, which the scripts over real processes are to show.

--- /dev/null
+++ b/tests/unit/test_ctr_claim.c
@@ -0,0 +1,288 @@
+/*
+ * The claim controller of one VM: store calls are answered by hand, claims come
+ * as messages of a worker, time is an argument.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "control/ctr.h"
+#include "front/cmsg.h"
+
+#define START_MS 100000
+#define TICK_MS 50
+#define VALIDITY_MS 5000
+
+/* Stand-ins for the control thread and the store threads. */
+
+static struct store {
+	bool fresh, slow;
+	bool reading, writing;
+	uint64_t version, tag;
+	json_t *written;
+} S;
+
+void
+ctl_send(
+    struct ctl *c, const struct vmid *to, enum pmsg_type type, struct bstr body)
+{
+	(void)c;
+	(void)to;
+	(void)type;
+	(void)body;
+}
+
+bool
+ctl_is_fresh(const struct ctl *c)
+{
+	(void)c;
+	return (S.fresh);
+}
+
+void
+sth_get(struct sth *s, const char *key, uint64_t tag)
+{
+	(void)s;
+	assert_string_equal(key, PRT_KEY);
+	assert_false(S.reading);
+	S.reading = true;
+	S.tag = tag;
+}
+
+void
+sth_put(struct sth *s, const char *key, json_t *value, uint64_t if_version,
+    uint64_t tag)
+{
+	(void)s;
+	assert_string_equal(key, PRT_KEY);
+	assert_int_equal(if_version, S.version);
+	S.writing = true;
+	S.tag = tag;
+	json_decref(S.written);
+	S.written = json_deep_copy(value);
+}
+
+static void
+answer_store(struct ctl *c)
+{
+	struct sth_result r = {.tag = S.tag, .value = S.written};
+
+	assert_int_equal(CTR_TAG_ID(S.tag), CTR_CLAIM);
+	if (S.writing) {
+		r.op = STH_PUT;
+		S.version++;
+	} else if (S.version == 0) {
+		r.err = ERR_NOT_FOUND;
+	}
+	r.version = S.version;
+	S.reading = S.writing = false;
+	ctr_claim.ops->on_store(c, &r);
+}
+
+/* Ticks; each store call is answered in the tick after it, if not slow. */
+static void
+run_ms(struct ctl *c, int64_t ms)
+{
+	for (int64_t end = c->now_ms + ms; c->now_ms < end;) {
+		c->now_ms += TICK_MS;
+		if (!S.slow && (S.reading || S.writing))
+			answer_store(c);
+		ctr_claim.ops->tick(c);
+	}
+}
+
+struct fixture {
+	struct ctl *c;
+	struct set set;
+	struct met met;
+	struct mq replies;
+};
+
+static int
+setup(void **state)
+{
+	struct fixture *f = calloc(1, sizeof(*f));
+	struct prt_member self = {.alive = true};
+	struct prt_out out = {0};
+
+	memset(&S, 0, sizeof(S));
+	S.fresh = true;
+	f->c = calloc(1, sizeof(*f->c));
+	f->set.claim_retention_s = 60;
+	f->c->desc = (struct ctl_desc){.set = &f->set, .met = &f->met};
+	f->c->self = vmid_from(BSTR("vm1@1"));
+	f->c->now_ms = START_MS;
+	mq_init(&f->replies);
+	ctr_claim.ops->setup(f->c);
+	self.id = f->c->self;
+	prt_on_members(&f->c->prt, &self, 1, START_MS, &out);
+	ctl_prt(f->c, &out);
+	prt_out_finish(&out);
+	run_ms(f->c, 2000);
+	*state = f;
+	return (0);
+}
+
+static int
+teardown(void **state)
+{
+	struct fixture *f = *state;
+
+	ctr_claim.ops->finish(f->c);
+	json_decref(S.written);
+	mq_finish(&f->replies);
+	free(f->c);
+	free(f);
+	return (0);
+}
+
+/* Claims and returns the reply, of which there must be one. */
+static struct cmsg_claim_reply *
+claim(struct fixture *f, uint64_t fingerprint, int64_t deadline_ms)
+{
+	struct cmsg_claim *m = calloc(1, sizeof(*m));
+	struct mq_msg *reply;
+
+	m->m.type = CMSG_CLAIM;
+	m->reply_to = &f->replies;
+	m->ref = 77;
+	strcpy(m->service, "pay");
+	m->key.n = 2;
+	memcpy(m->key.s, "k1", 2);
+	m->fingerprint = fingerprint;
+	/* Rounded down to milliseconds. */
+	m->deadline_us = (f->c->now_ms + deadline_ms) * 1000 + 999;
+	ctl_on_claim(f->c, &m->m);
+	reply = mq_pop(&f->replies);
+	assert_non_null(reply);
+	assert_null(mq_pop(&f->replies));
+	assert_int_equal(reply->type, CMSG_CLAIM_REPLY);
+	return (caa_container_of(reply, struct cmsg_claim_reply, m));
+}
+
+static void
+expect(struct fixture *f, uint64_t fingerprint, int64_t deadline_ms,
+    enum cmsg_verdict want)
+{
+	struct cmsg_claim_reply *r = claim(f, fingerprint, deadline_ms);
+
+	assert_int_equal(r->ref, 77);
+	assert_int_equal(r->verdict, want);
+	free(r);
+}
+
+static void
+finish(struct fixture *f, uint64_t attempt, enum cmsg_outcome outcome)
+{
+	struct cmsg_finish *m = calloc(1, sizeof(*m));
+
+	m->m.type = CMSG_FINISH;
+	m->attempt = attempt;
+	m->outcome = outcome;
+	m->response.status = 201;
+	strcpy(m->response.content_type, "text/plain");
+	m->response.body_len = 4;
+	memcpy(m->response.body, "paid", 4);
+	ctl_on_finish(f->c, &m->m);
+}
+
+/* Guards against a grant that is valid too long and a reply that differs from
+ * the response of the first attempt. */
+static void
+test_grant_and_replay(void **state)
+{
+	struct fixture *f = *state;
+	struct cmsg_claim_reply *r = claim(f, 1, 1000);
+
+	assert_int_equal(r->verdict, CMSG_GRANTED);
+	assert_int_equal(
+	    r->valid_until_us, (f->c->now_ms + VALIDITY_MS) * 1000);
+	expect(f, 1, 1000, CMSG_IN_PROGRESS);
+	expect(f, 2, 1000, CMSG_MISMATCH);
+	finish(f, r->attempt, CMSG_RUN_DONE);
+	free(r);
+	r = claim(f, 1, 1000);
+	assert_int_equal(r->verdict, CMSG_DONE);
+	assert_int_equal(r->response.status, 201);
+	assert_string_equal(r->response.content_type, "text/plain");
+	assert_int_equal(r->response.body_len, 4);
+	assert_memory_equal(r->response.body, "paid", 4);
+	free(r);
+	assert_int_equal(met_get(&f->met, MET_CLAIMS), 4);
+	assert_int_equal(met_get(&f->met, MET_TAKEOVERS), PRT_COUNT);
+}
+
+/* Guards against a key that stays in use after an attempt that did not run. */
+static void
+test_not_run(void **state)
+{
+	struct fixture *f = *state;
+	struct cmsg_claim_reply *r = claim(f, 1, 1000);
+
+	finish(f, r->attempt, CMSG_RUN_NOT_RUN);
+	free(r);
+	expect(f, 1, 1000, CMSG_GRANTED);
+}
+
+/* Guards against grants on a VM that is not fresh or after the deadline. */
+static void
+test_unavailable(void **state)
+{
+	struct fixture *f = *state;
+
+	S.fresh = false;
+	expect(f, 1, 1000, CMSG_UNAVAILABLE);
+	S.fresh = true;
+	expect(f, 1, 0, CMSG_UNAVAILABLE);
+	expect(f, 1, 1000, CMSG_GRANTED);
+}
+
+/* Guards against a lost reply, a second one, and a grant that reaches a worker
+ * after the VM has ceased to be fresh. */
+static void
+test_late_grant(void **state)
+{
+	struct fixture *f = *state;
+	struct cmsg_claim *m = calloc(1, sizeof(*m));
+	struct mq_msg *reply;
+
+	/* The lease by the store ends, so the claim waits. */
+	S.slow = true;
+	run_ms(f->c, 2 * PRT_LEASE_MS);
+	m->reply_to = &f->replies;
+	strcpy(m->service, "pay");
+	m->key.n = 2;
+	memcpy(m->key.s, "k1", 2);
+	m->deadline_us = (f->c->now_ms + 3000) * 1000;
+	ctl_on_claim(f->c, &m->m);
+	assert_null(mq_pop(&f->replies));
+	S.fresh = S.slow = false;
+	run_ms(f->c, 1000);
+	reply = mq_pop(&f->replies);
+	assert_non_null(reply);
+	assert_int_equal(
+	    caa_container_of(reply, struct cmsg_claim_reply, m)->verdict,
+	    CMSG_UNAVAILABLE);
+	free(caa_container_of(reply, struct cmsg_claim_reply, m));
+	assert_null(mq_pop(&f->replies));
+	S.fresh = true;
+	expect(f, 1, 1000, CMSG_GRANTED);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test_setup_teardown(
+		test_grant_and_replay, setup, teardown),
+	    cmocka_unit_test_setup_teardown(test_not_run, setup, teardown),
+	    cmocka_unit_test_setup_teardown(test_unavailable, setup, teardown),
+	    cmocka_unit_test_setup_teardown(test_late_grant, setup, teardown),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
