--- a/tests/unit/test_ctr_claim.c
+++ b/tests/unit/test_ctr_claim.c
@@ -150,9 +150,8 @@
 	m->m.type = CMSG_CLAIM;
 	m->reply_to = &f->replies;
 	m->ref = 77;
-	strcpy(m->service, "pay");
-	m->key.n = 2;
-	memcpy(m->key.s, "k1", 2);
+	memcpy(m->service, "pay", sizeof("pay"));
+	m->key = (struct cmsg_key){.n = 2, .s = {'k', '1'}};
 	m->fingerprint = fingerprint;
 	/* Rounded down to milliseconds. */
 	m->deadline_us = (f->c->now_ms + deadline_ms) * 1000 + 999;
@@ -184,9 +183,9 @@
 	m->attempt = attempt;
 	m->outcome = outcome;
 	m->response.status = 201;
-	strcpy(m->response.content_type, "text/plain");
+	memcpy(m->response.content_type, "text/plain", sizeof("text/plain"));
 	m->response.body_len = 4;
-	memcpy(m->response.body, "paid", 4);
+	memcpy(m->response.body, "paid", sizeof("paid"));
 	ctl_on_finish(f->c, &m->m);
 }
 
@@ -254,9 +253,8 @@
 	S.slow = true;
 	run_ms(f->c, 2 * PRT_LEASE_MS);
 	m->reply_to = &f->replies;
-	strcpy(m->service, "pay");
-	m->key.n = 2;
-	memcpy(m->key.s, "k1", 2);
+	memcpy(m->service, "pay", sizeof("pay"));
+	m->key = (struct cmsg_key){.n = 2, .s = {'k', '1'}};
 	m->deadline_us = (f->c->now_ms + 3000) * 1000;
 	ctl_on_claim(f->c, &m->m);
 	assert_null(mq_pop(&f->replies));
