Split the front test rig into a header and a library file

Cause: front_rig.h held 653 lines of code in a header, compiled into each of the test programs.

Change: tests/lib/rig.c and rig.h. No check changes.

--- a/tests/unit/front_rig.h
+++ b/tests/lib/rig.c
@@ -1,88 +1,15 @@
-/*
- * front_rig - one real worker between a raw client and tests/standin/rawup,
- * with a fake control thread.
- *
- * Hosts: "a" has the stand-in, "dead" refuses connections, "hole" does not
- * complete them, "two" has a dead upstream and the stand-in, "full" is at its
- * limit while rig.full is set, "none" has no upstream. Routes: /i and /t are
- * idempotent, / is not; /t and /u have a timeout of SHORT_MS.
- *
- * The fake control thread decides a claim by the first word of its key.
- */
-#ifndef FRONT_RIG_H
-#define FRONT_RIG_H
-
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdint.h>
-#include <cmocka.h>
+#include "lib/rig.h"
+
 #include <libgen.h>
-#include <netinet/in.h>
-#include <poll.h>
-#include <pthread.h>
-#include <signal.h>
-#include <stdio.h>
-#include <stdlib.h>
-#include <sys/socket.h>
-#include <sys/wait.h>
-#include <unistd.h>
-#include <urcu.h>
-
-#include "front/cmsg.h"
-#include "front/env.h"
-#include "front/wrk.h"
-#include "sys/clk.h"
-
-#define SHORT_MS 300
-#define LONG_MS 10000
+
 #define HEAD_TIMEOUT_MS 400
-#define MAX_FINISHES 256
 #define LONG_GRANT_US 5000000
 #define MAX_REPLY (16 * 1024 * 1024)
-#define CLIENT_TIMEOUT_S 20
 #define N_SERVICES 6
 
-/** struct rig - everything that a test program shares */
-struct rig {
-	struct env env;
-	struct met met;
-	struct wrk *w;
-	pthread_t worker;
-	pthread_t control_thread;
-	struct mq control;
-	_Atomic bool stop;
-	_Atomic bool full;
-	_Atomic bool dead_first; /* for "two" */
-	_Atomic bool hold; /* claims with the word "hold" are not answered */
-	_Atomic int64_t grant_us; /* how long a grant is valid, 0 for long */
-	_Atomic int states;
-	_Atomic uint64_t fingerprint;
-	pthread_mutex_t lock;
-	struct cmsg_finish finishes[MAX_FINISHES];
-	int n_finishes;
-	struct rt_tally *tally;
-	pid_t upstream;
-	uint16_t up_port;
-	uint16_t port;
-	int fds[16]; /* kept open until the end */
-	int n_fds;
-};
-
-static struct rig rig = {.lock = PTHREAD_MUTEX_INITIALIZER};
-
-/** struct reply - what a client read until the connection was closed */
-struct reply {
-	char *p;
-	size_t n;
-	unsigned status;
-	const char *body;
-	size_t body_n;
-	bool complete;
-	size_t rest; /* bytes after the first response */
-};
-
-static inline int
+struct rig rig = {.lock = PTHREAD_MUTEX_INITIALIZER};
+
+int
 rig_bind(int backlog, uint16_t *port, int option)
 {
 	struct sockaddr_in sin = {
@@ -102,7 +29,7 @@
 	return (fd);
 }
 
-static inline int
+int
 rig_connect_to(uint16_t port, int type)
 {
 	struct sockaddr_in sin = {.sin_family = AF_INET,
@@ -118,7 +45,7 @@
 }
 
 /* A port whose accept queue is full, so that connecting never completes. */
-static inline uint16_t
+static uint16_t
 rig_hole(void)
 {
 	uint16_t port;
@@ -129,7 +56,7 @@
 	return (port);
 }
 
-static inline void
+static void
 rig_start_upstream(void)
 {
 	char exe[512], path[600], line[64] = "";
@@ -155,7 +82,7 @@
 	assert_int_not_equal(rig.up_port, 0);
 }
 
-static inline void
+static void
 rig_publish(uint16_t dead, uint16_t hole)
 {
 	static const char *const names[N_SERVICES] = {
@@ -210,9 +137,7 @@
 		rt_tally_unref(tallies[i]);
 }
 
-/* As rt_pick(), but "full" may be at its limit and "two" start with the dead.
- */
-static inline int
+int
 rig_pick(const struct rt_service *s, const struct rt_request *req,
     int64_t now_us, struct rng *rng)
 {
@@ -223,14 +148,14 @@
 	return (rt_pick(s, req, now_us, rng));
 }
 
-static inline bool
+static bool
 rig_key_is(const struct cmsg_key *key, const char *word)
 {
 	return (
 	    bstr_has_prefix((struct bstr){key->s, key->n}, bstr_from(word)));
 }
 
-static inline void
+static void
 rig_reply(const struct cmsg_claim *c)
 {
 	static const char *const words[] = {[CMSG_GRANTED] = "grant",
@@ -265,7 +190,7 @@
 	mq_push(c->reply_to, &r->m);
 }
 
-static inline void
+static void
 rig_on_message(struct mq_msg *m, struct cmsg_claim **held)
 {
 	struct cmsg_claim *c;
@@ -294,7 +219,7 @@
 	free(m);
 }
 
-static inline void *
+static void *
 rig_run_control(void *arg)
 {
 	struct pollfd p = {.fd = mq_fd(&rig.control), .events = POLLIN};
@@ -316,14 +241,14 @@
 	return (NULL);
 }
 
-static inline void *
+void *
 rig_run_worker(void *arg)
 {
 	wrk_run(arg);
 	return (NULL);
 }
 
-static inline int
+int
 rig_setup(void **state)
 {
 	uint16_t dead;
@@ -353,7 +278,7 @@
 	return (0);
 }
 
-static inline int
+int
 rig_teardown(void **state)
 {
 	struct mq_msg *m;
@@ -377,7 +302,7 @@
 	return (0);
 }
 
-static inline int
+int
 rig_open(const char *text, size_t n)
 {
 	int fd = rig_connect_to(rig.port, 0);
@@ -393,7 +318,7 @@
 	return (fd);
 }
 
-static inline const char *
+const char *
 rig_field(const struct reply *r, const char *name)
 {
 	static _Thread_local char value[256];
@@ -414,7 +339,7 @@
 }
 
 /* Decodes chunks in place; false when the last chunk is missing. */
-static inline bool
+static bool
 rig_dechunk(struct reply *r)
 {
 	char *in = (char *)(uintptr_t)r->body;
@@ -441,7 +366,7 @@
 	return (true);
 }
 
-static inline void
+static void
 rig_parse(struct reply *r, bool to_head)
 {
 	char *end = strstr(r->p, "\r\n\r\n");
@@ -471,8 +396,7 @@
 	}
 }
 
-/* Reads until the connection is closed; the storage is freed by rig_done(). */
-static inline struct reply
+struct reply
 rig_read(int fd, bool to_head)
 {
 	struct reply r = {.p = malloc(MAX_REPLY + 1)};
@@ -487,22 +411,20 @@
 	return (r);
 }
 
-static inline void
+void
 rig_done(struct reply *r)
 {
 	free(r->p);
 	*r = (struct reply){0};
 }
 
-/** rig_raw() - send bytes, read until the connection is closed */
-static inline struct reply
+struct reply
 rig_raw(const char *text)
 {
 	return (rig_read(rig_open(text, strlen(text)), false));
 }
 
-/** rig_request() - open a call whose connection closes at its end */
-static inline int
+int
 rig_request(const char *method, const char *host, const char *path,
     const char *fields, const char *body)
 {
@@ -520,8 +442,7 @@
 	return (rig_open(text, (size_t)n));
 }
 
-/** rig_call() - one call from start to end */
-static inline struct reply
+struct reply
 rig_call(const char *method, const char *host, const char *path,
     const char *fields, const char *body)
 {
@@ -531,7 +452,7 @@
 }
 
 /* Reads a number from the stand-in, past the worker. */
-static inline int
+static int
 rig_ask(const char *what, const char *path)
 {
 	char text[512];
@@ -556,15 +477,13 @@
 	return (atoi(r.body));
 }
 
-/** rig_count() - complete requests that the stand-in received for a path */
-static inline int
+int
 rig_count(const char *path)
 {
 	return (rig_ask("count", path));
 }
 
-/** rig_wait_gone() - until the stand-in saw the connection of a path close */
-static inline void
+void
 rig_wait_gone(const char *path)
 {
 	for (int i = 0; i < 1000 && rig_ask("gone", path) == 0; i++)
@@ -572,8 +491,7 @@
 	assert_int_equal(rig_ask("gone", path), 1);
 }
 
-/** rig_wait_count() - until the stand-in has received a request */
-static inline void
+void
 rig_wait_count(const char *path)
 {
 	for (int i = 0; i < 1000 && rig_count(path) == 0; i++)
@@ -581,8 +499,7 @@
 	assert_int_equal(rig_count(path), 1);
 }
 
-/** rig_finishes() - number of finishes of a key, and the last one */
-static inline int
+int
 rig_finishes(const char *key, struct cmsg_finish *out)
 {
 	int n = 0;
@@ -600,8 +517,7 @@
 	return (n);
 }
 
-/** rig_wait_finish() - the only finish of a key */
-static inline struct cmsg_finish
+struct cmsg_finish
 rig_wait_finish(const char *key)
 {
 	struct cmsg_finish f = {0};
@@ -612,8 +528,7 @@
 	return (f);
 }
 
-/** rig_earn() - successful calls to @host, for at least one retry */
-static inline void
+void
 rig_earn(const char *host)
 {
 	for (int i = 0; i < 11; i++) {
@@ -624,15 +539,13 @@
 	}
 }
 
-/** rig_has() - whether the body holds a text */
-static inline bool
+bool
 rig_has(const struct reply *r, const char *text)
 {
 	return (r->body != NULL && strstr(r->body, text) != NULL);
 }
 
-/** rig_expect_error() - check status, kind and outcome; frees the reply */
-static inline void
+void
 rig_expect_error(
     struct reply r, unsigned status, const char *kind, const char *outcome)
 {
@@ -644,8 +557,7 @@
 	rig_done(&r);
 }
 
-/** rig_expect_body() - check a complete 200; frees the reply */
-static inline void
+void
 rig_expect_body(struct reply r, const char *body)
 {
 	if (r.status != 200 || !r.complete || r.rest != 0 ||
@@ -653,5 +565,3 @@
 		fail_msg("want 200 with %s, got: %.400s", body, r.p);
 	rig_done(&r);
 }
-
-#endif
--- a/tests/unit/test_front_claim.c
+++ b/tests/unit/test_front_claim.c
@@ -1,4 +1,4 @@
-#include "unit/front_rig.h"
+#include "lib/rig.h"
 
 static struct reply
 keyed(const char *path, const char *key, const char *body)
--- a/tests/unit/test_front_errors.c
+++ b/tests/unit/test_front_errors.c
@@ -1,4 +1,4 @@
-#include "unit/front_rig.h"
+#include "lib/rig.h"
 
 /**
  * struct point - break point and what callers are told
--- a/tests/unit/test_front_input.c
+++ b/tests/unit/test_front_input.c
@@ -1,4 +1,4 @@
-#include "unit/front_rig.h"
+#include "lib/rig.h"
 
 #define HEAD(path) "POST " path " HTTP/1.1\r\nHost: a\r\n"
 
--- a/tests/unit/test_front_stop.c
+++ b/tests/unit/test_front_stop.c
@@ -3,7 +3,7 @@
  * the kernel accepted into the listen queue and that were reset when the
  * listening socket was closed, with one and with two listeners on a port.
  */
-#include "front_rig.h"
+#include "lib/rig.h"
 
 #include <errno.h>
 #include <fcntl.h>
--- a/tests/unit/test_front_stream.c
+++ b/tests/unit/test_front_stream.c
@@ -1,4 +1,4 @@
-#include "unit/front_rig.h"
+#include "lib/rig.h"
 
 /* Guards against answers that are changed, cut or mixed on the way. */
 static void
--- a/tests/unit/test_front_wait.c
+++ b/tests/unit/test_front_wait.c
@@ -2,7 +2,7 @@
  * Limits of waiting calls, counters that outlive their table, and a grant that
  * expires while its call is being started.
  */
-#include "front_rig.h"
+#include "lib/rig.h"
 
 #include "front/svc.h"
 
