--- a/tests/standin/callers.c
+++ b/tests/standin/callers.c
@@ -495,7 +495,7 @@
 	    .rep.label = "run"};
 	struct bbuf problem;
 	struct rlimit lim;
-	char own_ids[24];
+	static char own_ids[24];
 
 	/* The process id keeps keys of different runs apart. */
 	snprintf(own_ids, sizeof(own_ids), "%d", (int)getpid());
