Do not count members that left and are gone

Cause: mbr_all() listed members after their graceful end as alive and leaving, so the partition module saw them as members to hand over to and as replicas.

Ruled out: dropping every leaving member after the hold time; a VM that drains for longer still owns partitions and must hand them over.

Change: a member that left and is dead is not listed.

--- a/packages/member/mbr.h
+++ b/packages/member/mbr.h
@@ -272,7 +272,8 @@
  * @out: receives them
  * @max: room in @out
  *
- * Members that another process has replaced or that left the base are omitted.
+ * Members that another process has replaced, that left gracefully and are gone,
+ * or that left the base are omitted.
  *
  * Return: number written.
  */
--- a/packages/member/mbr_query.c
+++ b/packages/member/mbr_query.c
@@ -223,6 +223,13 @@
 	return (n);
 }
 
+/* A member that left gracefully and is gone: its work was handed over. */
+static bool
+has_ended(const struct mbr_member *k)
+{
+	return (k->e.leaving && k->e.health == MBR_HEALTH_DEAD);
+}
+
 uint32_t
 mbr_all(const struct mbr *m, struct mbr_info *out, uint32_t max)
 {
@@ -231,7 +238,7 @@
 	for (uint32_t i = 0; i < m->n && n < max; i++) {
 		const struct mbr_member *b = &m->members[i];
 
-		if (b->replaced || b->dropped)
+		if (b->replaced || b->dropped || has_ended(b))
 			continue;
 		out[n++] = info(b);
 	}
--- a/tests/lib/rig.c
+++ b/tests/lib/rig.c
@@ -185,7 +185,7 @@
 		    sizeof(r->response.content_type), "text/y");
 		r->response.body_omitted = rig_key_is(&c->key, "doneomit");
 		r->response.body_len = r->response.body_omitted ? 0 : 6;
-		memcpy(r->response.body, "stored", 6);
+		strcpy(r->response.body, "stored");
 	}
 	mq_push(c->reply_to, &r->m);
 }
