Measure control cost against the number of VMs

Cause: the capacity page needs slopes of processor time, bytes, memory and store calls per VM. Change: tools/bench-fleet, part of make bench.

--- a/Makefile
+++ b/Makefile
@@ -104,6 +104,9 @@
 bench: deps
 	@$(MAKE) --no-print-directory build
 	@tools/bench $(B)
+	@tools/bench-fleet $(B)
+	@$(B)/bench
+	@$(B)/bench --routing
 
 format:
 	@clang-format -i $(SRCS) $(HDRS)
