Deliver early answers whole while the caller still sends its body

Cause: libcurl stops sending after an early answer of 300 or above, so the caller's body stayed in the buffer and the caller was suspended. An answer above 256 KiB waited for the end of that body: neither went on until the deadline, and the caller was cut without an answer. An upstream that answered 2xx on a kept connection and never read the body ended in the same way, its complete answer replaced by a timeout.

A transfer that fails after the whole answer, by its Content-Length, was received counts as answered. An early 2xx does not stop the body, which the upstream may still process.

--- a/packages/front/call.c
+++ b/packages/front/call.c
@@ -62,6 +62,8 @@
 void
 call_reset_answer(struct call *c)
 {
+	c->answer_whole = false;
+	c->answer_n = 0;
 	rhd_reset(&c->head, c->to_head);
 	c->head_bad = false;
 	c->head_us = 0;
--- a/packages/front/call.h
+++ b/packages/front/call.h
@@ -80,6 +80,9 @@
  * @body: request body; bytes before @body_off were passed to libcurl
  * @body_off: position of the next byte to send
  * @body_dropped: sent bytes are gone, the body cannot be sent again
+ * @upload_over: libcurl stopped sending the body after an early 3xx to 5xx
+ * @answer_whole: the whole answer was received, as its Content-Length says
+ * @answer_n: bytes of the answer's body received
  * @body_done: the caller has sent the whole body
  * @body_paused: libcurl waits for more body
  * @body_kept: the whole body is buffered before anything is sent
@@ -152,6 +155,9 @@
 	struct bbuf body;
 	size_t body_off;
 	bool body_dropped;
+	bool upload_over;
+	bool answer_whole;
+	uint64_t answer_n;
 	bool body_done;
 	bool body_paused;
 	bool body_kept;
--- a/packages/front/fe.c
+++ b/packages/front/fe.c
@@ -209,7 +209,7 @@
 		clf_abandon(c);
 		c->err = ERR_BODY_TOO_LARGE;
 	}
-	if (c->err != ERR_NONE || c->answer_done) {
+	if (c->err != ERR_NONE || c->answer_done || c->upload_over) {
 		c->drained += *n;
 		*n = 0;
 		/* A complete answer is worth waiting for, until the deadline.
--- a/packages/front/ups.c
+++ b/packages/front/ups.c
@@ -231,12 +231,27 @@
 		return (CURL_WRITEFUNC_PAUSE);
 	}
 	trim_answer(c);
+	c->answer_n += len;
+	c->answer_whole = c->head.len >= 0 && !c->head.chunked &&
+	    c->answer_n >= (uint64_t)c->head.len;
 	bbuf_add(&c->answer, (struct bstr){data, len});
 	keep_for_claim(c, (struct bstr){data, len});
 	fe_on_data(c);
 	return (len);
 }
 
+/* libcurl sends no more of the body after an early answer of 300 or above. */
+static void
+drop_upload(struct call *c)
+{
+	if (c->status < 300 || c->body_done || c->refused)
+		return;
+	c->upload_over = true;
+	c->body_dropped = true;
+	c->body_off = c->body.n;
+	fe_on_body_taken(c);
+}
+
 static void
 on_final_head(struct call *c)
 {
@@ -254,6 +269,8 @@
 	if (!rhd_has_body(h) && (h->len > 0 || h->chunked))
 		curl_easy_setopt(c->easy, CURLOPT_FORBID_REUSE, 1L);
 	c->status = h->status;
+	c->answer_whole = !rhd_has_body(h) || h->len == 0;
+	drop_upload(c);
 	if (!c->refused)
 		fe_on_head(c);
 }
@@ -401,6 +418,9 @@
 		return (ERR_REFUSED);
 	if (result == CURLE_OK && c->status != 0 && !c->head_bad)
 		return (ERR_NONE);
+	/* The upstream answered and did not read the rest of the body. */
+	if (c->answer_whole && !c->head_bad)
+		return (ERR_NONE);
 	if (c->sent == CALL_NOT_SENT) {
 		if (c->blocked != ERR_NONE)
 			return (c->blocked);
--- a/tests/standin/rawup.c
+++ b/tests/standin/rawup.c
@@ -4,7 +4,9 @@
  * Takes requests "/<any>/<behaviour>/<id>" and counts every complete request by
  * its path, so that a test sees duplicates. Prints "port N" when it listens.
  *
- * "/<any>/stall/<id>" never reads the body.
+ * "/<any>/stall/<id>" never reads the body. "early" and "earlybad" answer
+ * after the head and then read the body; "earlydeaf" and "earlybaddeaf" never
+ * read it.
  *
  *	/ctl/count<path>   complete requests received for <path>
  *	/ctl/gone<path>    how often the peer closed before the answer
@@ -30,6 +32,9 @@
 #define HUGE_BLOCK (64 * 1024)
 #define KEPT_LIMIT_BODY 5000
 #define MAX_HANG_MS 20000
+#define EARLY_BODY 1000000
+#define EARLY_LENGTH "Content-Length: 1000000\r\n\r\n"
+#define OK "HTTP/1.1 200 OK\r\n"
 #define LATE_US 30000
 #define SLOW_US 30000
 
@@ -187,6 +192,35 @@
 	pthread_mutex_unlock(&lock);
 }
 
+/* Answers when only the head was read; then the connection ends. */
+static void
+answer_early(struct conn *c)
+{
+	char rest[4096];
+	bool deaf = strstr(c->path, "deaf/") != NULL;
+
+	if (strstr(c->path, "/earlybad") != NULL) {
+		char *p = calloc(1, EARLY_BODY);
+
+		memset(p, 'e', EARLY_BODY);
+		send_str(c->fd, "HTTP/1.1 413 Large\r\n");
+		send_str(c->fd, EARLY_LENGTH);
+		send_all(c->fd, p, EARLY_BODY);
+		free(p);
+	} else {
+		send_str(c->fd, OK);
+		/* Or else libcurl uses the connection again. */
+		if (!deaf)
+			send_str(c->fd, "Connection: close\r\n");
+		send_str(c->fd, "Content-Length: 2\r\n\r\nok");
+	}
+	if (deaf)
+		wait_gone(c);
+	else
+		while (recv(c->fd, rest, sizeof(rest), 0) > 0)
+			continue;
+}
+
 static bool
 read_request(struct conn *c)
 {
@@ -206,6 +240,11 @@
 		wait_gone(c);
 		return (false);
 	}
+	if (strncmp(c->path, "/ctl/", 5) != 0 &&
+	    strstr(c->path, "/early") != NULL) {
+		answer_early(c);
+		return (false);
+	}
 	field = strcasestr(c->head, "\r\nContent-Length:");
 	if (field != NULL)
 		return (read_bytes(c, strtoul(field + 17, NULL, 10)));
@@ -221,7 +260,6 @@
 	const char *text;
 };
 
-#define OK "HTTP/1.1 200 OK\r\n"
 #define CANNED_OK OK "Content-Length: 2\r\n\r\nok"
 
 static const struct canned canned[] = {
