--- a/tests/lib/rig.c
+++ b/tests/lib/rig.c
@@ -164,6 +164,7 @@
 	    [CMSG_UNKNOWN] = "unknown",
 	    [CMSG_MISMATCH] = "mismatch",
 	    [CMSG_UNAVAILABLE] = "unavailable"};
+	const struct bstr stored = BSTR("stored");
 	struct cmsg_claim_reply *r = calloc(1, sizeof(*r));
 
 	r->m.type = CMSG_CLAIM_REPLY;
@@ -184,8 +185,9 @@
 		snprintf(r->response.content_type,
 		    sizeof(r->response.content_type), "text/y");
 		r->response.body_omitted = rig_key_is(&c->key, "doneomit");
-		r->response.body_len = r->response.body_omitted ? 0 : 6;
-		memcpy(r->response.body, "stored", 6);
+		r->response.body_len =
+		    r->response.body_omitted ? 0 : (uint16_t)stored.n;
+		memcpy(r->response.body, stored.p, stored.n);
 	}
 	mq_push(c->reply_to, &r->m);
 }
