Compare strings regardless of case over their whole length

bstr_caseeq() used strncasecmp(), which stops at a zero byte and folds by the locale: two strings of equal length that differ only after a zero byte were equal. A test of the host index found it. The comparison now folds ASCII letters over the counted length.

--- a/packages/base/bstr.c
+++ b/packages/base/bstr.c
@@ -3,7 +3,6 @@
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <strings.h>
 #include <xxhash.h>
 
 #define BBUF_MIN_CAP 64
@@ -20,10 +19,23 @@
 	return (a.n == b.n && (a.n == 0 || memcmp(a.p, b.p, a.n) == 0));
 }
 
+static unsigned char
+fold(char c)
+{
+	return ((unsigned char)(c >= 'A' && c <= 'Z' ? c - 'A' + 'a' : c));
+}
+
 bool
 bstr_caseeq(struct bstr a, struct bstr b)
 {
-	return (a.n == b.n && (a.n == 0 || strncasecmp(a.p, b.p, a.n) == 0));
+	if (a.n != b.n)
+		return (false);
+	/* strncasecmp() would stop at a zero byte and use the locale. */
+	for (size_t i = 0; i < a.n; i++) {
+		if (a.p[i] != b.p[i] && fold(a.p[i]) != fold(b.p[i]))
+			return (false);
+	}
+	return (true);
 }
 
 bool
--- a/tests/unit/test_base.c
+++ b/tests/unit/test_base.c
@@ -24,6 +24,20 @@
 	assert_false(bstr_to_u64(BSTR(""), &v));
 }
 
+/* Guards against a comparison that stops at a zero byte or folds more than
+ * letters. */
+static void
+test_caseeq(void **state)
+{
+	(void)state;
+	assert_true(bstr_caseeq(BSTR("Host-1z"), BSTR("hOST-1Z")));
+	assert_true(bstr_caseeq(BSTR(""), (struct bstr){0}));
+	assert_false(bstr_caseeq(BSTR("a"), BSTR("ab")));
+	assert_false(bstr_caseeq(BSTR("a\0b"), BSTR("a\0c")));
+	assert_false(bstr_caseeq(BSTR("@["), BSTR("`{")));
+	assert_false(bstr_caseeq(BSTR("\xc4"), BSTR("\xe4")));
+}
+
 /* Guards against a quantile that lies below the recorded value. */
 static void
 test_hist_bounds(void **state)
@@ -78,6 +92,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_to_u64),
+	    cmocka_unit_test(test_caseeq),
 	    cmocka_unit_test(test_hist_bounds),
 	    cmocka_unit_test(test_err_table),
 	    cmocka_unit_test(test_keyed_outcome),
