Find hosts and services by hash indexes

rt_find_host() and rt_find_service() compared with each service in turn, and each call runs both. A table now has two indexes (route/hix.h), open addressing with xxHash64, hosts folded to small letters. GHashTable was ruled out, since its keys need a zero byte and case needs a copy for each search. The first service with a host or name still wins.

rt_try_start() and the pick read the end of the permits before their number, as the number is lowered before a later end is stored.

--- a/packages/bench/main.c
+++ b/packages/bench/main.c
@@ -2,12 +2,15 @@
  * bench - measures the choice of an upstream in the virtual-time model.
  *
  * Prints one row for each load, fault and policy, as a table or JSON lines.
+ * With
+ * --routing it measures the time of the routing decision instead.
  */
 #include <getopt.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "bench/rtb.h"
 #include "model/mdl.h"
 
 static const double loads[] = {0.5, 0.7, 0.85, 0.95, 1.5};
@@ -43,12 +46,13 @@
 	    {"vms", required_argument, NULL, 'v'},
 	    {"upstreams", required_argument, NULL, 'u'},
 	    {"json", no_argument, NULL, 'j'},
+	    {"routing", no_argument, NULL, 'r'},
 	    {"help", no_argument, NULL, 'h'},
 	    {0},
 	};
 	struct mdl_desc d = {.seed = 1, .calls = 200000};
 	static struct mdl_result r;
-	bool json = false;
+	bool json = false, routing = false, calls_given = false;
 	int opt;
 
 	while ((opt = getopt_long(argc, argv, "", options, NULL)) != -1) {
@@ -58,6 +62,7 @@
 			break;
 		case 'c':
 			d.calls = (uint32_t)strtoul(optarg, NULL, 10);
+			calls_given = true;
 			break;
 		case 'v':
 			d.vms = (uint32_t)strtoul(optarg, NULL, 10);
@@ -68,12 +73,21 @@
 		case 'j':
 			json = true;
 			break;
+		case 'r':
+			routing = true;
+			break;
 		default:
 			printf("usage: bench [--seed N] [--calls N] [--vms N] "
-			       "[--upstreams N] [--json]\n");
+			       "[--upstreams N] [--routing] [--json]\n");
 			return (opt == 'h' ? 0 : 2);
 		}
 	}
+	if (routing) {
+		rtb_run(&(struct rtb_desc){.seed = d.seed,
+		    .calls = calls_given ? d.calls : 0,
+		    .json = json});
+		return (0);
+	}
 	if (!json)
 		printf("load fault      policy         p50_us   p99_us  "
 		       "p999_us  goodput  failed    late refused  faulty    "
--- a/packages/route/rt.c
+++ b/packages/route/rt.c
@@ -3,6 +3,7 @@
 #include <math.h>
 #include <stdlib.h>
 
+#include "route/hix.h"
 #include "route/lim.h"
 
 #define SERVICE_SHIFT 4
@@ -31,11 +32,15 @@
 #define EJECT_PAUSE_US 200000
 
 /**
- * struct rt_table - services with one pool for all strings
+ * struct rt_table - services and indexes over them
+ * @hosts: host -> struct rt_service, regardless of case
+ * @names: name -> struct rt_service
  */
 struct rt_table {
 	struct rt_service *services;
 	uint32_t n;
+	struct hix hosts;
+	struct hix names;
 };
 
 static void *
@@ -181,6 +186,25 @@
 	free(s->upstreams);
 }
 
+/* The first service with a host or name wins. */
+static void
+build_indexes(struct rt_table *t)
+{
+	uint32_t n_hosts = 0;
+
+	for (uint32_t i = 0; i < t->n; i++)
+		n_hosts += t->services[i].n_hosts;
+	hix_init(&t->hosts, n_hosts, true);
+	hix_init(&t->names, t->n, false);
+	for (uint32_t i = 0; i < t->n; i++) {
+		const struct rt_service *s = &t->services[i];
+
+		hix_add(&t->names, s->name, s);
+		for (uint32_t j = 0; j < s->n_hosts; j++)
+			hix_add(&t->hosts, s->hosts[j], s);
+	}
+}
+
 struct rt_table *
 rt_table_new(const struct rt_desc *desc)
 {
@@ -190,6 +214,7 @@
 	t->services = xcalloc(t->n, sizeof(*t->services));
 	for (uint32_t i = 0; i < t->n; i++)
 		copy_service(&t->services[i], &desc->services[i]);
+	build_indexes(t);
 	return (t);
 }
 
@@ -200,6 +225,8 @@
 		return;
 	for (uint32_t i = 0; i < t->n; i++)
 		free_service(&t->services[i]);
+	hix_finish(&t->hosts);
+	hix_finish(&t->names);
 	free(t->services);
 	free(t);
 }
@@ -214,25 +241,13 @@
 const struct rt_service *
 rt_find_host(const struct rt_table *t, struct bstr host)
 {
-	for (uint32_t i = 0; i < t->n; i++) {
-		const struct rt_service *s = &t->services[i];
-
-		for (uint32_t j = 0; j < s->n_hosts; j++) {
-			if (bstr_caseeq(s->hosts[j], host))
-				return (s);
-		}
-	}
-	return (NULL);
+	return (hix_find(&t->hosts, host));
 }
 
 const struct rt_service *
 rt_find_service(const struct rt_table *t, struct bstr name)
 {
-	for (uint32_t i = 0; i < t->n; i++) {
-		if (bstr_eq(t->services[i].name, name))
-			return (&t->services[i]);
-	}
-	return (NULL);
+	return (hix_find(&t->names, name));
 }
 
 const struct rt_route *
@@ -329,8 +344,8 @@
 static bool
 has_permit(const struct rt_stat *s, int64_t now_us)
 {
-	return (atomic_load(&s->in_flight) < atomic_load(&s->permits) &&
-	    now_us < atomic_load(&s->permits_until_us));
+	return (now_us < atomic_load(&s->permits_until_us) &&
+	    atomic_load(&s->in_flight) < atomic_load(&s->permits));
 }
 
 /* Best candidate so far. */
@@ -419,11 +434,14 @@
 {
 	int32_t own = atomic_load(&s->in_flight);
 
-	/* Two workers may pick at once, so the permit is taken by exchange. */
+	/*
+	 * Two workers may pick at once, so the permit is taken by exchange. The
+	 * end is read first: a smaller number is stored before a later end.
+	 */
 	do {
 		if (cold &&
-		    (own >= atomic_load(&s->permits) ||
-			now_us >= atomic_load(&s->permits_until_us)))
+		    (now_us >= atomic_load(&s->permits_until_us) ||
+			own >= atomic_load(&s->permits)))
 			return (false);
 	} while (!atomic_compare_exchange_weak(&s->in_flight, &own, own + 1));
 	atomic_fetch_add(&s->started_since, 1);
