Send the table on when a read shows that a write took effect

The answer to a write that handed a partition over was lost. Its writer learned the outcome by a read, but only the answer to a write made it send the table to the others, so that the new owner heard of its ownership 3 s later.

Ruled out: the lease of the new owner, which began 1.1 s after it had the table.

Change: when a read returns the rows of the own undecided write, the table is sent to all live members. To compare rows, a proposal now keeps an only replica in the first place, as the parser does. After a conflict nothing is sent.

--- a/packages/claim/prt.c
+++ b/packages/claim/prt.c
@@ -557,6 +557,27 @@
 	}
 }
 
+static void
+push_table(struct prt *p, struct prt_out *out)
+{
+	for (uint32_t k = 0; k < p->n_members; k++) {
+		const struct prt_member *m = &p->members[k];
+
+		if (m->alive && !prt_is_self(p, &m->id))
+			send_table(p, &m->id, out);
+	}
+}
+
+static bool
+same_rows(const struct prt_table *a, const struct prt_table *b)
+{
+	for (uint32_t i = 0; i < PRT_COUNT; i++) {
+		if (!prt_row_eq(&a->part[i], &b->part[i]))
+			return (false);
+	}
+	return (true);
+}
+
 void
 prt_on_read(struct prt *p, enum prt_result r, bool asked, uint64_t version,
     const json_t *value, int64_t now_ms, struct prt_out *out)
@@ -568,8 +589,13 @@
 	if (r == PRT_NOT_FOUND && p->table.version == 0)
 		p->object_missing = true;
 	if (r == PRT_OK && prt_table_parse(&t, value)) {
+		/* An own write has taken effect although its answer was lost.
+		 */
+		bool won = p->has_prop && same_rows(&t, &p->prop);
+
 		t.version = version;
-		adopt(p, &t, now_ms);
+		if (adopt(p, &t, now_ms) && won)
+			push_table(p, out);
 		if (asked && version == p->table.version)
 			p->store_lease_until = p->read_sent_ms + PRT_LEASE_MS;
 	}
@@ -582,17 +608,6 @@
 		p->next_read_ms = now_ms + READ_RETRY_MS;
 }
 
-static void
-push_table(struct prt *p, struct prt_out *out)
-{
-	for (uint32_t k = 0; k < p->n_members; k++) {
-		const struct prt_member *m = &p->members[k];
-
-		if (m->alive && !prt_is_self(p, &m->id))
-			send_table(p, &m->id, out);
-	}
-}
-
 void
 prt_on_write(struct prt *p, enum prt_result r, uint64_t version, int64_t now_ms,
     struct prt_out *out)
--- a/packages/claim/prt_plan.c
+++ b/packages/claim/prt_plan.c
@@ -358,6 +358,16 @@
 	}
 }
 
+/* As a reader of the object sees the row. */
+static void
+pack_replicas(struct prt_part *row)
+{
+	if (!vmid_is_none(&row->replica[0]))
+		return;
+	row->replica[0] = row->replica[1];
+	row->replica[1] = (struct vmid){0};
+}
+
 static bool
 build_proposal(struct prt *p, int64_t now, int64_t wall)
 {
@@ -384,6 +394,7 @@
 	}
 	plan_move(p, t, now);
 	for (uint32_t i = 0; i < PRT_COUNT; i++) {
+		pack_replicas(&t->part[i]);
 		if (prt_row_eq(&t->part[i], &p->table.part[i]))
 			continue;
 		t->part[i].epoch++;
--- a/tests/unit/test_clm.c
+++ b/tests/unit/test_clm.c
@@ -766,6 +766,9 @@
 	    185,
 	    /* Owner and replicas lost within PRT_LOST_WAIT_MS. */
 	    1696,
+	    /* A new owner heard of its ownership only seconds later, because
+	     * the answer to the write was lost. */
+	    7191,
 	};
 	const char *one = getenv("SEED");
 	const char *many = getenv("SEEDS");
