Drop a leaving replica when nobody can replace it

Cause: a leaving process ends only when no row of the partition table names it.

Change: a leaving replica without a candidate to replace it is dropped while it is still alive.

--- a/packages/claim/prt_plan.c
+++ b/packages/claim/prt_plan.c
@@ -189,12 +189,25 @@
 	return (choose(p, i, row, -1) == NULL);
 }
 
+/* Whether the place is to be emptied: the replica is lost, or it leaves and
+ * there is nobody to copy to first. A leaving process waits until no row names
+ * it, so a fleet of two or three would keep it until it is killed. */
+static bool
+must_clear(const struct prt *p, uint32_t i, const struct prt_part *row, int k)
+{
+	const struct vmid *id = &row->replica[k];
+
+	if (vmid_is_none(id))
+		return (false);
+	return (!prt_alive(p, id) ||
+	    (!staying(p, id) && choose(p, i, row, k) == NULL));
+}
+
 static void
 plan_owned(struct prt *p, uint32_t i, struct prt_part *row)
 {
 	for (int k = 0; k < PRT_REPLICAS; k++) {
-		if (!vmid_is_none(&row->replica[k]) &&
-		    !prt_alive(p, &row->replica[k]))
+		if (must_clear(p, i, row, k))
 			row->replica[k] = (struct vmid){0};
 	}
 	apply_join(p, i, row);
