Raise the descriptor limit and bound probes in flight

Change: the daemon raises RLIMIT_NOFILE to the hard limit; the prober keeps at most 256 connections; the control thread takes at most 256 messages in a row.

--- a/packages/camphorhollowd/main.c
+++ b/packages/camphorhollowd/main.c
@@ -6,6 +6,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/resource.h>
 #include <time.h>
 #include <unistd.h>
 #include <urcu.h>
@@ -159,6 +160,19 @@
 	_exit(EXIT_FAILURE);
 }
 
+/* Callers, upstreams, peers and probes need more than the usual 1,024. */
+static void
+raise_descriptor_limit(void)
+{
+	struct rlimit lim;
+
+	if (getrlimit(RLIMIT_NOFILE, &lim) != 0)
+		return;
+	lim.rlim_cur = lim.rlim_max;
+	if (setrlimit(RLIMIT_NOFILE, &lim) != 0)
+		g_warning("main: cannot raise the limit of descriptors");
+}
+
 static int
 run(struct daemon *d)
 {
@@ -169,6 +183,7 @@
 	int sig;
 
 	lgr_setup(&log);
+	raise_descriptor_limit();
 	signal(SIGPIPE, SIG_IGN);
 	sigemptyset(&set);
 	sigaddset(&set, SIGTERM);
--- a/packages/control/ctl.c
+++ b/packages/control/ctl.c
@@ -13,6 +13,8 @@
 #include "sys/clk.h"
 
 #define TICK_MS 50
+/* Bounds the time until the next tick while messages keep coming. */
+#define INBOX_BATCH 256
 #define MAX_EVENTS 8
 #define IDLE_POLL_US 20000
 
@@ -213,12 +215,15 @@
 drain_inbox(struct ctl *c)
 {
 	struct mq_msg *m;
+	int n = 0;
 
 	mq_clear_event(&c->inbox);
-	while ((m = mq_pop(&c->inbox)) != NULL) {
+	while (n < INBOX_BATCH && (m = mq_pop(&c->inbox)) != NULL) {
 		c->now_ms = clk_mono_ms();
 		on_message(c, m);
+		n++;
 	}
+	c->inbox_more = n == INBOX_BATCH;
 }
 
 static void
@@ -257,9 +262,12 @@
 
 	rcu_register_thread();
 	while (!atomic_load(&c->stop)) {
-		int n = epoll_wait(c->epfd, ev, MAX_EVENTS, TICK_MS);
+		int n = epoll_wait(
+		    c->epfd, ev, MAX_EVENTS, c->inbox_more ? 0 : TICK_MS);
 
 		c->now_ms = clk_mono_ms();
+		if (c->inbox_more)
+			drain_inbox(c);
 		for (int i = 0; i < n; i++) {
 			if (ev[i].data.fd == c->timer_fd)
 				tick(c);
--- a/packages/control/ctr.h
+++ b/packages/control/ctr.h
@@ -117,6 +117,7 @@
 	struct vmid self;
 	int64_t now_ms;
 	struct mq inbox;
+	bool inbox_more; /* the last batch left messages behind */
 	int epfd;
 	int timer_fd;
 	GThread *thread;
--- a/packages/control/pro.c
+++ b/packages/control/pro.c
@@ -11,6 +11,8 @@
 #define DEFAULT_TIMEOUT_MS 500
 #define MAX_BODY 4096
 #define MAX_URL 96
+/* A new owner may probe thousands of upstreams in one tick. */
+#define MAX_CONNECTIONS 256L
 
 /* One probe; becomes its result. */
 struct probe {
@@ -187,6 +189,9 @@
 		abort();
 	p->desc = *desc;
 	p->multi = curl_multi_init();
+	curl_multi_setopt(
+	    p->multi, CURLMOPT_MAX_TOTAL_CONNECTIONS, MAX_CONNECTIONS);
+	curl_multi_setopt(p->multi, CURLMOPT_MAXCONNECTS, MAX_CONNECTIONS);
 	pthread_create(&p->thread, NULL, run, p);
 	return (p);
 }
