Use standard terms for ownership and outcomes

Cause: a read-through found names that need explaining (reign, heir, word, told).

Change: ownership, successor, owner_decided, counted; the check for missing tools tests each of them, and curl, which the scripts use, is installed. No behaviour changes.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,10 @@
 DEPS := liburcu libmicrohttpd neon glib-2.0 jansson libxxhash libcurl msgpack
 DEB := liburcu-dev libmsgpack-dev libmicrohttpd-dev libneon27-gnutls-dev \
     libglib2.0-dev libcmocka-dev libjansson-dev libxxhash-dev \
-    libcurl4-gnutls-dev pkg-config gcc make clang-format clang-tidy cppcheck
+    libcurl4-gnutls-dev pkg-config gcc make curl clang-format clang-tidy cppcheck
+
+# which fails when one of them is missing.
+TOOLS := clang-format clang-tidy cppcheck curl gcc
 
 DEP_CFLAGS := $(shell pkg-config --cflags $(DEPS) 2>/dev/null)
 DEP_LIBS := $(shell pkg-config --libs $(DEPS) cmocka 2>/dev/null)
@@ -80,7 +83,7 @@
 # Installs what a new machine lacks.
 deps:
 	@pkg-config --exists $(DEPS) cmocka 2>/dev/null && \
-	    command -v clang-format clang-tidy cppcheck >/dev/null || \
+	    which $(TOOLS) >/dev/null 2>&1 || \
 	    { apt-get update -q && apt-get install -y -q $(DEB); }
 
 unit: build
--- a/packages/base/err.c
+++ b/packages/base/err.c
@@ -46,11 +46,11 @@
 }
 
 enum err_outcome
-err_outcome(enum err_kind kind, bool keyed, bool owner_word)
+err_outcome(enum err_kind kind, bool keyed, bool owner_decided)
 {
 	enum err_outcome o = err_answer(kind)->outcome;
 
-	if (o == ERR_NOT_RUN && keyed && !owner_word)
+	if (o == ERR_NOT_RUN && keyed && !owner_decided)
 		return (ERR_UNKNOWN);
 	return (o);
 }
--- a/packages/base/err.h
+++ b/packages/base/err.h
@@ -82,12 +82,13 @@
  * err_outcome() - outcome to report to the caller
  * @kind: why the call ended
  * @keyed: the request carries an idempotency key on a non-idempotent route
- * @owner_word: the owner of the key's partition decided on its record
+ * @owner_decided: the owner of the key's partition decided on its record
  *
- * An earlier attempt with the same key may have run, so a keyed request is told
- * ERR_NOT_RUN only on the word of the owner.
+ * An earlier attempt with the same key may have run, so a keyed request gets
+ * ERR_NOT_RUN only when the owner has decided.
  */
-enum err_outcome err_outcome(enum err_kind kind, bool keyed, bool owner_word);
+enum err_outcome err_outcome(
+    enum err_kind kind, bool keyed, bool owner_decided);
 
 /** err_outcome_name() - value of the X-Outcome header */
 const char *err_outcome_name(enum err_outcome outcome);
--- a/packages/callers/main.c
+++ b/packages/callers/main.c
@@ -113,7 +113,7 @@
 }
 
 static void
-end_unpaid(struct call *c, enum cx_word word)
+end_unpaid(struct call *c, enum cx_outcome word)
 {
 	if (c->told_not_run && !c->other_word) {
 		c->ld->rep.keys_not_run++;
@@ -128,7 +128,7 @@
 
 /* A payment that did not succeed: another attempt, a question, or the end. */
 static void
-continue_payment(struct call *c, enum cx_word word)
+continue_payment(struct call *c, enum cx_outcome word)
 {
 	int64_t pause = BACKOFF_US << c->tries;
 
--- a/packages/claim/prt_plan.c
+++ b/packages/claim/prt_plan.c
@@ -174,15 +174,15 @@
 		st->joiner = (struct vmid){0};
 }
 
-/* Whether the records survive the loss of @heir once this process has left.
- * Otherwise plan_join() first fills a place, unless nobody is there to fill it.
- * Membership shows a lost heir as alive for a while. */
+/* Whether the records survive the loss of @successor once this process has
+ * left. Otherwise plan_join() first fills a place, unless nobody is there to
+ * fill it. Membership shows a lost successor as alive for a while. */
 static bool
 may_hand_over(const struct prt *p, uint32_t i, const struct prt_part *row,
-    const struct vmid *heir)
+    const struct vmid *successor)
 {
 	for (int k = 0; k < PRT_REPLICAS; k++) {
-		if (!vmid_eq(&row->replica[k], heir) &&
+		if (!vmid_eq(&row->replica[k], successor) &&
 		    staying(p, &row->replica[k]))
 			return (true);
 	}
@@ -214,10 +214,11 @@
 	if (!p->leaving)
 		return;
 	for (int k = 0; k < PRT_REPLICAS; k++) {
-		struct vmid heir = row->replica[k];
+		struct vmid successor = row->replica[k];
 
-		if (staying(p, &heir) && may_hand_over(p, i, row, &heir)) {
-			swap_in_owner(p, row, &heir);
+		if (staying(p, &successor) &&
+		    may_hand_over(p, i, row, &successor)) {
+			swap_in_owner(p, row, &successor);
 			return;
 		}
 	}
--- a/packages/config/cst.c
+++ b/packages/config/cst.c
@@ -33,7 +33,7 @@
 	int64_t next_ms;
 	struct vmid *acked;
 	uint32_t n_acked;
-	bool told_pending;
+	bool answered_pending;
 };
 
 static const char *const status_names[] = {
@@ -486,8 +486,9 @@
 		bbuf_addf(&names, "%s%.*s", names.n == 0 ? "" : " ",
 		    BSTR_ARG(vmid_str(&c->members[i])));
 	}
-	if (!h->told_pending && now_ms - h->phase_ms >= c->desc.ack_wait_ms) {
-		h->told_pending = true;
+	if (!h->answered_pending &&
+	    now_ms - h->phase_ms >= c->desc.ack_wait_ms) {
+		h->answered_pending = true;
 		emit_answer(h, CST_PENDING, names.p, out);
 	}
 	bbuf_finish(&names);
--- a/packages/control/ctr.h
+++ b/packages/control/ctr.h
@@ -68,8 +68,8 @@
  * @last_good: rt_stat.good already counted for the burn report
  * @last_failed: likewise
  * @last_slow: likewise
- * @last_cold_good: rt_stat.good already told to cold
- * @last_reported_us: rt_stat.reported_us already told to prb
+ * @last_cold_good: rt_stat.good already reported to cold
+ * @last_reported_us: rt_stat.reported_us already reported to prb
  * @probe_own: own calls in flight when the running probe was sent
  */
 struct ctl_upstream {
@@ -102,7 +102,7 @@
  * @cold_list: those of them that are cold
  * @next_upstream: place in @upstream_list at which the next tick goes on
  * @next_cold: likewise in @cold_list
- * @next_cold_members_ms: when cold is told the members again
+ * @next_cold_members_ms: when cold gets the members again
  * @tallies: "service route version" -> struct rt_tally
  * @refused: service -> struct rt_tally of calls that this VM refused
  * @table_dirty: the routing table is rebuilt before the next freshness limit
--- a/packages/front/call.h
+++ b/packages/front/call.h
@@ -76,7 +76,7 @@
  * @must_close: the connection cannot be used after the answer
  * @idempotent: may be retried after bytes were sent
  * @keyed: carries an idempotency key on a non-idempotent route
- * @owner_word: the owner of the key's partition decided
+ * @owner_decided: the owner of the key's partition decided
  * @body: request body; bytes before @body_off were passed to libcurl
  * @body_off: position of the next byte to send
  * @body_dropped: sent bytes are gone, the body cannot be sent again
@@ -150,7 +150,7 @@
 	bool must_close;
 	bool idempotent;
 	bool keyed;
-	bool owner_word;
+	bool owner_decided;
 
 	struct bbuf body;
 	size_t body_off;
--- a/packages/front/clf.c
+++ b/packages/front/clf.c
@@ -165,7 +165,7 @@
 static void
 apply(struct call *c, struct cmsg_claim_reply *r)
 {
-	c->owner_word = r->verdict != CMSG_UNAVAILABLE;
+	c->owner_decided = r->verdict != CMSG_UNAVAILABLE;
 	switch (r->verdict) {
 	case CMSG_GRANTED:
 		c->claim.granted = true;
--- a/packages/front/fe.c
+++ b/packages/front/fe.c
@@ -75,7 +75,7 @@
 queue_error(struct call *c)
 {
 	const struct err_answer *a = err_answer(c->err);
-	enum err_outcome o = err_outcome(c->err, c->keyed, c->owner_word);
+	enum err_outcome o = err_outcome(c->err, c->keyed, c->owner_decided);
 	struct MHD_Response *r;
 	char text[128];
 	int n;
--- a/packages/load/cx.c
+++ b/packages/load/cx.c
@@ -27,7 +27,7 @@
 };
 
 static void on_conn(struct evl_io *io, uint32_t events);
-static void finish(struct cx *t, enum crep_end end, enum cx_word word,
+static void finish(struct cx *t, enum crep_end end, enum cx_outcome word,
     enum err_kind refusal, bool keep);
 
 static void
@@ -192,7 +192,7 @@
 }
 
 static void
-finish(struct cx *t, enum crep_end end, enum cx_word word,
+finish(struct cx *t, enum crep_end end, enum cx_outcome word,
     enum err_kind refusal, bool keep)
 {
 	struct cx_result r = {.end = end,
@@ -232,7 +232,7 @@
 	    (k->body == 0 || upload_is_right(t, h)));
 }
 
-static enum cx_word
+static enum cx_outcome
 word_of(const struct h1 *h)
 {
 	struct bstr outcome = h1_header(h, "X-Outcome");
@@ -249,7 +249,7 @@
 	const struct h1 *h = &t->conn->h1;
 	struct bstr kind = h1_header(h, "X-Error-Kind");
 	bool all_sent = t->sent_body == t->pool->plan->kinds[t->kind].body;
-	enum cx_word word = word_of(h);
+	enum cx_outcome word = word_of(h);
 	enum crep_end end = CREP_STATUS;
 	enum err_kind refusal = ERR_NONE;
 	char name[KIND_MAX];
--- a/packages/load/cx.h
+++ b/packages/load/cx.h
@@ -22,8 +22,8 @@
 #include "load/cbal.h"
 #include "load/crep.h"
 
-/** enum cx_word - what an attempt told about the execution of the request */
-enum cx_word {
+/** enum cx_outcome - what an attempt showed of the execution of the request */
+enum cx_outcome {
 	CX_NONE, /* nothing was sent */
 	CX_NOT_RUN,
 	CX_UNKNOWN,
@@ -39,7 +39,7 @@
  */
 struct cx_result {
 	enum crep_end end;
-	enum cx_word word;
+	enum cx_outcome word;
 	bool reused;
 	enum err_kind refusal;
 };
--- a/packages/peer/lnk.h
+++ b/packages/peer/lnk.h
@@ -54,7 +54,7 @@
 /**
  * struct lnk_desc - settings; zero fields mean the default
  * @listen: "ip:port"; port 0 takes a free one
- * @advertise: "ip:port" told to peers, default the listen address
+ * @advertise: "ip:port" announced to peers, default the listen address
  * @self: own identity
  * @allow: IPv4 addresses from which connections are accepted, copied; an empty
  * list means 127.0.0.1 only
--- a/packages/route/cold.c
+++ b/packages/route/cold.c
@@ -138,7 +138,7 @@
 	m.seq = ++c->seq;
 	u->seq = m.seq;
 	u->sent_ms = now;
-	u->told = u->told || m.use.demand != 0 || m.use.in_flight != 0;
+	u->counted = u->counted || m.use.demand != 0 || m.use.in_flight != 0;
 	u->use.successes = 0;
 	cold_post(c, owner, &m, now, out);
 }
@@ -157,7 +157,7 @@
 	if (m->count > u->peak)
 		u->peak = m->count;
 	if (m->count == 0 && u->use.in_flight == 0 && u->use.demand == 0)
-		u->told = false;
+		u->counted = false;
 	e = cold_emit(out, COLD_PERMITS);
 	e->upstream = u->id;
 	e->count = cold_held(u, now);
@@ -217,12 +217,12 @@
 }
 
 static void
-begin_reign(struct cold *c, struct cold_up *u)
+begin_ownership(struct cold *c, struct cold_up *u)
 {
 	int64_t from = cold_lease_of(c, u)->act_from_ms;
 
 	u->owning = true;
-	u->reign_ms = from;
+	u->owned_from_ms = from;
 	cold_restart_ramp(
 	    c, u, from + COLD_PERMIT_MS + COLD_DRIFT_MARGIN_MS, true);
 }
@@ -234,8 +234,8 @@
 
 	if (!vmid_eq(&l->owner, &c->desc.self))
 		u->owning = false;
-	else if (!u->owning || u->reign_ms != l->act_from_ms)
-		begin_reign(c, u);
+	else if (!u->owning || u->owned_from_ms != l->act_from_ms)
+		begin_ownership(c, u);
 }
 
 bool
@@ -302,12 +302,12 @@
 {
 	struct cold_lease *l = &c->lease[lease->partition % COLD_PARTITIONS];
 	bool moved = !vmid_eq(&l->owner, &lease->owner);
-	bool reign = moved || l->act_from_ms != lease->act_from_ms;
+	bool changed = moved || l->act_from_ms != lease->act_from_ms;
 
 	(void)now_ms;
 	(void)out;
 	*l = *lease;
-	for (uint32_t i = 0; reign && i < c->n_up; i++) {
+	for (uint32_t i = 0; changed && i < c->n_up; i++) {
 		struct cold_up *u = c->up[i];
 
 		if (u->partition != lease->partition)
@@ -357,8 +357,8 @@
 		if (u->owning)
 			cold_tick_owner(c, u, now_ms, out);
 		if (now_ms >= u->next_ms &&
-		    (u->use.demand != 0 || u->use.in_flight != 0 || u->told ||
-			u->suspect))
+		    (u->use.demand != 0 || u->use.in_flight != 0 ||
+			u->counted || u->suspect))
 			cold_send_request(c, u, now_ms, out);
 	}
 }
--- a/packages/route/cold.h
+++ b/packages/route/cold.h
@@ -203,7 +203,7 @@
 void cold_out_finish(struct cold_out *out);
 
 /**
- * cold_add() - an upstream of the configuration, ready until told otherwise
+ * cold_add() - an upstream of the configuration, ready until reported otherwise
  * @slots: 1 to COLD_MAX_SLOTS
  * @partition: partition of the upstream id
  *
@@ -226,7 +226,7 @@
 /**
  * cold_on_state() - a response or a probe showed the state of the upstream
  *
- * "cold" takes effect here at once and is told to the owner; "ready" has no
+ * "cold" takes effect here at once and is reported to the owner; "ready" has no
  * effect, as only the ramp makes a cold upstream ready. A caller may also pass
  * a sudden rise of the latency as cold.
  */
--- a/packages/route/cold_int.h
+++ b/packages/route/cold_int.h
@@ -38,8 +38,8 @@
  * @until_ms: end of the own permits
  * @peak: most permits held at any time since the use was read
  * @asked_nonce: last query seen
- * @told: the owner may count something for this process
- * @reign_ms: act_from_ms of the ownership that the rest belongs to
+ * @counted: the owner may count something for this process
+ * @owned_from_ms: act_from_ms of the ownership that the rest belongs to
  * @owning: this process decides, whether or not it holds the lease now
  * @nonce: reports must echo it
  * @min_ms: earliest time of a grant
@@ -65,10 +65,10 @@
 	int64_t until_ms;
 	uint32_t peak;
 	uint64_t asked_nonce;
-	bool told;
+	bool counted;
 
 	bool owning;
-	int64_t reign_ms;
+	int64_t owned_from_ms;
 	uint64_t nonce;
 	int64_t min_ms;
 	int64_t all_ms;
--- a/packages/route/prb.c
+++ b/packages/route/prb.c
@@ -22,10 +22,10 @@
  * @epoch: of the newest result
  * @seq: of the newest result
  * @heard_ms: last response, INT64_MIN before the first
- * @said: state in the last response that told one
+ * @said: state in the last response that carried one
  * @said_ms: when it came
  * @owning: this process owns the partition
- * @reign_ms: act_from_ms of the ownership
+ * @owned_from_ms: act_from_ms of the ownership
  * @next_ms: earliest next probe
  * @due_ms: next probe by the schedule
  * @probing_ms: when the running probe was sent, 0 without
@@ -49,7 +49,7 @@
 	int64_t said_ms;
 
 	bool owning;
-	int64_t reign_ms;
+	int64_t owned_from_ms;
 	int64_t next_ms;
 	int64_t due_ms;
 	int64_t probing_ms;
@@ -161,10 +161,10 @@
 		u->owning = false;
 		return;
 	}
-	if (u->owning && u->reign_ms == l->act_from_ms)
+	if (u->owning && u->owned_from_ms == l->act_from_ms)
 		return;
 	u->owning = true;
-	u->reign_ms = l->act_from_ms;
+	u->owned_from_ms = l->act_from_ms;
 	u->next_ms = l->act_from_ms + p->desc.interval_ms;
 	u->due_ms = u->next_ms + rng_below(&p->rng, (uint32_t)p->desc.known_ms);
 	u->probing_ms = 0;
--- a/packages/route/prb.h
+++ b/packages/route/prb.h
@@ -63,7 +63,7 @@
  * struct prb_result - end of a probe
  * @ok: a well-formed answer came in time
  * @state: state in the answer
- * @load: requests in flight in the answer, PRB_NO_LOAD when it told none
+ * @load: requests in flight in the answer, PRB_NO_LOAD when it had none
  * @own_at_start: own calls in flight when the probe was sent
  * @own_at_end: own calls in flight when its answer came
  */
