Print the burn report at the end of the demonstration

Cause: the table of make run lacked the burn report that operators read.

Change: demo.sh prints camphorctl report and fails when it cannot be had.

--- a/tests/script/demo.sh
+++ b/tests/script/demo.sh
@@ -185,5 +185,8 @@
 done
 note "end"
 print_table
+printf 'burn report:\n'
+ctl report
+judge "burn report is there" $? -eq 0
 judge_all
 lib_finish
