--- a/packages/base/err.c
+++ b/packages/base/err.c
@@ -55,6 +55,20 @@
 	return (o);
 }
 
+unsigned
+err_status(enum err_kind kind, enum err_outcome outcome, bool promises)
+{
+	unsigned status = err_answer(kind)->status;
+
+	if (!promises)
+		return (status);
+	if (outcome == ERR_NOT_RUN)
+		return (status == 502 || status == 504 ? 503 : status);
+	if (status == 408 || status == 421 || status == 429 || status == 503)
+		return (502);
+	return (status);
+}
+
 const char *
 err_outcome_name(enum err_outcome outcome)
 {
--- a/packages/base/err.h
+++ b/packages/base/err.h
@@ -90,6 +90,15 @@
 enum err_outcome err_outcome(
     enum err_kind kind, bool keyed, bool owner_decided);
 
+/**
+ * err_status() - HTTP status to answer with
+ * @promises: callers take 408, 421, 429 and 503 as a promise that the request
+ *	has not run; then each kind that is certain of that gets 503 in place of
+ *	502 and 504, and no other kind gets one of them
+ */
+unsigned err_status(
+    enum err_kind kind, enum err_outcome outcome, bool promises);
+
 /** err_outcome_name() - value of the X-Outcome header */
 const char *err_outcome_name(enum err_outcome outcome);
 
--- a/packages/camphorhollowd/main.c
+++ b/packages/camphorhollowd/main.c
@@ -194,6 +194,7 @@
 	if (d->set.seed == 0)
 		d->set.seed = clk_wall_ms() ^ (int64_t)getpid() << 32;
 	d->env.met = &d->met;
+	d->env.upp = upp_own();
 	d->env.max_keyed_body = (size_t)d->set.max_keyed_body;
 	d->env.table = rt_table_new(&empty);
 	if (!start_control(d) || !start_workers(d) || !start_ops(d))
--- a/packages/control/ctr_config.c
+++ b/packages/control/ctr_config.c
@@ -274,8 +274,10 @@
 	for (uint32_t i = 0; i < s->n_routes; i++) {
 		const struct cfg_route *r = &s->routes[i];
 
-		out->routes[i] = (struct rt_route){
-		    bstr_from(r->prefix), r->idempotent, r->timeout_ms};
+		out->routes[i] =
+		    (struct rt_route){.prefix = bstr_from(r->prefix),
+			.idempotent = r->idempotent,
+			.timeout_ms = r->timeout_ms};
 		for (uint32_t v = 0; v < s->n_versions; v++)
 			out->tallies[i * s->n_versions + v] =
 			    take_tally(c, s, r->prefix, s->versions[v].name);
--- /dev/null
+++ b/packages/front/ask.c
@@ -0,0 +1,308 @@
+#include "front/ask.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "front/snd.h"
+#include "front/ups.h"
+#include "front/wrk.h"
+#include "route/pbc.h"
+#include "sys/clk.h"
+
+/* Longest wait for the answers; a healthy upstream answers in 3 ms. */
+#define WAIT_US 40000
+/* Once this many have answered, the others get this much longer. */
+#define ENOUGH 2
+#define EXTRA_US 4000
+/* A probe that takes longer is given up. */
+#define PROBE_TIMEOUT_MS 400L
+#define MAX_ID 127
+
+/**
+ * struct probe - one probe in flight
+ * @x: first member; libcurl's private pointer
+ * @link: in the worker's list
+ * @w: worker
+ * @stat: upstream, a reference is held
+ * @easy: transfer
+ * @id: id of the upstream
+ * @head: head of the answer
+ * @opened_fd: socket opened for the probe, -1 for a kept connection
+ * @bad: the answer cannot be used
+ * @final: the head is complete
+ */
+struct probe {
+	struct mul_xfer x;
+	struct cds_list_head link;
+	struct wrk *w;
+	struct rt_stat *stat;
+	CURL *easy;
+	char id[MAX_ID + 1];
+	struct rhd head;
+	int opened_fd;
+	bool bad;
+	bool final;
+};
+
+void
+ask_init(struct ask *a)
+{
+	CDS_INIT_LIST_HEAD(&a->probes);
+	CDS_INIT_LIST_HEAD(&a->calls);
+}
+
+static void
+free_probe(struct probe *p)
+{
+	curl_multi_remove_handle(wrk_multi(p->w), p->easy);
+	wrk_easy_put(p->w, p->easy);
+	wrk_count_transfer(p->w, p->stat, -1);
+	cds_list_del(&p->link);
+	rhd_finish(&p->head);
+	rt_stat_unref(p->stat);
+	free(p);
+}
+
+void
+ask_finish(struct ask *a)
+{
+	while (!cds_list_empty(&a->probes))
+		free_probe(
+		    cds_list_first_entry(&a->probes, struct probe, link));
+}
+
+static void
+resume(struct call *c)
+{
+	enum err_kind kind;
+
+	ask_leave(c);
+	kind = ups_start(c);
+	if (kind != ERR_NONE)
+		ups_end(c, kind);
+}
+
+/* Marks the answer of an upstream in each call that waits for it. */
+static void
+tell_calls(struct ask *a, const struct rt_stat *stat, int64_t now_us)
+{
+	struct cds_list_head ready;
+	struct cds_list_head *node, *next;
+
+	CDS_INIT_LIST_HEAD(&ready);
+	cds_list_for_each_safe(node, next, &a->calls)
+	{
+		struct call *c = cds_list_entry(node, struct call, asking);
+		unsigned before = c->n_answered;
+
+		for (unsigned i = 0; i < c->n_asked; i++)
+			c->n_answered += c->asked[i] == stat;
+		if (c->n_answered == before)
+			continue;
+		if (c->n_answered >= c->n_asked)
+			cds_list_move(&c->asking, &ready);
+		else if (c->n_answered == ENOUGH)
+			wrk_timer_set(c->w, c, now_us + EXTRA_US);
+	}
+	while (!cds_list_empty(&ready))
+		resume(cds_list_first_entry(&ready, struct call, asking));
+}
+
+static size_t
+on_header(char *data, size_t size, size_t n, void *arg)
+{
+	struct probe *p = arg;
+	struct bstr line = {data, size * n};
+	enum rhd_verdict v = rhd_line(&p->head, line);
+
+	p->final = p->final || v == RHD_FINAL;
+	p->bad = p->bad || v == RHD_BAD;
+	return (v == RHD_BAD ? 0 : line.n);
+}
+
+static size_t
+on_write(char *data, size_t size, size_t n, void *arg)
+{
+	(void)data;
+	(void)arg;
+	return (size * n);
+}
+
+static curl_socket_t
+on_open(void *arg, curlsocktype purpose, struct curl_sockaddr *a)
+{
+	struct probe *p = arg;
+
+	(void)purpose;
+	p->opened_fd = snd_open_socket(a);
+	return (p->opened_fd);
+}
+
+static int
+on_prereq(
+    void *arg, char *remote_ip, char *local_ip, int remote_port, int local_port)
+{
+	struct probe *p = arg;
+
+	(void)local_ip;
+	if (sck_is_clean(wrk_sockets(p->w), p->opened_fd, remote_ip,
+		remote_port, local_port))
+		return (CURL_PREREQFUNC_OK);
+	curl_easy_setopt(p->easy, CURLOPT_FORBID_REUSE, 1L);
+	return (CURL_PREREQFUNC_ABORT);
+}
+
+/* Learns from an answer; false when there is none that can be used. */
+static bool
+learn(struct probe *p, int64_t now_us)
+{
+	const struct upp *upp = wrk_env(p->w)->upp;
+	struct upp_expect expect = {
+	    .instance = bstr_from(p->id), .probe = true};
+	struct upp_report r;
+	struct pbc_report report = {0};
+
+	upp->ops->read(&p->head, &expect, &r);
+	if (r.verdict == UPP_FOREIGN || r.not_run)
+		return (false);
+	report.refusing = r.leaving || r.verdict == UPP_MOVED;
+	report.none = r.running < 0;
+	report.running = r.running;
+	report.waiting = r.waiting;
+	report.pace = r.pace;
+	report.cold_us = r.cold_ms * 1000;
+	if (r.idle_limit_ms > 0)
+		atomic_store(&p->stat->idle_limit_us, r.idle_limit_ms * 1000);
+	pbc_on_report(p->stat, &report, now_us);
+	return (true);
+}
+
+static void
+on_done(struct mul_xfer *x, CURL *easy, CURLcode result)
+{
+	struct probe *p = (struct probe *)x;
+	struct rt_stat *stat = rt_stat_ref(p->stat);
+	struct wrk *w = p->w;
+	int64_t now_us = clk_mono_us();
+
+	(void)easy;
+	if (result != CURLE_OK || p->bad || !p->final || !learn(p, now_us))
+		pbc_on_silence(stat, now_us);
+	free_probe(p);
+	tell_calls(wrk_ask(w), stat, now_us);
+	rt_stat_unref(stat);
+}
+
+static void
+set_options(struct probe *p, const char *url)
+{
+	CURL *e = p->easy;
+
+	curl_easy_setopt(e, CURLOPT_URL, url);
+	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, PROBE_TIMEOUT_MS);
+	snd_set_connection(e, p->w, p->stat);
+	curl_easy_setopt(e, CURLOPT_PRIVATE, &p->x);
+	curl_easy_setopt(e, CURLOPT_OPENSOCKETFUNCTION, on_open);
+	curl_easy_setopt(e, CURLOPT_OPENSOCKETDATA, p);
+	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_prereq);
+	curl_easy_setopt(e, CURLOPT_PREREQDATA, p);
+	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(e, CURLOPT_HEADERDATA, p);
+	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_write);
+	curl_easy_setopt(e, CURLOPT_WRITEDATA, p);
+}
+
+static struct probe *
+find_probe(const struct ask *a, const struct rt_stat *stat)
+{
+	struct cds_list_head *node;
+
+	cds_list_for_each(node, &a->probes)
+	{
+		struct probe *p = cds_list_entry(node, struct probe, link);
+
+		if (p->stat == stat)
+			return (p);
+	}
+	return (NULL);
+}
+
+static void
+send_probe(struct wrk *w, const struct rt_service *s,
+    const struct rt_upstream *u)
+{
+	struct probe *p = calloc(1, sizeof(*p));
+	struct bbuf url;
+
+	if (p == NULL)
+		abort();
+	p->x.done = on_done;
+	p->w = w;
+	p->stat = rt_stat_ref(u->stat);
+	p->opened_fd = -1;
+	memcpy(p->id, u->id.p, u->id.n);
+	rhd_init(&p->head, false);
+	p->easy = wrk_easy_get(w);
+	bbuf_init(&url);
+	bbuf_addf(&url, "http://%.*s%.*s", BSTR_ARG(u->addr),
+	    BSTR_ARG(s->probe_path));
+	set_options(p, url.p);
+	bbuf_finish(&url);
+	wrk_count_transfer(w, p->stat, 1);
+	cds_list_add(&p->link, &wrk_ask(w)->probes);
+	met_add(wrk_env(w)->met, MET_PROBES, 1);
+	curl_multi_add_handle(wrk_multi(w), p->easy);
+}
+
+bool
+ask_start(struct call *c, const struct rt_service *s,
+    const struct rt_request *req, int64_t now_us)
+{
+	uint32_t found[PBC_FANOUT];
+	struct ask *a = wrk_ask(c->w);
+	uint32_t n;
+
+	if (s->probe_path.n == 0)
+		return (false);
+	n = pbc_candidates(s, req, now_us, wrk_rng(c->w), found, PBC_FANOUT);
+	c->n_asked = 0;
+	c->n_answered = 0;
+	for (uint32_t i = 0; i < n; i++) {
+		const struct rt_upstream *u = &s->upstreams[found[i]];
+
+		if (u->id.n > MAX_ID || u->addr.n > CALL_ADDR_MAX ||
+		    pbc_is_fresh(u->stat, now_us))
+			continue;
+		if (find_probe(a, u->stat) == NULL)
+			send_probe(c->w, s, u);
+		c->asked[c->n_asked++] = u->stat;
+	}
+	if (c->n_asked == 0)
+		return (false);
+	c->wait = CALL_WAIT_PROBE;
+	cds_list_add_tail(&c->asking, &a->calls);
+	wrk_timer_set(c->w, c, now_us + WAIT_US);
+	return (true);
+}
+
+void
+ask_leave(struct call *c)
+{
+	if (c->wait != CALL_WAIT_PROBE)
+		return;
+	c->wait = CALL_WAIT_NONE;
+	cds_list_del(&c->asking);
+	wrk_timer_clear(c->w, c);
+}
+
+void
+ask_on_timer(struct call *c, int64_t now_us)
+{
+	/* Who has not answered by now is not waited for by other calls. */
+	for (unsigned i = 0; i < c->n_asked; i++) {
+		if (c->n_answered < ENOUGH &&
+		    find_probe(wrk_ask(c->w), c->asked[i]) != NULL)
+			pbc_on_silence(c->asked[i], now_us);
+	}
+	resume(c);
+}
--- a/packages/front/call.c
+++ b/packages/front/call.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "front/cmsg.h"
+#include "front/wrk.h"
 #include "sys/clk.h"
 
 struct call *
@@ -23,6 +24,9 @@
 	c->body_len = -1;
 	c->reported = -1;
 	rhd_init(&c->head, false);
+	c->head.close_ends_body = wrk_env(w)->upp->close_ends_body;
+	c->may_ask = true;
+	c->draw = rng_below(wrk_rng(w), 1000);
 	return (c);
 }
 
@@ -69,6 +73,7 @@
 	c->head_us = 0;
 	c->status = 0;
 	c->refused = false;
+	c->failed = false;
 	c->reported = -1;
 	bbuf_clear(&c->answer);
 	c->answer_off = 0;
@@ -103,6 +108,10 @@
 	/* An answer without body waits for the end of the transfer. */
 	if (c->status == 0 || !rhd_has_body(&c->head))
 		return (false);
+	/* A short answer is passed on whole, or another attempt follows. */
+	if (wrk_env(c->w)->upp->promises && c->answer.n <= CALL_HOLD_MAX &&
+	    c->head.len <= CALL_HOLD_MAX)
+		return (false);
 	/* HTTP/1.0 has no way to show that a chunked body was cut. */
 	return (!c->http10 || c->head.len >= 0);
 }
--- a/packages/front/call.h
+++ b/packages/front/call.h
@@ -16,10 +16,14 @@
 
 #include "base/bstr.h"
 #include "base/err.h"
+#include "front/mul.h"
 #include "front/rhd.h"
+#include "route/pbc.h"
 #include "route/rt.h"
 
 #define CALL_ADDR_MAX 63
+#define CALL_ID_MAX 127
+#define CALL_HOLD_MAX (64 * 1024) /* longest answer that is held back */
 
 struct wrk;
 struct svc;
@@ -39,6 +43,7 @@
 	CALL_WAIT_BODY,  /* the whole body, before the claim */
 	CALL_WAIT_CLAIM, /* the owner's reply */
 	CALL_WAIT_SLOT,  /* an upstream below its limit */
+	CALL_WAIT_PROBE, /* the load of upstreams */
 };
 
 /**
@@ -61,6 +66,7 @@
 
 /**
  * struct call - one request of a caller and its attempts
+ * @xfer: first member; libcurl's private pointer
  * @w: worker that runs the call
  * @conn: caller's connection, NULL before the request head is complete
  * @peer: worker's record of that connection
@@ -104,6 +110,14 @@
  * @slow_us: limit of a slow attempt, 0 for none
  * @excluded: upstreams that failed, references are held
  * @n_excluded: their number
+ * @draw: random number below 1000 that chooses the version
+ * @goal_us: time within which a response is worth most, 0 when not known
+ * @max_attempts: upstreams that it may be sent to
+ * @asking: link in the worker's list while @wait is CALL_WAIT_PROBE
+ * @asked: upstreams whose answers it waits for, no references
+ * @n_asked: their number
+ * @n_answered: how many of them have answered
+ * @may_ask: upstreams may be asked before the next choice
  * @addr: address of the chosen upstream
  * @attempts: attempts started
  * @sent: how far the current attempt got
@@ -120,6 +134,9 @@
  * @head_us: when the head came, 0 before that
  * @reported: X-Load, -1 when absent
  * @refused: the upstream says that it ran nothing
+ * @failed: the upstream's failure is dropped, another attempt follows
+ * @instance: id of the chosen upstream
+ * @retry_after_ms: when to come back, 0 for the table's figure
  * @head: head of the answer
  * @head_bad: the upstream's answer must not be used
  * @status: status of the answer once its final head is complete
@@ -135,6 +152,7 @@
  * @in_unpause: the transfer is to be unpaused
  */
 struct call {
+	struct mul_xfer xfer;
 	struct wrk *w;
 	struct MHD_Connection *conn;
 	struct fe_conn *peer;
@@ -181,6 +199,16 @@
 	int64_t slow_us;
 	struct rt_stat *excluded[RT_MAX_EXCLUDED];
 	uint32_t n_excluded;
+	uint32_t draw;
+	int64_t goal_us;
+	uint32_t max_attempts;
+	struct cds_list_head asking;
+	struct rt_stat *asked[PBC_FANOUT];
+	unsigned n_asked;
+	unsigned n_answered;
+	bool may_ask;
+	char instance[CALL_ID_MAX + 1];
+	uint32_t retry_after_ms;
 	char addr[CALL_ADDR_MAX + 1];
 	unsigned attempts;
 	enum call_sent sent;
@@ -197,6 +225,7 @@
 	int64_t head_us;
 	int32_t reported;
 	bool refused;
+	bool failed;
 
 	struct rhd head;
 	bool head_bad;
--- a/packages/front/env.h
+++ b/packages/front/env.h
@@ -17,6 +17,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "front/upp.h"
 #include "ops/met.h"
 #include "route/rt.h"
 #include "sys/mq.h"
@@ -30,6 +31,10 @@
  * @control: queue of the control thread, receives enum env_msg_type messages
  * @met: counters
  * @max_keyed_body: largest body of a keyed request in bytes
+ * @upp: names of the fields of requests and responses
+ * @zone: availability zone of this VM, NULL for none
+ * @retry_permille: retries per 1,000 calls of a service, 0 for the default
+ * @retry_burst: unused retries of a service, 0 for the default
  */
 struct env {
 	struct rt_table *table;
@@ -39,6 +44,10 @@
 	struct mq *control;
 	struct met *met;
 	size_t max_keyed_body;
+	const struct upp *upp;
+	const char *zone;
+	_Atomic uint32_t retry_permille;
+	_Atomic uint32_t retry_burst;
 };
 
 /** env_table() - current table; only under the RCU read lock */
--- a/packages/front/fe.c
+++ b/packages/front/fe.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <sys/socket.h>
 
+#include "front/ask.h"
 #include "front/clf.h"
 #include "front/flt.h"
 #include "front/rqh.h"
@@ -20,6 +21,8 @@
 #define CONNECTION_MEMORY (32 * 1024)
 #define CONNECTION_LIMIT 4096
 #define IDLE_TIMEOUT_S 60u
+#define RETRY_AFTER_MIN_MS 100
+#define RETRY_AFTER_SPREAD_MS 200
 
 /**
  * struct fe_conn - connection of a caller
@@ -71,11 +74,35 @@
 	return (rc);
 }
 
+/*
+ * When to come back. A refused call is told a time spread over a part of its
+ * goal, so that those that were refused together do not return together.
+ */
+static void
+add_retry_after(struct call *c, struct MHD_Response *r, unsigned status)
+{
+	unsigned s = err_answer(c->err)->retry_after_s;
+	char text[32];
+
+	if (wrk_env(c->w)->upp->promises && status == 503)
+		snprintf(text, sizeof(text), "%.3f",
+		    (RETRY_AFTER_MIN_MS +
+			rng_below(wrk_rng(c->w), RETRY_AFTER_SPREAD_MS)) /
+			1000.0);
+	else if (s != 0)
+		snprintf(text, sizeof(text), "%u", s);
+	else
+		return;
+	MHD_add_response_header(r, "Retry-After", text);
+}
+
 static enum MHD_Result
 queue_error(struct call *c)
 {
 	const struct err_answer *a = err_answer(c->err);
 	enum err_outcome o = err_outcome(c->err, c->keyed, c->owner_decided);
+	bool promises = wrk_env(c->w)->upp->promises;
+	unsigned status = err_status(c->err, o, promises);
 	struct MHD_Response *r;
 	char text[128];
 	int n;
@@ -88,11 +115,8 @@
 	MHD_add_response_header(r, "Content-Type", "application/json");
 	MHD_add_response_header(r, "X-Error-Kind", a->name);
 	MHD_add_response_header(r, "X-Outcome", err_outcome_name(o));
-	if (a->retry_after_s != 0) {
-		snprintf(text, sizeof(text), "%u", a->retry_after_s);
-		MHD_add_response_header(r, "Retry-After", text);
-	}
-	return (queue(c, a->status, r));
+	add_retry_after(c, r, status);
+	return (queue(c, status, r));
 }
 
 /* Answers with the response that is stored for the key. */
@@ -335,6 +359,7 @@
 release(struct call *c)
 {
 	svc_leave(c);
+	ask_leave(c);
 	ups_cancel(c);
 	clf_abandon(c);
 }
--- a/packages/front/flt.c
+++ b/packages/front/flt.c
@@ -92,7 +92,10 @@
 	} else if (r == NULL) {
 		v = stop(c, ERR_UNKNOWN_ROUTE);
 	} else {
-		c->svc = svc_get(wrk_services(c->w), s->name, c->start_us);
+		c->svc = svc_get(wrk_services(c->w),
+		    rt_draw_split(s, r, wrk_rng(c->w)), c->start_us);
+		c->goal_us = (int64_t)r->goal_ms * 1000;
+		c->max_attempts = r->attempts;
 		c->idempotent = r->idempotent;
 		c->keyed = !r->idempotent &&
 		    MHD_lookup_connection_value(
@@ -107,7 +110,8 @@
 static enum flt_verdict
 deadline(struct flt *f, struct call *c)
 {
-	struct bstr value = call_header_in(c, "X-Timeout-Ms");
+	struct bstr value =
+	    call_header_in(c, wrk_env(c->w)->upp->timeout_field);
 	uint64_t ms;
 	int64_t limit;
 
--- a/packages/front/mul.h
+++ b/packages/front/mul.h
@@ -21,6 +21,14 @@
 
 struct mul_source;
 
+/**
+ * struct mul_xfer - first member of what CURLOPT_PRIVATE points to
+ * @done: the transfer has ended
+ */
+struct mul_xfer {
+	void (*done)(struct mul_xfer *x, CURL *easy, CURLcode result);
+};
+
 /**
  * struct mul - state on caller-owned memory
  * @multi: libcurl's handle
--- a/packages/front/rhd.c
+++ b/packages/front/rhd.c
@@ -31,6 +31,7 @@
 rhd_init(struct rhd *h, bool to_head)
 {
 	bbuf_init(&h->text);
+	h->close_ends_body = false;
 	rhd_reset(h, to_head);
 }
 
@@ -122,7 +123,7 @@
 		return (RHD_INTERIM);
 	if (h->has_te && h->len >= 0)
 		return (RHD_BAD);
-	if (rhd_has_body(h) && !h->has_te && h->len < 0)
+	if (rhd_has_body(h) && !h->has_te && h->len < 0 && !h->close_ends_body)
 		return (RHD_BAD);
 	h->final = true;
 	return (RHD_FINAL);
--- a/packages/front/rhd.h
+++ b/packages/front/rhd.h
@@ -47,6 +47,7 @@
  * @len: Content-Length, -1 when absent
  * @chunked: Transfer-Encoding: chunked
  * @has_te: there was a Transfer-Encoding
+ * @close_ends_body: a body without length is accepted; kept by rhd_reset()
  * @n: number of fields
  * @fields: all fields but the framing ones
  * @text: strings of the fields
@@ -60,6 +61,7 @@
 	int64_t len;
 	bool chunked;
 	bool has_te;
+	bool close_ends_body;
 	unsigned n;
 	struct rhd_field fields[RHD_MAX_FIELDS];
 	struct bbuf text;
--- a/packages/front/snd.c
+++ b/packages/front/snd.c
@@ -1,12 +1,20 @@
 #include "front/snd.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "front/hop.h"
 #include "front/wrk.h"
 #include "sys/clk.h"
 
 #define CONNECT_TIMEOUT_MS 250L
+/* A connection whose bytes are not acknowledged for this long is lost. */
+#define LOST_MS 1500
+/* Kept connections are used for this long where upstreams tell no limit. */
+#define KEEP_IDLE_S 60L
 
 static void
 add_field(struct call *c, struct bstr name, struct bstr value)
@@ -67,12 +75,15 @@
     void *arg, enum MHD_ValueKind kind, const char *key, const char *value)
 {
 	struct call *c = arg;
+	const struct upp *upp = wrk_env(c->w)->upp;
 	struct bstr name = bstr_from(key);
 
 	(void)kind;
 	if (hop_is_local(name) || bstr_caseeq(name, BSTR("Content-Length")) ||
 	    bstr_caseeq(name, BSTR("Expect")) ||
-	    bstr_caseeq(name, BSTR("X-Deadline-Ms")) || is_listed(c, name))
+	    bstr_caseeq(name, bstr_from(upp->deadline_field)) ||
+	    bstr_caseeq(name, bstr_from(upp->instance_field)) ||
+	    is_listed(c, name))
 		return (MHD_YES);
 	add_field(c, name, bstr_from(value));
 	return (MHD_YES);
@@ -81,6 +92,8 @@
 static void
 set_headers(struct call *c, int64_t now_us)
 {
+	const struct upp *upp = wrk_env(c->w)->upp;
+	int64_t left_ms;
 	char value[32];
 
 	c->out_headers = curl_slist_append(c->out_headers, "Expect:");
@@ -88,9 +101,14 @@
 	suppress(c, "Accept", "Accept:");
 	suppress(c, "Content-Type", "Content-Type:");
 	MHD_get_connection_values(c->conn, MHD_HEADER_KIND, copy_field, c);
+	left_ms = (c->deadline_us - now_us) / 1000;
 	snprintf(value, sizeof(value), "%lld",
-	    (long long)(clk_wall_ms() + (c->deadline_us - now_us) / 1000));
-	add_field(c, BSTR("X-Deadline-Ms"), bstr_from(value));
+	    (long long)(upp->deadline_left ? left_ms
+					   : clk_wall_ms() + left_ms));
+	add_field(c, bstr_from(upp->deadline_field), bstr_from(value));
+	if (upp->instance_field[0] != '\0')
+		add_field(c, bstr_from(upp->instance_field),
+		    bstr_from(c->instance));
 }
 
 static void
@@ -125,24 +143,68 @@
 	curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, c->method.p);
 }
 
+int
+snd_open_socket(const struct curl_sockaddr *a)
+{
+	const unsigned lost_ms = LOST_MS;
+	int fd = socket(
+	    a->family, a->socktype | SOCK_CLOEXEC | SOCK_NONBLOCK, a->protocol);
+
+	/* Without it, bytes for a VM that is gone are repeated for minutes. */
+	if (fd >= 0 &&
+	    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &lost_ms,
+		sizeof(lost_ms)) != 0)
+		g_debug("front: no limit for lost connections: %s",
+		    g_strerror(errno));
+	return (fd);
+}
+
+static int
+on_close(void *arg, curl_socket_t fd)
+{
+	sck_closed(wrk_sockets(arg), fd);
+	return (close(fd));
+}
+
+/* How long a kept connection may have been idle, below the upstream's limit. */
+static long
+idle_limit_s(const struct rt_stat *upstream)
+{
+	int64_t s = atomic_load(&upstream->idle_limit_us) / 1000000;
+
+	if (s == 0)
+		return (KEEP_IDLE_S);
+	return (s <= 1 ? 1L : (long)s - 1);
+}
+
+void
+snd_set_connection(CURL *e, struct wrk *w, const struct rt_stat *upstream)
+{
+	curl_easy_setopt(e, CURLOPT_PROXY, "");
+	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(e, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(e, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, idle_limit_s(upstream));
+	curl_easy_setopt(e, CURLOPT_CLOSESOCKETFUNCTION, on_close);
+	curl_easy_setopt(e, CURLOPT_CLOSESOCKETDATA, w);
+}
+
 void
 snd_setup(struct call *c, int64_t now_us)
 {
+	const struct upp *upp = wrk_env(c->w)->upp;
 	char url[CALL_ADDR_MAX + 16];
 	CURL *e = c->easy;
 
 	snprintf(url, sizeof(url), "http://%s/", c->addr);
 	curl_easy_setopt(e, CURLOPT_URL, url);
 	curl_easy_setopt(e, CURLOPT_REQUEST_TARGET, c->target.p);
-	curl_easy_setopt(e, CURLOPT_PROXY, "");
-	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(e, CURLOPT_TCP_NODELAY, 1L);
-	curl_easy_setopt(e, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
-	curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+	snd_set_connection(e, c->w, c->upstream);
 	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS,
 	    (long)((c->deadline_us - now_us) / 1000 + 1));
-	curl_easy_setopt(e, CURLOPT_PRIVATE, c);
-	if (c->fresh)
+	curl_easy_setopt(e, CURLOPT_PRIVATE, &c->xfer);
+	if (c->fresh || (!c->idempotent && upp->fresh_for_unsafe))
 		curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
 	set_headers(c, now_us);
 	set_method(c);
--- a/packages/front/snd.h
+++ b/packages/front/snd.h
@@ -15,4 +15,10 @@
  */
 void snd_setup(struct call *c, int64_t now_us);
 
+/** snd_open_socket() - socket for a connection to an upstream, -1 on failure */
+int snd_open_socket(const struct curl_sockaddr *a);
+
+/** snd_set_connection() - options of every connection to an upstream */
+void snd_set_connection(CURL *e, struct wrk *w, const struct rt_stat *upstream);
+
 #endif
--- a/packages/front/svc.c
+++ b/packages/front/svc.c
@@ -38,6 +38,19 @@
 	return (s);
 }
 
+bool
+svc_take_retry(struct call *c, int64_t now_us)
+{
+	const struct env *env = wrk_env(c->w);
+	struct rbt *b = &c->svc->budget;
+
+	uint32_t burst = atomic_load(&env->retry_burst);
+
+	if (burst != 0)
+		rbt_limit(b, atomic_load(&env->retry_permille), burst);
+	return (rbt_take(b, now_us));
+}
+
 bool
 svc_must_wait(const struct svc *s)
 {
@@ -47,7 +60,8 @@
 static void
 set_timer(struct call *c, int64_t now_us)
 {
-	int64_t at = now_us + SVC_RETRY_MS * 1000;
+	int64_t at = now_us +
+	    (c->goal_us != 0 ? SVC_ASK_AGAIN_MS : SVC_RETRY_MS) * 1000;
 
 	if (at > c->park_until_us)
 		at = c->park_until_us;
@@ -56,13 +70,21 @@
 	wrk_timer_set(c->w, c, at);
 }
 
+/* A call waits for a part of the time in which its answer is worth most. */
+static int64_t
+wait_us(const struct call *c)
+{
+	return (c->goal_us != 0 ? c->goal_us / SVC_GOAL_PART
+				: SVC_WAIT_MS * 1000);
+}
+
 enum err_kind
 svc_wait(struct call *c, int64_t now_us)
 {
 	struct svc *s = c->svc;
 
 	if (c->park_until_us == 0)
-		c->park_until_us = now_us + SVC_WAIT_MS * 1000;
+		c->park_until_us = now_us + wait_us(c);
 	if (now_us >= c->park_until_us || s->n_waiting >= SVC_MAX_WAITING)
 		return (ERR_OVERLOADED);
 	c->wait = CALL_WAIT_SLOT;
--- a/packages/front/svc.h
+++ b/packages/front/svc.h
@@ -16,6 +16,8 @@
 #define SVC_MAX_WAITING 128
 #define SVC_WAIT_MS 50
 #define SVC_RETRY_MS 5
+#define SVC_ASK_AGAIN_MS 25 /* probes are not sent more often */
+#define SVC_GOAL_PART 3     /* a call waits for this part of its goal */
 
 /**
  * struct svc - state of a service on one worker, kept as long as the worker
@@ -40,6 +42,9 @@
 /** svc_get() - state of a service, made on first use; @name ends in zero */
 struct svc *svc_get(GHashTable *table, struct bstr name, int64_t now_us);
 
+/** svc_take_retry() - whether the retry budget allows a retry of @c; takes it */
+bool svc_take_retry(struct call *c, int64_t now_us);
+
 /** svc_must_wait() - whether a new call has to queue behind others */
 bool svc_must_wait(const struct svc *s);
 
--- /dev/null
+++ b/packages/front/upp.h
@@ -0,0 +1,98 @@
+/*
+ * upp - what the fields of requests and responses are called, and what an
+ * upstream's response says about itself.
+ *
+ * The names differ between platforms; the rest of the front uses the typed
+ * struct upp_report. A protocol is a constant object:
+ *
+ *	env.upp = upp_own();                     the project's own protocol
+ *	env.upp = pup_protocol();                the users' platform
+ */
+#ifndef FRONT_UPP_H
+#define FRONT_UPP_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/bstr.h"
+#include "front/rhd.h"
+
+/** enum upp_verdict - whose response it is */
+enum upp_verdict {
+	UPP_OWN,     /* answers the request */
+	UPP_FOREIGN, /* belongs to another request, or is no upstream's response
+		      */
+	UPP_MOVED,   /* another upstream has the address; nothing was run */
+};
+
+/**
+ * struct upp_report - what a response says besides its content
+ * @verdict: whose response it is
+ * @not_run: the upstream ran nothing and will not
+ * @leaving: the upstream takes no more work
+ * @running: requests being served, -1 when not told
+ * @waiting: requests waiting for a slot
+ * @pace: time that work takes now, in percent of the usual time
+ * @cold_ms: how long the upstream stays cold, 0 when it is not or not told
+ * @idle_limit_ms: how long it keeps an idle connection, 0 when not told
+ */
+struct upp_report {
+	enum upp_verdict verdict;
+	bool not_run;
+	bool leaving;
+	int32_t running;
+	int32_t waiting;
+	int32_t pace;
+	int64_t cold_ms;
+	int64_t idle_limit_ms;
+};
+
+/**
+ * struct upp_expect - what the response has to match
+ * @request_id: id that the caller gave its request, empty for none
+ * @instance: id of the upstream
+ * @probe: it answers a probe
+ */
+struct upp_expect {
+	struct bstr request_id;
+	struct bstr instance;
+	bool probe;
+};
+
+struct upp;
+
+/** struct upp_ops - behaviour of a protocol */
+struct upp_ops {
+	void (*read)(const struct rhd *head, const struct upp_expect *expect,
+	    struct upp_report *out);
+};
+
+/**
+ * struct upp - protocol; empty names mean that the field does not exist
+ * @ops: first member
+ * @timeout_field: caller's own timeout in milliseconds
+ * @deadline_field: sent to the upstream
+ * @deadline_left: it holds the milliseconds left, not a time of day
+ * @instance_field: names the upstream that the request is meant for
+ * @request_id_field: id that the caller gave its request
+ * @close_ends_body: a response without length ends with its connection
+ * @promises: a status of 408, 421, 429 or 503 promises that nothing was run,
+ *	and Retry-After may have a fraction
+ * @fresh_for_unsafe: requests that are not idempotent use new connections
+ */
+struct upp {
+	const struct upp_ops *ops;
+	const char *timeout_field;
+	const char *deadline_field;
+	bool deadline_left;
+	const char *instance_field;
+	const char *request_id_field;
+	bool close_ends_body;
+	bool promises;
+	bool fresh_for_unsafe;
+};
+
+/** upp_own() - the project's own protocol */
+const struct upp *upp_own(void);
+
+#endif
--- a/packages/front/ups.c
+++ b/packages/front/ups.c
@@ -6,6 +6,7 @@
 #include <urcu.h>
 
 #include "front/clf.h"
+#include "front/ask.h"
 #include "front/fe.h"
 #include "front/flt.h"
 #include "front/obs.h"
@@ -18,6 +19,7 @@
 #define ANSWER_LOW_WATER (64 * 1024)
 #define ANSWER_MAX_HTTP10 (256 * 1024) /* chunked answer to HTTP/1.0 */
 #define MAX_ATTEMPTS 3
+#define PICK_WAIT (-3) /* upstreams are asked, ups_start() is called again */
 
 static void
 choose(struct call *c, const struct rt_service *s, const struct rt_upstream *u)
@@ -26,6 +28,9 @@
 	struct rt_tally *t = r == NULL ? NULL : rt_tally_at(s, r, u->version);
 
 	c->upstream = rt_stat_ref(u->stat);
+	pbc_on_start(u, clk_mono_us());
+	memcpy(c->instance, u->id.p, u->id.n);
+	c->instance[u->id.n] = '\0';
 	c->tally = t == NULL ? NULL : rt_tally_ref(t);
 	c->up_state = u->state;
 	c->slots = u->slots;
@@ -34,6 +39,18 @@
 	c->addr[u->addr.n] = '\0';
 }
 
+static struct rt_request
+request_of(const struct call *c)
+{
+	struct rt_request req = {.n_excluded = c->n_excluded,
+	    .zone = bstr_from(wrk_env(c->w)->zone),
+	    .draw = c->draw};
+
+	for (uint32_t k = 0; k < c->n_excluded; k++)
+		req.excluded[k] = c->excluded[k];
+	return (req);
+}
+
 /*
  * Picks an upstream to which this worker has a free connection and starts the
  * call there. Without this,
@@ -42,21 +59,22 @@
 static int
 pick_free(struct call *c, const struct rt_service *s, int64_t now_us)
 {
-	struct rt_request req = {.n_excluded = c->n_excluded};
+	struct rt_request req = request_of(c);
 	bool full = false;
 	int i;
 
-	for (uint32_t k = 0; k < c->n_excluded; k++)
-		req.excluded[k] = c->excluded[k];
 	for (;;) {
 		i = wrk_pick(c->w)(s, &req, now_us, wrk_rng(c->w));
 		if (i < 0)
 			return (full ? RT_FULL : i);
-		if (s->upstreams[i].addr.n > CALL_ADDR_MAX)
+		if (s->upstreams[i].addr.n > CALL_ADDR_MAX ||
+		    s->upstreams[i].id.n > CALL_ID_MAX)
 			return (RT_NONE);
 		if (wrk_has_connection(c->w, s->upstreams[i].stat) &&
 		    rt_try_start(s->upstreams[i].stat,
-			s->upstreams[i].state == RT_COLD, now_us))
+			s->upstreams[i].state == RT_COLD &&
+			    s->probe_path.n == 0,
+			now_us))
 			return (i);
 		if (req.n_excluded == RT_MAX_EXCLUDED)
 			return (RT_FULL);
@@ -65,7 +83,32 @@
 	}
 }
 
-/* Takes an upstream from the current table; RT_NONE, RT_FULL or 0. */
+/* Takes an upstream from the current table; an RT_ code, PICK_WAIT or 0. */
+static bool
+ask(struct call *c, const struct rt_service *s, int64_t now_us)
+{
+	struct rt_request req = request_of(c);
+
+	return (ask_start(c, s, &req, now_us));
+}
+
+/* Asks upstreams for their load once before a choice. */
+static bool
+ask_first(struct call *c, const struct rt_service *s, int64_t now_us)
+{
+	if (!c->may_ask)
+		return (false);
+	c->may_ask = false;
+	return (ask(c, s, now_us));
+}
+
+/* None of those that were asked can be used: asks the others. */
+static bool
+ask_again(struct call *c, const struct rt_service *s, int64_t now_us)
+{
+	return (ask(c, s, now_us));
+}
+
 static int
 pick(struct call *c, int64_t now_us)
 {
@@ -74,8 +117,12 @@
 
 	rcu_read_lock();
 	s = rt_find_service(env_table(wrk_env(c->w)), c->svc->name);
-	if (s != NULL && s->n_upstreams != 0)
+	if (s != NULL && ask_first(c, s, now_us))
+		i = PICK_WAIT;
+	else if (s != NULL && s->n_upstreams != 0)
 		i = pick_free(c, s, now_us);
+	if (i == RT_NONE && s != NULL && ask_again(c, s, now_us))
+		i = PICK_WAIT;
 	if (i >= 0) {
 		choose(c, s, &s->upstreams[i]);
 		i = 0;
@@ -119,18 +166,10 @@
 	struct call *c = arg;
 
 	(void)purpose;
-	c->opened_fd = socket(
-	    a->family, a->socktype | SOCK_CLOEXEC | SOCK_NONBLOCK, a->protocol);
+	c->opened_fd = snd_open_socket(a);
 	return (c->opened_fd);
 }
 
-static int
-on_close(void *arg, curl_socket_t fd)
-{
-	sck_closed(wrk_sockets(arg), fd);
-	return (close(fd));
-}
-
 /*
  * libcurl calls this when the connection is up, before it writes the request.
  * It calls it again when it wants to resend on a new connection after a reused
@@ -215,7 +254,7 @@
 	size_t len = size * n;
 	size_t left = call_answer_left(c).n;
 
-	if (c->refused)
+	if (c->refused || c->failed)
 		return (len);
 	if (c->status == 0 || !rhd_has_body(&c->head)) {
 		c->head_bad = true;
@@ -244,7 +283,7 @@
 static void
 drop_upload(struct call *c)
 {
-	if (c->status < 300 || c->body_done || c->refused)
+	if (c->status < 300 || c->body_done || c->refused || c->failed)
 		return;
 	c->upload_over = true;
 	c->body_dropped = true;
@@ -252,26 +291,75 @@
 	fe_on_body_taken(c);
 }
 
+/* How many upstreams a call may be sent to. */
+static unsigned
+max_attempts(const struct call *c)
+{
+	return (c->max_attempts != 0 ? c->max_attempts : MAX_ATTEMPTS);
+}
+
+static bool
+may_retry(struct call *c, enum err_kind kind)
+{
+	int64_t now_us = clk_mono_us();
+
+	if (kind == ERR_NONE || kind == ERR_DEADLINE || kind == ERR_NOT_FRESH)
+		return (false);
+	if (c->conn == NULL || c->attempts >= max_attempts(c) ||
+	    c->answer_started || c->body_dropped)
+		return (false);
+	if (now_us >= c->deadline_us)
+		return (false);
+	if (c->sent == CALL_MAY_BE_SENT && !c->idempotent &&
+	    !(kind == ERR_REFUSED && wrk_env(c->w)->upp->promises))
+		return (false);
+	/* The upstream saw nothing of a request for an unclean connection. */
+	return (c->unclean || c->failed || svc_take_retry(c, now_us));
+}
+
+/* Takes over what the head says about the upstream and whose answer it is. */
+static void
+read_report(struct call *c)
+{
+	const struct upp *upp = wrk_env(c->w)->upp;
+	struct upp_expect expect = {.instance = bstr_from(c->instance)};
+	struct upp_report r;
+
+	if (upp->request_id_field[0] != '\0')
+		expect.request_id = call_header_in(c, upp->request_id_field);
+	upp->ops->read(&c->head, &expect, &r);
+	c->refused = r.not_run;
+	c->head_bad = r.verdict == UPP_FOREIGN;
+	if (r.running >= 0)
+		c->reported = r.running;
+	if (r.verdict == UPP_MOVED || r.leaving)
+		pbc_on_report(c->upstream,
+		    &(struct pbc_report){.refusing = true}, c->head_us);
+	if (r.idle_limit_ms > 0)
+		atomic_store(
+		    &c->upstream->idle_limit_us, r.idle_limit_ms * 1000);
+}
+
 static void
 on_final_head(struct call *c)
 {
 	const struct rhd *h = &c->head;
-	struct bstr load = rhd_find(h, BSTR("X-Load"));
-	uint64_t v;
 
 	c->head_us = clk_mono_us();
-	if (bstr_to_u64(load, &v) && v <= INT32_MAX)
-		c->reported = (int32_t)v;
-	c->refused = h->status >= 400 &&
-	    bstr_eq(rhd_find(h, BSTR("X-Not-Run")), BSTR("1"));
+	read_report(c);
+	if (c->head_bad)
+		return;
 	obs_state(c, c->head_us);
 	/* A body after a head that has none must not reach the next call. */
 	if (!rhd_has_body(h) && (h->len > 0 || h->chunked))
 		curl_easy_setopt(c->easy, CURLOPT_FORBID_REUSE, 1L);
 	c->status = h->status;
 	c->answer_whole = !rhd_has_body(h) || h->len == 0;
+	c->failed = h->status >= 500 && !c->refused &&
+	    wrk_env(c->w)->upp->promises &&
+	    may_retry(c, ERR_UPSTREAM_ANSWER);
 	drop_upload(c);
-	if (!c->refused)
+	if (!c->refused && !c->failed)
 		fe_on_head(c);
 }
 
@@ -287,6 +375,8 @@
 		break;
 	case RHD_FINAL:
 		on_final_head(c);
+		if (c->head_bad)
+			return (0);
 		break;
 	case RHD_BAD:
 		c->head_bad = true;
@@ -302,8 +392,6 @@
 
 	curl_easy_setopt(e, CURLOPT_OPENSOCKETFUNCTION, on_open);
 	curl_easy_setopt(e, CURLOPT_OPENSOCKETDATA, c);
-	curl_easy_setopt(e, CURLOPT_CLOSESOCKETFUNCTION, on_close);
-	curl_easy_setopt(e, CURLOPT_CLOSESOCKETDATA, c->w);
 	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_prereq);
 	curl_easy_setopt(e, CURLOPT_PREREQDATA, c);
 	curl_easy_setopt(e, CURLOPT_READFUNCTION, on_read);
@@ -314,6 +402,8 @@
 	curl_easy_setopt(e, CURLOPT_HEADERDATA, c);
 }
 
+static void on_done(struct mul_xfer *x, CURL *easy, CURLcode result);
+
 enum err_kind
 ups_start(struct call *c)
 {
@@ -330,8 +420,13 @@
 	case RT_NONE:
 		return (ERR_NO_UPSTREAM);
 	case RT_FULL:
+		c->may_ask = true;
 		return (svc_wait(c, now_us));
+	case PICK_WAIT:
+		return (ERR_NONE);
 	}
+	c->may_ask = true;
+	c->xfer.done = on_done;
 	call_reset_answer(c);
 	c->easy = wrk_easy_get(c->w);
 	c->sent = CALL_NOT_SENT;
@@ -416,6 +511,8 @@
 {
 	if (c->refused)
 		return (ERR_REFUSED);
+	if (c->failed)
+		return (ERR_UPSTREAM_ANSWER);
 	if (result == CURLE_OK && c->status != 0 && !c->head_bad)
 		return (ERR_NONE);
 	/* The upstream answered and did not read the rest of the body. */
@@ -446,24 +543,6 @@
 	return (kind == ERR_UPSTREAM_CLOSED && c->sent_on_kept);
 }
 
-static bool
-may_retry(struct call *c, enum err_kind kind)
-{
-	int64_t now_us = clk_mono_us();
-
-	if (kind == ERR_NONE || kind == ERR_DEADLINE || kind == ERR_NOT_FRESH)
-		return (false);
-	if (c->conn == NULL || c->attempts >= MAX_ATTEMPTS ||
-	    c->answer_started || c->body_dropped)
-		return (false);
-	if (now_us >= c->deadline_us)
-		return (false);
-	if (c->sent == CALL_MAY_BE_SENT && !c->idempotent)
-		return (false);
-	/* The upstream saw nothing of a request for an unclean connection. */
-	return (c->unclean || rbt_take(&c->svc->budget, now_us));
-}
-
 /* Starts another attempt; false when there is none. */
 static bool
 retry(struct call *c, enum err_kind kind)
@@ -481,24 +560,23 @@
 	return (true);
 }
 
-void
-ups_finish(CURL *easy, CURLcode result)
+static void
+on_done(struct mul_xfer *x, CURL *easy, CURLcode result)
 {
-	struct call *c;
-	enum err_kind kind;
+	struct call *c = (struct call *)x;
+	enum err_kind kind = kind_of(c, result);
 	bool failed;
 
-	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&c);
-	kind = kind_of(c, result);
+	(void)easy;
 	failed = kind != ERR_NONE || c->status >= 500;
 	if (!c->unclean)
 		obs_attempt(c, failed, clk_mono_us());
 	end_transfer(c);
+	if (!failed)
+		rbt_on_success(&c->svc->budget);
 	/* A kept connection that was closed does not rule out the upstream. */
 	release_upstream(c, failed && !c->unclean,
 	    kind != ERR_NONE && !c->unclean && !is_stale(c, kind));
-	if (!failed)
-		rbt_on_success(&c->svc->budget);
 	if (!retry(c, kind))
 		ups_end(c, kind);
 	wrk_wake_waiting(c->w, c->svc);
--- a/packages/front/ups.h
+++ b/packages/front/ups.h
@@ -37,7 +37,4 @@
 /** ups_cancel() - end the transfer; the connection to the upstream is closed */
 void ups_cancel(struct call *c);
 
-/** ups_finish() - handle a transfer that libcurl reports as ended */
-void ups_finish(CURL *easy, CURLcode result);
-
 #endif
--- a/packages/front/wrk.c
+++ b/packages/front/wrk.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 #include <urcu.h>
 
+#include "front/ask.h"
 #include "front/clf.h"
 #include "front/fe.h"
 #include "front/lsn.h"
@@ -70,6 +71,7 @@
 	GPtrArray *to_wake;
 	struct bbuf scratch;
 	struct sck sockets;
+	struct ask ask;
 };
 
 struct env *
@@ -210,6 +212,12 @@
 	return (&w->sockets);
 }
 
+struct ask *
+wrk_ask(struct wrk *w)
+{
+	return (&w->ask);
+}
+
 GHashTable *
 wrk_services(const struct wrk *w)
 {
@@ -310,6 +318,7 @@
 	w->to_wake = g_ptr_array_new();
 	bbuf_init(&w->scratch);
 	sck_init(&w->sockets);
+	ask_init(&w->ask);
 }
 
 static void
@@ -361,8 +370,13 @@
 	int left;
 
 	while ((msg = curl_multi_info_read(w->mul.multi, &left)) != NULL) {
-		if (msg->msg == CURLMSG_DONE)
-			ups_finish(msg->easy_handle, msg->data.result);
+		struct mul_xfer *x;
+
+		if (msg->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(
+		    msg->easy_handle, CURLINFO_PRIVATE, (char **)&x);
+		x->done(x, msg->easy_handle, msg->data.result);
 	}
 }
 
@@ -434,6 +448,9 @@
 	case CALL_WAIT_SLOT:
 		svc_on_timer(c, now_us);
 		break;
+	case CALL_WAIT_PROBE:
+		ask_on_timer(c, now_us);
+		break;
 	case CALL_WAIT_NONE:
 		break;
 	}
@@ -629,6 +646,7 @@
 	struct mq_msg *m;
 
 	MHD_stop_daemon(w->mhd);
+	ask_finish(&w->ask);
 	mul_finish(&w->mul);
 	while ((m = mq_pop(&w->replies)) != NULL)
 		free(m);
--- a/packages/front/wrk.h
+++ b/packages/front/wrk.h
@@ -140,6 +140,9 @@
 /** wrk_sockets() - sockets of the connections to upstreams */
 struct sck *wrk_sockets(struct wrk *w);
 
+/** wrk_ask() - probes and the calls that wait for them */
+struct ask *wrk_ask(struct wrk *w);
+
 /** wrk_services() - table of struct svc, see svc_get() */
 GHashTable *wrk_services(const struct wrk *w);
 
--- /dev/null
+++ b/packages/route/pbc.c
@@ -0,0 +1,291 @@
+#include "route/pbc.h"
+
+#include <math.h>
+
+#define USUAL_PACE 100.0
+/* Share of the slots above which upstreams get slower, and by how much. */
+#define KNEE_SHARE 0.8
+#define KNEE_FACTOR 1.7
+/* An upstream with more requests than slots and this share of them is full. */
+#define FULL_QUEUE_SHARE 0.5
+/* Cost of leaving the availability zone, as a share of a usual request. */
+#define OTHER_ZONE_COST 0.05
+/* A cold upstream works slowly; it is chosen after all others of its load. */
+#define COLD_COST 4.0
+/* An upstream whose calls all fail costs this many times more. */
+#define FAIL_WEIGHT 12.0
+
+void
+pbc_on_report(struct rt_stat *s, const struct pbc_report *r, int64_t now_us)
+{
+	atomic_store(&s->silent_until_us, 0);
+	if (r->refusing) {
+		atomic_store(&s->refusing_until_us, now_us + PBC_REFUSAL_US);
+		return;
+	}
+	atomic_store(&s->refusing_until_us, 0);
+	atomic_store(
+	    &s->cold_until_us, r->cold_us > 0 ? now_us + r->cold_us : 0);
+	if (r->none) {
+		atomic_store(&s->no_report, true);
+		return;
+	}
+	atomic_store(&s->no_report, false);
+	atomic_store(&s->reported, r->running);
+	atomic_store(&s->waiting, r->waiting);
+	atomic_store(&s->pace, r->pace);
+	atomic_store(&s->started_since, 0);
+	atomic_store(&s->reported_us, now_us);
+	atomic_store(&s->asked_us, now_us);
+}
+
+void
+pbc_on_silence(struct rt_stat *s, int64_t now_us)
+{
+	atomic_store(&s->silent_until_us, now_us + PBC_SILENCE_US);
+}
+
+bool
+pbc_is_fresh(const struct rt_stat *s, int64_t now_us)
+{
+	int64_t at = atomic_load(&s->asked_us);
+
+	return (at != 0 && now_us - at <= PBC_FRESH_US);
+}
+
+static bool
+is_cold(const struct rt_upstream *u, int64_t now_us)
+{
+	return (u->state == RT_COLD ||
+	    now_us < atomic_load(&u->stat->cold_until_us));
+}
+
+/* Whether this process may send a request to an upstream if it is cold. */
+static bool
+cold_allows(const struct rt_upstream *u, int64_t now_us)
+{
+	if (!is_cold(u, now_us))
+		return (true);
+	return (u->cold_share &&
+	    now_us - atomic_load(&u->stat->cold_sent_us) >=
+		PBC_COLD_SPACING_US);
+}
+
+static bool
+usable(
+    const struct rt_upstream *u, const struct rt_request *req, int64_t now_us)
+{
+	return (rt_is_eligible(u, req) &&
+	    now_us >= atomic_load(&u->stat->refusing_until_us) &&
+	    cold_allows(u, now_us));
+}
+
+static bool
+must_ask(const struct rt_upstream *u, int64_t now_us)
+{
+	return (!atomic_load(&u->stat->no_report) &&
+	    now_us >= atomic_load(&u->stat->silent_until_us));
+}
+
+static bool
+version_usable(const struct rt_service *s, const struct rt_request *req,
+    uint32_t version, int64_t now_us)
+{
+	for (uint32_t i = 0; i < s->n_upstreams; i++) {
+		if (s->upstreams[i].version == version &&
+		    usable(&s->upstreams[i], req, now_us))
+			return (true);
+	}
+	return (false);
+}
+
+/*
+ * The version that was drawn. One that has no usable upstream gives its
+ * requests to the version with the largest share, never to a smaller one: the
+ * share of a new version is a limit.
+ */
+static uint32_t
+version_for(
+    const struct rt_service *s, const struct rt_request *req, int64_t now_us)
+{
+	uint32_t drawn = rt_version_at(s, req->draw);
+	uint32_t largest = drawn;
+
+	if (version_usable(s, req, drawn, now_us))
+		return (drawn);
+	for (uint32_t v = 0; v < s->n_versions; v++) {
+		if (s->versions[v].share > s->versions[largest].share)
+			largest = v;
+	}
+	return (largest);
+}
+
+/** struct search - which upstreams add_candidates() takes */
+struct search {
+	const struct rt_service *s;
+	const struct rt_request *req;
+	int64_t now_us;
+	uint32_t version;
+	bool own_zone;
+	bool any; /* also the ejected ones */
+};
+
+static bool
+fits(const struct search *q, const struct rt_upstream *u)
+{
+	if (u->version != q->version || !usable(u, q->req, q->now_us) ||
+	    !must_ask(u, q->now_us))
+		return (false);
+	if (q->own_zone && !bstr_eq(u->zone, q->req->zone))
+		return (false);
+	return (q->any || !rt_is_ejected(u->stat, q->now_us));
+}
+
+static bool
+contains(const uint32_t *list, uint32_t n, uint32_t i)
+{
+	for (uint32_t k = 0; k < n; k++) {
+		if (list[k] == i)
+			return (true);
+	}
+	return (false);
+}
+
+/* Draws upstreams that fit until @out has @want of them. */
+static uint32_t
+add_candidates(const struct search *q, struct rng *rng, uint32_t want,
+    uint32_t n, uint32_t *out)
+{
+	while (n < want) {
+		uint32_t start = rng_below(rng, q->s->n_upstreams);
+		uint32_t before = n;
+
+		for (uint32_t k = 0; k < q->s->n_upstreams; k++) {
+			uint32_t i = (start + k) % q->s->n_upstreams;
+
+			if (!fits(q, &q->s->upstreams[i]) ||
+			    contains(out, n, i))
+				continue;
+			out[n++] = i;
+			break;
+		}
+		if (n == before)
+			break;
+	}
+	return (n);
+}
+
+uint32_t
+pbc_candidates(const struct rt_service *s, const struct rt_request *req,
+    int64_t now_us, struct rng *rng, uint32_t *out, uint32_t max)
+{
+	struct search q = {.s = s, .req = req, .now_us = now_us};
+	uint32_t n = 0;
+
+	if (s->n_upstreams == 0 || s->n_versions == 0)
+		return (0);
+	q.version = version_for(s, req, now_us);
+	q.own_zone = true;
+	n = add_candidates(&q, rng, max / 2, n, out);
+	q.own_zone = false;
+	n = add_candidates(&q, rng, max, n, out);
+	q.any = n == 0;
+	return (n != 0 ? n : add_candidates(&q, rng, max, n, out));
+}
+
+static int32_t
+load_of(const struct rt_stat *s)
+{
+	return (atomic_load(&s->reported) + atomic_load(&s->waiting) +
+	    atomic_load(&s->started_since));
+}
+
+static bool
+is_full(const struct rt_upstream *u)
+{
+	double limit = u->slots * (1 + FULL_QUEUE_SHARE);
+
+	return (u->slots != 0 && load_of(u->stat) + 1 > limit);
+}
+
+/* Time until one more request ends, in usual service times. */
+static double
+cost(const struct rt_upstream *u, const struct rt_request *req, int64_t now_us)
+{
+	double slots = u->slots == 0 ? 1 : u->slots;
+	double load = load_of(u->stat) + 1;
+	double pace = atomic_load(&u->stat->pace) / USUAL_PACE;
+	double fail = atomic_load(&u->stat->fail_permille) / 1000.0;
+	double x = pace;
+
+	if (load > slots * KNEE_SHARE)
+		x *= KNEE_FACTOR;
+	else
+		x *= 1 + 0.1 * load / slots;
+	if (load > slots)
+		x += x * (load - slots) / slots;
+	if (is_cold(u, now_us))
+		x += COLD_COST;
+	if (req->zone.n != 0 && !bstr_eq(u->zone, req->zone))
+		x += OTHER_ZONE_COST;
+	return (x * (1 + FAIL_WEIGHT * fail));
+}
+
+/* Best upstream of a version; @any includes the ejected ones. */
+static int
+pick_version(const struct rt_service *s, const struct rt_request *req,
+    uint32_t version, bool any, int64_t now_us, struct rng *rng)
+{
+	uint32_t start = rng_below(rng, s->n_upstreams);
+	double best_cost = 0;
+	int best = RT_NONE;
+
+	for (uint32_t k = 0; k < s->n_upstreams; k++) {
+		uint32_t i = (start + k) % s->n_upstreams;
+		const struct rt_upstream *u = &s->upstreams[i];
+		double x;
+
+		if (u->version != version || !usable(u, req, now_us))
+			continue;
+		if (!any && rt_is_ejected(u->stat, now_us))
+			continue;
+		if (!atomic_load(&u->stat->no_report) &&
+		    !pbc_is_fresh(u->stat, now_us))
+			continue;
+		if (is_full(u)) {
+			if (best == RT_NONE)
+				best = RT_FULL;
+			continue;
+		}
+		x = cost(u, req, now_us);
+		if (best < 0 || x < best_cost) {
+			best = (int)i;
+			best_cost = x;
+		}
+	}
+	return (best);
+}
+
+int
+pbc_pick(const struct rt_service *s, const struct rt_request *req,
+    int64_t now_us, struct rng *rng)
+{
+	uint32_t version;
+	int i;
+
+	if (s->n_upstreams == 0 || s->n_versions == 0)
+		return (RT_NONE);
+	version = version_for(s, req, now_us);
+	i = pick_version(s, req, version, false, now_us, rng);
+	/* When all are ejected the fault is likely elsewhere: use them all. */
+	if (i == RT_NONE)
+		i = pick_version(s, req, version, true, now_us, rng);
+	return (i);
+}
+
+void
+pbc_on_start(const struct rt_upstream *u, int64_t now_us)
+{
+	if (is_cold(u, now_us))
+		atomic_store(&u->stat->cold_sent_us, now_us);
+}
--- a/packages/route/rbt.c
+++ b/packages/route/rbt.c
@@ -25,6 +25,8 @@
 	if (us <= 0)
 		return;
 	b->refill_us = now_us;
+	if (b->limited)
+		return;
 	if (us > max_us)
 		us = max_us;
 	add(b, us * b->desc.min_per_s * (ONE_RETRY / US_PER_S));
@@ -42,9 +44,19 @@
 		b->desc.burst = DEFAULT_BURST;
 	b->level = 0;
 	b->refill_us = now_us;
+	b->limited = false;
 	add(b, (int64_t)b->desc.min_per_s * ONE_RETRY);
 }
 
+void
+rbt_limit(struct rbt *b, uint32_t permille, uint32_t burst)
+{
+	b->desc.permille = permille;
+	b->desc.burst = burst;
+	add(b, b->limited ? 0 : (int64_t)burst * ONE_RETRY);
+	b->limited = true;
+}
+
 void
 rbt_on_success(struct rbt *b)
 {
--- a/packages/route/rbt.h
+++ b/packages/route/rbt.h
@@ -30,11 +30,13 @@
 /**
  * struct rbt - bucket on caller-owned memory
  * @desc: settings with the defaults filled in
+ * @limited: rbt_limit() was called; there is no minimum rate any more
  * @level: unused retries in millionths
  * @refill_us: when @level was last refilled by time
  */
 struct rbt {
 	struct rbt_desc desc;
+	bool limited;
 	int64_t level;
 	int64_t refill_us;
 };
@@ -42,6 +44,15 @@
 /** rbt_init() - bucket that holds one second of the minimum rate */
 void rbt_init(struct rbt *b, const struct rbt_desc *desc, int64_t now_us);
 
+/**
+ * rbt_limit() - make the bucket a share of a budget of all VMs
+ * @permille: retries per 1,000 successful calls
+ * @burst: largest number of unused retries; the bucket is full at first
+ *
+ * It has no minimum rate any more, because minimum rates of all VMs add up.
+ */
+void rbt_limit(struct rbt *b, uint32_t permille, uint32_t burst);
+
 /** rbt_on_success() - a call succeeded */
 void rbt_on_success(struct rbt *b);
 
--- a/packages/route/rt.c
+++ b/packages/route/rt.c
@@ -134,11 +134,30 @@
 	free(s->tallies);
 }
 
+static void
+copy_splits(struct rt_route *to, const struct rt_route *from)
+{
+	to->splits = xcalloc(from->n_splits, sizeof(*to->splits));
+	for (uint32_t i = 0; i < from->n_splits; i++) {
+		to->splits[i].weight = from->splits[i].weight;
+		to->splits[i].service = copy_str(from->splits[i].service);
+	}
+}
+
+static void
+free_splits(struct rt_route *r)
+{
+	for (uint32_t i = 0; i < r->n_splits; i++)
+		free_str(r->splits[i].service);
+	free(r->splits);
+}
+
 static void
 copy_service(struct rt_service *to, const struct rt_service *from)
 {
 	*to = *from;
 	to->name = copy_str(from->name);
+	to->probe_path = copy_str(from->probe_path);
 	to->hosts = xcalloc(from->n_hosts, sizeof(*to->hosts));
 	for (uint32_t i = 0; i < from->n_hosts; i++)
 		to->hosts[i] = copy_str(from->hosts[i]);
@@ -146,6 +165,7 @@
 	for (uint32_t i = 0; i < from->n_routes; i++) {
 		to->routes[i] = from->routes[i];
 		to->routes[i].prefix = copy_str(from->routes[i].prefix);
+		copy_splits(&to->routes[i], &from->routes[i]);
 	}
 	to->versions = xcalloc(from->n_versions, sizeof(*to->versions));
 	for (uint32_t i = 0; i < from->n_versions; i++) {
@@ -167,10 +187,13 @@
 free_service(struct rt_service *s)
 {
 	free_str(s->name);
+	free_str(s->probe_path);
 	for (uint32_t i = 0; i < s->n_hosts; i++)
 		free_str(s->hosts[i]);
-	for (uint32_t i = 0; i < s->n_routes; i++)
+	for (uint32_t i = 0; i < s->n_routes; i++) {
 		free_str(s->routes[i].prefix);
+		free_splits(&s->routes[i]);
+	}
 	for (uint32_t i = 0; i < s->n_versions; i++)
 		free_str(s->versions[i].name);
 	for (uint32_t i = 0; i < s->n_upstreams; i++) {
@@ -277,21 +300,38 @@
 	return (s->tallies[r * s->n_versions + version]);
 }
 
-static uint32_t
-draw_version(const struct rt_service *s, struct rng *rng)
+struct bstr
+rt_draw_split(
+    const struct rt_service *s, const struct rt_route *r, struct rng *rng)
 {
-	uint32_t x = rng_below(rng, PERMILLE);
+	uint32_t total = 0, x;
 
+	for (uint32_t i = 0; i < r->n_splits; i++)
+		total += r->splits[i].weight;
+	if (total == 0)
+		return (r->n_splits == 0 ? s->name : r->splits[0].service);
+	x = rng_below(rng, total);
+	for (uint32_t i = 0; i < r->n_splits; i++) {
+		if (x < r->splits[i].weight)
+			return (r->splits[i].service);
+		x -= r->splits[i].weight;
+	}
+	return (r->splits[0].service);
+}
+
+uint32_t
+rt_version_at(const struct rt_service *s, uint32_t draw)
+{
 	for (uint32_t v = 0; v < s->n_versions; v++) {
-		if (x < s->versions[v].share)
+		if (draw < s->versions[v].share)
 			return (v);
-		x -= s->versions[v].share;
+		draw -= s->versions[v].share;
 	}
 	return (0);
 }
 
-static bool
-ejected(const struct rt_stat *s, int64_t now_us)
+bool
+rt_is_ejected(const struct rt_stat *s, int64_t now_us)
 {
 	if (atomic_load(&s->fail_permille) < EJECT_PERMILLE)
 		return (false);
@@ -299,8 +339,8 @@
 	    now_us - atomic_load(&s->updated_us) < EJECT_PAUSE_US);
 }
 
-static bool
-eligible(const struct rt_upstream *u, const struct rt_request *req)
+bool
+rt_is_eligible(const struct rt_upstream *u, const struct rt_request *req)
 {
 	const struct rt_stat *s = u->stat;
 
@@ -409,9 +449,9 @@
 		const struct rt_upstream *u = &s->upstreams[i];
 
 		i = (i + step) % n;
-		if (u->version != version || !eligible(u, req))
+		if (u->version != version || !rt_is_eligible(u, req))
 			continue;
-		if (!all && ejected(u->stat, now_us))
+		if (!all && rt_is_ejected(u->stat, now_us))
 			continue;
 		consider(&c, s, (uint32_t)(u - s->upstreams), now_us);
 		want -= c.best != RT_FULL;
@@ -423,7 +463,7 @@
 rt_pick(const struct rt_service *s, const struct rt_request *req,
     int64_t now_us, struct rng *rng)
 {
-	uint32_t version = draw_version(s, rng);
+	uint32_t version = rt_version_at(s, rng_below(rng, PERMILLE));
 	int i = pick_version(s, version, req, false, now_us, rng);
 
 	/* A version without a usable upstream must not fail its share. */
--- a/packages/route/rt.h
+++ b/packages/route/rt.h
@@ -49,6 +49,16 @@
  * @permits: own calls allowed in flight while the upstream is cold
  * @permits_until_us: when @permits end
  * @wanted_us: when a pick last considered the upstream while it was cold
+ * @waiting: requests that waited for a slot at the last full report
+ * @pace: time that work takes at that moment, in percent of the usual time
+ * @asked_us: when the last full report came, 0 for never
+ * @silent_until_us: no probe is sent before, because one was not answered
+ * @refusing_until_us: said that it takes no work, or another process has its
+ *	address; not used before
+ * @cold_until_us: end of the cold start that the upstream reported
+ * @cold_sent_us: when this process last sent a request to it while it was cold
+ * @idle_limit_us: how long it keeps an idle connection, 0 when not known
+ * @no_report: it answers probes without a report; not probed any more
  * @good: calls that ended well, only grows
  * @failed: calls that failed, only grows
  * @slow: good calls slower than the service's limit, only grows
@@ -65,6 +75,15 @@
 	_Atomic int32_t permits;
 	_Atomic int64_t permits_until_us;
 	_Atomic int64_t wanted_us;
+	_Atomic int32_t waiting;
+	_Atomic int32_t pace;
+	_Atomic int64_t asked_us;
+	_Atomic int64_t silent_until_us;
+	_Atomic int64_t refusing_until_us;
+	_Atomic int64_t cold_until_us;
+	_Atomic int64_t cold_sent_us;
+	_Atomic int64_t idle_limit_us;
+	_Atomic bool no_report;
 	_Atomic uint64_t good;
 	_Atomic uint64_t failed;
 	_Atomic uint64_t slow;
@@ -84,7 +103,10 @@
 	_Atomic uint64_t slow;
 };
 
-/** struct rt_upstream - one upstream in a table; strings owned by the table */
+/**
+ * struct rt_upstream - one upstream in a table; strings owned by the table
+ * @cold_share: this process may send to it while it is cold, see cold_until_us
+ */
 struct rt_upstream {
 	struct bstr id;
 	struct bstr addr;
@@ -92,6 +114,7 @@
 	uint32_t version;
 	uint32_t slots;
 	enum rt_state state;
+	bool cold_share;
 	struct rt_stat *stat;
 };
 
@@ -101,16 +124,33 @@
 	uint32_t share;
 };
 
-/** struct rt_route - longest prefix wins */
+/** struct rt_split - part of a route's requests that goes to a service */
+struct rt_split {
+	struct bstr service;
+	uint32_t weight;
+};
+
+/**
+ * struct rt_route - longest prefix wins
+ * @timeout_ms: longest time for a request, 0 for the default
+ * @goal_ms: time within which a response is worth most, 0 when not known
+ * @attempts: upstreams that one request may be sent to, 0 for the default
+ * @splits: services that the requests go to; none means the route's own service
+ */
 struct rt_route {
 	struct bstr prefix;
 	bool idempotent;
 	uint32_t timeout_ms;
+	uint32_t goal_ms;
+	uint32_t attempts;
+	struct rt_split *splits;
+	uint32_t n_splits;
 };
 
 /**
  * struct rt_service - one service; arrays owned by the table
  * @slow_us: attempts above this time count as slow, 0 for no limit
+ * @probe_path: path that reports the load at once; empty for no probes
  * @tallies: counters at [route * n_versions + version]; NULL for none
  */
 struct rt_service {
@@ -125,6 +165,7 @@
 	uint32_t n_upstreams;
 	uint32_t slots;
 	int64_t slow_us;
+	struct bstr probe_path;
 	struct rt_tally **tallies;
 };
 
@@ -154,6 +195,8 @@
 struct rt_request {
 	const struct rt_stat *excluded[RT_MAX_EXCLUDED]; /* already tried */
 	uint32_t n_excluded;
+	struct bstr zone; /* availability zone of this VM, may be empty */
+	uint32_t draw;    /* drawn once a request, below 1000: its version */
 };
 
 /** rt_stat_new() - zeroed statistics with one reference */
@@ -202,6 +245,23 @@
 struct rt_tally *rt_tally_at(
     const struct rt_service *s, const struct rt_route *route, uint32_t version);
 
+/**
+ * rt_draw_split() - name of the service that a request of a route goes to
+ * @s: service that has the route
+ * @r: route
+ */
+struct bstr rt_draw_split(
+    const struct rt_service *s, const struct rt_route *r, struct rng *rng);
+
+/** rt_version_at() - version that a draw below 1000 means, by the shares */
+uint32_t rt_version_at(const struct rt_service *s, uint32_t draw);
+
+/** rt_is_ejected() - whether the upstream fails too many calls to be used now */
+bool rt_is_ejected(const struct rt_stat *s, int64_t now_us);
+
+/** rt_is_eligible() - whether the state and the exclusions allow an upstream */
+bool rt_is_eligible(const struct rt_upstream *u, const struct rt_request *req);
+
 /**
  * rt_pick() - choose an upstream
  * @s: service
--- a/tests/lib/rig.c
+++ b/tests/lib/rig.c
@@ -88,10 +88,14 @@
 	static const char *const names[N_SERVICES] = {
 	    "a", "dead", "hole", "two", "full", "none"};
 	struct rt_route routes[] = {
-	    {BSTR("/"), false, LONG_MS},
-	    {BSTR("/i"), true, LONG_MS},
-	    {BSTR("/t"), true, SHORT_MS},
-	    {BSTR("/u"), false, SHORT_MS},
+	    {.prefix = BSTR("/"), .timeout_ms = LONG_MS},
+	    {.prefix = BSTR("/i"),
+		.idempotent = true,
+		.timeout_ms = LONG_MS},
+	    {.prefix = BSTR("/t"),
+		.idempotent = true,
+		.timeout_ms = SHORT_MS},
+	    {.prefix = BSTR("/u"), .timeout_ms = SHORT_MS},
 	};
 	const uint16_t ports[N_SERVICES][2] = {{rig.up_port}, {dead}, {hole},
 	    {dead, rig.up_port}, {rig.up_port}, {0}};
@@ -270,6 +274,7 @@
 	rig.env.control = &rig.control;
 	rig.env.met = &rig.met;
 	rig.env.max_keyed_body = 100000;
+	rig.env.upp = upp_own();
 	atomic_store(&rig.env.fresh_until_us, INT64_MAX);
 	rig_bind(-1, &rig.port, SO_REUSEPORT);
 	d.port = rig.port;
--- a/tests/unit/test_front_wait.c
+++ b/tests/unit/test_front_wait.c
@@ -107,7 +107,8 @@
 {
 	char addr[32];
 	struct bstr host = BSTR("a");
-	struct rt_route route = {BSTR("/"), true, LONG_MS};
+	struct rt_route route = {
+	    .prefix = BSTR("/"), .idempotent = true, .timeout_ms = LONG_MS};
 	struct rt_version version = {BSTR("v1"), 1000};
 	struct rt_upstream up = {.stat = rt_stat_new()};
 	struct rt_service s = {.name = host,
