--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 VARIANT ?= release
 B := build/$(VARIANT)
 
-LIBS := base sys route member claim config move slo peer platform front ops \
+LIBS := base sys route fleet member claim config move slo peer platform front ops \
     control model load
 BINS := camphorhollowd camphorctl bench callers
 DEPS := liburcu libmicrohttpd neon glib-2.0 jansson libxxhash libcurl msgpack
@@ -22,7 +22,7 @@
 
 DEP_CFLAGS := $(shell pkg-config --cflags $(DEPS) 2>/dev/null)
 DEP_LIBS := $(shell pkg-config --libs $(DEPS) cmocka 2>/dev/null)
-CPPFLAGS := -D_GNU_SOURCE -Ipackages -Itests $(DEP_CFLAGS)
+CPPFLAGS := -D_GNU_SOURCE -Ipackages -Itests -I. $(DEP_CFLAGS)
 CFLAGS := -std=gnu11 -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
     -Wmissing-prototypes -fno-common -pthread -g
 LDLIBS := $(DEP_LIBS) -lm -pthread
@@ -35,8 +35,8 @@
 CFLAGS += -O2
 endif
 
-SRCS := $(wildcard packages/*/*.c tests/*/*.c)
-HDRS := $(wildcard packages/*/*.h tests/*/*.h)
+SRCS := $(wildcard packages/*/*.c platform/*.c tests/*/*.c)
+HDRS := $(wildcard packages/*/*.h platform/*.h tests/*/*.h)
 OBJS := $(SRCS:%.c=$(B)/%.o)
 ARS := $(foreach p,$(LIBS),$(if $(wildcard packages/$(p)/*.c),$(B)/lib$(p).a))
 TESTLIB := $(patsubst %.c,$(B)/%.o,$(wildcard tests/lib/*.c))
@@ -63,6 +63,12 @@
 endef
 $(foreach p,$(LIBS),$(eval $(call AR_RULE,$(p))))
 
+# The adapter between the project and its users' platform.
+$(B)/libadapter.a: $(patsubst %.c,$(B)/%.o,$(wildcard platform/*.c))
+	@rm -f $@
+	@ar rcs $@ $^
+ARS += $(B)/libadapter.a
+
 define BIN_RULE
 $(B)/$(1): $$(patsubst %.c,$(B)/%.o,$$(wildcard packages/$(1)/*.c)) $(ARS)
 	@$(CC) $(CFLAGS) -o $$@ $$(filter %.o,$$^) -Wl,--start-group $(ARS) \
@@ -128,7 +134,7 @@
 	@tools/check-includes
 	@cppcheck --quiet --std=c11 --enable=warning,performance,portability \
 	    --inline-suppr --error-exitcode=1 --suppress=missingIncludeSystem \
-	    -j 8 -Ipackages -Itests packages tests
+	    -j 8 -Ipackages -Itests -I. packages platform tests
 
 clean:
 	rm -rf build
--- a/packages/camphorhollowd/main.c
+++ b/packages/camphorhollowd/main.c
@@ -12,11 +12,14 @@
 #include <urcu.h>
 
 #include "control/ctl.h"
+#include "control/fct.h"
 #include "front/env.h"
 #include "front/wrk.h"
 #include "ops/lgr.h"
 #include "ops/ops.h"
 #include "ops/set.h"
+#include "platform/pst.h"
+#include "platform/pup.h"
 #include "sys/clk.h"
 
 #define EXIT_USAGE 2
@@ -29,6 +32,7 @@
 	struct env env;
 	struct met met;
 	struct ctl *ctl;
+	struct fct *fct; /* in place of ctl, for a store of objects */
 	struct ops *ops;
 	struct wrk *workers[MAX_WORKERS];
 	pthread_t threads[MAX_WORKERS];
@@ -52,6 +56,7 @@
 		    .addr = d->set.listen.addr,
 		    .port = (uint16_t)d->set.listen.port,
 		    .seed = (uint64_t)d->set.seed + (uint64_t)i,
+		    .max_host_connections = (long)d->set.max_connections,
 		};
 
 		d->workers[i] = wrk_new(&desc, &error);
@@ -73,6 +78,40 @@
 	    clk_mono_us() <= atomic_load(&env->fresh_until_us));
 }
 
+static bool
+has_object_store(const struct daemon *d)
+{
+	return (strcmp(d->set.store_api, "objects") == 0);
+}
+
+/* Control thread for a VM whose fleet is kept in a store of objects. */
+static bool
+start_fleet_control(struct daemon *d)
+{
+	char *address = g_strdup_printf("%s:%lld", d->set.platform.addr,
+	    (long long)d->set.platform.port);
+	struct pst_desc store = {.address = address,
+	    .met = &d->met,
+	    .seed = (uint64_t)d->set.seed};
+	struct fct_desc desc = {.set = &d->set,
+	    .env = &d->env,
+	    .store = pst_new(&store),
+	    .boot = (uint64_t)d->set.seed};
+	GError *error = NULL;
+
+	g_free(address);
+	d->env.upp = pup_protocol();
+	d->env.zone = d->set.zone;
+	d->fct = fct_new(&desc, &error);
+	if (d->fct == NULL) {
+		g_warning("control: %s", error->message);
+		g_error_free(error);
+		return (false);
+	}
+	d->env.control = fct_queue(d->fct);
+	return (true);
+}
+
 static bool
 start_control(struct daemon *d)
 {
@@ -82,6 +121,8 @@
 	    .seed = (uint64_t)d->set.seed};
 	GError *error = NULL;
 
+	if (has_object_store(d))
+		return (start_fleet_control(d));
 	d->ctl = ctl_new(&desc, &error);
 	if (d->ctl == NULL) {
 		g_warning("control: %s", error->message);
@@ -99,11 +140,12 @@
 	    .port = (uint16_t)d->set.ops.port,
 	    .token = d->set.token,
 	    .allow = d->set.ops_allow,
+	    .health_path = d->set.health_path,
 	    .met = &d->met,
 	    .routable = routable,
 	    .routable_arg = &d->env,
 	    .control = d->env.control,
-	    .msg_type = ctl_ops_type()};
+	    .msg_type = d->fct != NULL ? fct_ops_type() : ctl_ops_type()};
 	GError *error = NULL;
 
 	d->ops = ops_start(&desc, &error);
@@ -122,6 +164,23 @@
 	nanosleep(&ts, NULL);
 }
 
+/* Hands over what only this VM holds, then ends the control thread. */
+static void
+stop_control(struct daemon *d)
+{
+	if (d->fct != NULL) {
+		fct_stop(d->fct);
+		ops_stop(d->ops);
+		fct_free(d->fct);
+		return;
+	}
+	if (!ctl_wait_idle(d->ctl, HANDOVER_MS))
+		g_warning("main: partitions were not all handed over");
+	ctl_stop(d->ctl);
+	ops_stop(d->ops);
+	ctl_free(d->ctl);
+}
+
 /*
  * The health endpoint fails first, so that the platform's balancer sends new
  * requests elsewhere while this VM still serves those that come.
@@ -131,18 +190,15 @@
 {
 	g_message("main: shutting down");
 	atomic_store(&d->env.unhealthy, true);
-	ctl_leave(d->ctl);
+	if (d->ctl != NULL)
+		ctl_leave(d->ctl);
 	pause_ms((long)d->set.leave_notice_ms);
 	for (int64_t i = 0; i < d->set.workers; i++)
 		wrk_stop(d->workers[i]);
 	for (int64_t i = 0; i < d->set.workers; i++)
 		pthread_join(d->threads[i], NULL);
 	atomic_store(&d->env.leaving, true);
-	if (!ctl_wait_idle(d->ctl, HANDOVER_MS))
-		g_warning("main: partitions were not all handed over");
-	ctl_stop(d->ctl);
-	ops_stop(d->ops);
-	ctl_free(d->ctl);
+	stop_control(d);
 	for (int64_t i = 0; i < d->set.workers; i++)
 		wrk_free(d->workers[i]);
 	g_message("main: stopped");
@@ -199,7 +255,10 @@
 	d->env.table = rt_table_new(&empty);
 	if (!start_control(d) || !start_workers(d) || !start_ops(d))
 		return (EXIT_FAILURE);
-	ctl_start(d->ctl);
+	if (d->fct != NULL)
+		fct_start(d->fct);
+	else
+		ctl_start(d->ctl);
 	g_message("main: ready");
 	sigwait(&set, &sig);
 	pthread_create(&limit, NULL, limit_shutdown, d);
@@ -213,6 +272,7 @@
 usage(FILE *out)
 {
 	fputs("usage: camphorhollowd --settings FILE\n"
+	      "       camphorhollowd --settings-env NAME\n"
 	      "       camphorhollowd --check-settings FILE\n",
 	    out);
 }
@@ -222,6 +282,7 @@
 {
 	static const struct option options[] = {
 	    {"settings", required_argument, NULL, 's'},
+	    {"settings-env", required_argument, NULL, 'e'},
 	    {"check-settings", required_argument, NULL, 'c'},
 	    {"help", no_argument, NULL, 'h'},
 	    {0},
@@ -242,6 +303,9 @@
 		case 's':
 			path = optarg;
 			break;
+		case 'e':
+			path = getenv(optarg);
+			break;
 		case 'h':
 			usage(stdout);
 			return (EXIT_SUCCESS);
--- /dev/null
+++ b/packages/control/fct.c
@@ -0,0 +1,342 @@
+#include "control/fct.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <urcu.h>
+
+#include "control/fmr.h"
+#include "front/cmsg.h"
+#include "ops/ops.h"
+#include "sys/clk.h"
+
+#define MSG_OPS 100
+#define TICK_MS 100
+#define MOVE_TICK_MS 50
+#define MAX_DATAGRAM 2048
+/* The first list of VMs may be short, while the others start. */
+#define MIN_MEMBERS 12
+#define MAX_PER_ROUND 256
+/* Part of the fleet's unused retries that is dealt out to the VMs. */
+#define RETRY_DEALT_PERMILLE 600
+/* Part of the allowed ratio of retries that is used. */
+#define RETRY_RATIO_PERMILLE 700
+
+/** struct fct - control thread; first member receives the store's changes */
+struct fct {
+	struct fst_sink sink;
+	struct fct_desc desc;
+	struct fls fls;
+	struct fmr fmr;
+	struct mq queue;
+	int udp_fd;
+	pthread_t thread;
+	_Atomic bool stop;
+	uint32_t n_members;
+};
+
+static struct fct *
+fct_of(struct fst_sink *s)
+{
+	return ((struct fct *)s);
+}
+
+static void
+on_begin(struct fst_sink *s, enum fst_kind kind)
+{
+	fls_begin(&fct_of(s)->fls, kind);
+}
+
+static void
+on_end(struct fst_sink *s, enum fst_kind kind)
+{
+	fls_end(&fct_of(s)->fls, kind, clk_mono_us());
+}
+
+static void
+on_config(struct fst_sink *s, struct fld_config *c)
+{
+	int64_t version = c->version;
+
+	if (fls_set_config(&fct_of(s)->fls, c))
+		g_message("config: version %lld is in effect",
+		    (long long)version);
+}
+
+static void
+on_upstream(struct fst_sink *s, const char *id, struct fld_upstream *u)
+{
+	fls_set_upstream(&fct_of(s)->fls, id, u, clk_mono_us());
+}
+
+static void
+on_move(struct fst_sink *s, const char *name, struct fld_move *m)
+{
+	fls_set_move(&fct_of(s)->fls, name, m, clk_mono_us());
+}
+
+static void
+on_zone_out(struct fst_sink *s, const char *zone, bool out)
+{
+	g_message("zone: %s is %s", zone, out ? "out of service" : "back");
+	fls_set_zone_out(&fct_of(s)->fls, zone, out);
+}
+
+static void
+on_member(struct fst_sink *s, const char *id, struct fld_member *m)
+{
+	fls_set_member(&fct_of(s)->fls, id, m);
+}
+
+static void
+on_reachable(struct fst_sink *s, bool yes)
+{
+	g_message("store: %s", yes ? "answers again" : "does not answer");
+	fls_on_reachable(&fct_of(s)->fls, yes, clk_mono_us());
+}
+
+static void
+on_move_written(struct fst_sink *s, const char *name, enum fst_result result)
+{
+	fmr_on_written(&fct_of(s)->fmr, name, result, clk_mono_ms());
+}
+
+static const struct fst_sink_ops sink_ops = {
+    .begin = on_begin,
+    .end = on_end,
+    .config = on_config,
+    .upstream = on_upstream,
+    .move = on_move,
+    .zone_out = on_zone_out,
+    .member = on_member,
+    .reachable = on_reachable,
+    .move_written = on_move_written,
+};
+
+static bool
+parse_address(const char *text, struct sockaddr_in *out)
+{
+	const char *colon = strchr(text, ':');
+	char ip[INET_ADDRSTRLEN];
+	uint64_t port;
+
+	if (colon == NULL || (size_t)(colon - text) >= sizeof(ip))
+		return (false);
+	memcpy(ip, text, (size_t)(colon - text));
+	ip[colon - text] = '\0';
+	*out = (struct sockaddr_in){.sin_family = AF_INET};
+	if (inet_pton(AF_INET, ip, &out->sin_addr) != 1 ||
+	    !bstr_to_u64(bstr_from(colon + 1), &port) || port > UINT16_MAX)
+		return (false);
+	out->sin_port = htons((uint16_t)port);
+	return (true);
+}
+
+static void
+send_datagram(void *arg, const char *address, struct bstr bytes)
+{
+	struct fct *c = arg;
+	struct sockaddr_in to;
+
+	if (!parse_address(address, &to))
+		return;
+	if (sendto(c->udp_fd, bytes.p, bytes.n, MSG_DONTWAIT,
+		(struct sockaddr *)&to, sizeof(to)) < 0)
+		g_debug("peer: datagram to %s: %s", address,
+		    g_strerror(errno));
+	else
+		met_add(c->desc.env->met, MET_PEER_BYTES_OUT, bytes.n);
+}
+
+static int64_t
+wall_ms(void *arg)
+{
+	(void)arg;
+	return (clk_wall_ms());
+}
+
+static int
+open_udp(const struct set_addr *a)
+{
+	struct sockaddr_in sin = {
+	    .sin_family = AF_INET, .sin_port = htons((uint16_t)a->port)};
+	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+
+	if (fd < 0 || inet_pton(AF_INET, a->addr, &sin.sin_addr) != 1)
+		return (fd);
+	if (bind(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0)
+		return (fd);
+	close(fd);
+	return (-1);
+}
+
+struct fct *
+fct_new(const struct fct_desc *desc, GError **error)
+{
+	struct fct *c = g_new0(struct fct, 1);
+
+	c->sink.ops = &sink_ops;
+	c->desc = *desc;
+	atomic_store(&desc->env->retry_burst, 1);
+	c->udp_fd = open_udp(&desc->set->peer);
+	if (c->udp_fd < 0 || mq_init(&c->queue) != 0) {
+		g_set_error(error, ERR_QUARK, ERR_INTERNAL,
+		    "cannot listen on %s:%lld: %s", desc->set->peer.addr,
+		    (long long)desc->set->peer.port, g_strerror(errno));
+		g_free(c);
+		return (NULL);
+	}
+	fls_init(&c->fls, &(struct fls_desc){.self = desc->set->id});
+	fmr_init(&c->fmr,
+	    &(struct fmr_desc){.self = desc->set->id,
+		.boot = desc->boot,
+		.fls = &c->fls,
+		.store = desc->store,
+		.send = send_datagram,
+		.wall_ms = wall_ms,
+		.arg = c});
+	return (c);
+}
+
+struct mq *
+fct_queue(struct fct *c)
+{
+	return (&c->queue);
+}
+
+int
+fct_ops_type(void)
+{
+	return (MSG_OPS);
+}
+
+/* Plans and reports belong to the project's own store, see docs/platform.md. */
+static void
+take_messages(struct fct *c)
+{
+	struct mq_msg *m;
+
+	mq_clear_event(&c->queue);
+	while ((m = mq_pop(&c->queue)) != NULL) {
+		if (m->type == MSG_OPS)
+			ops_answer_error(ops_request_of(m), ERR_NOT_FOUND,
+			    "operators use the platform's store here");
+		else
+			free(m);
+	}
+}
+
+static void
+take_datagrams(struct fct *c)
+{
+	char buf[MAX_DATAGRAM];
+
+	for (int i = 0; i < MAX_PER_ROUND; i++) {
+		ssize_t n = recv(c->udp_fd, buf, sizeof(buf), MSG_DONTWAIT);
+
+		if (n < 0)
+			break;
+		met_add(c->desc.env->met, MET_PEER_BYTES_IN, (uint64_t)n);
+		fmr_on_datagram(&c->fmr, (struct bstr){buf, (size_t)n},
+		    clk_mono_ms());
+	}
+}
+
+/* Deals the fleet's retries out to the VMs. */
+static void
+divide_limits(struct fct *c)
+{
+	uint32_t n = MAX(fls_n_members(&c->fls), MIN_MEMBERS);
+	const struct set *s = c->desc.set;
+	uint32_t burst = (uint32_t)(s->retry_burst * RETRY_DEALT_PERMILLE /
+	    1000 / n);
+
+	if (n == c->n_members)
+		return;
+	c->n_members = n;
+	atomic_store(&c->desc.env->retry_permille,
+	    (uint32_t)(s->retry_ratio * RETRY_RATIO_PERMILLE));
+	atomic_store(&c->desc.env->retry_burst, burst == 0 ? 1 : burst);
+	g_message("fleet: %u VMs, %u retries at once", n, burst);
+}
+
+static void
+publish(struct fct *c)
+{
+	int64_t now_us = clk_mono_us();
+
+	if (!fls_take_dirty(&c->fls, now_us))
+		return;
+	env_publish(c->desc.env, fls_table(&c->fls, now_us));
+	if (atomic_load(&c->desc.env->fresh_until_us) == 0)
+		g_message("main: ready to route");
+	atomic_store(&c->desc.env->fresh_until_us, INT64_MAX);
+}
+
+static void
+publish_member(struct fct *c)
+{
+	const struct set *s = c->desc.set;
+	char *address = g_strdup_printf(
+	    "%s:%lld", s->peer.addr, (long long)s->peer.port);
+	struct fld_member m = {
+	    .id = s->id, .zone = s->zone, .address = address};
+
+	c->desc.store->ops->write_member(c->desc.store, &m);
+	g_free(address);
+}
+
+static void *
+run(void *arg)
+{
+	struct fct *c = arg;
+	struct fst *store = c->desc.store;
+	const int fds[] = {mq_fd(&c->queue), c->udp_fd};
+
+	rcu_register_thread();
+	store->ops->start(store, &c->sink);
+	publish_member(c);
+	while (!atomic_load(&c->stop)) {
+		store->ops->run(store, fds, sizeof(fds) / sizeof(*fds),
+		    fmr_is_active(&c->fmr) ? MOVE_TICK_MS : TICK_MS);
+		take_messages(c);
+		take_datagrams(c);
+		divide_limits(c);
+		fmr_tick(&c->fmr, clk_mono_ms());
+		publish(c);
+	}
+	rcu_unregister_thread();
+	return (NULL);
+}
+
+void
+fct_start(struct fct *c)
+{
+	pthread_create(&c->thread, NULL, run, c);
+}
+
+void
+fct_stop(struct fct *c)
+{
+	atomic_store(&c->stop, true);
+	pthread_join(c->thread, NULL);
+}
+
+void
+fct_free(struct fct *c)
+{
+	struct mq_msg *m;
+
+	while ((m = mq_pop(&c->queue)) != NULL)
+		free(m);
+	mq_finish(&c->queue);
+	c->desc.store->ops->free(c->desc.store);
+	fmr_finish(&c->fmr);
+	fls_finish(&c->fls);
+	close(c->udp_fd);
+	g_free(c);
+}
--- /dev/null
+++ b/packages/control/fmr.c
@@ -0,0 +1,391 @@
+#include "control/fmr.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Pause between two rounds of counters, words and decisions. */
+#define ROUND_MS 200
+/* The executor's word holds for this long. */
+#define WORD_MS 1500
+/* A VM takes over when it has heard no word for this long, later by rank. */
+#define SILENCE_MS 1800
+#define RANK_MS 150
+#define RANK_MAX 10
+/* Pause before a status is written again. */
+#define REWRITE_MS 400
+#define PERMILLE 1000u
+
+/**
+ * struct part - this VM's part in one move
+ * @to_version: version it is about
+ * @seen_ms: when the move was first seen here
+ * @heard_ms: when the executor was last heard, or the order changed hands
+ * @executor: executor at that time, owned
+ * @leads: this VM is the executor
+ * @fmv: decisions of the executor, while @leads
+ * @write_ms: when the status may be written again, INT64_MAX during a write
+ */
+struct part {
+	char *to_version;
+	int64_t seen_ms;
+	int64_t heard_ms;
+	char *executor;
+	bool leads;
+	struct fmv fmv;
+	int64_t write_ms;
+};
+
+static void
+free_part(void *arg)
+{
+	struct part *p = arg;
+
+	if (p->leads)
+		fmv_finish(&p->fmv);
+	g_free(p->to_version);
+	g_free(p->executor);
+	g_free(p);
+}
+
+void
+fmr_init(struct fmr *r, const struct fmr_desc *desc)
+{
+	*r = (struct fmr){.desc = *desc};
+	r->parts = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, free_part);
+}
+
+void
+fmr_finish(struct fmr *r)
+{
+	g_hash_table_unref(r->parts);
+}
+
+static bool
+is_final(enum fld_move_state s)
+{
+	return (s == FLD_MOVE_DONE || s == FLD_MOVE_ROLLED_BACK);
+}
+
+/* Members before this VM in the order for a service; another one for each. */
+static uint32_t
+rank_of(const struct fmr *r, const char *service)
+{
+	uint64_t seed = bstr_hash(bstr_from(service), 0);
+	uint64_t own = bstr_hash(bstr_from(r->desc.self), seed);
+	uint32_t before = 0;
+	GHashTableIter it;
+	void *id;
+
+	g_hash_table_iter_init(&it, r->desc.fls->members);
+	while (g_hash_table_iter_next(&it, &id, NULL))
+		before += bstr_hash(bstr_from(id), seed) > own;
+	return (before < RANK_MAX ? before : RANK_MAX);
+}
+
+static struct part *
+part_of(struct fmr *r, const struct fls_move *m, int64_t now_ms)
+{
+	const char *service = m->order.service;
+	struct part *p = g_hash_table_lookup(r->parts, service);
+
+	if (p != NULL && strcmp(p->to_version, m->order.to_version) == 0)
+		return (p);
+	p = g_new0(struct part, 1);
+	p->to_version = g_strdup(m->order.to_version);
+	p->seen_ms = now_ms;
+	p->heard_ms = now_ms;
+	g_hash_table_insert(r->parts, g_strdup(service), p);
+	g_message("move: %s to %s, duration %lld ms, revision %lld", service,
+	    p->to_version, (long long)m->order.duration_ms,
+	    (long long)m->order.revision);
+	return (p);
+}
+
+static void
+count(struct can_count *to, const struct rt_tally *t)
+{
+	to->calls += atomic_load(&t->calls);
+	to->failed += atomic_load(&t->failures);
+	to->slow += atomic_load(&t->slow);
+}
+
+/* This VM's own counters of a service, by version. */
+static struct fmv_counts
+own_counts(const struct fmr *r, const char *service, const char *to)
+{
+	size_t n = strlen(service);
+	struct fmv_counts c = {0};
+	GHashTableIter it;
+	void *key, *tally;
+
+	g_hash_table_iter_init(&it, r->desc.fls->tallies);
+	while (g_hash_table_iter_next(&it, &key, &tally)) {
+		const char *k = key;
+
+		if (strncmp(k, service, n) != 0 || k[n] != '\n')
+			continue;
+		count(strcmp(k + n + 1, to) == 0 ? &c.new_version
+						 : &c.old_version,
+		    tally);
+	}
+	return (c);
+}
+
+static struct pmv_msg
+message(const struct fmr *r, enum pmv_type type, const struct fls_move *m)
+{
+	struct pmv_msg msg = {.type = type, .boot = r->desc.boot};
+
+	g_strlcpy(msg.vm, r->desc.self, sizeof(msg.vm));
+	g_strlcpy(msg.service, m->order.service, sizeof(msg.service));
+	g_strlcpy(msg.to_version, m->order.to_version, sizeof(msg.to_version));
+	return (msg);
+}
+
+static void
+send_to(struct fmr *r, const char *address, const struct pmv_msg *msg)
+{
+	struct bbuf b;
+
+	bbuf_init(&b);
+	pmv_encode(&b, msg);
+	r->desc.send(r->desc.arg, address, bbuf_str(&b));
+	bbuf_finish(&b);
+}
+
+static void
+send_counts(struct fmr *r, const struct fls_move *m)
+{
+	const struct fls_member *e =
+	    g_hash_table_lookup(r->desc.fls->members, m->order.executor);
+	struct pmv_msg msg = message(r, PMV_COUNTS, m);
+
+	if (e == NULL)
+		return;
+	msg.counts =
+	    own_counts(r, m->order.service, m->order.to_version);
+	send_to(r, e->member.address, &msg);
+}
+
+static void
+send_word(struct fmr *r, const struct fls_move *m, const struct part *p)
+{
+	struct pmv_msg msg = message(r, PMV_WORD, m);
+	GHashTableIter it;
+	void *id, *v;
+
+	msg.share = p->fmv.share;
+	msg.state = p->fmv.state;
+	g_hash_table_iter_init(&it, r->desc.fls->members);
+	while (g_hash_table_iter_next(&it, &id, &v)) {
+		if (strcmp(id, r->desc.self) != 0)
+			send_to(r, ((struct fls_member *)v)->member.address,
+			    &msg);
+	}
+}
+
+/* Usable upstreams of the new version per 1,000 of the other versions. */
+static uint32_t
+capacity(const struct fmr *r, const struct fls_move *m)
+{
+	uint32_t own = 0, others = 0;
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_iter_init(&it, r->desc.fls->upstreams);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const struct fld_upstream *e = &((struct fls_upstream *)v)->entry;
+
+		if (strcmp(e->service, m->order.service) != 0 || e->draining ||
+		    g_hash_table_contains(r->desc.fls->zones_out, e->zone))
+			continue;
+		if (strcmp(e->version, m->order.to_version) == 0)
+			own++;
+		else
+			others++;
+	}
+	return (others == 0 ? PERMILLE : own * PERMILLE / others);
+}
+
+static void
+write_status(struct fmr *r, const struct fls_move *m, struct part *p,
+    enum fld_move_state state, int64_t now_ms)
+{
+	int64_t started_ms = m->order.started_ms;
+
+	if (now_ms < p->write_ms)
+		return;
+	if (started_ms == 0)
+		started_ms = r->desc.wall_ms(r->desc.arg);
+	p->write_ms = INT64_MAX;
+	r->desc.store->ops->write_move(
+	    r->desc.store, &m->order, state, started_ms, r->desc.self);
+}
+
+static void
+begin_leading(struct fmr *r, const struct fls_move *m, struct part *p,
+    int64_t now_ms)
+{
+	struct fmv_desc d = {.duration_ms = m->order.duration_ms};
+
+	d.elapsed_ms = r->desc.wall_ms(r->desc.arg) - m->order.started_ms;
+	if (d.elapsed_ms < now_ms - p->seen_ms)
+		d.elapsed_ms = now_ms - p->seen_ms;
+	if (d.elapsed_ms > d.duration_ms)
+		d.elapsed_ms = d.duration_ms;
+	fmv_init(&p->fmv, &d, now_ms);
+	p->leads = true;
+	p->write_ms = 0;
+	g_message("move: %s: this VM is the executor, %lld ms elapsed",
+	    m->order.service, (long long)d.elapsed_ms);
+}
+
+static void
+lead(struct fmr *r, struct fls_move *m, struct part *p, int64_t now_ms)
+{
+	struct fmv_counts own =
+	    own_counts(r, m->order.service, m->order.to_version);
+	uint32_t before = p->fmv.share;
+	enum fld_move_state state = p->fmv.state;
+
+	fmv_add(&p->fmv, r->desc.self, r->desc.boot, &own);
+	fmv_tick(&p->fmv, now_ms, capacity(r, m));
+	if (p->fmv.share != before || p->fmv.state != state)
+		g_message("move: %s: share %u -> %u permille, new version "
+			  "%llu calls %llu failed %llu slow, others %llu "
+			  "calls %llu failed %llu slow%s%s",
+		    m->order.service, before, p->fmv.share,
+		    (unsigned long long)p->fmv.total.new_version.calls,
+		    (unsigned long long)p->fmv.total.new_version.failed,
+		    (unsigned long long)p->fmv.total.new_version.slow,
+		    (unsigned long long)p->fmv.total.old_version.calls,
+		    (unsigned long long)p->fmv.total.old_version.failed,
+		    (unsigned long long)p->fmv.total.old_version.slow,
+		    p->fmv.reason == NULL ? "" : ": ",
+		    p->fmv.reason == NULL ? "" : p->fmv.reason);
+	fls_tell_share(r->desc.fls, m->order.service, p->fmv.share,
+	    (now_ms + WORD_MS) * 1000, p->fmv.state);
+	send_word(r, m, p);
+	if (is_final(p->fmv.state))
+		write_status(r, m, p, p->fmv.state, now_ms);
+}
+
+/* Follows the executor, and takes over when there is none or it is silent. */
+static void
+follow(struct fmr *r, const struct fls_move *m, struct part *p, int64_t now_ms)
+{
+	int64_t wait_ms =
+	    (m->order.executor == NULL ? 0 : SILENCE_MS) +
+	    (int64_t)rank_of(r, m->order.service) * RANK_MS;
+
+	if (m->order.executor != NULL)
+		send_counts(r, m);
+	if (now_ms - p->heard_ms >= wait_ms)
+		write_status(r, m, p, FLD_MOVE_RUNNING, now_ms);
+}
+
+static void
+tick_move(struct fmr *r, struct fls_move *m, int64_t now_ms)
+{
+	struct part *p = part_of(r, m, now_ms);
+	bool own = g_strcmp0(m->order.executor, r->desc.self) == 0 &&
+	    m->order.state == FLD_MOVE_RUNNING;
+
+	if (g_strcmp0(p->executor, m->order.executor) != 0) {
+		g_free(p->executor);
+		p->executor = g_strdup(m->order.executor);
+		p->heard_ms = now_ms;
+	}
+	if (p->leads && (!own || is_final(m->order.state))) {
+		fmv_finish(&p->fmv);
+		p->leads = false;
+		p->write_ms = now_ms;
+	}
+	if (is_final(m->order.state))
+		return;
+	if (own && !p->leads)
+		begin_leading(r, m, p, now_ms);
+	if (p->leads)
+		lead(r, m, p, now_ms);
+	else
+		follow(r, m, p, now_ms);
+}
+
+void
+fmr_tick(struct fmr *r, int64_t now_ms)
+{
+	GHashTableIter it;
+	void *v;
+
+	if (now_ms < r->next_ms)
+		return;
+	r->next_ms = now_ms + ROUND_MS;
+	g_hash_table_iter_init(&it, r->desc.fls->moves);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		tick_move(r, v, now_ms);
+}
+
+bool
+fmr_is_active(const struct fmr *r)
+{
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_iter_init(&it, r->desc.fls->moves);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		if (!is_final(((struct fls_move *)v)->order.state))
+			return (true);
+	}
+	return (false);
+}
+
+void
+fmr_on_datagram(struct fmr *r, struct bstr bytes, int64_t now_ms)
+{
+	struct pmv_msg msg;
+	struct fls_move *m;
+	struct part *p;
+
+	if (!pmv_decode(bytes, &msg)) {
+		g_debug("move: a datagram of %zu bytes cannot be read",
+		    bytes.n);
+		return;
+	}
+	m = g_hash_table_lookup(r->desc.fls->moves, msg.service);
+	p = g_hash_table_lookup(r->parts, msg.service);
+	if (m == NULL || p == NULL || strcmp(p->to_version, msg.to_version) != 0)
+		return;
+	if (msg.type == PMV_COUNTS && p->leads) {
+		fmv_add(&p->fmv, msg.vm, msg.boot, &msg.counts);
+		return;
+	}
+	if (msg.type != PMV_WORD ||
+	    g_strcmp0(m->order.executor, msg.vm) != 0 || p->leads)
+		return;
+	p->heard_ms = now_ms;
+	fls_tell_share(r->desc.fls, msg.service, msg.share,
+	    (now_ms + WORD_MS) * 1000, msg.state);
+}
+
+void
+fmr_on_written(struct fmr *r, const char *name, enum fst_result result,
+    int64_t now_ms)
+{
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_iter_init(&it, r->desc.fls->moves);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const struct fls_move *m = v;
+		struct part *p =
+		    g_hash_table_lookup(r->parts, m->order.service);
+
+		if (p == NULL || strcmp(m->order.name, name) != 0)
+			continue;
+		/* The watch brings the new revision before the next write. */
+		p->write_ms = now_ms + REWRITE_MS;
+		if (result == FST_WRITTEN)
+			p->heard_ms = now_ms;
+	}
+}
--- /dev/null
+++ b/packages/fleet/fld.c
@@ -0,0 +1,80 @@
+#include "fleet/fld.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct fld_config *
+fld_config_new(void)
+{
+	struct fld_config *c = calloc(1, sizeof(*c));
+
+	if (c == NULL)
+		abort();
+	return (c);
+}
+
+static void
+route_finish(struct fld_route *r)
+{
+	free(r->host);
+	free(r->prefix);
+	for (uint32_t i = 0; i < r->n_splits; i++)
+		free(r->splits[i].service);
+	free(r->splits);
+}
+
+void
+fld_config_free(struct fld_config *c)
+{
+	if (c == NULL)
+		return;
+	for (uint32_t i = 0; i < c->n_routes; i++)
+		route_finish(&c->routes[i]);
+	for (uint32_t i = 0; i < c->n_services; i++) {
+		free(c->services[i].name);
+		free(c->services[i].probe_path);
+	}
+	free(c->routes);
+	free(c->services);
+	free(c);
+}
+
+const struct fld_service *
+fld_config_service(const struct fld_config *c, const char *name)
+{
+	for (uint32_t i = 0; i < c->n_services; i++) {
+		if (strcmp(c->services[i].name, name) == 0)
+			return (&c->services[i]);
+	}
+	return (NULL);
+}
+
+void
+fld_upstream_finish(struct fld_upstream *u)
+{
+	free(u->id);
+	free(u->service);
+	free(u->address);
+	free(u->zone);
+	free(u->version);
+	*u = (struct fld_upstream){0};
+}
+
+void
+fld_move_finish(struct fld_move *m)
+{
+	free(m->name);
+	free(m->service);
+	free(m->to_version);
+	free(m->executor);
+	*m = (struct fld_move){0};
+}
+
+void
+fld_member_finish(struct fld_member *m)
+{
+	free(m->id);
+	free(m->zone);
+	free(m->address);
+	*m = (struct fld_member){0};
+}
--- /dev/null
+++ b/packages/fleet/fls.c
@@ -0,0 +1,463 @@
+#include "fleet/fls.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static void
+free_upstream(void *arg)
+{
+	struct fls_upstream *u = arg;
+
+	fld_upstream_finish(&u->entry);
+	rt_stat_unref(u->stat);
+	free(u);
+}
+
+static void
+free_move(void *arg)
+{
+	struct fls_move *m = arg;
+
+	fld_move_finish(&m->order);
+	free(m);
+}
+
+static void
+free_member(void *arg)
+{
+	struct fls_member *m = arg;
+
+	fld_member_finish(&m->member);
+	free(m);
+}
+
+static void
+free_tally(void *arg)
+{
+	rt_tally_unref(arg);
+}
+
+static GHashTable *
+table_new(GDestroyNotify free_value)
+{
+	return (g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, free_value));
+}
+
+void
+fls_init(struct fls *f, const struct fls_desc *desc)
+{
+	*f = (struct fls){.self = g_strdup(desc->self), .due_us = INT64_MAX};
+	f->upstreams = table_new(free_upstream);
+	f->moves = table_new(free_move);
+	f->members = table_new(free_member);
+	f->tallies = table_new(free_tally);
+	f->versions = table_new(g_free);
+	f->zones_out = table_new(NULL);
+	f->zones_listed = table_new(NULL);
+}
+
+void
+fls_finish(struct fls *f)
+{
+	g_hash_table_unref(f->upstreams);
+	g_hash_table_unref(f->moves);
+	g_hash_table_unref(f->members);
+	g_hash_table_unref(f->tallies);
+	g_hash_table_unref(f->versions);
+	g_hash_table_unref(f->zones_out);
+	g_hash_table_unref(f->zones_listed);
+	fld_config_free(f->config);
+	g_free(f->self);
+}
+
+static void *
+new_zeroed(size_t size)
+{
+	void *p = calloc(1, size);
+
+	if (p == NULL)
+		abort();
+	return (p);
+}
+
+void
+fls_begin(struct fls *f, enum fst_kind kind)
+{
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_remove_all(f->zones_listed);
+	g_hash_table_iter_init(&it, f->upstreams);
+	while (kind == FST_UPSTREAMS && g_hash_table_iter_next(&it, NULL, &v))
+		((struct fls_upstream *)v)->listed = false;
+	g_hash_table_iter_init(&it, f->moves);
+	while (kind == FST_MOVES && g_hash_table_iter_next(&it, NULL, &v))
+		((struct fls_move *)v)->listed = false;
+	g_hash_table_iter_init(&it, f->members);
+	while (kind == FST_MEMBERS && g_hash_table_iter_next(&it, NULL, &v))
+		((struct fls_member *)v)->listed = false;
+}
+
+/* Whether an entry that is missing now may come back, see FLS_RETURN_US. */
+static bool
+may_return(const struct fls *f, int64_t now_us)
+{
+	return (f->outage ||
+	    (f->outage_end_us != 0 &&
+		now_us - f->outage_end_us < FLS_RETURN_US));
+}
+
+/* Drops an upstream whose entry is missing, at once or after a while. */
+static bool
+drop_upstream(struct fls *f, struct fls_upstream *u, int64_t now_us)
+{
+	int64_t until_us;
+
+	if (!may_return(f, now_us))
+		return (true);
+	if (u->gone_us == 0)
+		u->gone_us = now_us;
+	until_us = now_us + FLS_RETURN_US;
+	if (until_us < f->due_us)
+		f->due_us = until_us;
+	return (false);
+}
+
+static void
+end_upstreams(struct fls *f, int64_t now_us)
+{
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_iter_init(&it, f->upstreams);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct fls_upstream *u = v;
+
+		if (u->listed || !drop_upstream(f, u, now_us))
+			continue;
+		g_hash_table_iter_remove(&it);
+		f->dirty = true;
+	}
+}
+
+static void
+end_moves(struct fls *f)
+{
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_iter_init(&it, f->moves);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		if (((struct fls_move *)v)->listed)
+			continue;
+		g_hash_table_iter_remove(&it);
+		f->dirty = true;
+	}
+}
+
+static void
+end_members(struct fls *f)
+{
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_iter_init(&it, f->members);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		if (((struct fls_member *)v)->listed)
+			continue;
+		g_hash_table_iter_remove(&it);
+		f->dirty = true;
+	}
+}
+
+static void
+end_zones(struct fls *f)
+{
+	GHashTableIter it;
+	void *name;
+
+	g_hash_table_iter_init(&it, f->zones_out);
+	while (g_hash_table_iter_next(&it, &name, NULL)) {
+		if (g_hash_table_contains(f->zones_listed, name))
+			continue;
+		g_hash_table_iter_remove(&it);
+		f->dirty = true;
+	}
+}
+
+void
+fls_end(struct fls *f, enum fst_kind kind, int64_t now_us)
+{
+	switch (kind) {
+	case FST_UPSTREAMS:
+		end_upstreams(f, now_us);
+		break;
+	case FST_MOVES:
+		end_moves(f);
+		break;
+	case FST_ZONES_OUT:
+		end_zones(f);
+		break;
+	case FST_MEMBERS:
+		end_members(f);
+		break;
+	case FST_CONFIG:
+	case FST_KINDS:
+		break;
+	}
+	if (!f->known[kind])
+		f->dirty = true;
+	f->known[kind] = true;
+}
+
+bool
+fls_set_config(struct fls *f, struct fld_config *c)
+{
+	if (f->config != NULL && c->version <= f->config->version) {
+		fld_config_free(c);
+		return (false);
+	}
+	fld_config_free(f->config);
+	f->config = c;
+	f->dirty = true;
+	return (true);
+}
+
+static bool
+same_entry(const struct fld_upstream *a, const struct fld_upstream *b)
+{
+	return (strcmp(a->service, b->service) == 0 &&
+	    strcmp(a->address, b->address) == 0 &&
+	    strcmp(a->zone, b->zone) == 0 &&
+	    strcmp(a->version, b->version) == 0 && a->slots == b->slots &&
+	    a->draining == b->draining && a->born_ms == b->born_ms);
+}
+
+static struct fls_upstream *
+add_upstream(struct fls *f, const char *id)
+{
+	struct fls_upstream *u = new_zeroed(sizeof(*u));
+
+	u->stat = rt_stat_new();
+	g_hash_table_insert(f->upstreams, g_strdup(id), u);
+	return (u);
+}
+
+/* A start under the same id knows nothing of what was before. */
+static void
+forget_boot(struct fls_upstream *u)
+{
+	rt_stat_unref(u->stat);
+	u->stat = rt_stat_new();
+}
+
+void
+fls_set_upstream(
+    struct fls *f, const char *id, struct fld_upstream *u, int64_t now_us)
+{
+	struct fls_upstream *o = g_hash_table_lookup(f->upstreams, id);
+
+	if (u == NULL) {
+		if (o != NULL && drop_upstream(f, o, now_us)) {
+			g_hash_table_remove(f->upstreams, id);
+			f->dirty = true;
+		}
+		return;
+	}
+	if (o == NULL)
+		o = add_upstream(f, id);
+	else if (o->entry.born_ms != u->born_ms)
+		forget_boot(o);
+	if (o->entry.id == NULL || !same_entry(&o->entry, u))
+		f->dirty = true;
+	if (u->cold_ms > 0)
+		atomic_store(
+		    &o->stat->cold_until_us, now_us + u->cold_ms * 1000);
+	fld_upstream_finish(&o->entry);
+	o->entry = *u;
+	*u = (struct fld_upstream){0};
+	o->listed = true;
+	o->gone_us = 0;
+}
+
+static struct fls_move *
+find_move(struct fls *f, const char *name)
+{
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_iter_init(&it, f->moves);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		if (strcmp(((struct fls_move *)v)->order.name, name) == 0)
+			return (v);
+	}
+	return (NULL);
+}
+
+void
+fls_set_move(
+    struct fls *f, const char *name, struct fld_move *m, int64_t now_us)
+{
+	struct fls_move *o;
+
+	f->dirty = true;
+	if (m == NULL) {
+		o = find_move(f, name);
+		if (o != NULL)
+			g_hash_table_remove(f->moves, o->order.service);
+		return;
+	}
+	o = g_hash_table_lookup(f->moves, m->service);
+	if (o == NULL) {
+		o = new_zeroed(sizeof(*o));
+		o->since_us = now_us;
+		o->final = FLD_MOVE_RUNNING;
+		g_hash_table_insert(f->moves, g_strdup(m->service), o);
+	} else if (strcmp(o->order.to_version, m->to_version) != 0) {
+		o->since_us = now_us;
+		o->final = FLD_MOVE_RUNNING;
+		o->share = 0;
+	}
+	fld_move_finish(&o->order);
+	o->order = *m;
+	*m = (struct fld_move){0};
+	o->listed = true;
+}
+
+void
+fls_set_zone_out(struct fls *f, const char *zone, bool out)
+{
+	if (out)
+		g_hash_table_add(f->zones_listed, g_strdup(zone));
+	if (out == (bool)g_hash_table_contains(f->zones_out, zone))
+		return;
+	if (out)
+		g_hash_table_add(f->zones_out, g_strdup(zone));
+	else
+		g_hash_table_remove(f->zones_out, zone);
+	f->dirty = true;
+}
+
+void
+fls_set_member(struct fls *f, const char *id, struct fld_member *m)
+{
+	struct fls_member *o = g_hash_table_lookup(f->members, id);
+
+	if (m == NULL) {
+		f->dirty |= (bool)g_hash_table_remove(f->members, id);
+		return;
+	}
+	if (o == NULL) {
+		o = new_zeroed(sizeof(*o));
+		g_hash_table_insert(f->members, g_strdup(id), o);
+		f->dirty = true;
+	}
+	fld_member_finish(&o->member);
+	o->member = *m;
+	*m = (struct fld_member){0};
+	o->listed = true;
+}
+
+void
+fls_on_reachable(struct fls *f, bool yes, int64_t now_us)
+{
+	if (!yes) {
+		f->outage = true;
+		return;
+	}
+	if (f->outage)
+		f->outage_end_us = now_us;
+	f->outage = false;
+}
+
+bool
+fls_is_ready(const struct fls *f)
+{
+	return (f->config != NULL && f->known[FST_UPSTREAMS] &&
+	    f->known[FST_MOVES] && f->known[FST_ZONES_OUT]);
+}
+
+uint32_t
+fls_n_members(const struct fls *f)
+{
+	uint32_t n = g_hash_table_size(f->members);
+
+	return (n == 0 ? 1 : n);
+}
+
+/* Drops the entries that did not come back after an outage. */
+static void
+drop_missing(struct fls *f, int64_t now_us)
+{
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_iter_init(&it, f->upstreams);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const struct fls_upstream *u = v;
+
+		if (u->gone_us == 0)
+			continue;
+		if (may_return(f, now_us)) {
+			f->due_us = now_us + FLS_RETURN_US / 8;
+			continue;
+		}
+		g_hash_table_iter_remove(&it);
+		f->dirty = true;
+	}
+}
+
+bool
+fls_take_dirty(struct fls *f, int64_t now_us)
+{
+	bool dirty;
+
+	if (now_us >= f->due_us) {
+		f->due_us = INT64_MAX;
+		f->dirty = true;
+		drop_missing(f, now_us);
+	}
+	dirty = f->dirty;
+	f->dirty = false;
+	return (dirty && fls_is_ready(f));
+}
+
+static char *
+pair_key(const char *service, const char *version)
+{
+	return (g_strconcat(service, "\n", version, NULL));
+}
+
+struct rt_tally *
+fls_tally(struct fls *f, const char *service, const char *version)
+{
+	char *key = pair_key(service, version);
+	struct rt_tally *t = g_hash_table_lookup(f->tallies, key);
+
+	if (t != NULL) {
+		g_free(key);
+		return (t);
+	}
+	t = rt_tally_new();
+	g_hash_table_insert(f->tallies, key, t);
+	return (t);
+}
+
+void
+fls_tell_share(struct fls *f, const char *service, uint32_t share,
+    int64_t until_us, enum fld_move_state final)
+{
+	struct fls_move *m = g_hash_table_lookup(f->moves, service);
+
+	if (m == NULL)
+		return;
+	if (m->applied_share != share || m->final != final)
+		f->dirty = true;
+	m->share = share;
+	m->share_until_us = until_us;
+	if (m->final == FLD_MOVE_RUNNING)
+		m->final = final;
+	if (until_us < f->due_us)
+		f->due_us = until_us;
+}
--- /dev/null
+++ b/packages/fleet/fls_table.c
@@ -0,0 +1,357 @@
+/*
+ * Routing table of what a VM knows of the fleet.
+ *
+ * Routes are grouped by host: each host becomes a service without upstreams
+ * whose routes are split over the services that have them.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet/fls.h"
+
+#define PERMILLE 1000u
+/* A request that takes this many times its goal counts as slow. */
+#define SLOW_GOALS 1.5
+#define DEFAULT_GOAL_MS 1000
+
+/** struct build - services in the making; strings are borrowed */
+struct build {
+	struct fls *f;
+	int64_t now_us;
+	GArray *services;
+	GPtrArray *blocks; /* freed at the end */
+};
+
+static void *
+block(struct build *b, size_t n, size_t size)
+{
+	void *p = calloc(n == 0 ? 1 : n, size);
+
+	if (p == NULL)
+		abort();
+	g_ptr_array_add(b->blocks, p);
+	return (p);
+}
+
+static void
+fill_route(struct build *b, const struct fld_route *from, struct rt_route *to)
+{
+	*to = (struct rt_route){.prefix = bstr_from(from->prefix),
+	    .idempotent = from->idempotent,
+	    .timeout_ms = from->timeout_ms,
+	    .goal_ms = from->goal_ms,
+	    .attempts = from->attempts,
+	    .n_splits = from->n_splits};
+	to->splits = block(b, from->n_splits, sizeof(*to->splits));
+	for (uint32_t i = 0; i < from->n_splits; i++) {
+		to->splits[i].service = bstr_from(from->splits[i].service);
+		to->splits[i].weight = from->splits[i].weight;
+	}
+}
+
+static bool
+host_done(const struct fld_config *c, uint32_t at)
+{
+	for (uint32_t i = 0; i < at; i++) {
+		if (g_ascii_strcasecmp(
+			c->routes[i].host, c->routes[at].host) == 0)
+			return (true);
+	}
+	return (false);
+}
+
+static void
+add_host(struct build *b, uint32_t first)
+{
+	const struct fld_config *c = b->f->config;
+	const char *host = c->routes[first].host;
+	struct rt_service s = {.name = bstr_from(host), .n_hosts = 1};
+
+	s.hosts = block(b, 1, sizeof(*s.hosts));
+	s.hosts[0] = bstr_from(host);
+	s.routes = block(b, c->n_routes, sizeof(*s.routes));
+	for (uint32_t i = first; i < c->n_routes; i++) {
+		if (g_ascii_strcasecmp(c->routes[i].host, host) == 0)
+			fill_route(b, &c->routes[i], &s.routes[s.n_routes++]);
+	}
+	g_array_append_val(b->services, s);
+}
+
+/* Ranks this VM among all by a hash with the upstream's id (rendezvous). */
+static bool
+is_cold_owner(const struct fls *f, const char *id, double cold_per_s)
+{
+	uint64_t own = bstr_hash(
+	    bstr_from(id), bstr_hash(bstr_from(f->self), 0));
+	uint32_t owners = (uint32_t)cold_per_s;
+	uint32_t before = 0;
+	GHashTableIter it;
+	void *name;
+
+	if (!f->known[FST_MEMBERS])
+		return (false);
+	g_hash_table_iter_init(&it, f->members);
+	while (g_hash_table_iter_next(&it, &name, NULL)) {
+		uint64_t h = bstr_hash(
+		    bstr_from(id), bstr_hash(bstr_from(name), 0));
+
+		before += h > own;
+	}
+	return (before < owners);
+}
+
+static enum rt_state
+state_of(const struct fls *f, const struct fld_upstream *e)
+{
+	if (e->draining)
+		return (RT_DRAINING);
+	if (g_hash_table_contains(f->zones_out, e->zone))
+		return (RT_DOWN);
+	return (RT_READY);
+}
+
+static uint32_t
+version_index(struct rt_service *s, const char *version)
+{
+	struct bstr name = bstr_from(version);
+
+	for (uint32_t v = 0; v < s->n_versions; v++) {
+		if (bstr_eq(s->versions[v].name, name))
+			return (v);
+	}
+	s->versions[s->n_versions].name = name;
+	return (s->n_versions++);
+}
+
+static void
+fill_upstreams(
+    struct build *b, const struct fld_service *d, struct rt_service *s)
+{
+	uint32_t max = g_hash_table_size(b->f->upstreams);
+	GHashTableIter it;
+	void *v;
+
+	s->upstreams = block(b, max, sizeof(*s->upstreams));
+	s->versions = block(b, max, sizeof(*s->versions));
+	g_hash_table_iter_init(&it, b->f->upstreams);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const struct fls_upstream *u = v;
+		const struct fld_upstream *e = &u->entry;
+
+		if (strcmp(e->service, d->name) != 0)
+			continue;
+		s->upstreams[s->n_upstreams++] = (struct rt_upstream){
+		    .id = bstr_from(e->id),
+		    .addr = bstr_from(e->address),
+		    .zone = bstr_from(e->zone),
+		    .version = version_index(s, e->version),
+		    .slots = e->slots,
+		    .state = state_of(b->f, e),
+		    .cold_share =
+			is_cold_owner(b->f, e->id, d->cold_per_s),
+		    .stat = u->stat};
+	}
+}
+
+static uint32_t
+count_usable(const struct rt_service *s, uint32_t version)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < s->n_upstreams; i++)
+		n += s->upstreams[i].version == version &&
+		    s->upstreams[i].state == RT_READY;
+	return (n);
+}
+
+/* Whether a version appeared so lately that its order may still be coming. */
+static bool
+is_new_version(struct build *b, const char *service, struct bstr version)
+{
+	char *key = g_strdup_printf(
+	    "%s\n%.*s", service, (int)version.n, version.p);
+	int64_t *at = g_hash_table_lookup(b->f->versions, key);
+	int64_t end_us;
+
+	if (at != NULL) {
+		g_free(key);
+	} else {
+		at = g_new(int64_t, 1);
+		*at = b->f->table_made ? b->now_us
+				       : b->now_us - FLS_NEW_VERSION_US;
+		g_hash_table_insert(b->f->versions, key, at);
+	}
+	end_us = *at + FLS_NEW_VERSION_US;
+	if (b->now_us >= end_us)
+		return (false);
+	if (end_us < b->f->due_us)
+		b->f->due_us = end_us;
+	return (true);
+}
+
+/* Divides @total permille over the versions but @not by usable upstreams. */
+static void
+divide(struct rt_service *s, uint32_t total, uint32_t not)
+{
+	uint32_t sum = 0, given = 0, last = UINT32_MAX;
+
+	for (uint32_t v = 0; v < s->n_versions; v++)
+		sum += v == not ? 0 : count_usable(s, v);
+	for (uint32_t v = 0; v < s->n_versions && sum != 0; v++) {
+		if (v == not)
+			continue;
+		s->versions[v].share = total * count_usable(s, v) / sum;
+		given += s->versions[v].share;
+		if (s->versions[v].share != 0)
+			last = v;
+	}
+	if (last != UINT32_MAX)
+		s->versions[last].share += total - given;
+}
+
+static enum fld_move_state
+move_state(const struct fls_move *m)
+{
+	if (m->order.state == FLD_MOVE_DONE ||
+	    m->order.state == FLD_MOVE_ROLLED_BACK)
+		return (m->order.state);
+	return (m->final);
+}
+
+static uint32_t
+running_share(struct build *b, struct fls_move *m)
+{
+	m->applied_share = b->now_us < m->share_until_us ? m->share : 0;
+	return (m->applied_share);
+}
+
+/* Shares of a service that is being moved to version @to. */
+static void
+share_move(struct build *b, struct rt_service *s, struct fls_move *m,
+    uint32_t to)
+{
+	uint32_t share = 0;
+
+	switch (move_state(m)) {
+	case FLD_MOVE_DONE:
+		share = PERMILLE;
+		break;
+	case FLD_MOVE_ROLLED_BACK:
+		break;
+	case FLD_MOVE_NEW:
+	case FLD_MOVE_RUNNING:
+		share = running_share(b, m);
+		break;
+	}
+	/* No upstream of another version is left. */
+	if (s->n_versions == 1)
+		share = PERMILLE;
+	s->versions[to].share = share;
+	divide(s, PERMILLE - share, to);
+}
+
+/*
+ * Without an order all versions share the work by their upstreams, but one that
+ * has just appeared waits for an order that may name it.
+ */
+static void
+share_plain(struct build *b, struct rt_service *s, const char *service)
+{
+	uint32_t new_version = UINT32_MAX;
+	bool any_old = false;
+
+	for (uint32_t v = 0; v < s->n_versions; v++) {
+		if (is_new_version(b, service, s->versions[v].name))
+			new_version = v;
+		else
+			any_old = any_old || count_usable(s, v) != 0;
+	}
+	divide(s, PERMILLE, any_old ? new_version : UINT32_MAX);
+}
+
+static void
+fill_shares(struct build *b, struct rt_service *s, const char *service)
+{
+	struct fls_move *m = g_hash_table_lookup(b->f->moves, service);
+
+	if (m != NULL) {
+		for (uint32_t v = 0; v < s->n_versions; v++) {
+			/* Its age does not matter once an order names it. */
+			is_new_version(b, service, s->versions[v].name);
+			if (bstr_eq(s->versions[v].name,
+				bstr_from(m->order.to_version))) {
+				share_move(b, s, m, v);
+				return;
+			}
+		}
+	}
+	share_plain(b, s, service);
+}
+
+static void
+fill_tallies(struct build *b, struct rt_service *s, const char *service)
+{
+	s->routes = block(b, 1, sizeof(*s->routes));
+	s->routes[0].prefix = BSTR("/");
+	s->n_routes = 1;
+	s->tallies = block(b, s->n_versions, sizeof(*s->tallies));
+	for (uint32_t v = 0; v < s->n_versions; v++)
+		s->tallies[v] =
+		    fls_tally(b->f, service, s->versions[v].name.p);
+}
+
+/* Longest goal of the routes that go to a service. */
+static uint32_t
+goal_ms(const struct fld_config *c, const char *service)
+{
+	uint32_t goal = 0;
+
+	for (uint32_t i = 0; i < c->n_routes; i++) {
+		const struct fld_route *r = &c->routes[i];
+
+		for (uint32_t k = 0; k < r->n_splits; k++) {
+			if (strcmp(r->splits[k].service, service) == 0 &&
+			    r->goal_ms > goal)
+				goal = r->goal_ms;
+		}
+	}
+	return (goal != 0 ? goal : DEFAULT_GOAL_MS);
+}
+
+static void
+add_service(struct build *b, const struct fld_service *d)
+{
+	struct rt_service s = {.name = bstr_from(d->name),
+	    .probe_path = bstr_from(d->probe_path)};
+
+	fill_upstreams(b, d, &s);
+	fill_shares(b, &s, d->name);
+	fill_tallies(b, &s, d->name);
+	s.slow_us = (int64_t)(SLOW_GOALS * goal_ms(b->f->config, d->name)) *
+	    1000;
+	g_array_append_val(b->services, s);
+}
+
+struct rt_table *
+fls_table(struct fls *f, int64_t now_us)
+{
+	const struct fld_config *c = f->config;
+	struct build b = {.f = f, .now_us = now_us};
+	struct rt_table *t;
+
+	b.services = g_array_new(FALSE, TRUE, sizeof(struct rt_service));
+	b.blocks = g_ptr_array_new_with_free_func(free);
+	for (uint32_t i = 0; i < c->n_routes; i++) {
+		if (!host_done(c, i))
+			add_host(&b, i);
+	}
+	for (uint32_t i = 0; i < c->n_services; i++)
+		add_service(&b, &c->services[i]);
+	t = rt_table_new(&(struct rt_desc){
+	    .services = (struct rt_service *)(void *)b.services->data,
+	    .n_services = b.services->len});
+	f->table_made = true;
+	g_array_unref(b.services);
+	g_ptr_array_unref(b.blocks);
+	return (t);
+}
--- /dev/null
+++ b/packages/fleet/fmv.c
@@ -0,0 +1,194 @@
+#include "fleet/fmv.h"
+
+#include <stdlib.h>
+
+/* Shares of the new version, and the part of the time at which they begin. */
+static const struct {
+	uint32_t at_permille;
+	uint32_t share;
+} stages[] = {
+    {0, 50},
+    {450, 100},
+    {560, 300},
+    {700, 1000},
+};
+
+#define N_STAGES (sizeof(stages) / sizeof(*stages))
+#define ALL 1000
+/* Requests of the new version that must have ended before its share rises. */
+#define MIN_EVIDENCE 20
+/* Upstreams of the new version needed to take all work, per 1,000 old ones. */
+#define MIN_CAPACITY 600
+/* Requests at the old version end within this time. */
+#define DRAIN_MS 2200
+/* The move is rolled back this long before its time ends. */
+#define GIVE_UP_MS 300
+/*
+ * A version is bad at once when this many of its requests were, and their ratio
+ * is this much above the old version's.
+ */
+#define MIN_BAD 6
+#define BAD_RATIO_MORE 0.15
+
+static void
+free_counts(void *arg)
+{
+	free(arg);
+}
+
+void
+fmv_init(struct fmv *m, const struct fmv_desc *desc, int64_t now_ms)
+{
+	*m = (struct fmv){.duration_ms = desc->duration_ms,
+	    .start_ms = now_ms - desc->elapsed_ms,
+	    .rotate_ms = now_ms,
+	    .state = FLD_MOVE_RUNNING};
+	m->reports = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, free_counts);
+}
+
+void
+fmv_finish(struct fmv *m)
+{
+	g_hash_table_unref(m->reports);
+}
+
+static void
+keep_highest(struct can_count *to, const struct can_count *from)
+{
+	if (from->calls < to->calls)
+		return;
+	*to = *from;
+}
+
+void
+fmv_add(struct fmv *m, const char *vm, uint64_t boot,
+    const struct fmv_counts *counts)
+{
+	char *key = g_strdup_printf("%s %llu", vm, (unsigned long long)boot);
+	struct fmv_counts *c = g_hash_table_lookup(m->reports, key);
+
+	if (c == NULL) {
+		c = calloc(1, sizeof(*c));
+		if (c == NULL)
+			abort();
+		g_hash_table_insert(m->reports, g_strdup(key), c);
+	}
+	keep_highest(&c->old_version, &counts->old_version);
+	keep_highest(&c->new_version, &counts->new_version);
+	g_free(key);
+}
+
+static void
+sum(struct can_count *to, const struct can_count *c)
+{
+	to->calls += c->calls;
+	to->failed += c->failed;
+	to->slow += c->slow;
+}
+
+/* Gives the test what was added since the last time. */
+static void
+feed(struct fmv *m)
+{
+	struct fmv_counts t = {0};
+	struct fmv_counts *before = &m->total;
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_iter_init(&it, m->reports);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const struct fmv_counts *c = v;
+
+		sum(&t.old_version, &c->old_version);
+		sum(&t.new_version, &c->new_version);
+	}
+	can_add_old(&m->test, t.old_version.calls - before->old_version.calls,
+	    t.old_version.failed - before->old_version.failed,
+	    t.old_version.slow - before->old_version.slow);
+	can_add_new(&m->test, t.new_version.calls - before->new_version.calls,
+	    t.new_version.failed - before->new_version.failed,
+	    t.new_version.slow - before->new_version.slow);
+	m->total = t;
+}
+
+static double
+ratio(uint64_t part, uint64_t all)
+{
+	return (all == 0 ? 0 : (double)part / (double)all);
+}
+
+static bool
+is_plainly_worse(uint64_t bad, uint64_t calls, uint64_t old_bad,
+    uint64_t old_calls)
+{
+	return (bad >= MIN_BAD &&
+	    ratio(bad, calls) > 2 * ratio(old_bad, old_calls) + BAD_RATIO_MORE);
+}
+
+static const char *
+badness(const struct fmv *m)
+{
+	const struct can_count *n = &m->total.new_version;
+	const struct can_count *o = &m->total.old_version;
+
+	if (is_plainly_worse(n->failed, n->calls, o->failed, o->calls) ||
+	    can_is_bad(&m->test) == CAN_FAILING)
+		return ("the new version fails more requests");
+	if (is_plainly_worse(n->slow, n->calls, o->slow, o->calls) ||
+	    can_is_bad(&m->test) == CAN_SLOW)
+		return ("the new version is slower");
+	return (NULL);
+}
+
+static void
+roll_back(struct fmv *m, const char *reason)
+{
+	m->state = FLD_MOVE_ROLLED_BACK;
+	m->share = 0;
+	m->reason = reason;
+}
+
+static void
+raise_share(struct fmv *m, int64_t elapsed_ms, uint32_t capacity)
+{
+	for (size_t i = 0; i < N_STAGES; i++) {
+		if (elapsed_ms * ALL < m->duration_ms * stages[i].at_permille)
+			break;
+		if (stages[i].share <= m->share)
+			continue;
+		if (i != 0 && m->total.new_version.calls < MIN_EVIDENCE)
+			break;
+		if (stages[i].share == ALL && capacity < MIN_CAPACITY)
+			break;
+		m->share = stages[i].share;
+		break;
+	}
+}
+
+void
+fmv_tick(struct fmv *m, int64_t now_ms, uint32_t capacity)
+{
+	int64_t elapsed_ms = now_ms - m->start_ms;
+	const char *reason;
+
+	if (m->state != FLD_MOVE_RUNNING)
+		return;
+	feed(m);
+	if (now_ms - m->rotate_ms >= CAN_WINDOW_MS / 2) {
+		m->rotate_ms = now_ms;
+		can_rotate(&m->test);
+	}
+	reason = badness(m);
+	if (reason != NULL) {
+		roll_back(m, reason);
+		return;
+	}
+	raise_share(m, elapsed_ms, capacity);
+	if (m->share == ALL && m->all_new_ms == 0)
+		m->all_new_ms = now_ms;
+	if (m->all_new_ms != 0 && now_ms - m->all_new_ms >= DRAIN_MS)
+		m->state = FLD_MOVE_DONE;
+	else if (elapsed_ms >= m->duration_ms - GIVE_UP_MS)
+		roll_back(m, "the time of the move is over");
+}
--- a/packages/front/fe.c
+++ b/packages/front/fe.c
@@ -66,7 +66,8 @@
 {
 	enum MHD_Result rc;
 
-	if (c->must_close || wrk_stopping(c->w))
+	if (c->must_close || wrk_stopping(c->w) ||
+	    atomic_load(&wrk_env(c->w)->unhealthy))
 		MHD_add_response_header(r, "Connection", "close");
 	c->answer_started = true;
 	rc = MHD_queue_response(c->conn, status, r);
--- a/packages/ops/ops.c
+++ b/packages/ops/ops.c
@@ -258,14 +258,14 @@
 	struct bbuf text;
 	enum MHD_Result rc;
 
-	if (strncmp(url, "/v1/", 4) == 0)
-		return (serve_v1(o, conn, method, url + 4, up));
-	if (strcmp(url, "/health") == 0) {
+	if (strcmp(url, o->desc.health_path) == 0) {
 		bool ok = o->desc.routable(o->desc.routable_arg);
 
 		return (respond(conn, ok ? 200 : 503, "text/plain",
 		    ok ? BSTR("routing\n") : BSTR("not routing\n")));
 	}
+	if (strncmp(url, "/v1/", 4) == 0)
+		return (serve_v1(o, conn, method, url + 4, up));
 	if (strcmp(url, "/metrics") != 0)
 		return (respond_error(conn, ERR_NOT_FOUND));
 	bbuf_init(&text);
--- a/packages/ops/ops.h
+++ b/packages/ops/ops.h
@@ -32,6 +32,7 @@
  * @port: TCP port
  * @token: secret expected as "Authorization: Bearer"; empty closes /v1/
  * @allow: allowed IPv4 addresses, ended by NULL; empty means loopback only
+ * @health_path: path of the health endpoint
  * @met: counters for /metrics
  * @routable: whether this VM may route now
  * @routable_arg: argument of @routable
@@ -43,6 +44,7 @@
 	uint16_t port;
 	const char *token;
 	char *const *allow;
+	const char *health_path;
 	const struct met *met;
 	bool (*routable)(void *arg);
 	void *routable_arg;
--- a/packages/ops/set.c
+++ b/packages/ops/set.c
@@ -1,14 +1,16 @@
 #include "ops/set.h"
 
+#include <glib.h>
 #include <jansson.h>
 #include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
 
 #define MAX_PATH 128
+#define STOP_MARGIN_MS 300
 
 /** enum item_type - type of a settings item */
-enum item_type { IT_STRING, IT_INT, IT_BOOL, IT_STRINGS };
+enum item_type { IT_STRING, IT_INT, IT_REAL, IT_MS, IT_BOOL, IT_STRINGS };
 
 /**
  * struct item - one settings item
@@ -55,6 +57,12 @@
     {"leave_notice_ms", IT_INT, AT(leave_notice_ms), false, 0, 60000, 1500},
     {"drain_timeout_ms", IT_INT, AT(drain_timeout_ms), false, 1000, 600000,
 	30000},
+    {"stop_within", IT_MS, AT(stop_within_ms), false, 0, 600000, 0},
+    {"platform.api", IT_STRING, AT(store_api), false, 1, 15, 0},
+    {"ops.health_path", IT_STRING, AT(health_path), false, 1, 127, 0},
+    {"retry.ratio", IT_REAL, AT(retry_ratio), false, 0, 1, 0},
+    {"retry.burst", IT_INT, AT(retry_burst), false, 0, 1000000, 0},
+    {"max_connections", IT_INT, AT(max_connections), false, 1, 1000, 6},
     {"log.json", IT_BOOL, AT(log_json), false, 0, 1, 0},
     {"log.debug", IT_BOOL, AT(log_debug), false, 0, 1, 0},
 };
@@ -114,6 +122,48 @@
 	*(int64_t *)place(s, it) = n;
 }
 
+static void
+take_real(struct set *s, const struct item *it, const json_t *v,
+    struct bbuf *problems)
+{
+	char permitted[96];
+	double x = json_number_value(v);
+
+	if (!json_is_number(v) || x < (double)it->min || x > (double)it->max) {
+		snprintf(permitted, sizeof(permitted),
+		    "must be a number from %lld to %lld", (long long)it->min,
+		    (long long)it->max);
+		report(problems, it->path, v, permitted);
+		return;
+	}
+	*(double *)place(s, it) = x;
+}
+
+/* Milliseconds as an integer, or a text like "1500ms" or "2.5s". */
+static void
+take_ms(struct set *s, const struct item *it, const json_t *v,
+    struct bbuf *problems)
+{
+	const char *text = json_string_value(v);
+	char *end = NULL;
+	double x = json_number_value(v);
+
+	if (text != NULL)
+		x = g_ascii_strtod(text, &end);
+	if (text != NULL && strcmp(end, "s") == 0)
+		x *= 1000;
+	else if (text != NULL && strcmp(end, "ms") != 0)
+		x = -1;
+	if (x < (double)it->min || x > (double)it->max ||
+	    (text == NULL && !json_is_integer(v))) {
+		report(problems, it->path, v,
+		    "must be milliseconds or a text like \"1500ms\" or "
+		    "\"2.5s\"");
+		return;
+	}
+	*(int64_t *)place(s, it) = (int64_t)x;
+}
+
 static void
 take_strings(struct set *s, const struct item *it, const json_t *v,
     struct bbuf *problems)
@@ -149,6 +199,12 @@
 	case IT_INT:
 		take_int(s, it, v, problems);
 		break;
+	case IT_REAL:
+		take_real(s, it, v, problems);
+		break;
+	case IT_MS:
+		take_ms(s, it, v, problems);
+		break;
 	case IT_BOOL:
 		if (json_is_boolean(v))
 			*(bool *)place(s, it) = json_is_true(v);
@@ -223,11 +279,52 @@
 {
 	*s = (struct set){0};
 	for (size_t i = 0; i < N_ITEMS; i++) {
-		if (items[i].type == IT_INT)
+		if (items[i].type == IT_INT || items[i].type == IT_MS)
 			*(int64_t *)place(s, &items[i]) = items[i].def;
 	}
 }
 
+/* "address": "ip:port" in a group stands for its "addr" and "port". */
+static void
+split_addresses(json_t *root)
+{
+	const char *key;
+	json_t *group;
+
+	json_object_foreach(root, key, group)
+	{
+		const char *text =
+		    json_string_value(json_object_get(group, "address"));
+		const char *colon = text == NULL ? NULL : strchr(text, ':');
+		uint64_t port;
+
+		if (colon == NULL || !bstr_to_u64(bstr_from(colon + 1), &port))
+			continue;
+		json_object_set_new(group, "addr",
+		    json_stringn(text, (size_t)(colon - text)));
+		json_object_set_new(
+		    group, "port", json_integer((json_int_t)port));
+		json_object_del(group, "address");
+	}
+}
+
+static void
+default_string(char **s, const char *value)
+{
+	if (*s == NULL)
+		*s = bstr_dup(bstr_from(value));
+}
+
+/* Ends the graceful shutdown before the platform kills the process. */
+static void
+limit_shutdown(struct set *s)
+{
+	int64_t limit_ms = s->stop_within_ms - STOP_MARGIN_MS;
+
+	if (limit_ms > 0 && limit_ms < s->drain_timeout_ms)
+		s->drain_timeout_ms = limit_ms;
+}
+
 bool
 set_parse(struct set *s, struct bstr text, struct bbuf *problems)
 {
@@ -242,18 +339,21 @@
 		json_decref(root);
 		return (false);
 	}
+	split_addresses(root);
 	report_unknown(root, NULL, problems);
 	for (size_t i = 0; i < N_ITEMS; i++) {
 		const json_t *v = find(root, items[i].path);
 
-		if (v != NULL)
+		if (v != NULL && !json_is_null(v))
 			take_item(s, &items[i], v, problems);
 		else if (items[i].required)
 			report(problems, items[i].path, NULL, "is required");
 	}
 	json_decref(root);
-	if (s->token == NULL)
-		s->token = bstr_dup(BSTR(""));
+	default_string(&s->token, "");
+	default_string(&s->store_api, "plain");
+	default_string(&s->health_path, "/health");
+	limit_shutdown(s);
 	return (problems->n == before);
 }
 
--- a/packages/ops/set.h
+++ b/packages/ops/set.h
@@ -45,6 +45,13 @@
  * @leave_notice_ms: time between the failing health endpoint and the end of
  *	accepting connections, in milliseconds
  * @drain_timeout_ms: longest graceful shutdown in milliseconds
+ * @stop_within_ms: the platform kills the process this long after SIGTERM, 0
+ *	when not told; it shortens drain_timeout_ms
+ * @store_api: how the store is spoken to: "plain" or "objects"
+ * @health_path: path of the health endpoint
+ * @retry_ratio: retries per request that the whole fleet may send
+ * @retry_burst: retries above the ratio that the whole fleet may send
+ * @max_connections: connections to one upstream from one worker
  * @log_json: log as JSON lines
  * @log_debug: log at debug level
  */
@@ -64,6 +71,12 @@
 	int64_t claim_retention_s;
 	int64_t leave_notice_ms;
 	int64_t drain_timeout_ms;
+	int64_t stop_within_ms;
+	char *store_api;
+	char *health_path;
+	double retry_ratio;
+	int64_t retry_burst;
+	int64_t max_connections;
 	bool log_json;
 	bool log_debug;
 };
