--- a/packages/front/call.h
+++ b/packages/front/call.h
@@ -64,6 +64,22 @@
 	struct cmsg_claim_reply *replay;
 };
 
+/**
+ * struct call_choice - what an upstream was chosen by, for the log
+ * @running: requests that it was serving
+ * @waiting: requests that waited for a slot there
+ * @pace: time that work took there, in percent of the usual time
+ * @age_us: age of that report
+ * @table_version: number of the routing table
+ */
+struct call_choice {
+	int32_t running;
+	int32_t waiting;
+	int32_t pace;
+	int64_t age_us;
+	uint64_t table_version;
+};
+
 /**
  * struct call - one request of a caller and its attempts
  * @xfer: first member; libcurl's private pointer
@@ -136,6 +152,7 @@
  * @refused: the upstream says that it ran nothing
  * @failed: the upstream's failure is dropped, another attempt follows
  * @instance: id of the chosen upstream
+ * @chosen: what it was chosen by
  * @retry_after_ms: when to come back, 0 for the table's figure
  * @head: head of the answer
  * @head_bad: the upstream's answer must not be used
@@ -208,6 +225,7 @@
 	unsigned n_answered;
 	bool may_ask;
 	char instance[CALL_ID_MAX + 1];
+	struct call_choice chosen;
 	uint32_t retry_after_ms;
 	char addr[CALL_ADDR_MAX + 1];
 	unsigned attempts;
--- /dev/null
+++ b/packages/front/clg.c
@@ -0,0 +1,133 @@
+#include "front/clg.h"
+
+#include "front/svc.h"
+#include "front/wrk.h"
+#include "ops/lgr.h"
+#include "sys/clk.h"
+
+static const char *const sent_names[] = {
+    [CALL_NOT_SENT] = "not-sent",
+    [CALL_MAY_BE_SENT] = "sent",
+};
+
+/* Whether another line may be written this second. */
+static bool
+may_write(struct clg *l, int64_t now_us, unsigned limit)
+{
+	int64_t second = now_us / 1000000;
+
+	if (second != l->second) {
+		l->second = second;
+		l->lines = 0;
+	}
+	if (l->lines >= limit) {
+		l->left_out++;
+		return (false);
+	}
+	l->lines++;
+	return (true);
+}
+
+static void
+add_text(struct bbuf *b, const char *key, struct bstr value)
+{
+	bbuf_addf(b, ",\"%s\":", key);
+	lgr_quote(b, value);
+}
+
+static void
+add_number(struct bbuf *b, const char *key, int64_t value)
+{
+	bbuf_addf(b, ",\"%s\":%lld", key, (long long)value);
+}
+
+/* What every line about a call begins with. */
+static void
+begin(struct bbuf *b, const struct call *c, const char *event)
+{
+	const char *field = wrk_env(c->w)->upp->request_id_field;
+
+	bbuf_addf(b, "{\"ts_ms\":%lld,\"part\":\"call\",\"event\":\"%s\"",
+	    (long long)clk_wall_ms(), event);
+	if (field[0] != '\0' && c->conn != NULL)
+		add_text(b, "id", call_header_in(c, field));
+	if (c->svc != NULL)
+		add_text(b, "service", c->svc->name);
+	add_number(b, "attempt", c->attempts);
+}
+
+static void
+finish(struct bbuf *b, struct clg *l)
+{
+	if (l->left_out != 0)
+		add_number(b, "left_out", (int64_t)l->left_out);
+	l->left_out = 0;
+	bbuf_add(b, BSTR("}\n"));
+	lgr_line(bbuf_str(b));
+	bbuf_finish(b);
+}
+
+/* The report that decided the choice, with its age at that time. */
+static void
+add_choice(struct bbuf *b, const struct call *c)
+{
+	add_text(b, "upstream", bstr_from(c->instance));
+	add_number(b, "running", c->chosen.running);
+	add_number(b, "waiting", c->chosen.waiting);
+	add_number(b, "pace", c->chosen.pace);
+	add_number(b, "report_age_us", c->chosen.age_us);
+	add_number(b, "table", (int64_t)c->chosen.table_version);
+}
+
+void
+clg_attempt(struct call *c, enum err_kind kind)
+{
+	struct clg *l = wrk_call_log(c->w);
+	int64_t now_us = clk_mono_us();
+	struct bbuf b;
+
+	if ((kind == ERR_NONE && c->status < 500) ||
+	    wrk_env(c->w)->upp->request_id_field[0] == '\0' ||
+	    !may_write(l, now_us, CLG_MAX_PER_S))
+		return;
+	bbuf_init(&b);
+	begin(&b, c, "attempt-failed");
+	add_choice(&b, c);
+	add_text(&b, "kind", bstr_from(err_answer(kind)->name));
+	add_text(&b, "sent", bstr_from(sent_names[c->sent]));
+	add_number(&b, "status", c->status);
+	add_number(&b, "ms", (now_us - c->attempt_us) / 1000);
+	finish(&b, l);
+}
+
+static bool
+is_worth_a_line(struct clg *l, const struct call *c, int64_t now_us)
+{
+	if (c->err != ERR_NONE || c->status >= 500)
+		return (may_write(l, now_us, CLG_MAX_PER_S));
+	if (c->goal_us != 0 && now_us - c->start_us > c->goal_us)
+		return (may_write(l, now_us, CLG_GOOD_PER_S));
+	return (++l->good % CLG_SAMPLE == 0 &&
+	    may_write(l, now_us, CLG_GOOD_PER_S));
+}
+
+void
+clg_end(struct call *c)
+{
+	struct clg *l = wrk_call_log(c->w);
+	int64_t now_us = clk_mono_us();
+	struct bbuf b;
+
+	if (wrk_env(c->w)->upp->request_id_field[0] == '\0' ||
+	    !is_worth_a_line(l, c, now_us))
+		return;
+	bbuf_init(&b);
+	begin(&b, c, "end");
+	if (c->instance[0] != '\0')
+		add_choice(&b, c);
+	add_text(&b, "kind", bstr_from(err_answer(c->err)->name));
+	add_number(&b, "status", c->status);
+	add_number(&b, "ms", (now_us - c->start_us) / 1000);
+	add_number(&b, "left_ms", (c->deadline_us - now_us) / 1000);
+	finish(&b, l);
+}
--- a/packages/front/env.h
+++ b/packages/front/env.h
@@ -25,6 +25,7 @@
 /**
  * struct env - shared environment
  * @table: routing table, read with env_table() under the RCU read lock
+ * @table_version: number of the table
  * @fresh_until_us: boot-time limit after which this VM does not route
  * @unhealthy: the health endpoint fails, requests are still served
  * @leaving: new requests are refused
@@ -38,6 +39,7 @@
  */
 struct env {
 	struct rt_table *table;
+	_Atomic uint64_t table_version;
 	_Atomic int64_t fresh_until_us;
 	_Atomic bool unhealthy;
 	_Atomic bool leaving;
@@ -53,6 +55,10 @@
 /** env_table() - current table; only under the RCU read lock */
 const struct rt_table *env_table(const struct env *env);
 
+/** env_version() - number of the current table, grows with each publication
+ */
+uint64_t env_version(const struct env *env);
+
 /** env_publish() - replace the table, free the old one after a grace period */
 void env_publish(struct env *env, struct rt_table *t);
 
--- a/packages/front/fe.c
+++ b/packages/front/fe.c
@@ -6,6 +6,7 @@
 
 #include "front/ask.h"
 #include "front/clf.h"
+#include "front/clg.h"
 #include "front/flt.h"
 #include "front/rqh.h"
 #include "front/svc.h"
@@ -377,6 +378,7 @@
 	if (c == NULL)
 		return;
 	count_end(c, code);
+	clg_end(c);
 	release(c);
 	c->peer->call = NULL;
 	c->peer->read_by_us = clk_mono_us() + IDLE_TIMEOUT_S * 1000000LL;
--- a/packages/front/ups.c
+++ b/packages/front/ups.c
@@ -6,6 +6,7 @@
 #include <urcu.h>
 
 #include "front/clf.h"
+#include "front/clg.h"
 #include "front/ask.h"
 #include "front/fe.h"
 #include "front/flt.h"
@@ -33,6 +34,12 @@
 	c->instance[u->id.n] = '\0';
 	c->tally = t == NULL ? NULL : rt_tally_ref(t);
 	c->up_state = u->state;
+	c->chosen = (struct call_choice){
+	    .running = atomic_load(&u->stat->reported),
+	    .waiting = atomic_load(&u->stat->waiting),
+	    .pace = atomic_load(&u->stat->pace),
+	    .age_us = clk_mono_us() - atomic_load(&u->stat->reported_us),
+	    .table_version = env_version(wrk_env(c->w))};
 	c->slots = u->slots;
 	c->slow_us = s->slow_us;
 	memcpy(c->addr, u->addr.p, u->addr.n);
@@ -569,6 +576,7 @@
 
 	(void)easy;
 	failed = kind != ERR_NONE || c->status >= 500;
+	clg_attempt(c, kind);
 	if (!c->unclean)
 		obs_attempt(c, failed, clk_mono_us());
 	end_transfer(c);
--- a/packages/front/wrk.c
+++ b/packages/front/wrk.c
@@ -9,6 +9,7 @@
 
 #include "front/ask.h"
 #include "front/clf.h"
+#include "front/clg.h"
 #include "front/fe.h"
 #include "front/lsn.h"
 #include "front/mul.h"
@@ -72,6 +73,7 @@
 	struct bbuf scratch;
 	struct sck sockets;
 	struct ask ask;
+	struct clg call_log;
 };
 
 struct env *
@@ -218,6 +220,12 @@
 	return (&w->ask);
 }
 
+struct clg *
+wrk_call_log(struct wrk *w)
+{
+	return (&w->call_log);
+}
+
 GHashTable *
 wrk_services(const struct wrk *w)
 {
--- a/packages/front/wrk.h
+++ b/packages/front/wrk.h
@@ -143,6 +143,9 @@
 /** wrk_ask() - probes and the calls that wait for them */
 struct ask *wrk_ask(struct wrk *w);
 
+/** wrk_call_log() - lines about calls in this second */
+struct clg *wrk_call_log(struct wrk *w);
+
 /** wrk_services() - table of struct svc, see svc_get() */
 GHashTable *wrk_services(const struct wrk *w);
 
--- a/packages/ops/lgr.c
+++ b/packages/ops/lgr.c
@@ -1,10 +1,14 @@
 #include "ops/lgr.h"
 
+#include <fcntl.h>
 #include <glib.h>
 #include <jansson.h>
 #include <stdio.h>
+#include <stdarg.h>
+#include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "sys/clk.h"
 
@@ -26,6 +30,81 @@
 	}
 }
 
+/* Lines dropped in all, and those not yet reported. */
+static _Atomic uint64_t dropped;
+static _Atomic uint64_t unreported;
+
+/* Pipes take lines up to this length in one piece (PIPE_BUF). */
+#define MAX_LINE 4096
+
+static bool
+try_write(const char *p, size_t n)
+{
+	return (write(STDOUT_FILENO, p, n) == (ssize_t)n);
+}
+
+void
+lgr_line(struct bstr line)
+{
+	uint64_t n = atomic_exchange(&unreported, 0);
+	char note[96];
+	int len;
+
+	if (n != 0) {
+		len = snprintf(note, sizeof(note),
+		    "{\"part\":\"log\",\"msg\":\"lines dropped\","
+		    "\"count\":%llu}\n",
+		    (unsigned long long)n);
+		if (!try_write(note, (size_t)len))
+			atomic_fetch_add(&unreported, n);
+	}
+	if (line.n <= MAX_LINE && try_write(line.p, line.n))
+		return;
+	atomic_fetch_add(&dropped, 1);
+	atomic_fetch_add(&unreported, 1);
+}
+
+uint64_t
+lgr_dropped(void)
+{
+	return (atomic_load(&dropped));
+}
+
+void
+lgr_quote(struct bbuf *out, struct bstr s)
+{
+	bbuf_add(out, BSTR("\""));
+	for (size_t i = 0; i < s.n; i++) {
+		unsigned char ch = (unsigned char)s.p[i];
+
+		if (ch < ' ' || ch >= 0x7f)
+			bbuf_addf(out, "\\u%04x", ch);
+		else if (ch == '"' || ch == '\\')
+			bbuf_addf(out, "\\%c", ch);
+		else
+			bbuf_add(out, (struct bstr){s.p + i, 1});
+	}
+	bbuf_add(out, BSTR("\""));
+}
+
+static void write_text(const char *fmt, ...)
+    __attribute__((format(printf, 1, 2)));
+
+static void
+write_text(const char *fmt, ...)
+{
+	char line[MAX_LINE];
+	va_list ap;
+	int n;
+
+	va_start(ap, fmt);
+	n = vsnprintf(line, sizeof(line), fmt, ap);
+	va_end(ap);
+	if (n > 0)
+		lgr_line((struct bstr){line,
+		    (size_t)n < sizeof(line) ? (size_t)n : sizeof(line) - 1});
+}
+
 static void
 print_json(const struct lgr_desc *d, const char *level, const char *text)
 {
@@ -43,7 +122,7 @@
 	    part, "msg", text);
 	line = o == NULL ? NULL : json_dumps(o, JSON_COMPACT);
 	if (line != NULL)
-		fprintf(stderr, "%s\n", line);
+		write_text("%s\n", line);
 	free(line);
 	json_decref(o);
 }
@@ -65,7 +144,7 @@
 	if (d->json)
 		print_json(d, level_name(level), text);
 	else
-		fprintf(stderr, "%lld %s %s\n", (long long)clk_wall_ms(),
+		write_text("%lld %s %s\n", (long long)clk_wall_ms(),
 		    level_name(level), text);
 	return (G_LOG_WRITER_HANDLED);
 }
@@ -73,5 +152,10 @@
 void
 lgr_setup(const struct lgr_desc *desc)
 {
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	if (flags < 0 ||
+	    fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK) != 0)
+		fputs("log: standard output may block\n", stderr);
 	g_log_set_writer_func(write_log, (gpointer)(uintptr_t)desc, NULL);
 }
