--- a/packages/front/ups.c
+++ b/packages/front/ups.c
@@ -58,6 +58,13 @@
 	return (req);
 }
 
+/* Services that can be asked for their load are chosen by it. */
+static wrk_pick_fn
+choose_fn(const struct wrk *w, const struct rt_service *s)
+{
+	return (s->probe_path.n != 0 ? pbc_pick : wrk_pick(w));
+}
+
 /*
  * Picks an upstream to which this worker has a free connection and starts the
  * call there. Without this,
@@ -71,7 +78,7 @@
 	int i;
 
 	for (;;) {
-		i = wrk_pick(c->w)(s, &req, now_us, wrk_rng(c->w));
+		i = choose_fn(c->w, s)(s, &req, now_us, wrk_rng(c->w));
 		if (i < 0)
 			return (full ? RT_FULL : i);
 		if (s->upstreams[i].addr.n > CALL_ADDR_MAX ||
