--- a/packages/camphorhollowd/main.c
+++ b/packages/camphorhollowd/main.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/resource.h>
+#include <sys/stat.h>
 #include <time.h>
 #include <unistd.h>
 #include <urcu.h>
@@ -26,8 +27,12 @@
 #define EXIT_SETTINGS 3
 #define MAX_WORKERS 64
 #define HANDOVER_MS 5000
+/* The settings file may change without a signal. */
+#define SETTINGS_CHECK_S 5
 
 struct daemon {
+	const char *path; /* of the settings file */
+	struct lgr_desc log;
 	struct set set;
 	struct env env;
 	struct met met;
@@ -229,21 +234,78 @@
 		g_warning("main: cannot raise the limit of descriptors");
 }
 
+/* Identity of the settings file's content, to notice a change. */
+static struct timespec
+settings_time(const struct daemon *d)
+{
+	struct stat st;
+
+	if (stat(d->path, &st) != 0)
+		return ((struct timespec){0});
+	return (st.st_mtim);
+}
+
+/*
+ * Reads the settings again. What can change while the process runs is taken
+ * over; addresses, the identity and the store need a restart.
+ */
+static void
+reload(struct daemon *d)
+{
+	struct bbuf problems;
+	struct set fresh;
+
+	bbuf_init(&problems);
+	if (!set_load(&fresh, d->path, &problems)) {
+		g_warning("main: settings not reloaded: %s", problems.p);
+	} else {
+		d->set.leave_notice_ms = fresh.leave_notice_ms;
+		d->set.drain_timeout_ms = fresh.drain_timeout_ms;
+		d->set.log_debug = fresh.log_debug;
+		d->log.debug = fresh.log_debug;
+		g_message("main: settings reloaded");
+	}
+	bbuf_finish(&problems);
+	set_finish(&fresh);
+}
+
+/* Returns when the process is to stop; reloads the settings meanwhile. */
+static void
+wait_for_stop(struct daemon *d, const sigset_t *set)
+{
+	const struct timespec pause = {SETTINGS_CHECK_S, 0};
+	struct timespec known = settings_time(d);
+
+	for (;;) {
+		int sig = sigtimedwait(set, NULL, &pause);
+		struct timespec now = settings_time(d);
+
+		if (sig == SIGTERM || sig == SIGINT)
+			return;
+		if (sig != SIGHUP && now.tv_sec == known.tv_sec &&
+		    now.tv_nsec == known.tv_nsec)
+			continue;
+		known = now;
+		reload(d);
+	}
+}
+
 static int
 run(struct daemon *d)
 {
 	static struct rt_desc empty;
-	struct lgr_desc log = {d->set.log_json, d->set.log_debug, d->set.id};
 	pthread_t limit;
 	sigset_t set;
-	int sig;
 
-	lgr_setup(&log);
+	d->log = (struct lgr_desc){
+	    d->set.log_json, d->set.log_debug, d->set.id};
+	lgr_setup(&d->log);
 	raise_descriptor_limit();
 	signal(SIGPIPE, SIG_IGN);
 	sigemptyset(&set);
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	rcu_register_thread();
@@ -260,7 +322,7 @@
 	else
 		ctl_start(d->ctl);
 	g_message("main: ready");
-	sigwait(&set, &sig);
+	wait_for_stop(d, &set);
 	pthread_create(&limit, NULL, limit_shutdown, d);
 	shut_down(d);
 	rt_table_free(d->env.table);
@@ -324,6 +386,7 @@
 		fputs(problems.p, stderr);
 	bbuf_finish(&problems);
 	rc = ok ? EXIT_SUCCESS : EXIT_SETTINGS;
+	d.path = path;
 	if (ok && !check)
 		rc = run(&d);
 	set_finish(&d.set);
