Look at the last second of a new version, too

Cause: a version that turns bad only under full load had 0.2 s of bad calls against all its good ones before, and 1,000 permille stages pass the allowed exposure (test_fmv, load 1000: above 10% + 50). Ruled out: the order of stages (the exposure before the full load is 108 of 194 calls).

Change: counters of the last five decisions are judged alone as well.

--- a/packages/fleet/fmv.c
+++ b/packages/fleet/fmv.c
@@ -30,6 +30,9 @@
 #define MIN_BAD 6
 #define BAD_RATIO_MORE 0.15
 
+#define FAILS "the new version fails more requests"
+#define SLOWER "the new version is slower"
+
 static void
 free_counts(void *arg)
 {
@@ -126,21 +129,45 @@
 	    ratio(bad, calls) > 2 * ratio(old_bad, old_calls) + BAD_RATIO_MORE);
 }
 
-static const char *
-badness(const struct fmv *m)
+/* What the new version did in the last second: it may have turned bad. */
+static struct can_count
+lately(const struct fmv *m)
 {
 	const struct can_count *n = &m->total.new_version;
-	const struct can_count *o = &m->total.old_version;
-
-	if (is_plainly_worse(n->failed, n->calls, o->failed, o->calls) ||
-	    can_is_bad(&m->test) == CAN_FAILING)
-		return ("the new version fails more requests");
-	if (is_plainly_worse(n->slow, n->calls, o->slow, o->calls) ||
-	    can_is_bad(&m->test) == CAN_SLOW)
-		return ("the new version is slower");
+	const struct can_count *mark = &m->marks[m->n_marks % FMV_MARKS];
+
+	return ((struct can_count){.calls = n->calls - mark->calls,
+	    .failed = n->failed - mark->failed,
+	    .slow = n->slow - mark->slow});
+}
+
+static const char *
+badness_of(const struct can_count *n, const struct can_count *o)
+{
+	if (is_plainly_worse(n->failed, n->calls, o->failed, o->calls))
+		return (FAILS);
+	if (is_plainly_worse(n->slow, n->calls, o->slow, o->calls))
+		return (SLOWER);
 	return (NULL);
 }
 
+static const char *
+badness(struct fmv *m)
+{
+	const struct can_count *old = &m->total.old_version;
+	struct can_count last = lately(m);
+	const char *reason = badness_of(&m->total.new_version, old);
+
+	if (reason == NULL)
+		reason = badness_of(&last, old);
+	if (reason == NULL && can_is_bad(&m->test) == CAN_FAILING)
+		reason = FAILS;
+	if (reason == NULL && can_is_bad(&m->test) == CAN_SLOW)
+		reason = SLOWER;
+	m->marks[m->n_marks++ % FMV_MARKS] = m->total.new_version;
+	return (reason);
+}
+
 static void
 roll_back(struct fmv *m, const char *reason)
 {
--- a/packages/fleet/fmv.h
+++ b/packages/fleet/fmv.h
@@ -24,6 +24,9 @@
 #include "fleet/fld.h"
 #include "move/can.h"
 
+/* Decisions that the last look at the new version covers. */
+#define FMV_MARKS 5
+
 /**
  * struct fmv_counts - attempts that one process has seen
  * @old_version: all versions but the new one
@@ -52,6 +55,8 @@
  * @rotate_ms: when the test's window moves on
  * @reports: process -> struct fmv_counts, highest counts seen
  * @total: sums that the test has seen
+ * @marks: earlier sums of the new version, a second back
+ * @n_marks: decisions so far
  * @test: comparison of the versions
  * @share: of the new version, in permille
  * @state: RUNNING, then DONE or ROLLED_BACK for good
@@ -64,6 +69,8 @@
 	int64_t rotate_ms;
 	GHashTable *reports;
 	struct fmv_counts total;
+	struct can_count marks[FMV_MARKS];
+	unsigned n_marks;
 	struct can_route test;
 	uint32_t share;
 	enum fld_move_state state;
--- /dev/null
+++ b/tests/unit/test_fmv.c
@@ -0,0 +1,226 @@
+/*
+ * Moves in virtual time: versions that are good, bad at once, bad late, bad
+ * under load, or slow, with the counters of many VMs arriving late.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <stdio.h>
+
+#include "base/rng.h"
+#include "fleet/fmv.h"
+
+#define N_VMS 19
+#define STEP_MS 10
+#define ROUND_MS 200
+#define DURATION_MS 16000
+#define CALLS_PER_S 90
+/* Promise to the users: share of all requests, and a number above it. */
+#define EXPOSURE_SHARE 0.1
+#define EXPOSURE_SLACK 50
+
+/**
+ * struct plan - how the new version behaves
+ * @fail: ratio of its failures once it is bad
+ * @slow: ratio of its slow requests once it is bad
+ * @late_ms: when it turns bad
+ * @load_permille: share from which it is bad
+ */
+struct plan {
+	double fail;
+	double slow;
+	int64_t late_ms;
+	uint32_t load_permille;
+};
+
+/** struct result - what came of a move */
+struct result {
+	enum fld_move_state state;
+	int64_t end_ms;
+	uint64_t all;
+	uint64_t exposed;
+	uint64_t bad_after;
+};
+
+static void
+one_call(struct fmv_counts *c, const struct plan *p, uint32_t share,
+    int64_t now_ms, struct rng *rng, struct result *out)
+{
+	bool is_new = rng_below(rng, 1000) < share;
+	struct can_count *n = is_new ? &c->new_version : &c->old_version;
+	bool bad = is_new && now_ms >= p->late_ms && share >= p->load_permille;
+
+	out->all++;
+	out->exposed += is_new;
+	n->calls++;
+	n->failed += rng_unit(rng) < (bad ? p->fail : 0.002);
+	n->slow += rng_unit(rng) < (bad ? p->slow : 0.01);
+	if (n->failed + n->slow > n->calls)
+		n->slow = n->calls - n->failed;
+}
+
+static struct result
+play(const struct plan *p, uint32_t capacity, uint64_t seed)
+{
+	struct fmv_counts counts[N_VMS] = {0};
+	struct fmv_desc d = {.duration_ms = DURATION_MS};
+	struct result r = {0};
+	struct rng rng;
+	struct fmv m;
+	double due = 0;
+
+	rng_init(&rng, seed);
+	fmv_init(&m, &d, 0);
+	for (int64_t now = 0; now < DURATION_MS; now += STEP_MS) {
+		for (due += CALLS_PER_S * STEP_MS / 1000.0; due >= 1; due--)
+			one_call(&counts[rng_below(&rng, N_VMS)], p, m.share,
+			    now, &rng, &r);
+		if (now % ROUND_MS != 0)
+			continue;
+		for (int i = 0; i < N_VMS; i++) {
+			char name[16];
+
+			snprintf(name, sizeof(name), "vm%d", i);
+			/* One datagram in ten is lost. */
+			if (rng_below(&rng, 10) != 0)
+				fmv_add(&m, name, 1, &counts[i]);
+		}
+		fmv_tick(&m, now, capacity);
+		if (m.state != FLD_MOVE_RUNNING && r.end_ms == 0)
+			r.end_ms = now;
+	}
+	r.state = m.state;
+	fmv_finish(&m);
+	return (r);
+}
+
+/* A good version is done in its time, with time left to write it down. */
+static void
+test_good(void **state)
+{
+	const struct plan good = {.late_ms = INT64_MAX};
+
+	(void)state;
+	for (uint64_t seed = 1; seed <= 200; seed++) {
+		struct result r = play(&good, 1000, seed);
+
+		assert_int_equal(r.state, FLD_MOVE_DONE);
+		assert_true(r.end_ms <= DURATION_MS - 1000);
+	}
+}
+
+static void
+expect_rolled_back(const struct plan *p)
+{
+	for (uint64_t seed = 1; seed <= 200; seed++) {
+		struct result r = play(p, 1000, seed);
+
+		assert_int_equal(r.state, FLD_MOVE_ROLLED_BACK);
+		assert_true((double)r.exposed <=
+		    EXPOSURE_SHARE * (double)r.all + EXPOSURE_SLACK);
+	}
+}
+
+static void
+test_failing(void **state)
+{
+	(void)state;
+	expect_rolled_back(&(struct plan){.fail = 0.5});
+	expect_rolled_back(&(struct plan){.fail = 0.3});
+}
+
+static void
+test_slow(void **state)
+{
+	(void)state;
+	expect_rolled_back(&(struct plan){.slow = 0.5});
+}
+
+/* Bad only after some seconds. */
+static void
+test_late(void **state)
+{
+	(void)state;
+	for (int64_t ms = 1000; ms <= 6000; ms += 1000)
+		expect_rolled_back(
+		    &(struct plan){.fail = 0.4, .late_ms = ms});
+}
+
+/* Bad only once it gets more than a few requests. */
+static void
+test_under_load(void **state)
+{
+	(void)state;
+	expect_rolled_back(
+	    &(struct plan){.fail = 0.4, .load_permille = 300});
+	expect_rolled_back(
+	    &(struct plan){.fail = 0.4, .load_permille = 1000});
+}
+
+/* Too few upstreams of the new version: the move is taken back in time. */
+static void
+test_no_capacity(void **state)
+{
+	const struct plan good = {.late_ms = INT64_MAX};
+	struct result r = play(&good, 300, 5);
+
+	(void)state;
+	assert_int_equal(r.state, FLD_MOVE_ROLLED_BACK);
+	assert_true(r.end_ms < DURATION_MS);
+}
+
+/* An executor that takes over knows how much of the time is gone. */
+static void
+test_takeover(void **state)
+{
+	struct fmv_desc d = {.duration_ms = DURATION_MS, .elapsed_ms = 5000};
+	struct fmv_counts c = {.old_version = {.calls = 1000},
+	    .new_version = {.calls = 50}};
+	struct fmv m;
+
+	(void)state;
+	fmv_init(&m, &d, 100000);
+	fmv_add(&m, "vm1", 1, &c);
+	fmv_tick(&m, 100000 + DURATION_MS - 5000 - 100, 1000);
+	assert_int_equal(m.state, FLD_MOVE_ROLLED_BACK);
+	fmv_finish(&m);
+}
+
+/* A restarted process counts from nothing; what it reported before stays. */
+static void
+test_restart(void **state)
+{
+	struct fmv_desc d = {.duration_ms = DURATION_MS};
+	struct fmv_counts c = {.new_version = {.calls = 10, .failed = 4}};
+	struct fmv m;
+
+	(void)state;
+	fmv_init(&m, &d, 0);
+	fmv_add(&m, "vm1", 1, &c);
+	fmv_add(&m, "vm1", 2, &c);
+	fmv_add(&m, "vm1", 2, &(struct fmv_counts){0});
+	fmv_tick(&m, 100, 1000);
+	assert_int_equal(m.total.new_version.calls, 20);
+	assert_int_equal(m.state, FLD_MOVE_ROLLED_BACK);
+	fmv_finish(&m);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_good),
+	    cmocka_unit_test(test_failing),
+	    cmocka_unit_test(test_slow),
+	    cmocka_unit_test(test_late),
+	    cmocka_unit_test(test_under_load),
+	    cmocka_unit_test(test_no_capacity),
+	    cmocka_unit_test(test_takeover),
+	    cmocka_unit_test(test_restart),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
--- /dev/null
+++ b/tests/unit/test_pdc.c
@@ -0,0 +1,360 @@
+/* Decoding of the objects in the platform's store, and of upstreams' heads. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <glib.h>
+#include <stdlib.h>
+
+#include "platform/pdc.h"
+#include "platform/pup.h"
+
+#define ENTRY(extra)                                                         \
+	"{\"metadata\":{\"name\":\"u1\",\"revision\":7},\"spec\":{"           \
+	"\"service\":\"s\",\"address\":\"10.1.2.3:8080\",\"zone\":\"a\","     \
+	"\"version\":\"v1\",\"slots\":6,\"state\":\"ready\","                 \
+	"\"warmupLeft\":\"1.5s\",\"sequence\":4" extra "}}"
+
+static bool
+upstream_of(const char *text, struct fld_upstream *u)
+{
+	json_t *o = json_loads(text, JSON_REJECT_DUPLICATES, NULL);
+	const char *why;
+	bool ok;
+
+	assert_non_null(o);
+	ok = pdc_upstream(o, u, &why);
+	assert_true(ok == (why == NULL));
+	json_decref(o);
+	return (ok);
+}
+
+static void
+test_upstream(void **state)
+{
+	struct fld_upstream u;
+
+	(void)state;
+	assert_true(upstream_of(ENTRY(",\"born\":1776412633735"), &u));
+	assert_string_equal(u.id, "u1");
+	assert_string_equal(u.address, "10.1.2.3:8080");
+	assert_int_equal(u.slots, 6);
+	assert_int_equal(u.cold_ms, 1500);
+	assert_false(u.draining);
+	assert_int_equal(u.born_ms, 1776412633735);
+	fld_upstream_finish(&u);
+}
+
+/* Another writer's entry names nothing to use. */
+static void
+test_bad_upstreams(void **state)
+{
+	static const char *const bad[] = {
+	    "{}",
+	    "{\"metadata\":{\"name\":\"u1\"},\"spec\":null}",
+	    "{\"metadata\":{\"name\":\"u1\"},\"spec\":{\"service\":\"s\"}}",
+	    ENTRY(",\"born\":\"yesterday\""),
+	    ENTRY(",\"born\":1.5"),
+	};
+	struct fld_upstream u;
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(bad) / sizeof(*bad); i++)
+		assert_false(upstream_of(bad[i], &u));
+}
+
+/* Each field of an entry, replaced by a value that cannot be used. */
+static void
+test_bad_fields(void **state)
+{
+	static const struct {
+		const char *key;
+		const char *value;
+	} bad[] = {
+	    {"address", "\"10.1.2.3\""},
+	    {"address", "\"host:80\""},
+	    {"address", "\"10.1.2.3:99999\""},
+	    {"address", "7"},
+	    {"slots", "0"},
+	    {"slots", "\"6\""},
+	    {"state", "\"sleeping\""},
+	    {"state", "true"},
+	    {"warmupLeft", "\"1.5\""},
+	    {"warmupLeft", "1500"},
+	    {"warmupLeft", "\"-1s\""},
+	    {"sequence", "\"4\""},
+	    {"version", "1"},
+	    {"zone", "null"},
+	};
+	const char *why;
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(bad) / sizeof(*bad); i++) {
+		json_t *o = json_loads(ENTRY(""), 0, NULL);
+		struct fld_upstream u;
+
+		json_object_set_new(json_object_get(o, "spec"), bad[i].key,
+		    json_loads(bad[i].value, JSON_DECODE_ANY, NULL));
+		assert_false(pdc_upstream(o, &u, &why));
+		json_decref(o);
+	}
+}
+
+static void
+test_config(void **state)
+{
+	static const char text[] =
+	    "{\"metadata\":{\"name\":\"main\"},\"spec\":{\"version\":7,"
+	    "\"routes\":{\"r1\":{\"host\":\"h.example\",\"pathPrefix\":\"/a/\","
+	    "\"kind\":\"safe\",\"timeout\":\"2s\",\"latencyGoal\":\"600ms\","
+	    "\"priority\":2,\"weightedServices\":[{\"service\":\"s\","
+	    "\"weight\":90},{\"service\":\"t\",\"weight\":10}],\"attempts\":2},"
+	    "\"r2\":{\"host\":\"h.example\",\"pathPrefix\":\"/b/\","
+	    "\"kind\":\"unsafe\",\"service\":\"t\"},"
+	    "\"r3\":{\"host\":\"h.example\",\"pathPrefix\":\"/c/\","
+	    "\"kind\":\"download\",\"service\":\"t\"},"
+	    "\"r4\":{\"host\":\"h.example\",\"pathPrefix\":\"/d/\","
+	    "\"kind\":\"something new\",\"service\":\"t\"}},"
+	    "\"services\":{\"s\":{\"healthPath\":\"/health\","
+	    "\"maxConnections\":260,\"warmup\":\"3s\",\"warmupPerS\":7.8},"
+	    "\"t\":{\"healthPath\":\"/health\"}},"
+	    "\"limits\":{\"maxHeaderBytes\":16384,\"idleTimeout\":\"15s\"}}}";
+	json_t *o = json_loads(text, 0, NULL);
+	const char *why;
+	struct fld_config *c = pdc_config(o, &why);
+
+	(void)state;
+	assert_non_null(c);
+	assert_int_equal(c->version, 7);
+	assert_int_equal(c->n_routes, 4);
+	assert_true(c->routes[0].idempotent);
+	assert_int_equal(c->routes[0].timeout_ms, 2000);
+	assert_int_equal(c->routes[0].goal_ms, 600);
+	assert_int_equal(c->routes[0].attempts, 2);
+	assert_int_equal(c->routes[0].n_splits, 2);
+	assert_int_equal(c->routes[0].splits[1].weight, 10);
+	/* Not idempotent: what says so, and what is not known. */
+	assert_false(c->routes[1].idempotent);
+	assert_int_equal(c->routes[1].attempts, 1);
+	assert_true(c->routes[2].idempotent);
+	assert_false(c->routes[3].idempotent);
+	assert_int_equal(c->services[0].max_connections, 260);
+	assert_true(c->services[0].cold_per_s > 7.7);
+	assert_int_equal(c->limits.idle_timeout_ms, 15000);
+	fld_config_free(c);
+	json_decref(o);
+}
+
+static enum fld_move_state
+state_of(const char *status)
+{
+	char *text = g_strdup_printf(
+	    "{\"metadata\":{\"name\":\"s\",\"revision\":9},\"spec\":"
+	    "{\"service\":\"s\",\"toVersion\":\"v2\",\"duration\":\"12s\"},"
+	    "\"status\":%s}",
+	    status);
+	json_t *o = json_loads(text, 0, NULL);
+	enum fld_move_state state;
+	struct fld_move m;
+	const char *why;
+
+	assert_true(pdc_move(o, &m, &why));
+	assert_int_equal(m.duration_ms, 12000);
+	assert_int_equal(m.revision, 9);
+	state = m.state;
+	fld_move_finish(&m);
+	json_decref(o);
+	g_free(text);
+	return (state);
+}
+
+static void
+test_move(void **state)
+{
+	(void)state;
+	assert_int_equal(state_of("null"), FLD_MOVE_NEW);
+	assert_int_equal(
+	    state_of("{\"state\":\"running\",\"toVersion\":\"v2\"}"),
+	    FLD_MOVE_RUNNING);
+	assert_int_equal(
+	    state_of("{\"state\":\"completed\",\"toVersion\":\"v2\"}"),
+	    FLD_MOVE_DONE);
+	assert_int_equal(
+	    state_of("{\"state\":\"rolled_back\",\"toVersion\":\"v2\"}"),
+	    FLD_MOVE_ROLLED_BACK);
+	/* The status of an earlier order does not decide this one. */
+	assert_int_equal(
+	    state_of("{\"state\":\"rolled_back\",\"toVersion\":\"v1\"}"),
+	    FLD_MOVE_NEW);
+	assert_int_equal(state_of("{\"state\":5}"), FLD_MOVE_NEW);
+}
+
+/* What is written can be read back. */
+static void
+test_written_move(void **state)
+{
+	struct fld_move m = {
+	    .name = "s", .to_version = "v2", .revision = 12};
+	json_t *o = pdc_put_move(&m, FLD_MOVE_RUNNING, 1234, "vm1");
+	struct fld_move back;
+	const char *why;
+
+	(void)state;
+	json_object_set_new(o, "spec",
+	    json_pack("{s:s,s:s,s:s}", "service", "s", "toVersion", "v2",
+		"duration", "12s"));
+	assert_true(pdc_move(o, &back, &why));
+	assert_int_equal(back.revision, 12);
+	assert_int_equal(back.state, FLD_MOVE_RUNNING);
+	assert_int_equal(back.started_ms, 1234);
+	assert_string_equal(back.executor, "vm1");
+	fld_move_finish(&back);
+	json_decref(o);
+}
+
+static void
+test_times(void **state)
+{
+	static const struct {
+		const char *text;
+		int64_t ms;
+	} cases[] = {{"1500ms", 1500}, {"2.5s", 2500}, {"0ms", 0}, {"1s", 1000},
+	    {"", -1}, {"5", -1}, {"5m", -1}, {"s", -1}, {"-5ms", -1},
+	    {" 5ms", -1}, {"5 ms", -1}, {"infs", -1}, {"1e300s", -1}};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		json_t *v = json_string(cases[i].text);
+		int64_t ms = -1;
+
+		assert_true(pdc_time_ms(v, &ms) == (cases[i].ms >= 0));
+		assert_int_equal(ms, cases[i].ms);
+		json_decref(v);
+	}
+}
+
+static struct upp_report
+read_head(const char *const *lines, bool probe)
+{
+	struct upp_expect e = {.request_id = BSTR("r1"),
+	    .instance = BSTR("u1"),
+	    .probe = probe};
+	struct upp_report r;
+	struct rhd h;
+
+	rhd_init(&h, false);
+	for (; *lines != NULL; lines++)
+		rhd_line(&h, bstr_from(*lines));
+	rhd_line(&h, BSTR("\r\n"));
+	pup_protocol()->ops->read(&h, &e, &r);
+	rhd_finish(&h);
+	return (r);
+}
+
+#define HEAD(...) ((const char *const[]){__VA_ARGS__, NULL})
+
+/* An answer without the request's id, or with another one, is not ours. */
+static void
+test_whose_answer(void **state)
+{
+	(void)state;
+	assert_int_equal(
+	    read_head(HEAD("HTTP/1.1 200 OK\r\n", "X-Request-Id: r1\r\n",
+			  "Content-Length: 0\r\n"),
+		false)
+		.verdict,
+	    UPP_OWN);
+	assert_int_equal(
+	    read_head(HEAD("HTTP/1.1 200 OK\r\n", "X-Request-Id: r2\r\n",
+			  "Content-Length: 0\r\n"),
+		false)
+		.verdict,
+	    UPP_FOREIGN);
+	assert_int_equal(read_head(HEAD("HTTP/1.1 200 OK\r\n",
+				       "Content-Length: 0\r\n"),
+			     false)
+			     .verdict,
+	    UPP_FOREIGN);
+}
+
+/* "Not run" is taken from the upstream's own word alone. */
+static void
+test_not_run(void **state)
+{
+	struct upp_report r;
+
+	(void)state;
+	r = read_head(HEAD("HTTP/1.1 503 Full\r\n", "X-Not-Executed: 1\r\n",
+			  "Content-Length: 0\r\n"),
+	    false);
+	assert_true(r.not_run);
+	assert_int_equal(r.verdict, UPP_OWN);
+	r = read_head(HEAD("HTTP/1.1 503 Broken\r\n", "X-Request-Id: r1\r\n",
+			  "Content-Length: 0\r\n"),
+	    false);
+	assert_false(r.not_run);
+	r = read_head(HEAD("HTTP/1.1 421 Other\r\n", "X-Instance-Id: u9\r\n",
+			  "Content-Length: 0\r\n"),
+	    false);
+	assert_true(r.not_run);
+	assert_int_equal(r.verdict, UPP_MOVED);
+}
+
+static void
+test_probe_answers(void **state)
+{
+	struct upp_report r;
+
+	(void)state;
+	r = read_head(
+	    HEAD("HTTP/1.1 200 OK\r\n", "X-Instance-Id: u1\r\n",
+		"X-Server-Load: 3,1,6,250\r\n", "X-Warmup-Ms: 900\r\n",
+		"Keep-Alive: timeout=10, max=5\r\n", "Content-Length: 0\r\n"),
+	    true);
+	assert_int_equal(r.verdict, UPP_OWN);
+	assert_int_equal(r.running, 3);
+	assert_int_equal(r.waiting, 1);
+	assert_int_equal(r.pace, 250);
+	assert_int_equal(r.cold_ms, 900);
+	assert_int_equal(r.idle_limit_ms, 10000);
+	assert_false(r.leaving);
+	r = read_head(HEAD("HTTP/1.1 503 Leaving\r\n", "X-Instance-Id: u1\r\n",
+			  "Content-Length: 0\r\n"),
+	    true);
+	assert_true(r.leaving);
+	/* Three figures say nothing of the pace. */
+	r = read_head(HEAD("HTTP/1.1 200 OK\r\n", "X-Instance-Id: u1\r\n",
+			  "X-Server-Load: 3,1,6\r\n", "Content-Length: 0\r\n"),
+	    true);
+	assert_int_equal(r.pace, 100);
+	r = read_head(HEAD("HTTP/1.1 200 OK\r\n", "X-Instance-Id: u2\r\n",
+			  "Content-Length: 0\r\n"),
+	    true);
+	assert_int_equal(r.verdict, UPP_MOVED);
+	/* A late answer to an earlier request is no answer to a probe. */
+	r = read_head(HEAD("HTTP/1.1 200 OK\r\n", "X-Request-Id: r1\r\n",
+			  "Content-Length: 0\r\n"),
+	    true);
+	assert_int_equal(r.verdict, UPP_FOREIGN);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_upstream),
+	    cmocka_unit_test(test_bad_upstreams),
+	    cmocka_unit_test(test_bad_fields),
+	    cmocka_unit_test(test_config),
+	    cmocka_unit_test(test_move),
+	    cmocka_unit_test(test_written_move),
+	    cmocka_unit_test(test_times),
+	    cmocka_unit_test(test_whose_answer),
+	    cmocka_unit_test(test_not_run),
+	    cmocka_unit_test(test_probe_answers),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
