Let two VMs read the store and tell the others

Change: fnw: the two VMs with the best rank read; their datagrams carry changed entries and, for each kind, revision and digest.

--- a/packages/camphorhollowd/main.c
+++ b/packages/camphorhollowd/main.c
@@ -93,11 +93,10 @@
 static bool
 start_fleet_control(struct daemon *d)
 {
-	char *address = g_strdup_printf("%s:%lld", d->set.platform.addr,
-	    (long long)d->set.platform.port);
-	struct pst_desc store = {.address = address,
-	    .met = &d->met,
-	    .seed = (uint64_t)d->set.seed};
+	char *address = g_strdup_printf(
+	    "%s:%lld", d->set.platform.addr, (long long)d->set.platform.port);
+	struct pst_desc store = {
+	    .address = address, .met = &d->met, .seed = (uint64_t)d->set.seed};
 	struct fct_desc desc = {.set = &d->set,
 	    .env = &d->env,
 	    .store = pst_new(&store),
@@ -297,8 +296,8 @@
 	pthread_t limit;
 	sigset_t set;
 
-	d->log = (struct lgr_desc){
-	    d->set.log_json, d->set.log_debug, d->set.id};
+	d->log =
+	    (struct lgr_desc){d->set.log_json, d->set.log_debug, d->set.id};
 	lgr_setup(&d->log);
 	raise_descriptor_limit();
 	signal(SIGPIPE, SIG_IGN);
--- a/packages/control/fct.c
+++ b/packages/control/fct.c
@@ -10,14 +10,20 @@
 #include <urcu.h>
 
 #include "control/fmr.h"
+#include "fleet/fnw.h"
 #include "front/cmsg.h"
 #include "ops/ops.h"
+#include "peer/pnw.h"
 #include "sys/clk.h"
 
 #define MSG_OPS 100
 #define TICK_MS 100
 #define MOVE_TICK_MS 50
 #define MAX_DATAGRAM 2048
+/* Pause between two reads of the list of VMs because of an unknown one. */
+#define MEMBERS_PAUSE_MS 2000
+/* VMs start together, so the first list is short and is read again. */
+#define MEMBERS_SECOND_MS 1200
 /* The first list of VMs may be short, while the others start. */
 #define MIN_MEMBERS 12
 #define MAX_PER_ROUND 256
@@ -32,11 +38,15 @@
 	struct fct_desc desc;
 	struct fls fls;
 	struct fmr fmr;
+	struct fnw fnw;
 	struct mq queue;
 	int udp_fd;
 	pthread_t thread;
 	_Atomic bool stop;
 	uint32_t n_members;
+	int64_t start_ms;
+	bool members_again;
+	int64_t members_due_ms; /* when the list of VMs may be hurried */
 };
 
 static struct fct *
@@ -57,14 +67,17 @@
 	fls_end(&fct_of(s)->fls, kind, clk_mono_us());
 }
 
+static void on_updated(
+    struct fst_sink *s, enum fst_kind kind, int64_t revision);
+
 static void
 on_config(struct fst_sink *s, struct fld_config *c)
 {
 	int64_t version = c->version;
 
 	if (fls_set_config(&fct_of(s)->fls, c))
-		g_message("config: version %lld is in effect",
-		    (long long)version);
+		g_message(
+		    "config: version %lld is in effect", (long long)version);
 }
 
 static void
@@ -108,6 +121,7 @@
 static const struct fst_sink_ops sink_ops = {
     .begin = on_begin,
     .end = on_end,
+    .updated = on_updated,
     .config = on_config,
     .upstream = on_upstream,
     .move = on_move,
@@ -146,12 +160,154 @@
 		return;
 	if (sendto(c->udp_fd, bytes.p, bytes.n, MSG_DONTWAIT,
 		(struct sockaddr *)&to, sizeof(to)) < 0)
-		g_debug("peer: datagram to %s: %s", address,
-		    g_strerror(errno));
+		g_debug("peer: datagram to %s: %s", address, g_strerror(errno));
 	else
 		met_add(c->desc.env->met, MET_PEER_BYTES_OUT, bytes.n);
 }
 
+static void
+send_news(struct fct *c, const struct pnw_head *head,
+    const struct pnw_change *changes, uint32_t n)
+{
+	GHashTableIter it;
+	void *id, *v;
+	struct bbuf b;
+
+	bbuf_init(&b);
+	pnw_encode(&b, head, changes, n);
+	g_hash_table_iter_init(&it, c->fls.members);
+	while (g_hash_table_iter_next(&it, &id, &v)) {
+		if (strcmp(id, c->fls.self) != 0)
+			send_datagram(c,
+			    ((struct fls_member *)v)->member.address,
+			    bbuf_str(&b));
+	}
+	bbuf_finish(&b);
+}
+
+/* Tells all VMs what changed since the last news, in one or more datagrams. */
+static void
+tell_news(struct fct *c)
+{
+	GPtrArray *ids = fnw_changes(&c->fnw, &c->fls);
+	const struct fst *store = c->desc.store;
+	struct pnw_head head = {0};
+	struct pnw_change changes[PNW_MAX_CHANGES];
+	guint at = 0;
+
+	g_strlcpy(head.vm, c->fls.self, sizeof(head.vm));
+	for (int k = 0; k < FST_KINDS; k++) {
+		enum fst_kind kind = (enum fst_kind)k;
+
+		head.digest[k] = fls_digest(&c->fls, kind);
+		head.revision[k] = store->ops->revision(store, kind);
+	}
+	do {
+		uint32_t n = 0;
+
+		for (; n < PNW_MAX_CHANGES && at < ids->len; n++, at++) {
+			const char *id = g_ptr_array_index(ids, at);
+			const struct fls_upstream *u =
+			    g_hash_table_lookup(c->fls.upstreams, id);
+
+			changes[n] = (struct pnw_change){
+			    id, u == NULL ? NULL : &u->entry};
+		}
+		head.last = at >= ids->len;
+		send_news(c, &head, changes, n);
+	} while (at < ids->len);
+	g_ptr_array_unref(ids);
+}
+
+static void
+on_updated(struct fst_sink *s, enum fst_kind kind, int64_t revision)
+{
+	struct fct *c = fct_of(s);
+
+	(void)revision;
+	if (kind != FST_MEMBERS && fls_is_ready(&c->fls) &&
+	    fnw_is_reader(&c->fnw, clk_mono_ms()))
+		tell_news(c);
+}
+
+static void
+apply_change(struct fct *c, struct pnw_change *ch, int64_t now_us)
+{
+	if (ch->entry == NULL)
+		fls_set_upstream(&c->fls, ch->id, NULL, now_us);
+	else
+		fls_set_upstream(&c->fls, ch->id,
+		    (struct fld_upstream *)(uintptr_t)ch->entry, now_us);
+}
+
+/*
+ * Puts the next read of a kind off when the sender knows the same, or hurries
+ * it when the sender knows more. A sender with an older revision and another
+ * digest is behind.
+ */
+static void
+compare(struct fct *c, const struct pnw_head *head, enum fst_kind kind,
+    int64_t now_ms)
+{
+	struct fst *store = c->desc.store;
+	bool same = head->digest[kind] == fls_digest(&c->fls, kind);
+
+	if (same && !fnw_is_reader(&c->fnw, now_ms))
+		store->ops->told(
+		    store, kind, head->revision[kind], now_ms + FNW_PUT_OFF_MS);
+	else if (!same &&
+	    head->revision[kind] > store->ops->revision(store, kind))
+		store->ops->hurry(store, kind);
+}
+
+static void
+apply_news(struct fct *c, const struct pnw_head *head,
+    struct pnw_change *changes, uint32_t n, int64_t now_ms)
+{
+	struct fst *store = c->desc.store;
+
+	if (head->revision[FST_UPSTREAMS] >=
+	    store->ops->revision(store, FST_UPSTREAMS)) {
+		for (uint32_t i = 0; i < n; i++)
+			apply_change(c, &changes[i], now_ms * 1000);
+	}
+	for (int k = 0; k < FST_KINDS && head->last; k++) {
+		if (k != FST_MEMBERS)
+			compare(c, head, (enum fst_kind)k, now_ms);
+	}
+}
+
+/* A VM that is not in the list is new; the list is read again. */
+static void
+note_sender(struct fct *c, const char *vm, int64_t now_ms)
+{
+	struct fst *store = c->desc.store;
+
+	fnw_on_heard(&c->fnw, vm, now_ms);
+	if (g_hash_table_contains(c->fls.members, vm) ||
+	    now_ms < c->members_due_ms)
+		return;
+	c->members_due_ms = now_ms + MEMBERS_PAUSE_MS;
+	store->ops->hurry(store, FST_MEMBERS);
+}
+
+/* News of another VM; false when the datagram is something else. */
+static bool
+take_news(struct fct *c, struct bstr bytes, int64_t now_ms)
+{
+	struct pnw_change changes[PNW_MAX_CHANGES];
+	struct pnw_head head;
+	uint32_t n;
+
+	if (!pnw_decode(bytes, &head, changes, &n))
+		return (false);
+	note_sender(c, head.vm, now_ms);
+	if (fls_is_ready(&c->fls))
+		apply_news(c, &head, changes, n, now_ms);
+	pnw_free(changes, n);
+	return (true);
+}
+
 static int64_t
 wall_ms(void *arg)
 {
@@ -191,6 +347,7 @@
 		return (NULL);
 	}
 	fls_init(&c->fls, &(struct fls_desc){.self = desc->set->id});
+	fnw_init(&c->fnw, &(struct fnw_desc){.self = desc->set->id});
 	fmr_init(&c->fmr,
 	    &(struct fmr_desc){.self = desc->set->id,
 		.boot = desc->boot,
@@ -230,6 +387,13 @@
 	}
 }
 
+static void
+take_datagram(struct fct *c, struct bstr bytes, int64_t now_ms)
+{
+	if (!take_news(c, bytes, now_ms))
+		fmr_on_datagram(&c->fmr, bytes, now_ms);
+}
+
 static void
 take_datagrams(struct fct *c)
 {
@@ -241,8 +405,7 @@
 		if (n < 0)
 			break;
 		met_add(c->desc.env->met, MET_PEER_BYTES_IN, (uint64_t)n);
-		fmr_on_datagram(&c->fmr, (struct bstr){buf, (size_t)n},
-		    clk_mono_ms());
+		take_datagram(c, (struct bstr){buf, (size_t)n}, clk_mono_ms());
 	}
 }
 
@@ -252,8 +415,8 @@
 {
 	uint32_t n = MAX(fls_n_members(&c->fls), MIN_MEMBERS);
 	const struct set *s = c->desc.set;
-	uint32_t burst = (uint32_t)(s->retry_burst * RETRY_DEALT_PERMILLE /
-	    1000 / n);
+	uint32_t burst =
+	    (uint32_t)(s->retry_burst * RETRY_DEALT_PERMILLE / 1000 / n);
 
 	if (n == c->n_members)
 		return;
@@ -281,8 +444,8 @@
 publish_member(struct fct *c)
 {
 	const struct set *s = c->desc.set;
-	char *address = g_strdup_printf(
-	    "%s:%lld", s->peer.addr, (long long)s->peer.port);
+	char *address =
+	    g_strdup_printf("%s:%lld", s->peer.addr, (long long)s->peer.port);
 	struct fld_member m = {
 	    .id = s->id, .zone = s->zone, .address = address};
 
@@ -290,6 +453,15 @@
 	g_free(address);
 }
 
+static void
+read_members_again(struct fct *c, int64_t now_ms)
+{
+	if (c->members_again || now_ms - c->start_ms < MEMBERS_SECOND_MS)
+		return;
+	c->members_again = true;
+	c->desc.store->ops->hurry(c->desc.store, FST_MEMBERS);
+}
+
 static void *
 run(void *arg)
 {
@@ -298,6 +470,7 @@
 	const int fds[] = {mq_fd(&c->queue), c->udp_fd};
 
 	rcu_register_thread();
+	c->start_ms = clk_mono_ms();
 	store->ops->start(store, &c->sink);
 	publish_member(c);
 	while (!atomic_load(&c->stop)) {
@@ -305,6 +478,7 @@
 		    fmr_is_active(&c->fmr) ? MOVE_TICK_MS : TICK_MS);
 		take_messages(c);
 		take_datagrams(c);
+		read_members_again(c, clk_mono_ms());
 		divide_limits(c);
 		fmr_tick(&c->fmr, clk_mono_ms());
 		publish(c);
@@ -336,6 +510,7 @@
 	mq_finish(&c->queue);
 	c->desc.store->ops->free(c->desc.store);
 	fmr_finish(&c->fmr);
+	fnw_finish(&c->fnw);
 	fls_finish(&c->fls);
 	close(c->udp_fd);
 	g_free(c);
--- a/packages/control/fmr.c
+++ b/packages/control/fmr.c
@@ -51,8 +51,8 @@
 fmr_init(struct fmr *r, const struct fmr_desc *desc)
 {
 	*r = (struct fmr){.desc = *desc};
-	r->parts = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, free_part);
+	r->parts =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_part);
 }
 
 void
@@ -163,8 +163,7 @@
 
 	if (e == NULL)
 		return;
-	msg.counts =
-	    own_counts(r, m->order.service, m->order.to_version);
+	msg.counts = own_counts(r, m->order.service, m->order.to_version);
 	send_to(r, e->member.address, &msg);
 }
 
@@ -180,8 +179,8 @@
 	g_hash_table_iter_init(&it, r->desc.fls->members);
 	while (g_hash_table_iter_next(&it, &id, &v)) {
 		if (strcmp(id, r->desc.self) != 0)
-			send_to(r, ((struct fls_member *)v)->member.address,
-			    &msg);
+			send_to(
+			    r, ((struct fls_member *)v)->member.address, &msg);
 	}
 }
 
@@ -195,7 +194,8 @@
 
 	g_hash_table_iter_init(&it, r->desc.fls->upstreams);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		const struct fld_upstream *e = &((struct fls_upstream *)v)->entry;
+		const struct fld_upstream *e =
+		    &((struct fls_upstream *)v)->entry;
 
 		if (strcmp(e->service, m->order.service) != 0 || e->draining ||
 		    g_hash_table_contains(r->desc.fls->zones_out, e->zone))
@@ -224,8 +224,8 @@
 }
 
 static void
-begin_leading(struct fmr *r, const struct fls_move *m, struct part *p,
-    int64_t now_ms)
+begin_leading(
+    struct fmr *r, const struct fls_move *m, struct part *p, int64_t now_ms)
 {
 	struct fmv_desc d = {.duration_ms = m->order.duration_ms};
 
@@ -275,8 +275,7 @@
 static void
 follow(struct fmr *r, const struct fls_move *m, struct part *p, int64_t now_ms)
 {
-	int64_t wait_ms =
-	    (m->order.executor == NULL ? 0 : SILENCE_MS) +
+	int64_t wait_ms = (m->order.executor == NULL ? 0 : SILENCE_MS) +
 	    (int64_t)rank_of(r, m->order.service) * RANK_MS;
 
 	if (m->order.executor != NULL)
@@ -348,20 +347,21 @@
 	struct part *p;
 
 	if (!pmv_decode(bytes, &msg)) {
-		g_debug("move: a datagram of %zu bytes cannot be read",
-		    bytes.n);
+		g_debug(
+		    "move: a datagram of %zu bytes cannot be read", bytes.n);
 		return;
 	}
 	m = g_hash_table_lookup(r->desc.fls->moves, msg.service);
 	p = g_hash_table_lookup(r->parts, msg.service);
-	if (m == NULL || p == NULL || strcmp(p->to_version, msg.to_version) != 0)
+	if (m == NULL || p == NULL ||
+	    strcmp(p->to_version, msg.to_version) != 0)
 		return;
 	if (msg.type == PMV_COUNTS && p->leads) {
 		fmv_add(&p->fmv, msg.vm, msg.boot, &msg.counts);
 		return;
 	}
-	if (msg.type != PMV_WORD ||
-	    g_strcmp0(m->order.executor, msg.vm) != 0 || p->leads)
+	if (msg.type != PMV_WORD || g_strcmp0(m->order.executor, msg.vm) != 0 ||
+	    p->leads)
 		return;
 	p->heard_ms = now_ms;
 	fls_tell_share(r->desc.fls, msg.service, msg.share,
@@ -369,8 +369,8 @@
 }
 
 void
-fmr_on_written(struct fmr *r, const char *name, enum fst_result result,
-    int64_t now_ms)
+fmr_on_written(
+    struct fmr *r, const char *name, enum fst_result result, int64_t now_ms)
 {
 	GHashTableIter it;
 	void *v;
--- a/packages/control/fmr.h
+++ b/packages/control/fmr.h
@@ -64,7 +64,7 @@
 void fmr_on_datagram(struct fmr *r, struct bstr bytes, int64_t now_ms);
 
 /** fmr_on_written() - the write of the status of the move @name ended */
-void fmr_on_written(struct fmr *r, const char *name, enum fst_result result,
-    int64_t now_ms);
+void fmr_on_written(
+    struct fmr *r, const char *name, enum fst_result result, int64_t now_ms);
 
 #endif
--- a/packages/fleet/fls.c
+++ b/packages/fleet/fls.c
@@ -40,8 +40,8 @@
 static GHashTable *
 table_new(GDestroyNotify free_value)
 {
-	return (g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, free_value));
+	return (
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_value));
 }
 
 void
@@ -234,6 +234,86 @@
 	    a->draining == b->draining && a->born_ms == b->born_ms);
 }
 
+static uint64_t
+hash_entry(const struct fld_upstream *e)
+{
+	const char *const texts[] = {
+	    e->id, e->service, e->address, e->zone, e->version};
+	uint64_t h = (uint64_t)e->born_ms;
+
+	for (size_t i = 0; i < sizeof(texts) / sizeof(*texts); i++)
+		h = bstr_hash(bstr_from(texts[i]), h);
+	h = h * 31 + e->slots;
+	return (h * 31 + e->draining);
+}
+
+static uint64_t
+hash_move(const struct fld_move *m)
+{
+	uint64_t h = bstr_hash(bstr_from(m->name), (uint64_t)m->state);
+
+	h = bstr_hash(bstr_from(m->to_version), h);
+	return (bstr_hash(bstr_from(m->executor), h));
+}
+
+static uint64_t
+digest_upstreams(const struct fls *f)
+{
+	uint64_t sum = 0;
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_iter_init(&it, f->upstreams);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		sum += ((struct fls_upstream *)v)->hash;
+	return (sum);
+}
+
+static uint64_t
+digest_moves(const struct fls *f)
+{
+	uint64_t sum = 0;
+	GHashTableIter it;
+	void *v;
+
+	g_hash_table_iter_init(&it, f->moves);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		sum += hash_move(&((struct fls_move *)v)->order);
+	return (sum);
+}
+
+static uint64_t
+digest_zones(const struct fls *f)
+{
+	uint64_t sum = 0;
+	GHashTableIter it;
+	void *name;
+
+	g_hash_table_iter_init(&it, f->zones_out);
+	while (g_hash_table_iter_next(&it, &name, NULL))
+		sum += bstr_hash(bstr_from(name), 1);
+	return (sum);
+}
+
+uint64_t
+fls_digest(const struct fls *f, enum fst_kind kind)
+{
+	switch (kind) {
+	case FST_CONFIG:
+		return (f->config == NULL ? 0 : (uint64_t)f->config->version);
+	case FST_MOVES:
+		return (digest_moves(f));
+	case FST_ZONES_OUT:
+		return (digest_zones(f));
+	case FST_UPSTREAMS:
+		return (digest_upstreams(f));
+	case FST_MEMBERS:
+	case FST_KINDS:
+		break;
+	}
+	return (0);
+}
+
 static struct fls_upstream *
 add_upstream(struct fls *f, const char *id)
 {
@@ -277,6 +357,7 @@
 	fld_upstream_finish(&o->entry);
 	o->entry = *u;
 	*u = (struct fld_upstream){0};
+	o->hash = hash_entry(&o->entry);
 	o->listed = true;
 	o->gone_us = 0;
 }
--- a/packages/fleet/fls.h
+++ b/packages/fleet/fls.h
@@ -34,12 +34,14 @@
  * struct fls_upstream - an upstream as this VM knows it
  * @entry: what it says of itself
  * @stat: load as this process sees it
+ * @hash: of what the entry says, without what its heartbeats change
  * @listed: it was in the list that is being read
  * @gone_us: when the entry went missing after an outage, 0 while it is there
  */
 struct fls_upstream {
 	struct fld_upstream entry;
 	struct rt_stat *stat;
+	uint64_t hash;
 	bool listed;
 	int64_t gone_us;
 };
@@ -170,6 +172,13 @@
 struct rt_tally *fls_tally(
     struct fls *f, const char *service, const char *version);
 
+/**
+ * fls_digest() - hash of all that is known of a kind
+ *
+ * Two VMs with the same digest know the same. Members have none.
+ */
+uint64_t fls_digest(const struct fls *f, enum fst_kind kind);
+
 /**
  * fls_tell_share() - the executor's word on a running move
  * @share: of the new version, in permille
--- a/packages/fleet/fls_table.c
+++ b/packages/fleet/fls_table.c
@@ -53,8 +53,8 @@
 host_done(const struct fld_config *c, uint32_t at)
 {
 	for (uint32_t i = 0; i < at; i++) {
-		if (g_ascii_strcasecmp(
-			c->routes[i].host, c->routes[at].host) == 0)
+		if (g_ascii_strcasecmp(c->routes[i].host, c->routes[at].host) ==
+		    0)
 			return (true);
 	}
 	return (false);
@@ -81,8 +81,8 @@
 static bool
 is_cold_owner(const struct fls *f, const char *id, double cold_per_s)
 {
-	uint64_t own = bstr_hash(
-	    bstr_from(id), bstr_hash(bstr_from(f->self), 0));
+	uint64_t own =
+	    bstr_hash(bstr_from(id), bstr_hash(bstr_from(f->self), 0));
 	uint32_t owners = (uint32_t)cold_per_s;
 	uint32_t before = 0;
 	GHashTableIter it;
@@ -92,8 +92,8 @@
 		return (false);
 	g_hash_table_iter_init(&it, f->members);
 	while (g_hash_table_iter_next(&it, &name, NULL)) {
-		uint64_t h = bstr_hash(
-		    bstr_from(id), bstr_hash(bstr_from(name), 0));
+		uint64_t h =
+		    bstr_hash(bstr_from(id), bstr_hash(bstr_from(name), 0));
 
 		before += h > own;
 	}
@@ -140,16 +140,15 @@
 
 		if (strcmp(e->service, d->name) != 0)
 			continue;
-		s->upstreams[s->n_upstreams++] = (struct rt_upstream){
-		    .id = bstr_from(e->id),
-		    .addr = bstr_from(e->address),
-		    .zone = bstr_from(e->zone),
-		    .version = version_index(s, e->version),
-		    .slots = e->slots,
-		    .state = state_of(b->f, e),
-		    .cold_share =
-			is_cold_owner(b->f, e->id, d->cold_per_s),
-		    .stat = u->stat};
+		s->upstreams[s->n_upstreams++] =
+		    (struct rt_upstream){.id = bstr_from(e->id),
+			.addr = bstr_from(e->address),
+			.zone = bstr_from(e->zone),
+			.version = version_index(s, e->version),
+			.slots = e->slots,
+			.state = state_of(b->f, e),
+			.cold_share = is_cold_owner(b->f, e->id, d->cold_per_s),
+			.stat = u->stat};
 	}
 }
 
@@ -168,8 +167,8 @@
 static bool
 is_new_version(struct build *b, const char *service, struct bstr version)
 {
-	char *key = g_strdup_printf(
-	    "%s\n%.*s", service, (int)version.n, version.p);
+	char *key =
+	    g_strdup_printf("%s\n%.*s", service, (int)version.n, version.p);
 	int64_t *at = g_hash_table_lookup(b->f->versions, key);
 	int64_t end_us;
 
@@ -191,14 +190,14 @@
 
 /* Divides @total permille over the versions but @not by usable upstreams. */
 static void
-divide(struct rt_service *s, uint32_t total, uint32_t not)
+divide(struct rt_service *s, uint32_t total, uint32_t not )
 {
 	uint32_t sum = 0, given = 0, last = UINT32_MAX;
 
 	for (uint32_t v = 0; v < s->n_versions; v++)
 		sum += v == not ? 0 : count_usable(s, v);
 	for (uint32_t v = 0; v < s->n_versions && sum != 0; v++) {
-		if (v == not)
+		if (v == not )
 			continue;
 		s->versions[v].share = total * count_usable(s, v) / sum;
 		given += s->versions[v].share;
@@ -227,8 +226,8 @@
 
 /* Shares of a service that is being moved to version @to. */
 static void
-share_move(struct build *b, struct rt_service *s, struct fls_move *m,
-    uint32_t to)
+share_move(
+    struct build *b, struct rt_service *s, struct fls_move *m, uint32_t to)
 {
 	uint32_t share = 0;
 
@@ -296,8 +295,7 @@
 	s->n_routes = 1;
 	s->tallies = block(b, s->n_versions, sizeof(*s->tallies));
 	for (uint32_t v = 0; v < s->n_versions; v++)
-		s->tallies[v] =
-		    fls_tally(b->f, service, s->versions[v].name.p);
+		s->tallies[v] = fls_tally(b->f, service, s->versions[v].name.p);
 }
 
 /* Longest goal of the routes that go to a service. */
@@ -321,14 +319,14 @@
 static void
 add_service(struct build *b, const struct fld_service *d)
 {
-	struct rt_service s = {.name = bstr_from(d->name),
-	    .probe_path = bstr_from(d->probe_path)};
+	struct rt_service s = {
+	    .name = bstr_from(d->name), .probe_path = bstr_from(d->probe_path)};
 
 	fill_upstreams(b, d, &s);
 	fill_shares(b, &s, d->name);
 	fill_tallies(b, &s, d->name);
-	s.slow_us = (int64_t)(SLOW_GOALS * goal_ms(b->f->config, d->name)) *
-	    1000;
+	s.slow_us =
+	    (int64_t)(SLOW_GOALS * goal_ms(b->f->config, d->name)) * 1000;
 	g_array_append_val(b->services, s);
 }
 
--- a/packages/fleet/fmv.c
+++ b/packages/fleet/fmv.c
@@ -46,8 +46,8 @@
 	    .start_ms = now_ms - desc->elapsed_ms,
 	    .rotate_ms = now_ms,
 	    .state = FLD_MOVE_RUNNING};
-	m->reports = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, free_counts);
+	m->reports =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_counts);
 }
 
 void
@@ -122,8 +122,8 @@
 }
 
 static bool
-is_plainly_worse(uint64_t bad, uint64_t calls, uint64_t old_bad,
-    uint64_t old_calls)
+is_plainly_worse(
+    uint64_t bad, uint64_t calls, uint64_t old_bad, uint64_t old_calls)
 {
 	return (bad >= MIN_BAD &&
 	    ratio(bad, calls) > 2 * ratio(old_bad, old_calls) + BAD_RATIO_MORE);
--- a/packages/fleet/fst.h
+++ b/packages/fleet/fst.h
@@ -42,6 +42,8 @@
  * struct fst_sink_ops - receiver of changes
  * @begin: all objects of a kind follow; those that do not are gone
  * @end: the list is complete
+ * @updated: a list is complete, or all changes of a watch were reported; what
+ *	is known of the kind is as of @revision
  * @config: the configuration, taken over by the receiver
  * @upstream: an upstream, contents taken over; NULL when it is gone
  * @move: an order, contents taken over; NULL when it is gone
@@ -53,6 +55,8 @@
 struct fst_sink_ops {
 	void (*begin)(struct fst_sink *s, enum fst_kind kind);
 	void (*end)(struct fst_sink *s, enum fst_kind kind);
+	void (*updated)(
+	    struct fst_sink *s, enum fst_kind kind, int64_t revision);
 	void (*config)(struct fst_sink *s, struct fld_config *c);
 	void (*upstream)(
 	    struct fst_sink *s, const char *id, struct fld_upstream *u);
@@ -77,6 +81,10 @@
  * @start: begin to read all kinds and report to a sink
  * @write_member: publish this VM
  * @write_move: conditional write of a move's state, start and executor
+ * @revision: revision of the last read of a kind, 0 before the first
+ * @told: another VM knows the same of a kind, as of @revision; the next read
+ *	may wait until @until_ms
+ * @hurry: read a kind now, unless a read of it is in flight
  * @run: do what is due and wait for up to @timeout_ms, or until one of the
  *	descriptors can be read
  * @free: close and free
@@ -87,6 +95,10 @@
 	void (*write_move)(struct fst *s, const struct fld_move *m,
 	    enum fld_move_state state, int64_t started_ms,
 	    const char *executor);
+	int64_t (*revision)(const struct fst *s, enum fst_kind kind);
+	void (*told)(struct fst *s, enum fst_kind kind, int64_t revision,
+	    int64_t until_ms);
+	void (*hurry)(struct fst *s, enum fst_kind kind);
 	void (*run)(struct fst *s, const int *fds, unsigned n, int timeout_ms);
 	void (*free)(struct fst *s);
 };
--- a/packages/front/ask.c
+++ b/packages/front/ask.c
@@ -228,8 +228,8 @@
 }
 
 static void
-send_probe(struct wrk *w, const struct rt_service *s,
-    const struct rt_upstream *u)
+send_probe(
+    struct wrk *w, const struct rt_service *s, const struct rt_upstream *u)
 {
 	struct probe *p = calloc(1, sizeof(*p));
 	struct bbuf url;
--- a/packages/front/clg.h
+++ b/packages/front/clg.h
@@ -1,5 +1,6 @@
 /*
- * clg - log lines about calls, so that a failed one can be explained afterwards.
+ * clg - log lines about calls, so that a failed one can be explained
+ *afterwards.
  *
  * One line for each attempt that failed or was refused and for each call that
  * ended otherwise than well; of good calls one in CLG_SAMPLE, and those that
--- a/packages/front/snd.c
+++ b/packages/front/snd.c
@@ -107,8 +107,8 @@
 					   : clk_wall_ms() + left_ms));
 	add_field(c, bstr_from(upp->deadline_field), bstr_from(value));
 	if (upp->instance_field[0] != '\0')
-		add_field(c, bstr_from(upp->instance_field),
-		    bstr_from(c->instance));
+		add_field(
+		    c, bstr_from(upp->instance_field), bstr_from(c->instance));
 }
 
 static void
--- a/packages/front/svc.c
+++ b/packages/front/svc.c
@@ -60,8 +60,8 @@
 static void
 set_timer(struct call *c, int64_t now_us)
 {
-	int64_t at = now_us +
-	    (c->goal_us != 0 ? SVC_ASK_AGAIN_MS : SVC_RETRY_MS) * 1000;
+	int64_t at =
+	    now_us + (c->goal_us != 0 ? SVC_ASK_AGAIN_MS : SVC_RETRY_MS) * 1000;
 
 	if (at > c->park_until_us)
 		at = c->park_until_us;
@@ -74,8 +74,8 @@
 static int64_t
 wait_us(const struct call *c)
 {
-	return (c->goal_us != 0 ? c->goal_us / SVC_GOAL_PART
-				: SVC_WAIT_MS * 1000);
+	return (
+	    c->goal_us != 0 ? c->goal_us / SVC_GOAL_PART : SVC_WAIT_MS * 1000);
 }
 
 enum err_kind
--- a/packages/front/svc.h
+++ b/packages/front/svc.h
@@ -42,7 +42,8 @@
 /** svc_get() - state of a service, made on first use; @name ends in zero */
 struct svc *svc_get(GHashTable *table, struct bstr name, int64_t now_us);
 
-/** svc_take_retry() - whether the retry budget allows a retry of @c; takes it */
+/** svc_take_retry() - whether the retry budget allows a retry of @c; takes it
+ */
 bool svc_take_retry(struct call *c, int64_t now_us);
 
 /** svc_must_wait() - whether a new call has to queue behind others */
--- a/packages/front/ups.c
+++ b/packages/front/ups.c
@@ -34,12 +34,12 @@
 	c->instance[u->id.n] = '\0';
 	c->tally = t == NULL ? NULL : rt_tally_ref(t);
 	c->up_state = u->state;
-	c->chosen = (struct call_choice){
-	    .running = atomic_load(&u->stat->reported),
-	    .waiting = atomic_load(&u->stat->waiting),
-	    .pace = atomic_load(&u->stat->pace),
-	    .age_us = clk_mono_us() - atomic_load(&u->stat->reported_us),
-	    .table_version = env_version(wrk_env(c->w))};
+	c->chosen =
+	    (struct call_choice){.running = atomic_load(&u->stat->reported),
+		.waiting = atomic_load(&u->stat->waiting),
+		.pace = atomic_load(&u->stat->pace),
+		.age_us = clk_mono_us() - atomic_load(&u->stat->reported_us),
+		.table_version = env_version(wrk_env(c->w))};
 	c->slots = u->slots;
 	c->slow_us = s->slow_us;
 	memcpy(c->addr, u->addr.p, u->addr.n);
@@ -370,8 +370,7 @@
 	c->status = h->status;
 	c->answer_whole = !rhd_has_body(h) || h->len == 0;
 	c->failed = h->status >= 500 && !c->refused &&
-	    wrk_env(c->w)->upp->promises &&
-	    may_retry(c, ERR_UPSTREAM_ANSWER);
+	    wrk_env(c->w)->upp->promises && may_retry(c, ERR_UPSTREAM_ANSWER);
 	drop_upload(c);
 	if (!c->refused && !c->failed)
 		fe_on_head(c);
--- a/packages/ops/lgr.c
+++ b/packages/ops/lgr.c
@@ -154,8 +154,7 @@
 {
 	int flags = fcntl(STDOUT_FILENO, F_GETFL);
 
-	if (flags < 0 ||
-	    fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK) != 0)
+	if (flags < 0 || fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK) != 0)
 		fputs("log: standard output may block\n", stderr);
 	g_log_set_writer_func(write_log, (gpointer)(uintptr_t)desc, NULL);
 }
--- a/packages/ops/set.c
+++ b/packages/ops/set.c
@@ -300,8 +300,8 @@
 
 		if (colon == NULL || !bstr_to_u64(bstr_from(colon + 1), &port))
 			continue;
-		json_object_set_new(group, "addr",
-		    json_stringn(text, (size_t)(colon - text)));
+		json_object_set_new(
+		    group, "addr", json_stringn(text, (size_t)(colon - text)));
 		json_object_set_new(
 		    group, "port", json_integer((json_int_t)port));
 		json_object_del(group, "address");
--- a/packages/route/rt.h
+++ b/packages/route/rt.h
@@ -256,7 +256,8 @@
 /** rt_version_at() - version that a draw below 1000 means, by the shares */
 uint32_t rt_version_at(const struct rt_service *s, uint32_t draw);
 
-/** rt_is_ejected() - whether the upstream fails too many calls to be used now */
+/** rt_is_ejected() - whether the upstream fails too many calls to be used now
+ */
 bool rt_is_ejected(const struct rt_stat *s, int64_t now_us);
 
 /** rt_is_eligible() - whether the state and the exclusions allow an upstream */
--- a/tests/lib/rig.c
+++ b/tests/lib/rig.c
@@ -89,12 +89,8 @@
 	    "a", "dead", "hole", "two", "full", "none"};
 	struct rt_route routes[] = {
 	    {.prefix = BSTR("/"), .timeout_ms = LONG_MS},
-	    {.prefix = BSTR("/i"),
-		.idempotent = true,
-		.timeout_ms = LONG_MS},
-	    {.prefix = BSTR("/t"),
-		.idempotent = true,
-		.timeout_ms = SHORT_MS},
+	    {.prefix = BSTR("/i"), .idempotent = true, .timeout_ms = LONG_MS},
+	    {.prefix = BSTR("/t"), .idempotent = true, .timeout_ms = SHORT_MS},
 	    {.prefix = BSTR("/u"), .timeout_ms = SHORT_MS},
 	};
 	const uint16_t ports[N_SERVICES][2] = {{rig.up_port}, {dead}, {hole},
--- a/tests/unit/test_fmv.c
+++ b/tests/unit/test_fmv.c
@@ -145,8 +145,7 @@
 {
 	(void)state;
 	for (int64_t ms = 1000; ms <= 6000; ms += 1000)
-		expect_rolled_back(
-		    &(struct plan){.fail = 0.4, .late_ms = ms});
+		expect_rolled_back(&(struct plan){.fail = 0.4, .late_ms = ms});
 }
 
 /* Bad only once it gets more than a few requests. */
@@ -154,10 +153,8 @@
 test_under_load(void **state)
 {
 	(void)state;
-	expect_rolled_back(
-	    &(struct plan){.fail = 0.4, .load_permille = 300});
-	expect_rolled_back(
-	    &(struct plan){.fail = 0.4, .load_permille = 1000});
+	expect_rolled_back(&(struct plan){.fail = 0.4, .load_permille = 300});
+	expect_rolled_back(&(struct plan){.fail = 0.4, .load_permille = 1000});
 }
 
 /* Too few upstreams of the new version: the move is taken back in time. */
@@ -177,8 +174,8 @@
 test_takeover(void **state)
 {
 	struct fmv_desc d = {.duration_ms = DURATION_MS, .elapsed_ms = 5000};
-	struct fmv_counts c = {.old_version = {.calls = 1000},
-	    .new_version = {.calls = 50}};
+	struct fmv_counts c = {
+	    .old_version = {.calls = 1000}, .new_version = {.calls = 50}};
 	struct fmv m;
 
 	(void)state;
--- /dev/null
+++ b/tests/unit/test_fnw.c
@@ -0,0 +1,245 @@
+/* News between VMs: who reads the store, what is told, and its datagrams. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "base/rng.h"
+#include "fleet/fnw.h"
+#include "peer/pmv.h"
+#include "peer/pnw.h"
+
+#define N_VMS 19
+#define ROUND_MS 900
+
+static void
+set_upstream(struct fls *f, const char *id, bool draining)
+{
+	struct fld_upstream u = {.id = g_strdup(id),
+	    .service = g_strdup("s"),
+	    .address = g_strdup("10.0.0.1:80"),
+	    .zone = g_strdup("a"),
+	    .version = g_strdup("v1"),
+	    .slots = 6,
+	    .draining = draining};
+
+	fls_set_upstream(f, id, &u, 0);
+}
+
+/* Rounds of a fleet in which every reader is heard by all that live. */
+static int
+count_readers(struct fnw *vms, const bool *dead, int64_t *now_ms, int rounds)
+{
+	int readers = 0;
+
+	for (int r = 0; r < rounds; r++, *now_ms += ROUND_MS) {
+		bool reads[N_VMS];
+
+		readers = 0;
+		for (int i = 0; i < N_VMS; i++) {
+			reads[i] = !dead[i] && fnw_is_reader(&vms[i], *now_ms);
+			readers += reads[i];
+		}
+		for (int i = 0; i < N_VMS; i++) {
+			for (int k = 0; k < N_VMS; k++) {
+				if (reads[i] && k != i && !dead[k])
+					fnw_on_heard(
+					    &vms[k], vms[i].self, *now_ms);
+			}
+		}
+	}
+	return (readers);
+}
+
+/* Two VMs read for all; when they die, two others do within three rounds. */
+static void
+test_readers(void **state)
+{
+	struct fnw vms[N_VMS];
+	bool dead[N_VMS] = {false};
+	int64_t now_ms = 1000;
+	char name[16];
+
+	(void)state;
+	for (int i = 0; i < N_VMS; i++) {
+		snprintf(name, sizeof(name), "vm%d", i);
+		fnw_init(&vms[i], &(struct fnw_desc){.self = name});
+	}
+	assert_int_equal(count_readers(vms, dead, &now_ms, 3), FNW_READERS);
+	for (int i = 0; i < N_VMS; i++)
+		dead[i] = fnw_is_reader(&vms[i], now_ms);
+	assert_int_equal(count_readers(vms, dead, &now_ms, 4), FNW_READERS);
+	for (int i = 0; i < N_VMS; i++)
+		fnw_finish(&vms[i]);
+}
+
+/* A VM that hears nobody reads by itself. */
+static void
+test_alone(void **state)
+{
+	struct fnw n;
+
+	(void)state;
+	fnw_init(&n, &(struct fnw_desc){.self = "vm1"});
+	fnw_on_heard(&n, "vm2", 0);
+	fnw_on_heard(&n, "vm3", 0);
+	fnw_on_heard(&n, "vm4", 0);
+	assert_true(fnw_is_reader(&n, FNW_HEARD_MS));
+	fnw_finish(&n);
+}
+
+static void
+test_changes(void **state)
+{
+	struct fls f;
+	struct fnw n;
+	GPtrArray *ids;
+
+	(void)state;
+	fls_init(&f, &(struct fls_desc){.self = "vm1"});
+	fnw_init(&n, &(struct fnw_desc){.self = "vm1"});
+	set_upstream(&f, "u1", false);
+	ids = fnw_changes(&n, &f);
+	assert_int_equal(ids->len, 0);
+	g_ptr_array_unref(ids);
+	set_upstream(&f, "u1", true);
+	set_upstream(&f, "u2", false);
+	ids = fnw_changes(&n, &f);
+	assert_int_equal(ids->len, 2);
+	g_ptr_array_unref(ids);
+	fls_set_upstream(&f, "u1", NULL, 0);
+	ids = fnw_changes(&n, &f);
+	assert_int_equal(ids->len, 1);
+	assert_string_equal(g_ptr_array_index(ids, 0), "u1");
+	g_ptr_array_unref(ids);
+	fnw_finish(&n);
+	fls_finish(&f);
+}
+
+/* Equal knowledge has equal digests, whatever the order in which it came. */
+static void
+test_digests(void **state)
+{
+	struct fls a, b;
+
+	(void)state;
+	fls_init(&a, &(struct fls_desc){.self = "vm1"});
+	fls_init(&b, &(struct fls_desc){.self = "vm2"});
+	set_upstream(&a, "u1", false);
+	set_upstream(&a, "u2", false);
+	set_upstream(&b, "u2", false);
+	assert_true(
+	    fls_digest(&a, FST_UPSTREAMS) != fls_digest(&b, FST_UPSTREAMS));
+	set_upstream(&b, "u1", true);
+	assert_true(
+	    fls_digest(&a, FST_UPSTREAMS) != fls_digest(&b, FST_UPSTREAMS));
+	set_upstream(&b, "u1", false);
+	assert_true(
+	    fls_digest(&a, FST_UPSTREAMS) == fls_digest(&b, FST_UPSTREAMS));
+	fls_set_zone_out(&a, "z1", true);
+	assert_true(
+	    fls_digest(&a, FST_ZONES_OUT) != fls_digest(&b, FST_ZONES_OUT));
+	fls_set_zone_out(&a, "z1", false);
+	assert_true(
+	    fls_digest(&a, FST_ZONES_OUT) == fls_digest(&b, FST_ZONES_OUT));
+	fls_finish(&a);
+	fls_finish(&b);
+}
+
+static struct bbuf
+encoded(void)
+{
+	static const struct fld_upstream entry = {.id = (char[]){"u1"},
+	    .service = (char[]){"s"},
+	    .address = (char[]){"10.0.0.1:80"},
+	    .zone = (char[]){"a"},
+	    .version = (char[]){"v1"},
+	    .slots = 6,
+	    .draining = true,
+	    .cold_ms = 1500,
+	    .born_ms = 1776412633735};
+	const struct pnw_change changes[] = {{"u1", &entry}, {"u2", NULL}};
+	struct pnw_head head = {.vm = "vm1", .last = true};
+	struct bbuf b;
+
+	for (int k = 0; k < FST_KINDS; k++) {
+		head.revision[k] = 100 + k;
+		head.digest[k] = UINT64_MAX - (uint64_t)k;
+	}
+	bbuf_init(&b);
+	pnw_encode(&b, &head, changes, 2);
+	return (b);
+}
+
+static void
+test_datagram(void **state)
+{
+	struct pnw_change changes[PNW_MAX_CHANGES];
+	struct bbuf b = encoded();
+	struct pnw_head head;
+	struct pmv_msg other;
+	uint32_t n;
+
+	(void)state;
+	assert_true(pnw_decode(bbuf_str(&b), &head, changes, &n));
+	assert_string_equal(head.vm, "vm1");
+	assert_true(head.last);
+	assert_int_equal(head.revision[FST_UPSTREAMS], 100 + FST_UPSTREAMS);
+	assert_true(head.digest[FST_MOVES] == UINT64_MAX - FST_MOVES);
+	assert_int_equal(n, 2);
+	assert_string_equal(changes[0].entry->address, "10.0.0.1:80");
+	assert_true(changes[0].entry->draining);
+	assert_int_equal(changes[0].entry->born_ms, 1776412633735);
+	assert_string_equal(changes[1].id, "u2");
+	assert_null(changes[1].entry);
+	pnw_free(changes, n);
+	/* The two kinds of datagrams are not taken for each other. */
+	assert_false(pmv_decode(bbuf_str(&b), &other));
+	bbuf_finish(&b);
+}
+
+/* Bytes that are cut or changed never crash the reader. */
+static void
+test_damaged(void **state)
+{
+	struct pnw_change changes[PNW_MAX_CHANGES];
+	struct bbuf b = encoded();
+	struct pnw_head head;
+	struct rng rng;
+	uint32_t n;
+
+	(void)state;
+	for (size_t len = 0; len < b.n; len++)
+		assert_false(
+		    pnw_decode((struct bstr){b.p, len}, &head, changes, &n));
+	rng_init(&rng, 5);
+	for (int i = 0; i < 20000; i++) {
+		char copy[512];
+		size_t at = rng_below(&rng, (uint32_t)b.n);
+
+		memcpy(copy, b.p, b.n);
+		copy[at] = (char)rng_next(&rng);
+		if (pnw_decode((struct bstr){copy, b.n}, &head, changes, &n))
+			pnw_free(changes, n);
+	}
+	bbuf_finish(&b);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_readers),
+	    cmocka_unit_test(test_alone),
+	    cmocka_unit_test(test_changes),
+	    cmocka_unit_test(test_digests),
+	    cmocka_unit_test(test_datagram),
+	    cmocka_unit_test(test_damaged),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
--- a/tests/unit/test_pbc.c
+++ b/tests/unit/test_pbc.c
@@ -106,8 +106,7 @@
 
 	(void)state;
 	assert_true(pick(&req, NOW_US + PBC_FRESH_US) >= 0);
-	assert_int_equal(
-	    pick(&req, NOW_US + PBC_FRESH_US + 1), RT_NONE);
+	assert_int_equal(pick(&req, NOW_US + PBC_FRESH_US + 1), RT_NONE);
 }
 
 /* A zone that comes back cold bears few requests of the whole fleet. */
--- a/tests/unit/test_pdc.c
+++ b/tests/unit/test_pdc.c
@@ -11,10 +11,10 @@
 #include "platform/pdc.h"
 #include "platform/pup.h"
 
-#define ENTRY(extra)                                                         \
-	"{\"metadata\":{\"name\":\"u1\",\"revision\":7},\"spec\":{"           \
-	"\"service\":\"s\",\"address\":\"10.1.2.3:8080\",\"zone\":\"a\","     \
-	"\"version\":\"v1\",\"slots\":6,\"state\":\"ready\","                 \
+#define ENTRY(extra)                                                           \
+	"{\"metadata\":{\"name\":\"u1\",\"revision\":7},\"spec\":{"            \
+	"\"service\":\"s\",\"address\":\"10.1.2.3:8080\",\"zone\":\"a\","      \
+	"\"version\":\"v1\",\"slots\":6,\"state\":\"ready\","                  \
 	"\"warmupLeft\":\"1.5s\",\"sequence\":4" extra "}}"
 
 static bool
@@ -195,8 +195,7 @@
 static void
 test_written_move(void **state)
 {
-	struct fld_move m = {
-	    .name = "s", .to_version = "v2", .revision = 12};
+	struct fld_move m = {.name = "s", .to_version = "v2", .revision = 12};
 	json_t *o = pdc_put_move(&m, FLD_MOVE_RUNNING, 1234, "vm1");
 	struct fld_move back;
 	const char *why;
@@ -238,9 +237,8 @@
 static struct upp_report
 read_head(const char *const *lines, bool probe)
 {
-	struct upp_expect e = {.request_id = BSTR("r1"),
-	    .instance = BSTR("u1"),
-	    .probe = probe};
+	struct upp_expect e = {
+	    .request_id = BSTR("r1"), .instance = BSTR("u1"), .probe = probe};
 	struct upp_report r;
 	struct rhd h;
 
@@ -272,10 +270,10 @@
 		false)
 		.verdict,
 	    UPP_FOREIGN);
-	assert_int_equal(read_head(HEAD("HTTP/1.1 200 OK\r\n",
-				       "Content-Length: 0\r\n"),
-			     false)
-			     .verdict,
+	assert_int_equal(
+	    read_head(
+		HEAD("HTTP/1.1 200 OK\r\n", "Content-Length: 0\r\n"), false)
+		.verdict,
 	    UPP_FOREIGN);
 }
 
