--- a/tests/unit/test_fnw.c
+++ b/tests/unit/test_fnw.c
@@ -153,11 +153,13 @@
 static struct bbuf
 encoded(void)
 {
-	static const struct fld_upstream entry = {.id = (char[]){"u1"},
-	    .service = (char[]){"s"},
-	    .address = (char[]){"10.0.0.1:80"},
-	    .zone = (char[]){"a"},
-	    .version = (char[]){"v1"},
+	char id[] = "u1", service[] = "s", address[] = "10.0.0.1:80";
+	char zone[] = "a", version[] = "v1";
+	const struct fld_upstream entry = {.id = id,
+	    .service = service,
+	    .address = address,
+	    .zone = zone,
+	    .version = version,
 	    .slots = 6,
 	    .draining = true,
 	    .cold_ms = 1500,
