Stay below the knee of an upstream and start nothing while it is slowed

Ruled out: late probes, uneven choice (24, 17, 11 calls at the three), the queue of a VM (200 ms).

Change: an upstream is full above 0.8 of its slots; one whose pace is 2.5 times the usual is left out until it has been slow for 0.6 s and four reports. Callers that one upstream refused may return at once (10 to 40 ms), after an overload within 100 to 400 ms. test_full is as strict at the new limit.

--- a/packages/front/call.h
+++ b/packages/front/call.h
@@ -153,7 +153,6 @@
  * @failed: the upstream's failure is dropped, another attempt follows
  * @instance: id of the chosen upstream
  * @chosen: what it was chosen by
- * @retry_after_ms: when to come back, 0 for the table's figure
  * @head: head of the answer
  * @head_bad: the upstream's answer must not be used
  * @status: status of the answer once its final head is complete
@@ -226,7 +225,6 @@
 	bool may_ask;
 	char instance[CALL_ID_MAX + 1];
 	struct call_choice chosen;
-	uint32_t retry_after_ms;
 	char addr[CALL_ADDR_MAX + 1];
 	unsigned attempts;
 	enum call_sent sent;
--- a/packages/front/fe.c
+++ b/packages/front/fe.c
@@ -22,8 +22,6 @@
 #define CONNECTION_MEMORY (32 * 1024)
 #define CONNECTION_LIMIT 4096
 #define IDLE_TIMEOUT_S 60u
-#define RETRY_AFTER_MIN_MS 100
-#define RETRY_AFTER_SPREAD_MS 200
 
 /**
  * struct fe_conn - connection of a caller
@@ -76,20 +74,41 @@
 	return (rc);
 }
 
+/** struct comeback - when callers are told to return, in milliseconds */
+struct comeback {
+	uint32_t min_ms;
+	uint32_t spread_ms;
+};
+
 /*
- * When to come back. A refused call is told a time spread over a part of its
- * goal, so that those that were refused together do not return together.
+ * When to come back. One upstream's refusal says little about the others, so
+ * that caller may return at once; after an overload the returns are spread, so
+ * that those that were refused together do not return together.
  */
+static struct comeback
+comeback_of(enum err_kind kind)
+{
+	switch (kind) {
+	case ERR_REFUSED:
+	case ERR_CONNECT:
+		return ((struct comeback){10, 30});
+	case ERR_OVERLOADED:
+		return ((struct comeback){100, 300});
+	default:
+		return ((struct comeback){200, 400});
+	}
+}
+
 static void
 add_retry_after(struct call *c, struct MHD_Response *r, unsigned status)
 {
 	unsigned s = err_answer(c->err)->retry_after_s;
+	struct comeback b = comeback_of(c->err);
 	char text[32];
 
 	if (wrk_env(c->w)->upp->promises && status == 503)
 		snprintf(text, sizeof(text), "%.3f",
-		    (RETRY_AFTER_MIN_MS +
-			rng_below(wrk_rng(c->w), RETRY_AFTER_SPREAD_MS)) /
+		    (b.min_ms + rng_below(wrk_rng(c->w), b.spread_ms)) /
 			1000.0);
 	else if (s != 0)
 		snprintf(text, sizeof(text), "%u", s);
--- a/packages/route/pbc.c
+++ b/packages/route/pbc.c
@@ -6,8 +6,16 @@
 /* Share of the slots above which upstreams get slower, and by how much. */
 #define KNEE_SHARE 0.8
 #define KNEE_FACTOR 1.7
-/* An upstream with more requests than slots and this share of them is full. */
-#define FULL_QUEUE_SHARE 0.5
+/* With fewer slots the share above is too coarse, and all slots are used. */
+#define KNEE_MIN_SLOTS 5
+/*
+ * A request that starts at this pace keeps its slot several times as long,
+ * while the pace itself lasts for about 150 ms: it had better wait.
+ */
+#define SLOWED_PACE 250
+/* An upstream that reports it this often for this long is slow for good. */
+#define SLOW_REPORTS 4
+#define SLOW_US 600000
 /* Cost of leaving the availability zone, as a share of a usual request. */
 #define OTHER_ZONE_COST 0.05
 /* A cold upstream works slowly; it is chosen after all others of its load. */
@@ -15,6 +23,18 @@
 /* An upstream whose calls all fail costs this many times more. */
 #define FAIL_WEIGHT 12.0
 
+/* Counts the reports of a slow pace in a row. */
+static void
+learn_pace(struct rt_stat *s, int32_t pace, int64_t now_us)
+{
+	if (pace < SLOWED_PACE) {
+		atomic_store(&s->slow_reports, 0);
+		return;
+	}
+	if (atomic_fetch_add(&s->slow_reports, 1) == 0)
+		atomic_store(&s->slow_since_us, now_us);
+}
+
 void
 pbc_on_report(struct rt_stat *s, const struct pbc_report *r, int64_t now_us)
 {
@@ -34,6 +54,7 @@
 	atomic_store(&s->reported, r->running);
 	atomic_store(&s->waiting, r->waiting);
 	atomic_store(&s->pace, r->pace);
+	learn_pace(s, r->pace, now_us);
 	atomic_store(&s->started_since, 0);
 	atomic_store(&s->reported_us, now_us);
 	atomic_store(&s->asked_us, now_us);
@@ -200,14 +221,30 @@
 	    atomic_load(&s->started_since));
 }
 
+/*
+ * An upstream takes requests up to the share of its slots above which it gets
+ * slower: beyond it, more requests at a time are fewer requests a second.
+ */
 static bool
 is_full(const struct rt_upstream *u)
 {
-	double limit = u->slots * (1 + FULL_QUEUE_SHARE);
+	double limit = u->slots;
 
+	if (u->slots >= KNEE_MIN_SLOTS)
+		limit *= KNEE_SHARE;
 	return (u->slots != 0 && load_of(u->stat) + 1 > limit);
 }
 
+/* Whether requests should wait rather than go there, see SLOWED_PACE. */
+static bool
+is_slowed(const struct rt_stat *s, int64_t now_us)
+{
+	if (atomic_load(&s->no_report) || atomic_load(&s->slow_reports) == 0)
+		return (false);
+	return (atomic_load(&s->slow_reports) < SLOW_REPORTS ||
+	    now_us - atomic_load(&s->slow_since_us) < SLOW_US);
+}
+
 /* Time until one more request ends, in usual service times. */
 static double
 cost(const struct rt_upstream *u, const struct rt_request *req, int64_t now_us)
@@ -252,7 +289,7 @@
 		if (!atomic_load(&u->stat->no_report) &&
 		    !pbc_is_fresh(u->stat, now_us))
 			continue;
-		if (is_full(u)) {
+		if (is_full(u) || is_slowed(u->stat, now_us)) {
 			if (best == RT_NONE)
 				best = RT_FULL;
 			continue;
--- a/packages/route/rt.h
+++ b/packages/route/rt.h
@@ -51,6 +51,8 @@
  * @wanted_us: when a pick last considered the upstream while it was cold
  * @waiting: requests that waited for a slot at the last full report
  * @pace: time that work takes at that moment, in percent of the usual time
+ * @slow_reports: full reports of a slow pace in a row
+ * @slow_since_us: when the first of them came
  * @asked_us: when the last full report came, 0 for never
  * @silent_until_us: no probe is sent before, because one was not answered
  * @refusing_until_us: said that it takes no work, or another process has its
@@ -77,6 +79,8 @@
 	_Atomic int64_t wanted_us;
 	_Atomic int32_t waiting;
 	_Atomic int32_t pace;
+	_Atomic int32_t slow_reports;
+	_Atomic int64_t slow_since_us;
 	_Atomic int64_t asked_us;
 	_Atomic int64_t silent_until_us;
 	_Atomic int64_t refusing_until_us;
--- a/tests/unit/test_pbc.c
+++ b/tests/unit/test_pbc.c
@@ -84,7 +84,10 @@
 	assert_int_equal(pick(&req, NOW_US), 5);
 }
 
-/* A burst: upstreams without a free slot are full, and said to be. */
+/*
+ * A burst: upstreams are full from the share of their slots above which more
+ * requests at a time are fewer a second, and that is said.
+ */
 static void
 test_full(void **state)
 {
@@ -94,10 +97,39 @@
 	for (int i = 0; i < N_UP; i++)
 		report(i, SLOTS, SLOTS, 100);
 	assert_int_equal(pick(&req, NOW_US), RT_FULL);
-	report(2, SLOTS - 1, 0, 100);
+	for (int i = 0; i < N_UP; i++)
+		report(i, SLOTS - 2, 0, 100);
+	assert_int_equal(pick(&req, NOW_US), RT_FULL);
+	report(2, SLOTS - 3, 0, 100);
 	assert_int_equal(pick(&req, NOW_US), 2);
 }
 
+/*
+ * Load that shifts in milliseconds: a request that starts while its upstream is
+ * slowed keeps the slot several times as long, so it waits even when all are;
+ * one that is slow for good is used.
+ */
+static void
+test_all_slowed(void **state)
+{
+	struct pbc_report slow = {.pace = 500};
+	struct rt_request req = {0};
+	int64_t now_us = NOW_US;
+
+	(void)state;
+	for (int i = 0; i < N_UP; i++)
+		report(i, 0, 0, 500);
+	assert_int_equal(pick(&req, NOW_US), RT_FULL);
+	for (int k = 0; k < 4; k++) {
+		now_us += 200000;
+		pbc_on_report(stats[3], &slow, now_us);
+	}
+	assert_int_equal(pick(&req, now_us), 3);
+	report(3, 0, 0, 100);
+	report(3, 0, 0, 500);
+	assert_int_equal(pick(&req, NOW_US), RT_FULL);
+}
+
 /* What was reported a while ago is no base for a choice. */
 static void
 test_old_report(void **state)
@@ -254,6 +286,7 @@
 	const struct CMUnitTest tests[] = {
 	    TEST(test_slowed),
 	    TEST(test_full),
+	    TEST(test_all_slowed),
 	    TEST(test_old_report),
 	    TEST(test_cold),
 	    TEST(test_cold_not_asked),
