List a kind at once when another VM knows more of it

Ruled out: the reader (it told version 12 within 0.1 s of reading it).

A stand-in store speaks the published protocol in the test process (tests/lib/ ostore); test_pst: test_hurry fails before, passes after.

--- a/packages/fleet/fst.h
+++ b/packages/fleet/fst.h
@@ -84,7 +84,7 @@
  * @revision: revision of the last read of a kind, 0 before the first
  * @told: another VM knows the same of a kind, as of @revision; the next read
  *	may wait until @until_ms
- * @hurry: read a kind now, unless a read of it is in flight
+ * @hurry: list a kind now, because another VM knows more of it
  * @run: do what is due and wait for up to @timeout_ms, or until one of the
  *	descriptors can be read
  * @free: close and free
--- /dev/null
+++ b/tests/unit/test_pst.c
@@ -0,0 +1,441 @@
+/* The client of the platform's store, against a stand-in over loopback. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+
+#include "fleet/fls.h"
+#include "lib/ostore.h"
+#include "platform/pst.h"
+#include "sys/clk.h"
+
+#define ROUND_MS 20
+/* Far above what any case needs; a wait on a condition ends long before. */
+#define LIMIT_MS 20000
+
+/** struct rig - a client with what it reported */
+struct rig {
+	struct fst_sink sink;
+	struct ostore *store;
+	struct fst *client;
+	struct fls fls;
+	struct met met;
+	bool reachable;
+	unsigned outages;
+	int written; /* last result, -1 for none */
+};
+
+static struct rig *
+rig_of(struct fst_sink *s)
+{
+	return ((struct rig *)s);
+}
+
+static void
+on_begin(struct fst_sink *s, enum fst_kind kind)
+{
+	fls_begin(&rig_of(s)->fls, kind);
+}
+
+static void
+on_end(struct fst_sink *s, enum fst_kind kind)
+{
+	fls_end(&rig_of(s)->fls, kind, clk_mono_us());
+}
+
+static void
+on_updated(struct fst_sink *s, enum fst_kind kind, int64_t revision)
+{
+	(void)s;
+	(void)kind;
+	assert_true(revision > 0);
+}
+
+static void
+on_config(struct fst_sink *s, struct fld_config *c)
+{
+	fls_set_config(&rig_of(s)->fls, c);
+}
+
+static void
+on_upstream(struct fst_sink *s, const char *id, struct fld_upstream *u)
+{
+	fls_set_upstream(&rig_of(s)->fls, id, u, clk_mono_us());
+}
+
+static void
+on_move(struct fst_sink *s, const char *name, struct fld_move *m)
+{
+	fls_set_move(&rig_of(s)->fls, name, m, clk_mono_us());
+}
+
+static void
+on_zone_out(struct fst_sink *s, const char *zone, bool out)
+{
+	fls_set_zone_out(&rig_of(s)->fls, zone, out);
+}
+
+static void
+on_member(struct fst_sink *s, const char *id, struct fld_member *m)
+{
+	fls_set_member(&rig_of(s)->fls, id, m);
+}
+
+static void
+on_reachable(struct fst_sink *s, bool yes)
+{
+	struct rig *r = rig_of(s);
+
+	r->reachable = yes;
+	r->outages += !yes;
+	fls_on_reachable(&r->fls, yes, clk_mono_us());
+}
+
+static void
+on_move_written(struct fst_sink *s, const char *name, enum fst_result result)
+{
+	assert_string_equal(name, "s");
+	rig_of(s)->written = (int)result;
+}
+
+static const struct fst_sink_ops sink_ops = {
+    .begin = on_begin,
+    .end = on_end,
+    .updated = on_updated,
+    .config = on_config,
+    .upstream = on_upstream,
+    .move = on_move,
+    .zone_out = on_zone_out,
+    .member = on_member,
+    .reachable = on_reachable,
+    .move_written = on_move_written,
+};
+
+static void
+put_config(struct ostore *o, int version)
+{
+	char text[512];
+
+	snprintf(text, sizeof(text),
+	    "{\"version\":%d,\"routes\":{\"r\":{\"host\":\"h\","
+	    "\"pathPrefix\":\"/a/\",\"kind\":\"safe\",\"service\":\"s\"}},"
+	    "\"services\":{\"s\":{\"healthPath\":\"/health\"}},\"limits\":{}}",
+	    version);
+	ostore_put(o, "config", "main", text);
+}
+
+static void
+put_upstream(struct ostore *o, const char *id, const char *state)
+{
+	char text[512];
+
+	snprintf(text, sizeof(text),
+	    "{\"service\":\"s\",\"address\":\"127.0.0.1:9\",\"zone\":\"a\","
+	    "\"version\":\"v1\",\"slots\":6,\"state\":\"%s\","
+	    "\"warmupLeft\":\"0ms\",\"sequence\":1,\"born\":1}",
+	    state);
+	ostore_put(o, "servers", id, text);
+}
+
+static int
+setup(void **state)
+{
+	struct rig *r = g_new0(struct rig, 1);
+	struct pst_desc desc = {.met = &r->met, .seed = 3};
+	char address[32];
+
+	r->sink.ops = &sink_ops;
+	r->reachable = true;
+	r->written = -1;
+	r->store = ostore_new(&(struct ostore_desc){.page = 2});
+	assert_non_null(r->store);
+	put_config(r->store, 3);
+	fls_init(&r->fls, &(struct fls_desc){.self = "vm1"});
+	snprintf(
+	    address, sizeof(address), "127.0.0.1:%u", ostore_port(r->store));
+	desc.address = address;
+	r->client = pst_new(&desc);
+	r->client->ops->start(r->client, &r->sink);
+	*state = r;
+	return (0);
+}
+
+static int
+teardown(void **state)
+{
+	struct rig *r = *state;
+
+	r->client->ops->free(r->client);
+	fls_finish(&r->fls);
+	ostore_free(r->store);
+	g_free(r);
+	return (0);
+}
+
+/* Runs the client until a condition holds. */
+#define RUN_UNTIL(r, condition)                                                \
+	do {                                                                   \
+		int64_t end_ms_ = clk_mono_ms() + LIMIT_MS;                    \
+		while (!(condition)) {                                         \
+			assert_true(clk_mono_ms() < end_ms_);                  \
+			(r)->client->ops->run((r)->client, NULL, 0, ROUND_MS); \
+		}                                                              \
+	} while (0)
+
+static unsigned
+n_upstreams(const struct rig *r)
+{
+	return (g_hash_table_size(r->fls.upstreams));
+}
+
+static int64_t
+version(const struct rig *r)
+{
+	return (r->fls.config == NULL ? 0 : r->fls.config->version);
+}
+
+/* Lists come in pages; an entry that cannot be read harms no other. */
+static void
+test_list(void **state)
+{
+	struct rig *r = *state;
+
+	for (int i = 0; i < 5; i++) {
+		char id[8];
+
+		snprintf(id, sizeof(id), "u%d", i);
+		put_upstream(r->store, id, "ready");
+	}
+	ostore_put(r->store, "servers", "bad", "{\"service\":7}");
+	RUN_UNTIL(r, fls_is_ready(&r->fls));
+	assert_int_equal(n_upstreams(r), 5);
+	assert_int_equal(version(r), 3);
+}
+
+static void
+test_watch(void **state)
+{
+	struct rig *r = *state;
+	const struct fls_upstream *u;
+
+	RUN_UNTIL(r, fls_is_ready(&r->fls));
+	put_upstream(r->store, "u1", "ready");
+	RUN_UNTIL(r, n_upstreams(r) == 1);
+	put_upstream(r->store, "u1", "draining");
+	u = g_hash_table_lookup(r->fls.upstreams, "u1");
+	RUN_UNTIL(r, u->entry.draining);
+	ostore_remove(r->store, "servers", "u1");
+	RUN_UNTIL(r, n_upstreams(r) == 0);
+	ostore_put(r->store, "evacuations", "a", "{}");
+	RUN_UNTIL(r, g_hash_table_contains(r->fls.zones_out, "a"));
+	ostore_remove(r->store, "evacuations", "a");
+	RUN_UNTIL(r, !g_hash_table_contains(r->fls.zones_out, "a"));
+}
+
+/*
+ * The history is dropped while watches hear nothing: the kind that is told so
+ * makes all kinds list again, long before their own watches end.
+ */
+static void
+test_dropped_history(void **state)
+{
+	struct rig *r = *state;
+	int64_t begin_ms;
+
+	RUN_UNTIL(r, fls_is_ready(&r->fls));
+	RUN_UNTIL(r, ostore_calls(r->store, "config") >= 2);
+	ostore_fail(r->store, &(struct ostore_faults){.deaf_watches = true});
+	put_config(r->store, 4);
+	put_upstream(r->store, "u1", "ready");
+	ostore_drop_history(r->store);
+	begin_ms = clk_mono_ms();
+	RUN_UNTIL(r, version(r) == 4);
+	assert_true(clk_mono_ms() - begin_ms < 6000);
+}
+
+/*
+ * Another VM knows a newer configuration while the own watch waits in vain: the
+ * list that it hurries brings it at once (CONFIG, mix 888621161120).
+ */
+static void
+test_hurry(void **state)
+{
+	struct rig *r = *state;
+	int64_t begin_ms;
+
+	RUN_UNTIL(r, fls_is_ready(&r->fls));
+	ostore_fail(r->store, &(struct ostore_faults){.deaf_watches = true});
+	RUN_UNTIL(r, ostore_calls(r->store, "config") >= 2);
+	put_config(r->store, 4);
+	begin_ms = clk_mono_ms();
+	r->client->ops->hurry(r->client, FST_CONFIG);
+	RUN_UNTIL(r, version(r) == 4);
+	assert_true(clk_mono_ms() - begin_ms < 2000);
+}
+
+/* What another VM told is not read again before its time. */
+static void
+test_told(void **state)
+{
+	struct rig *r = *state;
+	int64_t until_ms = clk_mono_ms() + 3000;
+	unsigned calls;
+
+	RUN_UNTIL(r, fls_is_ready(&r->fls));
+	r->client->ops->told(r->client, FST_UPSTREAMS,
+	    r->client->ops->revision(r->client, FST_UPSTREAMS), until_ms);
+	calls = ostore_calls(r->store, "servers");
+	RUN_UNTIL(r, clk_mono_ms() > until_ms - 500);
+	assert_int_equal(ostore_calls(r->store, "servers"), calls);
+	put_upstream(r->store, "u1", "ready");
+	RUN_UNTIL(r, n_upstreams(r) == 1);
+}
+
+/* While the store refuses, one kind asks; all go on when it is back. */
+static void
+test_outage(void **state)
+{
+	struct rig *r = *state;
+	unsigned before, calls;
+	int64_t end_ms;
+
+	put_upstream(r->store, "u1", "ready");
+	RUN_UNTIL(r, fls_is_ready(&r->fls));
+	ostore_fail(r->store, &(struct ostore_faults){.status = 503});
+	RUN_UNTIL(r, !r->reachable);
+	before = ostore_calls(r->store, "config") +
+	    ostore_calls(r->store, "servers") +
+	    ostore_calls(r->store, "rollouts") +
+	    ostore_calls(r->store, "evacuations");
+	end_ms = clk_mono_ms() + 3000;
+	RUN_UNTIL(r, clk_mono_ms() > end_ms);
+	calls = ostore_calls(r->store, "config") +
+	    ostore_calls(r->store, "servers") +
+	    ostore_calls(r->store, "rollouts") +
+	    ostore_calls(r->store, "evacuations") - before;
+	assert_true(calls >= 1 && calls <= 10);
+	assert_int_equal(n_upstreams(r), 1);
+	ostore_fail(r->store, &(struct ostore_faults){0});
+	put_config(r->store, 9);
+	RUN_UNTIL(r, r->reachable && version(r) == 9);
+}
+
+/* An entry that expired during an outage is kept until it had time to return.
+ */
+static void
+test_expired(void **state)
+{
+	struct rig *r = *state;
+	int64_t back_us;
+
+	put_upstream(r->store, "u1", "ready");
+	put_upstream(r->store, "u2", "ready");
+	RUN_UNTIL(r, fls_is_ready(&r->fls) && n_upstreams(r) == 2);
+	ostore_fail(r->store, &(struct ostore_faults){.status = 503});
+	RUN_UNTIL(r, !r->reachable);
+	ostore_remove(r->store, "servers", "u1");
+	ostore_remove(r->store, "servers", "u2");
+	ostore_fail(r->store, &(struct ostore_faults){0});
+	RUN_UNTIL(r, r->reachable);
+	back_us = clk_mono_us();
+	put_upstream(r->store, "u1", "ready");
+	RUN_UNTIL(r, clk_mono_us() - back_us > FLS_RETURN_US / 2);
+	fls_take_dirty(&r->fls, clk_mono_us());
+	assert_int_equal(n_upstreams(r), 2);
+	RUN_UNTIL(r, clk_mono_us() - back_us > 2 * FLS_RETURN_US);
+	fls_take_dirty(&r->fls, clk_mono_us());
+	assert_int_equal(n_upstreams(r), 1);
+	assert_non_null(g_hash_table_lookup(r->fls.upstreams, "u1"));
+}
+
+static struct fls_move *
+wait_move(struct rig *r)
+{
+	ostore_put(r->store, "rollouts", "s",
+	    "{\"service\":\"s\",\"toVersion\":\"v2\",\"duration\":\"12s\"}");
+	RUN_UNTIL(r, g_hash_table_lookup(r->fls.moves, "s") != NULL);
+	return (g_hash_table_lookup(r->fls.moves, "s"));
+}
+
+/* Of two writes from the same revision the second changes nothing. */
+static void
+test_conditional_write(void **state)
+{
+	struct rig *r = *state;
+	struct fls_move *m = wait_move(r);
+	struct fld_move old = m->order;
+	json_t *status;
+
+	r->client->ops->write_move(r->client, &old, FLD_MOVE_RUNNING, 5, "vm1");
+	RUN_UNTIL(r, r->written == FST_WRITTEN);
+	r->client->ops->write_move(
+	    r->client, &old, FLD_MOVE_ROLLED_BACK, 5, "vm2");
+	RUN_UNTIL(r, r->written == FST_CONFLICT);
+	status = ostore_status(r->store, "rollouts", "s");
+	assert_string_equal(
+	    json_string_value(json_object_get(status, "state")), "running");
+	json_decref(status);
+	RUN_UNTIL(r, m->order.state == FLD_MOVE_RUNNING);
+	assert_string_equal(m->order.executor, "vm1");
+}
+
+/* A write whose answer is lost is not known to have failed. */
+static void
+test_lost_answer(void **state)
+{
+	struct rig *r = *state;
+	struct fls_move *m = wait_move(r);
+
+	ostore_fail(r->store, &(struct ostore_faults){.lose_writes = true});
+	r->client->ops->write_move(
+	    r->client, &m->order, FLD_MOVE_RUNNING, 5, "vm1");
+	RUN_UNTIL(r, r->written >= 0);
+	assert_int_equal(r->written, FST_UNKNOWN);
+	RUN_UNTIL(r, m->order.state == FLD_MOVE_RUNNING);
+}
+
+static void
+test_member(void **state)
+{
+	struct rig *r = *state;
+	const struct fld_member self = {
+	    .id = "vm1", .zone = "a", .address = "127.0.0.1:7"};
+
+	r->client->ops->write_member(r->client, &self);
+	RUN_UNTIL(r, ostore_calls(r->store, "lbmembers") >= 2);
+	RUN_UNTIL(r, fls_is_ready(&r->fls));
+	/* After a restart the object is there already. */
+	r->client->ops->write_member(r->client, &self);
+	RUN_UNTIL(r, ostore_calls(r->store, "lbmembers") >= 4);
+	r->client->ops->hurry(r->client, FST_MEMBERS);
+	RUN_UNTIL(r, g_hash_table_contains(r->fls.members, "vm1"));
+}
+
+#define TEST(f) cmocka_unit_test_setup_teardown(f, setup, teardown)
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    TEST(test_list),
+	    TEST(test_watch),
+	    TEST(test_dropped_history),
+	    TEST(test_hurry),
+	    TEST(test_told),
+	    TEST(test_outage),
+	    TEST(test_expired),
+	    TEST(test_conditional_write),
+	    TEST(test_lost_answer),
+	    TEST(test_member),
+	};
+
+	signal(SIGPIPE, SIG_IGN);
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
