--- a/tests/unit/test_pst.c
+++ b/tests/unit/test_pst.c
@@ -207,7 +207,7 @@
 	struct rig *r = *state;
 
 	for (int i = 0; i < 5; i++) {
-		char id[8];
+		char id[16];
 
 		snprintf(id, sizeof(id), "u%d", i);
 		put_upstream(r->store, id, "ready");
