Send a late idempotent request elsewhere, and start none where it cannot end

Change: without an answer, or with one that makes no progress, an idempotent request goes to another upstream at its goal, within the retry budget. Known slow upstreams are asked last, are used only after waiting, and never where the usual work at their pace exceeds the time left. Short answers up to 192 KB are held until they are whole.

--- a/packages/front/call.c
+++ b/packages/front/call.c
@@ -68,6 +68,7 @@
 {
 	c->answer_whole = false;
 	c->answer_n = 0;
+	c->late_n = 0;
 	rhd_reset(&c->head, c->to_head);
 	c->head_bad = false;
 	c->head_us = 0;
--- a/packages/front/call.h
+++ b/packages/front/call.h
@@ -23,7 +23,8 @@
 
 #define CALL_ADDR_MAX 63
 #define CALL_ID_MAX 127
-#define CALL_HOLD_MAX (64 * 1024) /* longest answer that is held back */
+/* Longest answer that is held back; below the limit that pauses an upstream. */
+#define CALL_HOLD_MAX (192 * 1024)
 
 struct wrk;
 struct svc;
@@ -105,6 +106,7 @@
  * @upload_over: libcurl stopped sending the body after an early 3xx to 5xx
  * @answer_whole: the whole answer was received, as its Content-Length says
  * @answer_n: bytes of the answer's body received
+ * @late_n: the same when the call was last found late
  * @body_done: the caller has sent the whole body
  * @body_paused: libcurl waits for more body
  * @body_kept: the whole body is buffered before anything is sent
@@ -134,6 +136,7 @@
  * @n_asked: their number
  * @n_answered: how many of them have answered
  * @may_ask: upstreams may be asked before the next choice
+ * @hurried: it has waited for half of the time that it may
  * @addr: address of the chosen upstream
  * @attempts: attempts started
  * @sent: how far the current attempt got
@@ -192,6 +195,7 @@
 	bool upload_over;
 	bool answer_whole;
 	uint64_t answer_n;
+	uint64_t late_n;
 	bool body_done;
 	bool body_paused;
 	bool body_kept;
@@ -223,6 +227,7 @@
 	unsigned n_asked;
 	unsigned n_answered;
 	bool may_ask;
+	bool hurried;
 	char instance[CALL_ID_MAX + 1];
 	struct call_choice chosen;
 	char addr[CALL_ADDR_MAX + 1];
--- a/packages/front/svc.c
+++ b/packages/front/svc.c
@@ -6,6 +6,10 @@
 #include "front/wrk.h"
 #include "sys/clk.h"
 
+#define USUAL_PACE 100
+/* Weight of one more sample in the average of the work. */
+#define WORK_PART 16
+
 static void
 free_svc(void *arg)
 {
@@ -51,6 +55,16 @@
 	return (rbt_take(b, now_us));
 }
 
+void
+svc_learn_work(struct svc *s, int64_t us, int32_t pace)
+{
+	int64_t sample = pace > 0 ? us * USUAL_PACE / pace : us;
+
+	if (s->work_us == 0)
+		s->work_us = sample;
+	s->work_us += (sample - s->work_us) / WORK_PART;
+}
+
 bool
 svc_must_wait(const struct svc *s)
 {
@@ -85,6 +99,8 @@
 
 	if (c->park_until_us == 0)
 		c->park_until_us = now_us + wait_us(c);
+	if (now_us >= c->park_until_us - wait_us(c) / 2)
+		c->hurried = true;
 	if (now_us >= c->park_until_us || s->n_waiting >= SVC_MAX_WAITING)
 		return (ERR_OVERLOADED);
 	c->wait = CALL_WAIT_SLOT;
--- a/packages/front/svc.h
+++ b/packages/front/svc.h
@@ -25,6 +25,8 @@
  * @budget: retry budget
  * @waiting: calls in order of arrival
  * @n_waiting: their number
+ * @work_us: moving average of the time of a good request at the usual pace, 0
+ *	before the first
  * @waking: svc_wake() runs
  */
 struct svc {
@@ -32,6 +34,7 @@
 	struct rbt budget;
 	struct cds_list_head waiting;
 	unsigned n_waiting;
+	int64_t work_us;
 	bool waking;
 };
 
@@ -46,6 +49,9 @@
  */
 bool svc_take_retry(struct call *c, int64_t now_us);
 
+/** svc_learn_work() - a good request took @us at a pace in percent */
+void svc_learn_work(struct svc *s, int64_t us, int32_t pace);
+
 /** svc_must_wait() - whether a new call has to queue behind others */
 bool svc_must_wait(const struct svc *s);
 
--- a/packages/front/ups.c
+++ b/packages/front/ups.c
@@ -7,10 +7,10 @@
 
 #include "front/clf.h"
 #include "front/clg.h"
-#include "front/ask.h"
 #include "front/fe.h"
 #include "front/flt.h"
 #include "front/obs.h"
+#include "front/pck.h"
 #include "front/snd.h"
 #include "front/svc.h"
 #include "front/wrk.h"
@@ -20,130 +20,8 @@
 #define ANSWER_LOW_WATER (64 * 1024)
 #define ANSWER_MAX_HTTP10 (256 * 1024) /* chunked answer to HTTP/1.0 */
 #define MAX_ATTEMPTS 3
-#define PICK_WAIT (-3) /* upstreams are asked, ups_start() is called again */
-
-static void
-choose(struct call *c, const struct rt_service *s, const struct rt_upstream *u)
-{
-	const struct rt_route *r = rt_find_route(s, c->path);
-	struct rt_tally *t = r == NULL ? NULL : rt_tally_at(s, r, u->version);
-
-	c->upstream = rt_stat_ref(u->stat);
-	pbc_on_start(u, clk_mono_us());
-	memcpy(c->instance, u->id.p, u->id.n);
-	c->instance[u->id.n] = '\0';
-	c->tally = t == NULL ? NULL : rt_tally_ref(t);
-	c->up_state = u->state;
-	c->chosen =
-	    (struct call_choice){.running = atomic_load(&u->stat->reported),
-		.waiting = atomic_load(&u->stat->waiting),
-		.pace = atomic_load(&u->stat->pace),
-		.age_us = clk_mono_us() - atomic_load(&u->stat->reported_us),
-		.table_version = env_version(wrk_env(c->w))};
-	c->slots = u->slots;
-	c->slow_us = s->slow_us;
-	memcpy(c->addr, u->addr.p, u->addr.n);
-	c->addr[u->addr.n] = '\0';
-}
-
-static struct rt_request
-request_of(const struct call *c)
-{
-	struct rt_request req = {.n_excluded = c->n_excluded,
-	    .zone = bstr_from(wrk_env(c->w)->zone),
-	    .draw = c->draw};
-
-	for (uint32_t k = 0; k < c->n_excluded; k++)
-		req.excluded[k] = c->excluded[k];
-	return (req);
-}
-
-/* Services that can be asked for their load are chosen by it. */
-static wrk_pick_fn
-choose_fn(const struct wrk *w, const struct rt_service *s)
-{
-	return (s->probe_path.n != 0 ? pbc_pick : wrk_pick(w));
-}
-
-/*
- * Picks an upstream to which this worker has a free connection and starts the
- * call there. Without this,
- * libcurl would let the transfer wait for one until its deadline.
- */
-static int
-pick_free(struct call *c, const struct rt_service *s, int64_t now_us)
-{
-	struct rt_request req = request_of(c);
-	bool full = false;
-	int i;
-
-	for (;;) {
-		i = choose_fn(c->w, s)(s, &req, now_us, wrk_rng(c->w));
-		if (i < 0)
-			return (full ? RT_FULL : i);
-		if (s->upstreams[i].addr.n > CALL_ADDR_MAX ||
-		    s->upstreams[i].id.n > CALL_ID_MAX)
-			return (RT_NONE);
-		if (wrk_has_connection(c->w, s->upstreams[i].stat) &&
-		    rt_try_start(s->upstreams[i].stat,
-			s->upstreams[i].state == RT_COLD &&
-			    s->probe_path.n == 0,
-			now_us))
-			return (i);
-		if (req.n_excluded == RT_MAX_EXCLUDED)
-			return (RT_FULL);
-		req.excluded[req.n_excluded++] = s->upstreams[i].stat;
-		full = true;
-	}
-}
-
-/* Takes an upstream from the current table; an RT_ code, PICK_WAIT or 0. */
-static bool
-ask(struct call *c, const struct rt_service *s, int64_t now_us)
-{
-	struct rt_request req = request_of(c);
-
-	return (ask_start(c, s, &req, now_us));
-}
-
-/* Asks upstreams for their load once before a choice. */
-static bool
-ask_first(struct call *c, const struct rt_service *s, int64_t now_us)
-{
-	if (!c->may_ask)
-		return (false);
-	c->may_ask = false;
-	return (ask(c, s, now_us));
-}
-
-/* None of those that were asked can be used: asks the others. */
-static bool
-ask_again(struct call *c, const struct rt_service *s, int64_t now_us)
-{
-	return (ask(c, s, now_us));
-}
-
-static int
-pick(struct call *c, int64_t now_us)
-{
-	const struct rt_service *s;
-	int i = RT_NONE;
-
-	rcu_read_lock();
-	s = rt_find_service(env_table(wrk_env(c->w)), c->svc->name);
-	if (s != NULL && ask_first(c, s, now_us))
-		i = PICK_WAIT;
-	else if (s != NULL && s->n_upstreams != 0)
-		i = pick_free(c, s, now_us);
-	if (i == RT_NONE && s != NULL && ask_again(c, s, now_us))
-		i = PICK_WAIT;
-	if (i >= 0) {
-		choose(c, s, &s->upstreams[i]);
-		i = 0;
-	}
-	rcu_read_unlock();
-	return (i);
-}
+/* A late attempt that could not be repeated is looked at again after this. */
+#define LATE_AGAIN_MS 150
 
 /* Gives the upstream back and learns from the attempt. */
 static void
@@ -429,13 +307,13 @@
 		return (ERR_DEADLINE);
 	if (svc_must_wait(c->svc))
 		return (svc_wait(c, now_us));
-	switch (pick(c, now_us)) {
+	switch (pck_upstream(c, now_us)) {
 	case RT_NONE:
 		return (ERR_NO_UPSTREAM);
 	case RT_FULL:
 		c->may_ask = true;
 		return (svc_wait(c, now_us));
-	case PICK_WAIT:
+	case PCK_WAIT:
 		return (ERR_NONE);
 	}
 	c->may_ask = true;
@@ -456,6 +334,8 @@
 	snd_setup(c, now_us);
 	set_callbacks(c);
 	curl_multi_add_handle(wrk_multi(c->w), c->easy);
+	if (c->idempotent && c->goal_us != 0)
+		wrk_timer_set(c->w, c, now_us + c->goal_us);
 	return (ERR_NONE);
 }
 
@@ -514,6 +394,7 @@
 {
 	if (c->easy == NULL)
 		return;
+	wrk_timer_clear(c->w, c);
 	end_transfer(c);
 	release_upstream(c, false, false);
 	wrk_wake_waiting(c->w, c->svc);
@@ -573,21 +454,21 @@
 	return (true);
 }
 
+/* Ends the attempt with @kind; another one follows, or the call ends. */
 static void
-on_done(struct mul_xfer *x, CURL *easy, CURLcode result)
+finish_attempt(struct call *c, enum err_kind kind)
 {
-	struct call *c = (struct call *)x;
-	enum err_kind kind = kind_of(c, result);
-	bool failed;
+	bool failed = kind != ERR_NONE || c->status >= 500;
 
-	(void)easy;
-	failed = kind != ERR_NONE || c->status >= 500;
 	clg_attempt(c, kind);
 	if (!c->unclean)
 		obs_attempt(c, failed, clk_mono_us());
 	end_transfer(c);
-	if (!failed)
+	if (!failed) {
 		rbt_on_success(&c->svc->budget);
+		svc_learn_work(
+		    c->svc, c->head_us - c->attempt_us, c->chosen.pace);
+	}
 	/* A kept connection that was closed does not rule out the upstream. */
 	release_upstream(c, failed && !c->unclean,
 	    kind != ERR_NONE && !c->unclean && !is_stale(c, kind));
@@ -595,3 +476,29 @@
 		ups_end(c, kind);
 	wrk_wake_waiting(c->w, c->svc);
 }
+
+static void
+on_done(struct mul_xfer *x, CURL *easy, CURLcode result)
+{
+	struct call *c = (struct call *)x;
+
+	(void)easy;
+	wrk_timer_clear(c->w, c);
+	finish_attempt(c, kind_of(c, result));
+}
+
+void
+ups_on_late(struct call *c, int64_t now_us)
+{
+	bool stalled = c->status == 0 || c->answer_n == c->late_n;
+
+	if (c->easy == NULL || c->answer_started)
+		return;
+	c->late_n = c->answer_n;
+	/* The retry is taken from the budget here, before the attempt ends. */
+	c->failed = stalled && may_retry(c, ERR_UPSTREAM_TIMEOUT);
+	if (c->failed)
+		finish_attempt(c, ERR_UPSTREAM_TIMEOUT);
+	else if (c->attempts < max_attempts(c))
+		wrk_timer_set(c->w, c, now_us + LATE_AGAIN_MS * 1000);
+}
--- a/packages/front/ups.h
+++ b/packages/front/ups.h
@@ -34,6 +34,14 @@
 /** ups_answer_taken() - the caller side took bytes from call->answer */
 void ups_answer_taken(struct call *c);
 
+/**
+ * ups_on_late() - an idempotent request got no answer within its goal
+ *
+ * The answer may be lost; the request goes to another upstream if the retry
+ * budget allows.
+ */
+void ups_on_late(struct call *c, int64_t now_us);
+
 /** ups_cancel() - end the transfer; the connection to the upstream is closed */
 void ups_cancel(struct call *c);
 
--- a/packages/front/wrk.c
+++ b/packages/front/wrk.c
@@ -460,11 +460,12 @@
 		ask_on_timer(c, now_us);
 		break;
 	case CALL_WAIT_NONE:
+		ups_on_late(c, now_us);
 		break;
 	}
 }
 
-/* The list is short: only calls without a transfer have a timer. */
+/* The list is short: calls that wait, and idempotent ones that may be late. */
 static void
 run_timers(struct wrk *w, int64_t now_us)
 {
--- a/packages/route/pbc.c
+++ b/packages/route/pbc.c
@@ -16,6 +16,8 @@
 /* An upstream that reports it this often for this long is slow for good. */
 #define SLOW_REPORTS 4
 #define SLOW_US 600000
+/* It is asked again after this, or when there is no other. */
+#define SLOW_KNOWN_US 1000000
 /* Cost of leaving the availability zone, as a share of a usual request. */
 #define OTHER_ZONE_COST 0.05
 /* A cold upstream works slowly; it is chosen after all others of its load. */
@@ -141,6 +143,23 @@
 	return (largest);
 }
 
+/* Whether an upstream has been slow for so long that it is likely to stay so.
+ */
+static bool
+is_slow_for_good(const struct rt_stat *s, int64_t now_us)
+{
+	return (atomic_load(&s->slow_reports) >= SLOW_REPORTS &&
+	    now_us - atomic_load(&s->slow_since_us) >= SLOW_US);
+}
+
+/* Whether another candidate is more likely to be fast. */
+static bool
+was_slow(const struct rt_stat *s, int64_t now_us)
+{
+	return (is_slow_for_good(s, now_us) &&
+	    now_us - atomic_load(&s->asked_us) < SLOW_KNOWN_US);
+}
+
 /** struct search - which upstreams add_candidates() takes */
 struct search {
 	const struct rt_service *s;
@@ -159,7 +178,9 @@
 		return (false);
 	if (q->own_zone && !bstr_eq(u->zone, q->req->zone))
 		return (false);
-	return (q->any || !rt_is_ejected(u->stat, q->now_us));
+	return (q->any ||
+	    (!rt_is_ejected(u->stat, q->now_us) &&
+		!was_slow(u->stat, q->now_us)));
 }
 
 static bool
@@ -235,14 +256,21 @@
 	return (u->slots != 0 && load_of(u->stat) + 1 > limit);
 }
 
-/* Whether requests should wait rather than go there, see SLOWED_PACE. */
+/*
+ * Whether the request should wait rather than go there, see SLOWED_PACE. Where
+ * it could not end in its time it must not start at all.
+ */
 static bool
-is_slowed(const struct rt_stat *s, int64_t now_us)
+is_slowed(const struct rt_stat *s, const struct rt_request *req, int64_t now_us)
 {
+	int64_t pace = atomic_load(&s->pace);
+
 	if (atomic_load(&s->no_report) || atomic_load(&s->slow_reports) == 0)
 		return (false);
-	return (atomic_load(&s->slow_reports) < SLOW_REPORTS ||
-	    now_us - atomic_load(&s->slow_since_us) < SLOW_US);
+	if (req->work_us != 0 &&
+	    req->work_us * pace / (int64_t)USUAL_PACE > req->left_us)
+		return (true);
+	return (!req->hurried || !is_slow_for_good(s, now_us));
 }
 
 /* Time until one more request ends, in usual service times. */
@@ -289,7 +317,7 @@
 		if (!atomic_load(&u->stat->no_report) &&
 		    !pbc_is_fresh(u->stat, now_us))
 			continue;
-		if (is_full(u) || is_slowed(u->stat, now_us)) {
+		if (is_full(u) || is_slowed(u->stat, req, now_us)) {
 			if (best == RT_NONE)
 				best = RT_FULL;
 			continue;
--- a/packages/route/rt.h
+++ b/packages/route/rt.h
@@ -201,6 +201,10 @@
 	uint32_t n_excluded;
 	struct bstr zone; /* availability zone of this VM, may be empty */
 	uint32_t draw;    /* drawn once a request, below 1000: its version */
+	bool
+	    hurried; /* has waited; an upstream that is slow for good will do */
+	int64_t work_us; /* usual time of a request there, 0 when not known */
+	int64_t left_us; /* time left for it */
 };
 
 /** rt_stat_new() - zeroed statistics with one reference */
--- a/tests/unit/test_pbc.c
+++ b/tests/unit/test_pbc.c
@@ -124,12 +124,47 @@
 		now_us += 200000;
 		pbc_on_report(stats[3], &slow, now_us);
 	}
+	/* Slow for good: used once the request has waited for another. */
+	assert_int_equal(pick(&req, now_us), RT_FULL);
+	req.hurried = true;
+	assert_int_equal(pick(&req, now_us), 3);
+	/* It would not end in its time. */
+	req.work_us = 200000;
+	req.left_us = 900000;
+	assert_int_equal(pick(&req, now_us), RT_FULL);
+	req.left_us = 1100000;
 	assert_int_equal(pick(&req, now_us), 3);
 	report(3, 0, 0, 100);
 	report(3, 0, 0, 500);
 	assert_int_equal(pick(&req, NOW_US), RT_FULL);
 }
 
+/* Upstreams that are known to be slow are asked only when others are few. */
+static void
+test_slow_not_asked(void **state)
+{
+	struct pbc_report slow = {.pace = 500};
+	struct rt_request req = {0};
+	int64_t now_us = NOW_US;
+	uint32_t out[N_UP];
+	uint32_t n;
+
+	(void)state;
+	for (int k = 0; k < 4; k++) {
+		now_us += 200000;
+		for (int i = 0; i < 3; i++)
+			pbc_on_report(stats[i], &slow, now_us);
+	}
+	n = pbc_candidates(&service, &req, now_us, &rng, out, N_UP);
+	assert_int_equal(n, N_UP - 3);
+	for (uint32_t i = 0; i < n; i++)
+		assert_true(out[i] > 2);
+	for (int i = 3; i < N_UP; i++)
+		upstreams[i].state = RT_DOWN;
+	n = pbc_candidates(&service, &req, now_us, &rng, out, N_UP);
+	assert_int_equal(n, 3);
+}
+
 /* What was reported a while ago is no base for a choice. */
 static void
 test_old_report(void **state)
@@ -287,6 +322,7 @@
 	    TEST(test_slowed),
 	    TEST(test_full),
 	    TEST(test_all_slowed),
+	    TEST(test_slow_not_asked),
 	    TEST(test_old_report),
 	    TEST(test_cold),
 	    TEST(test_cold_not_asked),
