Ask near upstreams first in large services

Ruled out: fresh connections of requests that are not idempotent (6,300).

Change: of each version a VM asks 16 upstreams first, by a hash with its own id, and the others when these are too few or have no room.

--- a/packages/fleet/fls_table.c
+++ b/packages/fleet/fls_table.c
@@ -13,6 +13,8 @@
 /* A request that takes this many times its goal counts as slow. */
 #define SLOW_GOALS 1.5
 #define DEFAULT_GOAL_MS 1000
+/* Upstreams of a version that a VM asks first; enough to find a free one. */
+#define NEAR_UPSTREAMS 16
 
 /** struct build - services in the making; strings are borrowed */
 struct build {
@@ -152,6 +154,43 @@
 	}
 }
 
+/** struct ranked - an upstream and its rank for this VM */
+struct ranked {
+	uint32_t i;
+	uint64_t rank;
+};
+
+static int
+by_rank(const void *a, const void *b)
+{
+	const struct ranked *x = a, *y = b;
+
+	return ((x->rank > y->rank) - (x->rank < y->rank));
+}
+
+/*
+ * Of a large service this VM asks NEAR_UPSTREAMS first, drawn by a hash with
+ * its own id, so that the connections of all VMs spread over all upstreams.
+ */
+static void
+mark_far(struct build *b, struct rt_service *s)
+{
+	uint64_t seed = bstr_hash(bstr_from(b->f->self), 0);
+	struct ranked *list = block(b, s->n_upstreams, sizeof(*list));
+	uint32_t *near = block(b, s->n_versions, sizeof(*near));
+
+	for (uint32_t i = 0; i < s->n_upstreams; i++)
+		list[i] =
+		    (struct ranked){i, bstr_hash(s->upstreams[i].id, seed)};
+	qsort(list, s->n_upstreams, sizeof(*list), by_rank);
+	for (uint32_t k = 0; k < s->n_upstreams; k++) {
+		struct rt_upstream *u = &s->upstreams[list[k].i];
+
+		if (u->state == RT_READY)
+			u->far = near[u->version]++ >= NEAR_UPSTREAMS;
+	}
+}
+
 static uint32_t
 count_usable(const struct rt_service *s, uint32_t version)
 {
@@ -323,6 +362,7 @@
 	    .name = bstr_from(d->name), .probe_path = bstr_from(d->probe_path)};
 
 	fill_upstreams(b, d, &s);
+	mark_far(b, &s);
 	fill_shares(b, &s, d->name);
 	fill_tallies(b, &s, d->name);
 	s.slow_us =
--- a/packages/front/pck.c
+++ b/packages/front/pck.c
@@ -39,6 +39,7 @@
 	    .zone = bstr_from(wrk_env(c->w)->zone),
 	    .draw = c->draw,
 	    .hurried = c->hurried,
+	    .wide = c->park_until_us != 0,
 	    .work_us = c->svc->work_us,
 	    .left_us = c->deadline_us - clk_mono_us()};
 
--- a/packages/route/pbc.c
+++ b/packages/route/pbc.c
@@ -168,6 +168,7 @@
 	uint32_t version;
 	bool own_zone;
 	bool any; /* also the ejected ones */
+	bool far; /* also the far ones */
 };
 
 static bool
@@ -178,6 +179,8 @@
 		return (false);
 	if (q->own_zone && !bstr_eq(u->zone, q->req->zone))
 		return (false);
+	if (u->far && !q->far)
+		return (false);
 	return (q->any ||
 	    (!rt_is_ejected(u->stat, q->now_us) &&
 		!was_slow(u->stat, q->now_us)));
@@ -227,10 +230,13 @@
 	if (s->n_upstreams == 0 || s->n_versions == 0)
 		return (0);
 	q.version = version_for(s, req, now_us);
+	q.far = req->wide;
 	q.own_zone = true;
 	n = add_candidates(&q, rng, max / 2, n, out);
 	q.own_zone = false;
 	n = add_candidates(&q, rng, max, n, out);
+	q.far = true;
+	n = add_candidates(&q, rng, max, n, out);
 	q.any = n == 0;
 	return (n != 0 ? n : add_candidates(&q, rng, max, n, out));
 }
--- a/packages/route/rt.h
+++ b/packages/route/rt.h
@@ -110,6 +110,7 @@
 /**
  * struct rt_upstream - one upstream in a table; strings owned by the table
  * @cold_share: this process may send to it while it is cold, see cold_until_us
+ * @far: others of its service are asked first, to keep fewer connections
  */
 struct rt_upstream {
 	struct bstr id;
@@ -119,6 +120,7 @@
 	uint32_t slots;
 	enum rt_state state;
 	bool cold_share;
+	bool far;
 	struct rt_stat *stat;
 };
 
@@ -195,16 +197,26 @@
 	int32_t reported;
 };
 
-/** struct rt_request - what the pick depends on */
+/**
+ * struct rt_request - what the pick depends on
+ * @excluded: upstreams that were tried already
+ * @n_excluded: their number
+ * @zone: availability zone of this VM, may be empty
+ * @draw: drawn once a request, below 1000: its version
+ * @hurried: it has waited; an upstream that is slow for good will do
+ * @wide: it found no room among the near upstreams
+ * @work_us: usual time of a request there, 0 when not known
+ * @left_us: time left for it
+ */
 struct rt_request {
-	const struct rt_stat *excluded[RT_MAX_EXCLUDED]; /* already tried */
+	const struct rt_stat *excluded[RT_MAX_EXCLUDED];
 	uint32_t n_excluded;
-	struct bstr zone; /* availability zone of this VM, may be empty */
-	uint32_t draw;    /* drawn once a request, below 1000: its version */
-	bool
-	    hurried; /* has waited; an upstream that is slow for good will do */
-	int64_t work_us; /* usual time of a request there, 0 when not known */
-	int64_t left_us; /* time left for it */
+	struct bstr zone;
+	uint32_t draw;
+	bool hurried;
+	bool wide;
+	int64_t work_us;
+	int64_t left_us;
 };
 
 /** rt_stat_new() - zeroed statistics with one reference */
--- a/tests/unit/test_pbc.c
+++ b/tests/unit/test_pbc.c
@@ -242,6 +242,40 @@
 	}
 }
 
+/* Far upstreams are asked when the near ones are too few or have no room. */
+static void
+test_far(void **state)
+{
+	struct rt_request req = {0};
+	uint32_t out[PBC_FANOUT];
+	uint32_t n;
+	bool far = false;
+
+	(void)state;
+	for (int i = PBC_FANOUT; i < N_UP; i++)
+		upstreams[i].far = true;
+	for (int round = 0; round < 50; round++) {
+		n = pbc_candidates(
+		    &service, &req, NOW_US, &rng, out, PBC_FANOUT);
+		assert_int_equal(n, PBC_FANOUT);
+		for (uint32_t i = 0; i < n; i++)
+			assert_true(out[i] < PBC_FANOUT);
+	}
+	req.wide = true;
+	for (int round = 0; round < 50; round++) {
+		n = pbc_candidates(
+		    &service, &req, NOW_US, &rng, out, PBC_FANOUT);
+		for (uint32_t i = 0; i < n; i++)
+			far = far || out[i] >= PBC_FANOUT;
+	}
+	assert_true(far);
+	req.wide = false;
+	for (int i = 1; i < PBC_FANOUT; i++)
+		upstreams[i].state = RT_DOWN;
+	n = pbc_candidates(&service, &req, NOW_US, &rng, out, PBC_FANOUT);
+	assert_int_equal(n, PBC_FANOUT);
+}
+
 /* Who was silent, refuses or failed before is left alone for a while. */
 static void
 test_left_alone(void **state)
@@ -327,6 +361,7 @@
 	    TEST(test_cold),
 	    TEST(test_cold_not_asked),
 	    TEST(test_candidates),
+	    TEST(test_far),
 	    TEST(test_left_alone),
 	    TEST(test_versions),
 	    TEST(test_no_report),
