--- a/tests/unit/test_base.c
+++ b/tests/unit/test_base.c
@@ -87,6 +87,35 @@
 	assert_int_equal(err_outcome(ERR_REFUSED, true, true), ERR_NOT_RUN);
 }
 
+static bool
+is_promise(unsigned status)
+{
+	return (
+	    status == 408 || status == 421 || status == 429 || status == 503);
+}
+
+/*
+ * Where callers take some statuses as a promise that nothing was run, each kind
+ * that is certain of it keeps that promise, and no other kind gives it.
+ */
+static void
+test_promises(void **state)
+{
+	(void)state;
+	for (int k = 1; k < ERR_KIND_COUNT; k++) {
+		enum err_kind kind = (enum err_kind)k;
+		unsigned own = err_answer(kind)->status;
+
+		assert_false(is_promise(err_status(kind, ERR_UNKNOWN, true)));
+		assert_false(is_promise(err_status(kind, ERR_RAN, true)));
+		if (own >= 500 && own != 500)
+			assert_int_equal(
+			    err_status(kind, ERR_NOT_RUN, true), 503);
+		assert_int_equal(err_status(kind, ERR_UNKNOWN, false), own);
+	}
+	assert_int_equal(err_status(ERR_UNKNOWN_ROUTE, ERR_NOT_RUN, true), 404);
+}
+
 int
 main(void)
 {
@@ -96,6 +125,7 @@
 	    cmocka_unit_test(test_hist_bounds),
 	    cmocka_unit_test(test_err_table),
 	    cmocka_unit_test(test_keyed_outcome),
+	    cmocka_unit_test(test_promises),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
--- /dev/null
+++ b/tests/unit/test_set.c
@@ -0,0 +1,107 @@
+/* Settings file of the daemon: forms of addresses and times, and its limits. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <glib.h>
+
+#include "ops/set.h"
+
+#define BASE                                                                   \
+	"\"id\":\"vm1\",\"zone\":\"a\",\"peer\":{\"addr\":\"10.0.0.1\","       \
+	"\"port\":7200},\"ops\":{\"address\":\"10.0.0.1:7300\"},"              \
+	"\"platform\":{\"address\":\"10.0.0.9:80\",\"api\":\"objects\"}"
+
+static bool
+parse(struct set *s, const char *text, struct bbuf *problems)
+{
+	bbuf_init(problems);
+	return (set_parse(s, bstr_from(text), problems));
+}
+
+static void
+test_addresses(void **state)
+{
+	struct bbuf problems;
+	struct set s;
+
+	(void)state;
+	assert_true(
+	    parse(&s, "{" BASE ",\"listen\":{\"address\":\"10.0.0.1:8080\"}}",
+		&problems));
+	assert_string_equal(s.listen.addr, "10.0.0.1");
+	assert_int_equal(s.listen.port, 8080);
+	assert_int_equal(s.ops.port, 7300);
+	assert_string_equal(s.store_api, "objects");
+	assert_string_equal(s.health_path, "/health");
+	set_finish(&s);
+	bbuf_finish(&problems);
+	assert_false(parse(
+	    &s, "{" BASE ",\"listen\":{\"address\":\"10.0.0.1\"}}", &problems));
+	assert_non_null(strstr(problems.p, "listen"));
+	set_finish(&s);
+	bbuf_finish(&problems);
+}
+
+/* The shutdown ends before the platform kills the process. */
+static void
+test_times(void **state)
+{
+	static const struct {
+		const char *value;
+		int64_t ms; /* -1: refused */
+	} cases[] = {{"\"6s\"", 6000}, {"\"1500ms\"", 1500}, {"2500", 2500},
+	    {"\"6\"", -1}, {"\"\"", -1}, {"\"-1s\"", -1}, {"true", -1},
+	    {"1.5", -1}};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		char *text = g_strdup_printf(
+		    "{" BASE ",\"listen\":{\"address\":\"10.0.0.1:80\"},"
+		    "\"stop_within\":%s}",
+		    cases[i].value);
+		struct bbuf problems;
+		struct set s;
+
+		assert_true(parse(&s, text, &problems) == (cases[i].ms >= 0));
+		if (cases[i].ms >= 0) {
+			assert_int_equal(s.stop_within_ms, cases[i].ms);
+			assert_true(s.drain_timeout_ms < cases[i].ms);
+		}
+		set_finish(&s);
+		bbuf_finish(&problems);
+		g_free(text);
+	}
+}
+
+/* A value that the platform does not know is given as null. */
+static void
+test_null(void **state)
+{
+	struct bbuf problems;
+	struct set s;
+
+	(void)state;
+	assert_true(parse(&s,
+	    "{" BASE ",\"listen\":{\"address\":\"10.0.0.1:80\"},"
+	    "\"retry\":{\"ratio\":0.2,\"burst\":null}}",
+	    &problems));
+	assert_int_equal(s.retry_burst, 0);
+	assert_true(s.retry_ratio > 0.19 && s.retry_ratio < 0.21);
+	set_finish(&s);
+	bbuf_finish(&problems);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_addresses),
+	    cmocka_unit_test(test_times),
+	    cmocka_unit_test(test_null),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
