--- a/tests/unit/test_pst.c
+++ b/tests/unit/test_pst.c
@@ -330,6 +330,27 @@
 	RUN_UNTIL(r, r->reachable && version(r) == 9);
 }
 
+/* The store's return is noticed at once, also when nothing changes. */
+static void
+test_return(void **state)
+{
+	struct rig *r = *state;
+	int64_t begin_ms;
+
+	RUN_UNTIL(r, fls_is_ready(&r->fls));
+	RUN_UNTIL(r, ostore_calls(r->store, "servers") >= 3);
+	ostore_fail(r->store, &(struct ostore_faults){.status = 503});
+	/* The watch that waits is answered; the next one is refused. */
+	put_config(r->store, 4);
+	RUN_UNTIL(r, version(r) == 4 && !r->reachable);
+	begin_ms = clk_mono_ms();
+	RUN_UNTIL(r, clk_mono_ms() - begin_ms > 2000 && !r->reachable);
+	ostore_fail(r->store, &(struct ostore_faults){0});
+	begin_ms = clk_mono_ms();
+	RUN_UNTIL(r, r->reachable);
+	assert_true(clk_mono_ms() - begin_ms < 5000);
+}
+
 /* An entry that expired during an outage is kept until it had time to return.
  */
 static void
@@ -433,6 +454,7 @@
 	    TEST(test_hurry),
 	    TEST(test_told),
 	    TEST(test_outage),
+	    TEST(test_return),
 	    TEST(test_expired),
 	    TEST(test_conditional_write),
 	    TEST(test_lost_answer),
