--- a/packages/front/ups.c
+++ b/packages/front/ups.c
@@ -492,7 +492,9 @@
 {
 	bool stalled = c->status == 0 || c->answer_n == c->late_n;
 
-	if (c->easy == NULL || c->answer_started)
+	/* A VM that leaves breaks nothing off that an upstream works on. */
+	if (c->easy == NULL || c->answer_started ||
+	    atomic_load(&wrk_env(c->w)->unhealthy))
 		return;
 	c->late_n = c->answer_n;
 	/* The retry is taken from the budget here, before the attempt ends. */
