Start the ramp of an upstream again that turns cold a second time

Cause: while a ramp ran, cold_on_state() ignored "cold", and a worker passed X-State on only where it differed from the table, which says cold all along.

Ruled out: probes that come late (the state was seen within 100 ms and dropped).

Change: a VM remembers that it saw "ready" during a ramp; the next "cold" gives its permits back and goes to the owner with the state that it knows. The owner starts the ramp again once for each state, so that several reports of one start count once. Workers pass on a state that differs from the table or from the one they passed on last.

--- a/packages/front/obs.c
+++ b/packages/front/obs.c
@@ -63,19 +63,21 @@
 	const struct rt_service *s;
 	enum rt_state state;
 
-	if (!parse_state(value, &state) || state == c->up_state ||
-	    wrk_env(c->w)->control == NULL)
+	if (!parse_state(value, &state) || wrk_env(c->w)->control == NULL)
+		return;
+	if (!rt_state_is_news(c->upstream, c->up_state, state))
 		return;
 	rcu_read_lock();
 	s = rt_find_service(env_table(wrk_env(c->w)), c->svc->name);
 	for (uint32_t i = 0; s != NULL && i < s->n_upstreams; i++) {
 		const struct rt_upstream *u = &s->upstreams[i];
 
-		if (u->stat != c->upstream || u->state == state ||
-		    u->id.n > CMSG_ID_MAX)
+		if (u->stat != c->upstream || u->id.n > CMSG_ID_MAX ||
+		    !rt_state_is_news(u->stat, u->state, state) ||
+		    !due(c->w, u->id, now_us))
 			continue;
-		if (due(c->w, u->id, now_us))
-			push(c->w, u->id, state);
+		atomic_store(&u->stat->state_told, state);
+		push(c->w, u->id, state);
 	}
 	rcu_read_unlock();
 }
--- a/packages/front/obs.h
+++ b/packages/front/obs.h
@@ -9,8 +9,8 @@
 /**
  * obs_state() - compare X-State of the answer's head with the routing table
  *
- * A difference is pushed to the control thread, at most once per
- * OBS_STATE_PERIOD_MS for each upstream and worker.
+ * What is news (rt_state_is_news()) goes to the control thread, at most once
+ * per OBS_STATE_PERIOD_MS for each upstream and worker.
  */
 void obs_state(struct call *c, int64_t now_us);
 
--- a/packages/route/cold.c
+++ b/packages/route/cold.c
@@ -99,6 +99,7 @@
 	struct cold_effect *e;
 
 	u->suspect = false;
+	u->ready_seen = false;
 	if (u->cold == cold)
 		return;
 	u->cold = cold;
@@ -318,14 +319,34 @@
 	}
 }
 
+/* The permits, and the answer to a request under way, are of the old ramp. */
+static void
+drop_permits(struct cold_up *u, struct cold_out *out)
+{
+	struct cold_effect *e = cold_emit(out, COLD_PERMITS);
+
+	u->seq = 0;
+	u->count = 0;
+	u->until_ms = 0;
+	e->upstream = u->id;
+}
+
 void
 cold_on_state(struct cold *c, struct bstr id, bool cold, int64_t now_ms,
     struct cold_out *out)
 {
 	struct cold_up *u = find(c, id);
 
-	if (u == NULL || !cold || u->cold)
+	if (u == NULL)
+		return;
+	if (!cold) {
+		u->ready_seen = u->cold && !u->suspect;
+		return;
+	}
+	if (u->cold && !u->ready_seen)
 		return;
+	if (u->cold)
+		drop_permits(u, out);
 	cold_set_state(u, true, out);
 	u->suspect = true;
 	cold_send_request(c, u, now_ms, out);
--- a/packages/route/cold.h
+++ b/packages/route/cold.h
@@ -101,7 +101,8 @@
  * @seq: number of the request, unique within its sender
  * @use: request: use by the sender
  * @hold: request: permits that the sender still holds
- * @saw_cold: request: a response said cold while the sender took it as ready
+ * @saw_cold: request: a response said cold, which is not of the ramp of that
+ *	state
  * @count: grant: permits, valid from when the request was sent
  * @limit: grant: limit of the whole fleet
  * @cold: state known to the sender
@@ -226,9 +227,9 @@
 /**
  * cold_on_state() - a response or a probe showed the state of the upstream
  *
- * "cold" takes effect here at once and is reported to the owner; "ready" has no
- * effect, as only the ramp makes a cold upstream ready. A caller may also pass
- * a sudden rise of the latency as cold.
+ * "cold" takes effect here at once and is reported to the owner; "ready" does
+ * not end a ramp, but the next "cold" after it starts the ramp again. A caller
+ * may also pass a sudden rise of the latency as cold.
  */
 void cold_on_state(struct cold *c, struct bstr id, bool cold, int64_t now_ms,
     struct cold_out *out);
--- a/packages/route/cold_int.h
+++ b/packages/route/cold_int.h
@@ -29,6 +29,8 @@
  * struct cold_up - one upstream
  * @cold: state
  * @suspect: a response said cold and the owner has not confirmed it
+ * @ready_seen: a response said ready since the ramp began; the next that says
+ *	cold is not of this ramp
  * @epoch: epoch of the owner that set the state
  * @gen: orders states of one epoch
  * @use: own use
@@ -54,6 +56,7 @@
 	uint32_t partition;
 	bool cold;
 	bool suspect;
+	bool ready_seen;
 	uint64_t epoch;
 	uint64_t gen;
 
--- a/packages/route/cold_own.c
+++ b/packages/route/cold_own.c
@@ -193,6 +193,17 @@
 	return (n < share ? n : share);
 }
 
+/* Whether the sender saw a cold start that is not the one of this ramp. */
+static bool
+saw_another_start(const struct cold_up *u, const struct cold_msg *m)
+{
+	if (!m->saw_cold)
+		return (false);
+	if (!u->cold || u->suspect)
+		return (true);
+	return (m->epoch == u->epoch && m->gen == u->gen);
+}
+
 /* Learns a newer state from a request. Return: whether it can be granted. */
 static bool
 check_request(struct cold *c, struct cold_up *u, const struct vmid *from,
@@ -206,7 +217,7 @@
 		else
 			cold_set_state(u, false, out);
 	}
-	if (m->saw_cold && (!u->cold || u->suspect))
+	if (saw_another_start(u, m))
 		turn_cold(c, u, now, out);
 	if (!u->cold) {
 		send_state(c, u, COLD_MSG_STATE, from, now, out);
--- a/packages/route/rt.c
+++ b/packages/route/rt.c
@@ -89,6 +89,14 @@
 		free(s);
 }
 
+bool
+rt_state_is_news(
+    const struct rt_stat *s, enum rt_state in_table, enum rt_state told)
+{
+	return (
+	    told != in_table || (int32_t)told != atomic_load(&s->state_told));
+}
+
 struct rt_tally *
 rt_tally_new(void)
 {
--- a/packages/route/rt.h
+++ b/packages/route/rt.h
@@ -60,6 +60,7 @@
  * @cold_until_us: end of the cold start that the upstream reported
  * @cold_sent_us: when this process last sent a request to it while it was cold
  * @idle_limit_us: how long it keeps an idle connection, 0 when not known
+ * @state_told: state (enum rt_state) that was last passed to the control thread
  * @no_report: it answers probes without a report; not probed any more
  * @good: calls that ended well, only grows
  * @failed: calls that failed, only grows
@@ -87,6 +88,7 @@
 	_Atomic int64_t cold_until_us;
 	_Atomic int64_t cold_sent_us;
 	_Atomic int64_t idle_limit_us;
+	_Atomic int32_t state_told;
 	_Atomic bool no_report;
 	_Atomic uint64_t good;
 	_Atomic uint64_t failed;
@@ -228,6 +230,17 @@
 /** rt_stat_unref() - drop a reference, free the last */
 void rt_stat_unref(struct rt_stat *s);
 
+/**
+ * rt_state_is_news() - whether the control thread has to hear of a state
+ * @in_table: state in the routing table
+ * @told: state that the upstream told
+ *
+ * During a ramp the table goes on saying cold while the upstream can be ready
+ * and cold again; so a state that differs from the one passed on last counts.
+ */
+bool rt_state_is_news(
+    const struct rt_stat *s, enum rt_state in_table, enum rt_state told);
+
 /** rt_tally_new() - zeroed counters with one reference */
 struct rt_tally *rt_tally_new(void);
 
--- a/tests/unit/test_cold.c
+++ b/tests/unit/test_cold.c
@@ -376,8 +376,13 @@
 		break;
 	default:
 		if (is_up(n)) {
-			cold_on_state(&n->c, UP[rng_below(&S.rng, N_UP)], true,
-			    local(n), &n->out);
+			struct bstr up = UP[rng_below(&S.rng, N_UP)];
+
+			/* The second time can fall into the first ramp. */
+			if (rng_below(&S.rng, 2) == 0)
+				cold_on_state(
+				    &n->c, up, false, local(n), &n->out);
+			cold_on_state(&n->c, up, true, local(n), &n->out);
 			carry_out(n);
 		}
 	}
@@ -458,20 +463,21 @@
  *	members <process>[:dead] ...
  *	lease <owner> <epoch> <from> <until>
  *	cold                                 a response says cold
+ *	ready                                a response says ready
  *	use <in flight> <demand> <successes> in each tick from now on
- *	request <from> <seq> <in flight> <hold> <demand> <successes> cur|old
- *	                                     "cur" echoes the last query
- *	grant <from> <count> last|old        answer to the last request
- *	query <from> <epoch> <gen>
- *	at <ms>                              tick every 50 ms
- *	skip <ms>                            no tick up to the time
- *	permits
+ *	request <from> <seq> <in flight> <hold> <demand> <successes> cur|old|saw
+ *	                                     "cur" echoes the last query, "saw"
+ *	                                     too, and the sender saw "cold"
+ *again in the state that was last told grant <from> <count> last|old answer to
+ *the last request query <from> <epoch> <gen> at <ms> tick every 50 ms skip <ms>
+ *no tick up to the time permits
  */
 struct session {
 	struct cold c;
 	struct cold_out out;
 	struct cold_use use;
 	uint64_t nonce, seq;
+	uint64_t epoch, gen; /* of the state that was last told */
 	int64_t now;
 	FILE *f;
 };
@@ -501,6 +507,10 @@
 			s->nonce = m->nonce;
 		if (m->type == COLD_MSG_REQUEST)
 			s->seq = m->seq;
+		if (m->type == COLD_MSG_QUERY || m->type == COLD_MSG_STATE) {
+			s->epoch = m->epoch;
+			s->gen = m->gen;
+		}
 		if (m->type == COLD_MSG_GRANT)
 			fprintf(s->f, " %u of %u", m->count, m->limit);
 		else if (m->type == COLD_MSG_REQUEST)
@@ -546,7 +556,10 @@
 		m.seq = v[0];
 		m.hold = v[2];
 		m.use = (struct cold_use){v[1], v[3], v[4]};
-		m.nonce = *which == 'c' ? s->nonce : 1;
+		m.nonce = *which == 'o' ? 1 : s->nonce;
+		m.saw_cold = *which == 's';
+		m.epoch = m.saw_cold ? s->epoch : 0;
+		m.gen = m.saw_cold ? s->gen : 0;
 	} else if (sscanf(line, "grant %7s %u %7s", peer, &v[0], which) == 3) {
 		m.type = COLD_MSG_GRANT;
 		m.count = v[0];
@@ -591,6 +604,8 @@
 		cold_on_lease(&s->c, &l, s->now, &s->out);
 	} else if (strcmp(line, "cold\n") == 0) {
 		cold_on_state(&s->c, UP[0], true, s->now, &s->out);
+	} else if (strcmp(line, "ready\n") == 0) {
+		cold_on_state(&s->c, UP[0], false, s->now, &s->out);
 	} else if (sscanf(line, "use %d %d %d", &a, &b, &c) == 3) {
 		s->use =
 		    (struct cold_use){(uint32_t)a, (uint32_t)b, (uint32_t)c};
--- a/tests/unit/test_rt.c
+++ b/tests/unit/test_rt.c
@@ -237,6 +237,24 @@
 	    rt_pick(s + 1, &(struct rt_request){0}, 0, &rng), RT_NONE);
 }
 
+/* Guards against a second cold start that nobody hears of, as the table still
+ * says cold for the first one. */
+static void
+test_state_news(void **state)
+{
+	struct rt_stat *s = rt_stat_new();
+
+	(void)state;
+	assert_false(rt_state_is_news(s, RT_READY, RT_READY));
+	assert_true(rt_state_is_news(s, RT_READY, RT_COLD));
+	atomic_store(&s->state_told, RT_COLD);
+	assert_false(rt_state_is_news(s, RT_COLD, RT_COLD));
+	assert_true(rt_state_is_news(s, RT_COLD, RT_READY));
+	atomic_store(&s->state_told, RT_READY);
+	assert_true(rt_state_is_news(s, RT_COLD, RT_COLD));
+	rt_stat_unref(s);
+}
+
 /* Guards against calls that keep going to an upstream that fails them, and
  * against an upstream that stays out after it has recovered. */
 static void
@@ -395,6 +413,7 @@
 	    cmocka_unit_test(test_index),
 	    cmocka_unit_test_setup_teardown(test_shares, setup, teardown),
 	    cmocka_unit_test_setup_teardown(test_states, setup, teardown),
+	    cmocka_unit_test(test_state_news),
 	    cmocka_unit_test_setup_teardown(test_ejection, setup, teardown),
 	    cmocka_unit_test_setup_teardown(test_all_ejected, setup, teardown),
 	    cmocka_unit_test_setup_teardown(test_cold, setup, teardown),
