Let few VMs read the store when all start or the readers fall silent

After a list a VM waited 1.8 s before it watched; the readers did so too, so that their news came when the others had given up and watched all four kinds. News was not taken at all before the first configuration. The two readers were 1.4 s apart at times, as long as their news puts reads off, and when both fell silent all other VMs took themselves for readers at once. A VM that had to step in told no changes at first, so that all others listed the upstreams.

Ruled out: lost datagrams (the silences were at the readers).

--- a/packages/control/fct.c
+++ b/packages/control/fct.c
@@ -26,6 +26,8 @@
 #define MEMBERS_SECOND_MS 1200
 /* The first list of VMs may be short, while the others start. */
 #define MIN_MEMBERS 12
+/* Without a list of VMs for this long, a VM reads for itself. */
+#define NO_MEMBERS_MS 2500
 #define MAX_PER_ROUND 256
 /* Part of the fleet's unused retries that is dealt out to the VMs. */
 #define RETRY_DEALT_PERMILLE 600
@@ -46,6 +48,8 @@
 	uint32_t n_members;
 	int64_t start_ms;
 	bool members_again;
+	bool members_known;     /* the second list was read */
+	bool reads;             /* this VM reads the store for the others */
 	int64_t members_due_ms; /* when the list of VMs may be hurried */
 };
 
@@ -102,7 +106,11 @@
 static void
 on_member(struct fst_sink *s, const char *id, struct fld_member *m)
 {
-	fls_set_member(&fct_of(s)->fls, id, m);
+	struct fct *c = fct_of(s);
+
+	if (m != NULL)
+		fnw_on_listed(&c->fnw, id, clk_mono_ms());
+	fls_set_member(&c->fls, id, m);
 }
 
 static void
@@ -189,7 +197,7 @@
 static void
 tell_news(struct fct *c)
 {
-	GPtrArray *ids = fnw_changes(&c->fnw, &c->fls);
+	GPtrArray *ids = fls_take_changed(&c->fls);
 	const struct fst *store = c->desc.store;
 	struct pnw_head head = {0};
 	struct pnw_change changes[PNW_MAX_CHANGES];
@@ -225,8 +233,9 @@
 	struct fct *c = fct_of(s);
 
 	(void)revision;
-	if (kind != FST_MEMBERS && fls_is_ready(&c->fls) &&
-	    fnw_is_reader(&c->fnw, clk_mono_ms()))
+	if (kind == FST_MEMBERS)
+		c->members_known = c->members_again;
+	else if (c->reads && fls_has_listed(&c->fls))
 		tell_news(c);
 }
 
@@ -251,10 +260,13 @@
 {
 	struct fst *store = c->desc.store;
 	bool same = head->digest[kind] == fls_digest(&c->fls, kind);
+	bool orders = kind == FST_MOVES || kind == FST_ZONES_OUT;
 
-	if (same && !fnw_is_reader(&c->fnw, now_ms))
-		store->ops->told(
-		    store, kind, head->revision[kind], now_ms + FNW_PUT_OFF_MS);
+	if (same && kind == FST_UPSTREAMS && !c->reads)
+		fls_forget_changed(&c->fls);
+	if (same && !c->reads)
+		store->ops->told(store, kind, head->revision[kind],
+		    now_ms + (orders ? FNW_PUT_OFF_ORDERS_MS : FNW_PUT_OFF_MS));
 	else if (!same &&
 	    head->revision[kind] > store->ops->revision(store, kind))
 		store->ops->hurry(store, kind);
@@ -302,7 +314,7 @@
 	if (!pnw_decode(bytes, &head, changes, &n))
 		return (false);
 	note_sender(c, head.vm, now_ms);
-	if (fls_is_ready(&c->fls))
+	if (fls_has_listed(&c->fls))
 		apply_news(c, &head, changes, n, now_ms);
 	pnw_free(changes, n);
 	return (true);
@@ -462,6 +474,23 @@
 	c->desc.store->ops->hurry(c->desc.store, FST_MEMBERS);
 }
 
+/* Readers that live are heard, so who reads follows from who is heard. */
+static void
+choose_reader(struct fct *c, int64_t now_ms)
+{
+	bool reads = fnw_is_reader(&c->fnw, now_ms) &&
+	    (c->members_known || now_ms - c->start_ms >= NO_MEMBERS_MS);
+
+	if (reads == c->reads)
+		return;
+	c->reads = reads;
+	g_message("fleet: this VM %s the store for the others",
+	    reads ? "reads" : "no longer reads");
+	c->desc.store->ops->lead(c->desc.store, reads);
+	if (reads && fls_has_listed(&c->fls))
+		tell_news(c);
+}
+
 static void *
 run(void *arg)
 {
@@ -479,6 +508,7 @@
 		take_messages(c);
 		take_datagrams(c);
 		read_members_again(c, clk_mono_ms());
+		choose_reader(c, clk_mono_ms());
 		divide_limits(c);
 		fmr_tick(&c->fmr, clk_mono_ms());
 		publish(c);
--- a/packages/fleet/fls.c
+++ b/packages/fleet/fls.c
@@ -55,6 +55,7 @@
 	f->versions = table_new(g_free);
 	f->zones_out = table_new(NULL);
 	f->zones_listed = table_new(NULL);
+	f->changed = table_new(NULL);
 }
 
 void
@@ -67,6 +68,7 @@
 	g_hash_table_unref(f->versions);
 	g_hash_table_unref(f->zones_out);
 	g_hash_table_unref(f->zones_listed);
+	g_hash_table_unref(f->changed);
 	fld_config_free(f->config);
 	g_free(f->self);
 }
@@ -99,6 +101,36 @@
 		((struct fls_member *)v)->listed = false;
 }
 
+/* The entry of an upstream changed, or it is gone. */
+static void
+note_change(struct fls *f, const char *id)
+{
+	f->dirty = true;
+	if (f->known[FST_UPSTREAMS])
+		g_hash_table_add(f->changed, g_strdup(id));
+}
+
+GPtrArray *
+fls_take_changed(struct fls *f)
+{
+	GPtrArray *out = g_ptr_array_new_with_free_func(g_free);
+	GHashTableIter it;
+	void *id;
+
+	g_hash_table_iter_init(&it, f->changed);
+	while (g_hash_table_iter_next(&it, &id, NULL)) {
+		g_hash_table_iter_steal(&it);
+		g_ptr_array_add(out, id);
+	}
+	return (out);
+}
+
+void
+fls_forget_changed(struct fls *f)
+{
+	g_hash_table_remove_all(f->changed);
+}
+
 /* Whether an entry that is missing now may come back, see FLS_RETURN_US. */
 static bool
 may_return(const struct fls *f, int64_t now_us)
@@ -128,16 +160,16 @@
 end_upstreams(struct fls *f, int64_t now_us)
 {
 	GHashTableIter it;
-	void *v;
+	void *id, *v;
 
 	g_hash_table_iter_init(&it, f->upstreams);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
+	while (g_hash_table_iter_next(&it, &id, &v)) {
 		struct fls_upstream *u = v;
 
 		if (u->listed || !drop_upstream(f, u, now_us))
 			continue;
+		note_change(f, id);
 		g_hash_table_iter_remove(&it);
-		f->dirty = true;
 	}
 }
 
@@ -340,8 +372,8 @@
 
 	if (u == NULL) {
 		if (o != NULL && drop_upstream(f, o, now_us)) {
+			note_change(f, id);
 			g_hash_table_remove(f->upstreams, id);
-			f->dirty = true;
 		}
 		return;
 	}
@@ -350,7 +382,7 @@
 	else if (o->entry.born_ms != u->born_ms)
 		forget_boot(o);
 	if (o->entry.id == NULL || !same_entry(&o->entry, u))
-		f->dirty = true;
+		note_change(f, id);
 	if (u->cold_ms > 0)
 		atomic_store(
 		    &o->stat->cold_until_us, now_us + u->cold_ms * 1000);
@@ -453,12 +485,18 @@
 }
 
 bool
-fls_is_ready(const struct fls *f)
+fls_has_listed(const struct fls *f)
 {
-	return (f->config != NULL && f->known[FST_UPSTREAMS] &&
+	return (f->known[FST_CONFIG] && f->known[FST_UPSTREAMS] &&
 	    f->known[FST_MOVES] && f->known[FST_ZONES_OUT]);
 }
 
+bool
+fls_is_ready(const struct fls *f)
+{
+	return (f->config != NULL && fls_has_listed(f));
+}
+
 uint32_t
 fls_n_members(const struct fls *f)
 {
@@ -472,10 +510,10 @@
 drop_missing(struct fls *f, int64_t now_us)
 {
 	GHashTableIter it;
-	void *v;
+	void *id, *v;
 
 	g_hash_table_iter_init(&it, f->upstreams);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
+	while (g_hash_table_iter_next(&it, &id, &v)) {
 		const struct fls_upstream *u = v;
 
 		if (u->gone_us == 0)
@@ -484,8 +522,8 @@
 			f->due_us = now_us + FLS_RETURN_US / 8;
 			continue;
 		}
+		note_change(f, id);
 		g_hash_table_iter_remove(&it);
-		f->dirty = true;
 	}
 }
 
--- a/packages/fleet/fls.h
+++ b/packages/fleet/fls.h
@@ -91,6 +91,7 @@
  * @tallies: service and version -> struct rt_tally
  * @versions: service and version -> int64_t, when it was first seen
  * @known: kinds whose list was read once
+ * @changed: ids of upstreams, see fls_take_changed()
  * @outage: the store did not answer since the last list of upstreams
  * @outage_end_us: when it answered again
  * @zones_listed: names in the list that is being read
@@ -108,6 +109,7 @@
 	GHashTable *tallies;
 	GHashTable *versions;
 	bool known[FST_KINDS];
+	GHashTable *changed;
 	bool outage;
 	int64_t outage_end_us;
 	GHashTable *zones_listed;
@@ -128,6 +130,21 @@
 /** fls_end() - objects of the kind that did not follow are gone */
 void fls_end(struct fls *f, enum fst_kind kind, int64_t now_us);
 
+/** fls_has_listed() - all that is needed was listed; it may be nothing yet */
+bool fls_has_listed(const struct fls *f);
+
+/**
+ * fls_take_changed() - upstreams that changed or went since this was last asked
+ *
+ * The first list is no change.
+ *
+ * Return: array of ids, freed with g_ptr_array_unref().
+ */
+GPtrArray *fls_take_changed(struct fls *f);
+
+/** fls_forget_changed() - the other VMs know all that changed */
+void fls_forget_changed(struct fls *f);
+
 /**
  * fls_set_config() - take over a configuration
  *
--- a/packages/fleet/fnw.h
+++ b/packages/fleet/fnw.h
@@ -11,7 +11,7 @@
  *	fnw_init(&n, &(struct fnw_desc){.self = "vm1"});
  *	fnw_on_heard(&n, "vm2", now_ms);
  *	if (fnw_is_reader(&n, now_ms))
- *		changes = fnw_changes(&n, &fls);
+ *		changes = fls_take_changed(&fls);
  *	fnw_finish(&n);
  */
 #ifndef FLEET_FNW_H
@@ -25,10 +25,16 @@
 
 /* VMs that read; the others need one of them to live. */
 #define FNW_READERS 2
-/* A VM that was heard this long ago still counts as a reader. */
-#define FNW_HEARD_MS 1600
+/* A VM that was heard this long ago still counts as a reader; the next in rank
+ * step in first, so that the others hear of them before they read themselves.
+ */
+#define FNW_HEARD_MIN_MS 900
+#define FNW_HEARD_STEP_MS 100
+#define FNW_HEARD_MS 1700
 /* News puts the next read off for this long, below the bound for a drain. */
 #define FNW_PUT_OFF_MS 1400
+/* The same for orders, whose bounds are longer. */
+#define FNW_PUT_OFF_ORDERS_MS 2600
 
 /** struct fnw_desc - settings */
 struct fnw_desc {
@@ -40,15 +46,11 @@
  * @self: id of this VM
  * @rank: own rank, lower is better
  * @heard: VM -> int64_t, when news of it came
- * @told: upstream -> uint64_t, hash of the entry that was told last
- * @any_told: the first news was told, which has no changes
  */
 struct fnw {
 	char *self;
 	uint64_t rank;
 	GHashTable *heard;
-	GHashTable *told;
-	bool any_told;
 };
 
 /** fnw_init() - nothing heard or told */
@@ -60,14 +62,15 @@
 /** fnw_on_heard() - news of another VM came */
 void fnw_on_heard(struct fnw *n, const char *vm, int64_t now_ms);
 
-/** fnw_is_reader() - whether this VM has to read and tell the others */
-bool fnw_is_reader(const struct fnw *n, int64_t now_ms);
-
 /**
- * fnw_changes() - ids of upstreams that changed or went since the last call
+ * fnw_on_listed() - a VM is in the list of the fleet
  *
- * Return: array of ids, freed with g_ptr_array_unref(); empty the first time.
+ * One that was never heard counts as heard now, so that VMs that start together
+ * do not all read until the first news comes.
  */
-GPtrArray *fnw_changes(struct fnw *n, const struct fls *f);
+void fnw_on_listed(struct fnw *n, const char *vm, int64_t now_ms);
+
+/** fnw_is_reader() - whether this VM has to read and tell the others */
+bool fnw_is_reader(const struct fnw *n, int64_t now_ms);
 
 #endif
--- a/packages/fleet/fst.h
+++ b/packages/fleet/fst.h
@@ -85,6 +85,8 @@
  * @told: another VM knows the same of a kind, as of @revision; the next read
  *	may wait until @until_ms
  * @hurry: list a kind now, because another VM knows more of it
+ * @lead: whether other VMs rely on the reads of this one; then nothing is put
+ *	off
  * @run: do what is due and wait for up to @timeout_ms, or until one of the
  *	descriptors can be read
  * @free: close and free
@@ -99,6 +101,7 @@
 	void (*told)(struct fst *s, enum fst_kind kind, int64_t revision,
 	    int64_t until_ms);
 	void (*hurry)(struct fst *s, enum fst_kind kind);
+	void (*lead)(struct fst *s, bool yes);
 	void (*run)(struct fst *s, const int *fds, unsigned n, int timeout_ms);
 	void (*free)(struct fst *s);
 };
--- a/tests/unit/test_pst.c
+++ b/tests/unit/test_pst.c
@@ -297,6 +297,23 @@
 	RUN_UNTIL(r, n_upstreams(r) == 1);
 }
 
+/* A VM on which others rely does not wait, whatever it was told. */
+static void
+test_lead(void **state)
+{
+	struct rig *r = *state;
+	const struct fst_ops *ops = r->client->ops;
+	int64_t until_ms = clk_mono_ms() + 100 * LIMIT_MS;
+	unsigned calls;
+
+	RUN_UNTIL(r, fls_is_ready(&r->fls));
+	ops->told(r->client, FST_CONFIG, ops->revision(r->client, FST_CONFIG),
+	    until_ms);
+	calls = ostore_calls(r->store, "config");
+	ops->lead(r->client, true);
+	RUN_UNTIL(r, ostore_calls(r->store, "config") > calls);
+}
+
 /* While the store refuses, one kind asks; all go on when it is back. */
 static void
 test_outage(void **state)
@@ -453,6 +470,7 @@
 	    TEST(test_dropped_history),
 	    TEST(test_hurry),
 	    TEST(test_told),
+	    TEST(test_lead),
 	    TEST(test_outage),
 	    TEST(test_return),
 	    TEST(test_expired),
