Pass on to the other VMs what the store told a reader

Cause: at each change of the configuration, of an order or of an availability zone every VM listed that kind: 121 calls of 123 VMs for a change. And the answer to a list that took 200 ms undid what had been told meanwhile, so that the next digest differed again and the list was repeated.

Change: a reader passes on the changes of the small kinds as the store told them, with the revision that they follow; the adapter of the receiver decodes them. A VM that knows less than that revision lists the kind as before. News of upstreams that comes during a list is applied again after it.

Tests: test_passed_on, test_told_datagram.

--- a/packages/control/fct.c
+++ b/packages/control/fct.c
@@ -19,7 +19,7 @@
 #define MSG_OPS 100
 #define TICK_MS 100
 #define MOVE_TICK_MS 50
-#define MAX_DATAGRAM 2048
+#define MAX_DATAGRAM (PNW_MAX_TOLD + 512)
 /* Pause between two reads of the list of VMs because of an unknown one. */
 #define MEMBERS_PAUSE_MS 2000
 /* VMs start together, so the first list is short and is read again. */
@@ -29,6 +29,8 @@
 /* Without a list of VMs for this long, a VM reads for itself. */
 #define NO_MEMBERS_MS 2500
 #define MAX_PER_ROUND 256
+/* Datagrams kept while a list is under way. */
+#define MAX_KEPT 64
 /* Part of the fleet's unused retries that is dealt out to the VMs. */
 #define RETRY_DEALT_PERMILLE 600
 /* Part of the allowed ratio of retries that is used. */
@@ -41,6 +43,7 @@
 	struct fls fls;
 	struct fmr fmr;
 	struct fnw fnw;
+	GPtrArray *kept; /* GBytes: news that came during a list of upstreams */
 	struct mq queue;
 	int udp_fd;
 	pthread_t thread;
@@ -71,9 +74,6 @@
 	fls_end(&fct_of(s)->fls, kind, clk_mono_us());
 }
 
-static void on_updated(
-    struct fst_sink *s, enum fst_kind kind, int64_t revision);
-
 static void
 on_config(struct fst_sink *s, struct fld_config *c)
 {
@@ -126,19 +126,6 @@
 	fmr_on_written(&fct_of(s)->fmr, name, result, clk_mono_ms());
 }
 
-static const struct fst_sink_ops sink_ops = {
-    .begin = on_begin,
-    .end = on_end,
-    .updated = on_updated,
-    .config = on_config,
-    .upstream = on_upstream,
-    .move = on_move,
-    .zone_out = on_zone_out,
-    .member = on_member,
-    .reachable = on_reachable,
-    .move_written = on_move_written,
-};
-
 static bool
 parse_address(const char *text, struct sockaddr_in *out)
 {
@@ -173,24 +160,51 @@
 		met_add(c->desc.env->met, MET_PEER_BYTES_OUT, bytes.n);
 }
 
+/* To all other VMs. */
 static void
-send_news(struct fct *c, const struct pnw_head *head,
-    const struct pnw_change *changes, uint32_t n)
+send_all(struct fct *c, struct bstr datagram)
 {
 	GHashTableIter it;
 	void *id, *v;
-	struct bbuf b;
 
-	bbuf_init(&b);
-	pnw_encode(&b, head, changes, n);
 	g_hash_table_iter_init(&it, c->fls.members);
 	while (g_hash_table_iter_next(&it, &id, &v)) {
 		if (strcmp(id, c->fls.self) != 0)
 			send_datagram(c,
-			    ((struct fls_member *)v)->member.address,
-			    bbuf_str(&b));
+			    ((struct fls_member *)v)->member.address, datagram);
 	}
+}
+
+static void
+send_news(struct fct *c, const struct pnw_head *head,
+    const struct pnw_change *changes, uint32_t n)
+{
+	struct bbuf b;
+
+	bbuf_init(&b);
+	pnw_encode(&b, head, changes, n);
+	send_all(c, bbuf_str(&b));
+	bbuf_finish(&b);
+}
+
+/* Passes on what the store told, so that the others need not list the kind. */
+static void
+on_changes(
+    struct fst_sink *s, enum fst_kind kind, int64_t base, struct bstr bytes)
+{
+	struct fct *c = fct_of(s);
+	struct pnw_told told = {.kind = kind, .base = base};
+	struct bbuf b;
+
+	if (!c->reads || bytes.n > PNW_MAX_TOLD)
+		return;
+	g_strlcpy(told.vm, c->fls.self, sizeof(told.vm));
+	told.bytes = g_bytes_new(bytes.p, bytes.n);
+	bbuf_init(&b);
+	pnw_encode_told(&b, &told);
+	send_all(c, bbuf_str(&b));
 	bbuf_finish(&b);
+	g_bytes_unref(told.bytes);
 }
 
 /* Tells all VMs what changed since the last news, in one or more datagrams. */
@@ -227,27 +241,63 @@
 	g_ptr_array_unref(ids);
 }
 
+static void
+apply_changes(struct fct *c, struct pnw_change *changes, uint32_t n)
+{
+	int64_t now_us = clk_mono_us();
+
+	for (uint32_t i = 0; i < n; i++)
+		fls_set_upstream(&c->fls, changes[i].id,
+		    (struct fld_upstream *)(uintptr_t)changes[i].entry, now_us);
+}
+
+/* What was told during a list is newer than its answer, which undid it. */
+static void
+apply_kept(struct fct *c, int64_t revision)
+{
+	for (guint i = 0; i < c->kept->len; i++) {
+		GBytes *b = g_ptr_array_index(c->kept, i);
+		struct pnw_change changes[PNW_MAX_CHANGES];
+		struct pnw_head head;
+		struct bstr bytes;
+		uint32_t n;
+
+		bytes.p = g_bytes_get_data(b, &bytes.n);
+		if (!pnw_decode(bytes, &head, changes, &n))
+			continue;
+		if (head.revision[FST_UPSTREAMS] > revision)
+			apply_changes(c, changes, n);
+		pnw_free(changes, n);
+	}
+	g_ptr_array_set_size(c->kept, 0);
+}
+
 static void
 on_updated(struct fst_sink *s, enum fst_kind kind, int64_t revision)
 {
 	struct fct *c = fct_of(s);
 
-	(void)revision;
+	if (kind == FST_UPSTREAMS)
+		apply_kept(c, revision);
 	if (kind == FST_MEMBERS)
 		c->members_known = c->members_again;
 	else if (c->reads && fls_has_listed(&c->fls))
 		tell_news(c);
 }
 
-static void
-apply_change(struct fct *c, struct pnw_change *ch, int64_t now_us)
-{
-	if (ch->entry == NULL)
-		fls_set_upstream(&c->fls, ch->id, NULL, now_us);
-	else
-		fls_set_upstream(&c->fls, ch->id,
-		    (struct fld_upstream *)(uintptr_t)ch->entry, now_us);
-}
+static const struct fst_sink_ops sink_ops = {
+    .begin = on_begin,
+    .end = on_end,
+    .updated = on_updated,
+    .config = on_config,
+    .upstream = on_upstream,
+    .move = on_move,
+    .zone_out = on_zone_out,
+    .member = on_member,
+    .changes = on_changes,
+    .reachable = on_reachable,
+    .move_written = on_move_written,
+};
 
 /*
  * Puts the next read of a kind off when the sender knows the same, or hurries
@@ -279,10 +329,8 @@
 	struct fst *store = c->desc.store;
 
 	if (head->revision[FST_UPSTREAMS] >=
-	    store->ops->revision(store, FST_UPSTREAMS)) {
-		for (uint32_t i = 0; i < n; i++)
-			apply_change(c, &changes[i], now_ms * 1000);
-	}
+	    store->ops->revision(store, FST_UPSTREAMS))
+		apply_changes(c, changes, n);
 	for (int k = 0; k < FST_KINDS && head->last; k++) {
 		if (k != FST_MEMBERS)
 			compare(c, head, (enum fst_kind)k, now_ms);
@@ -314,12 +362,33 @@
 	if (!pnw_decode(bytes, &head, changes, &n))
 		return (false);
 	note_sender(c, head.vm, now_ms);
+	if (n != 0 && c->kept->len < MAX_KEPT &&
+	    c->desc.store->ops->is_listing(c->desc.store, FST_UPSTREAMS))
+		g_ptr_array_add(c->kept, g_bytes_new(bytes.p, bytes.n));
 	if (fls_has_listed(&c->fls))
 		apply_news(c, &head, changes, n, now_ms);
 	pnw_free(changes, n);
 	return (true);
 }
 
+/* A reader is told by the store itself. */
+static bool
+take_told(struct fct *c, struct bstr bytes, int64_t now_ms)
+{
+	struct fst *store = c->desc.store;
+	struct pnw_told told;
+	struct bstr body;
+
+	if (!pnw_decode_told(bytes, &told))
+		return (false);
+	note_sender(c, told.vm, now_ms);
+	body.p = g_bytes_get_data(told.bytes, &body.n);
+	if (!c->reads && fls_has_listed(&c->fls))
+		store->ops->take_changes(store, told.kind, told.base, body);
+	g_bytes_unref(told.bytes);
+	return (true);
+}
+
 static int64_t
 wall_ms(void *arg)
 {
@@ -358,6 +427,7 @@
 		g_free(c);
 		return (NULL);
 	}
+	c->kept = g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
 	fls_init(&c->fls, &(struct fls_desc){.self = desc->set->id});
 	fnw_init(&c->fnw, &(struct fnw_desc){.self = desc->set->id});
 	fmr_init(&c->fmr,
@@ -402,7 +472,7 @@
 static void
 take_datagram(struct fct *c, struct bstr bytes, int64_t now_ms)
 {
-	if (!take_news(c, bytes, now_ms))
+	if (!take_news(c, bytes, now_ms) && !take_told(c, bytes, now_ms))
 		fmr_on_datagram(&c->fmr, bytes, now_ms);
 }
 
@@ -541,6 +611,7 @@
 	c->desc.store->ops->free(c->desc.store);
 	fmr_finish(&c->fmr);
 	fnw_finish(&c->fnw);
+	g_ptr_array_unref(c->kept);
 	fls_finish(&c->fls);
 	close(c->udp_fd);
 	g_free(c);
--- a/packages/fleet/fst.h
+++ b/packages/fleet/fst.h
@@ -16,6 +16,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "base/bstr.h"
 #include "fleet/fld.h"
 
 /** enum fst_kind - kinds of objects */
@@ -49,6 +50,8 @@
  * @move: an order, contents taken over; NULL when it is gone
  * @zone_out: whether an availability zone is to get no work
  * @member: a VM, contents taken over; NULL when it is gone
+ * @changes: changes of a kind as the store told them since revision @base, to
+ *	be passed on to other VMs as they are; not for upstreams
  * @reachable: the store answers again, or does not
  * @move_written: the write of a move's status ended
  */
@@ -64,6 +67,8 @@
 	void (*zone_out)(struct fst_sink *s, const char *zone, bool out);
 	void (*member)(
 	    struct fst_sink *s, const char *id, struct fld_member *m);
+	void (*changes)(struct fst_sink *s, enum fst_kind kind, int64_t base,
+	    struct bstr bytes);
 	void (*reachable)(struct fst_sink *s, bool yes);
 	void (*move_written)(
 	    struct fst_sink *s, const char *name, enum fst_result result);
@@ -82,8 +87,12 @@
  * @write_member: publish this VM
  * @write_move: conditional write of a move's state, start and executor
  * @revision: revision of the last read of a kind, 0 before the first
+ * @is_listing: a list of a kind is due or under way; its answer may be older
+ *	than what other VMs tell meanwhile
  * @told: another VM knows the same of a kind, as of @revision; the next read
  *	may wait until @until_ms
+ * @take_changes: what the sink of another VM got as changes; ignored when what
+ *	is known is older than their base or newer than they are
  * @hurry: list a kind now, because another VM knows more of it
  * @lead: whether other VMs rely on the reads of this one; then nothing is put
  *	off
@@ -98,8 +107,11 @@
 	    enum fld_move_state state, int64_t started_ms,
 	    const char *executor);
 	int64_t (*revision)(const struct fst *s, enum fst_kind kind);
+	bool (*is_listing)(const struct fst *s, enum fst_kind kind);
 	void (*told)(struct fst *s, enum fst_kind kind, int64_t revision,
 	    int64_t until_ms);
+	void (*take_changes)(
+	    struct fst *s, enum fst_kind kind, int64_t base, struct bstr bytes);
 	void (*hurry)(struct fst *s, enum fst_kind kind);
 	void (*lead)(struct fst *s, bool yes);
 	void (*run)(struct fst *s, const int *fds, unsigned n, int timeout_ms);
--- a/packages/peer/pnw.c
+++ b/packages/peer/pnw.c
@@ -7,6 +7,8 @@
 /* Distinguishes these datagrams from those of pmv.h, which begin with a type
  * below it. */
 #define TYPE_NEWS 16
+#define TYPE_TOLD 17
+#define TOLD_FIELDS 5
 #define HEAD_FIELDS (4 + 2 * FST_KINDS)
 #define CHANGE_FIELDS 10
 #define MAX_SLOTS 100000
@@ -122,6 +124,47 @@
 	return (false);
 }
 
+void
+pnw_encode_told(struct bbuf *out, const struct pnw_told *told)
+{
+	struct mpk_writer w;
+	struct bstr bytes;
+
+	bytes.p = g_bytes_get_data(told->bytes, &bytes.n);
+	mpk_writer_init(&w, out);
+	mpk_put_array(&w, TOLD_FIELDS);
+	mpk_put_uint(&w, TYPE_TOLD);
+	mpk_put_str(&w, bstr_from(told->vm));
+	mpk_put_uint(&w, (uint64_t)told->kind);
+	mpk_put_uint(&w, (uint64_t)told->base);
+	mpk_put_str(&w, bytes);
+}
+
+bool
+pnw_decode_told(struct bstr bytes, struct pnw_told *told)
+{
+	struct mpk_reader r;
+	struct bstr vm, body;
+	bool ok;
+
+	*told = (struct pnw_told){0};
+	mpk_reader_init(&r, bytes);
+	mpk_enter(&r, TOLD_FIELDS);
+	ok = mpk_uint(&r, TYPE_TOLD) == TYPE_TOLD && mpk_ok(&r);
+	vm = mpk_str(&r, PNW_NAME_MAX);
+	if (vm.n != 0)
+		memcpy(told->vm, vm.p, vm.n);
+	told->kind = (enum fst_kind)mpk_uint(&r, FST_KINDS - 1);
+	told->base = (int64_t)mpk_uint(&r, INT64_MAX);
+	body = mpk_str(&r, PNW_MAX_TOLD);
+	mpk_leave(&r);
+	ok = ok && mpk_ok(&r) && told->vm[0] != '\0' && body.n != 0;
+	if (ok)
+		told->bytes = g_bytes_new(body.p, body.n);
+	mpk_reader_finish(&r);
+	return (ok);
+}
+
 void
 pnw_free(struct pnw_change *changes, uint32_t n)
 {
--- a/tests/unit/test_fnw.c
+++ b/tests/unit/test_fnw.c
@@ -277,6 +277,38 @@
 	bbuf_finish(&b);
 }
 
+/* Changes that are passed on arrive as they are; cut bytes are no datagram. */
+static void
+test_told_datagram(void **state)
+{
+	struct pnw_told told = {
+	    .vm = "vm1", .kind = FST_ZONES_OUT, .base = 4711};
+	struct pnw_change changes[PNW_MAX_CHANGES];
+	struct pnw_told got;
+	struct pnw_head head;
+	struct bbuf b;
+	uint32_t n;
+
+	(void)state;
+	told.bytes = g_bytes_new_static("{\"events\":[]}", 13);
+	bbuf_init(&b);
+	pnw_encode_told(&b, &told);
+	assert_true(pnw_decode_told(bbuf_str(&b), &got));
+	assert_string_equal(got.vm, "vm1");
+	assert_int_equal(got.kind, FST_ZONES_OUT);
+	assert_int_equal(got.base, 4711);
+	assert_true(g_bytes_equal(got.bytes, told.bytes));
+	g_bytes_unref(got.bytes);
+	assert_false(pnw_decode(bbuf_str(&b), &head, changes, &n));
+	for (size_t len = 0; len < b.n; len++)
+		assert_false(pnw_decode_told((struct bstr){b.p, len}, &got));
+	bbuf_finish(&b);
+	b = encoded();
+	assert_false(pnw_decode_told(bbuf_str(&b), &got));
+	bbuf_finish(&b);
+	g_bytes_unref(told.bytes);
+}
+
 /* Bytes that are cut or changed never crash the reader. */
 static void
 test_damaged(void **state)
@@ -315,6 +347,7 @@
 	    cmocka_unit_test(test_changes),
 	    cmocka_unit_test(test_digests),
 	    cmocka_unit_test(test_datagram),
+	    cmocka_unit_test(test_told_datagram),
 	    cmocka_unit_test(test_damaged),
 	};
 
--- a/tests/unit/test_pst.c
+++ b/tests/unit/test_pst.c
@@ -28,7 +28,9 @@
 	struct met met;
 	bool reachable;
 	unsigned outages;
-	int written; /* last result, -1 for none */
+	int written;     /* last result, -1 for none */
+	GBytes *changes; /* the last that may be passed on */
+	int64_t base;
 };
 
 static struct rig *
@@ -87,6 +89,18 @@
 	fls_set_member(&rig_of(s)->fls, id, m);
 }
 
+static void
+on_changes(
+    struct fst_sink *s, enum fst_kind kind, int64_t base, struct bstr bytes)
+{
+	struct rig *r = rig_of(s);
+
+	assert_int_not_equal(kind, FST_UPSTREAMS);
+	g_clear_pointer(&r->changes, g_bytes_unref);
+	r->changes = g_bytes_new(bytes.p, bytes.n);
+	r->base = base;
+}
+
 static void
 on_reachable(struct fst_sink *s, bool yes)
 {
@@ -113,6 +127,7 @@
     .move = on_move,
     .zone_out = on_zone_out,
     .member = on_member,
+    .changes = on_changes,
     .reachable = on_reachable,
     .move_written = on_move_written,
 };
@@ -172,6 +187,7 @@
 	struct rig *r = *state;
 
 	r->client->ops->free(r->client);
+	g_clear_pointer(&r->changes, g_bytes_unref);
 	fls_finish(&r->fls);
 	ostore_free(r->store);
 	g_free(r);
@@ -297,6 +313,41 @@
 	RUN_UNTIL(r, n_upstreams(r) == 1);
 }
 
+/*
+ * What the store tells one VM serves another, if that knows all that was before
+ * and no more; no call is made. The second VM's part is played by the same one.
+ */
+static void
+test_passed_on(void **state)
+{
+	static const struct bstr zone_out =
+	    BSTR("{\"storeRevision\":900,\"events\":[{\"object\":"
+		 "{\"metadata\":{\"name\":\"a\",\"revision\":900},"
+		 "\"spec\":{}},\"removed\":false}]}");
+	struct rig *r = *state;
+	const struct fst_ops *ops = r->client->ops;
+	unsigned calls;
+
+	RUN_UNTIL(r, fls_is_ready(&r->fls));
+	assert_null(r->changes);
+	put_config(r->store, 4);
+	RUN_UNTIL(r, version(r) == 4);
+	assert_non_null(r->changes);
+	assert_true(r->base < ops->revision(r->client, FST_CONFIG));
+	ops->told(r->client, FST_ZONES_OUT, 0, INT64_MAX - 1);
+	calls = ostore_calls(r->store, "evacuations");
+	ops->take_changes(r->client, FST_ZONES_OUT, 500, zone_out);
+	assert_false(g_hash_table_contains(r->fls.zones_out, "a"));
+	ops->take_changes(r->client, FST_ZONES_OUT, 1, BSTR("{\"storeRev"));
+	ops->take_changes(r->client, FST_ZONES_OUT, 1, zone_out);
+	assert_true(g_hash_table_contains(r->fls.zones_out, "a"));
+	assert_int_equal(ops->revision(r->client, FST_ZONES_OUT), 900);
+	fls_set_zone_out(&r->fls, "a", false);
+	ops->take_changes(r->client, FST_ZONES_OUT, 1, zone_out);
+	assert_false(g_hash_table_contains(r->fls.zones_out, "a"));
+	assert_int_equal(ostore_calls(r->store, "evacuations"), calls);
+}
+
 /* A VM on which others rely does not wait, whatever it was told. */
 static void
 test_lead(void **state)
@@ -470,6 +521,7 @@
 	    TEST(test_dropped_history),
 	    TEST(test_hurry),
 	    TEST(test_told),
+	    TEST(test_passed_on),
 	    TEST(test_lead),
 	    TEST(test_outage),
 	    TEST(test_return),
