--- a/packages/control/fct.c
+++ b/packages/control/fct.c
@@ -109,7 +109,7 @@
 	struct fct *c = fct_of(s);
 
 	if (m != NULL)
-		fnw_on_listed(&c->fnw, id, clk_mono_ms());
+		fnw_on_listed(&c->fnw, id, m->link_mbps, clk_mono_ms());
 	fls_set_member(&c->fls, id, m);
 }
 
@@ -429,7 +429,9 @@
 	}
 	c->kept = g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
 	fls_init(&c->fls, &(struct fls_desc){.self = desc->set->id});
-	fnw_init(&c->fnw, &(struct fnw_desc){.self = desc->set->id});
+	fnw_init(&c->fnw,
+	    &(struct fnw_desc){.self = desc->set->id,
+		.link_mbps = (uint32_t)desc->set->link_mbps});
 	fmr_init(&c->fmr,
 	    &(struct fmr_desc){.self = desc->set->id,
 		.boot = desc->boot,
@@ -528,8 +530,10 @@
 	const struct set *s = c->desc.set;
 	char *address =
 	    g_strdup_printf("%s:%lld", s->peer.addr, (long long)s->peer.port);
-	struct fld_member m = {
-	    .id = s->id, .zone = s->zone, .address = address};
+	struct fld_member m = {.id = s->id,
+	    .zone = s->zone,
+	    .address = address,
+	    .link_mbps = (uint32_t)s->link_mbps};
 
 	c->desc.store->ops->write_member(c->desc.store, &m);
 	g_free(address);
--- a/packages/fleet/fld.h
+++ b/packages/fleet/fld.h
@@ -131,7 +131,8 @@
 struct fld_member {
 	char *id;
 	char *zone;
-	char *address; /* "ip:port" for datagrams */
+	char *address;      /* "ip:port" for datagrams */
+	uint32_t link_mbps; /* bandwidth, 0 when not known */
 };
 
 /** fld_config_new() - empty configuration */
--- a/packages/fleet/fnw.c
+++ b/packages/fleet/fnw.c
@@ -2,17 +2,28 @@
 
 #include <string.h>
 
+/* Bandwidth counts first, then the hash: its bits in the rank. */
+#define HASH_BITS 32
+
+/** struct heard - a VM that tells news, or is in the list */
+struct heard {
+	uint64_t rank;
+	int64_t at_ms;
+};
+
 static uint64_t
-rank_of(const char *vm)
+rank_of(const char *vm, uint32_t link_mbps)
 {
-	return (bstr_hash(bstr_from(vm), 0));
+	uint64_t hash = bstr_hash(bstr_from(vm), 0) >> (64 - HASH_BITS);
+
+	return ((uint64_t)(UINT32_MAX - link_mbps) << HASH_BITS | hash);
 }
 
 void
 fnw_init(struct fnw *n, const struct fnw_desc *desc)
 {
-	*n = (struct fnw){
-	    .self = g_strdup(desc->self), .rank = rank_of(desc->self)};
+	*n = (struct fnw){.self = g_strdup(desc->self),
+	    .rank = rank_of(desc->self, desc->link_mbps)};
 	n->heard =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
@@ -24,23 +35,37 @@
 	g_free(n->self);
 }
 
+static struct heard *
+add(struct fnw *n, const char *vm, uint32_t link_mbps, int64_t now_ms)
+{
+	struct heard *h = g_new(struct heard, 1);
+
+	h->rank = rank_of(vm, link_mbps);
+	h->at_ms = now_ms;
+	g_hash_table_insert(n->heard, g_strdup(vm), h);
+	return (h);
+}
+
 void
 fnw_on_heard(struct fnw *n, const char *vm, int64_t now_ms)
 {
-	int64_t *at = g_hash_table_lookup(n->heard, vm);
+	struct heard *h = g_hash_table_lookup(n->heard, vm);
 
-	if (at == NULL) {
-		at = g_new(int64_t, 1);
-		g_hash_table_insert(n->heard, g_strdup(vm), at);
-	}
-	*at = now_ms;
+	if (h == NULL)
+		h = add(n, vm, 0, now_ms);
+	h->at_ms = now_ms;
 }
 
 void
-fnw_on_listed(struct fnw *n, const char *vm, int64_t now_ms)
+fnw_on_listed(struct fnw *n, const char *vm, uint32_t link_mbps, int64_t now_ms)
 {
-	if (strcmp(vm, n->self) != 0 && !g_hash_table_contains(n->heard, vm))
-		fnw_on_heard(n, vm, now_ms);
+	struct heard *h = g_hash_table_lookup(n->heard, vm);
+
+	if (strcmp(vm, n->self) == 0)
+		return;
+	if (h == NULL)
+		h = add(n, vm, link_mbps, now_ms);
+	h->rank = rank_of(vm, link_mbps);
 }
 
 /* VMs with a better rank that were heard in the last @within_ms. */
@@ -49,12 +74,13 @@
 {
 	unsigned better = 0;
 	GHashTableIter it;
-	void *vm, *at;
+	void *v;
 
 	g_hash_table_iter_init(&it, n->heard);
-	while (g_hash_table_iter_next(&it, &vm, &at)) {
-		if (now_ms - *(int64_t *)at < within_ms &&
-		    rank_of(vm) < n->rank)
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const struct heard *h = v;
+
+		if (now_ms - h->at_ms < within_ms && h->rank < n->rank)
 			better++;
 	}
 	return (better);
--- a/packages/fleet/fnw.h
+++ b/packages/fleet/fnw.h
@@ -2,11 +2,12 @@
  * fnw - news that VMs tell each other, so that few of them read the store.
  *
  * Each read of the store is priced, and upstreams have to be read every second.
- * The VMs with the best ranks read and tell the others what changed, with a
- * digest of all that they know of each kind and the store's revision. A VM that
- * hears the digest of what it knows itself puts its next read off; one whose
- * digest differs, or that hears nothing, reads by itself. News of an older
- * revision is ignored, so that a reader that was paused cannot turn back time.
+ * The VMs with the best ranks (most bandwidth, as news goes to all at once,
+ *then by hash) read and tell the others what changed, with a digest of all that
+ *they know of each kind and the store's revision. A VM that hears the digest of
+ *what it knows itself puts its next read off; one whose digest differs, or that
+ *hears nothing, reads by itself. News of an older revision is ignored, so that
+ *a reader that was paused cannot turn back time.
  *
  *	fnw_init(&n, &(struct fnw_desc){.self = "vm1"});
  *	fnw_on_heard(&n, "vm2", now_ms);
@@ -36,16 +37,21 @@
 /* The same for orders, whose bounds are longer. */
 #define FNW_PUT_OFF_ORDERS_MS 2600
 
-/** struct fnw_desc - settings */
+/**
+ * struct fnw_desc - settings
+ * @self: id of this VM
+ * @link_mbps: its bandwidth, 0 when not known
+ */
 struct fnw_desc {
 	const char *self;
+	uint32_t link_mbps;
 };
 
 /**
  * struct fnw - state on caller-owned memory
  * @self: id of this VM
  * @rank: own rank, lower is better
- * @heard: VM -> int64_t, when news of it came
+ * @heard: VM -> its rank, and when news of it came
  */
 struct fnw {
 	char *self;
@@ -68,7 +74,8 @@
  * One that was never heard counts as heard now, so that VMs that start together
  * do not all read until the first news comes.
  */
-void fnw_on_listed(struct fnw *n, const char *vm, int64_t now_ms);
+void fnw_on_listed(
+    struct fnw *n, const char *vm, uint32_t link_mbps, int64_t now_ms);
 
 /** fnw_is_reader() - whether this VM has to read and tell the others */
 bool fnw_is_reader(const struct fnw *n, int64_t now_ms);
--- a/packages/ops/set.c
+++ b/packages/ops/set.c
@@ -42,6 +42,7 @@
     {"peer.addr", IT_STRING, AT(peer.addr), true, 7, 15, 0},
     {"peer.port", IT_INT, AT(peer.port), true, 1, 65535, 0},
     {"peer.allow", IT_STRINGS, AT(peer_allow), false, 0, SET_MAX_ALLOW - 1, 0},
+    {"peer.link_mbps", IT_REAL, AT(link_mbps), false, 0, 1000000, 0},
     {"ops.addr", IT_STRING, AT(ops.addr), true, 7, 15, 0},
     {"ops.port", IT_INT, AT(ops.port), true, 1, 65535, 0},
     {"ops.token", IT_STRING, AT(token), false, 0, 255, 0},
--- a/packages/ops/set.h
+++ b/packages/ops/set.h
@@ -36,6 +36,8 @@
  * @ops: where operators and the platform's balancer connect
  * @platform: address of the store
  * @token: secret that operators send; empty allows none
+ * @link_mbps: bandwidth of this VM, 0 when not known; VMs with much tell the
+ *	others what is in the store
  * @peer_allow: addresses that may connect as peers, empty for loopback only
  * @ops_allow: addresses that may use the operator API
  * @workers: worker threads
@@ -74,6 +76,7 @@
 	int64_t stop_within_ms;
 	char *store_api;
 	char *health_path;
+	double link_mbps;
 	double retry_ratio;
 	int64_t retry_burst;
 	int64_t max_connections;
--- a/tests/unit/test_fnw.c
+++ b/tests/unit/test_fnw.c
@@ -94,7 +94,7 @@
 		fnw_init(&vms[i], &(struct fnw_desc){.self = name});
 		for (int k = 0; k < N_VMS; k++) {
 			snprintf(name, sizeof(name), "vm%d", k);
-			fnw_on_listed(&vms[i], name, 0);
+			fnw_on_listed(&vms[i], name, 0, 0);
 		}
 		early += fnw_is_reader(&vms[i], FNW_PUT_OFF_MS - 100);
 		late += fnw_is_reader(&vms[i], FNW_HEARD_MS);
@@ -106,6 +106,30 @@
 		fnw_finish(&vms[i]);
 }
 
+/* Those that read are the ones with the most bandwidth. */
+static void
+test_bandwidth(void **state)
+{
+	struct fnw vms[N_VMS];
+	char name[16];
+
+	(void)state;
+	for (uint32_t i = 0; i < N_VMS; i++) {
+		snprintf(name, sizeof(name), "vm%u", i);
+		fnw_init(&vms[i],
+		    &(struct fnw_desc){.self = name, .link_mbps = 10 * i});
+		for (uint32_t k = 0; k < N_VMS; k++) {
+			snprintf(name, sizeof(name), "vm%u", k);
+			fnw_on_heard(&vms[i], name, 0);
+			fnw_on_listed(&vms[i], name, 10 * k, 0);
+		}
+		assert_int_equal(
+		    fnw_is_reader(&vms[i], 0), i >= N_VMS - FNW_READERS);
+	}
+	for (int i = 0; i < N_VMS; i++)
+		fnw_finish(&vms[i]);
+}
+
 /* A VM that hears nobody reads by itself. */
 static void
 test_alone(void **state)
@@ -136,14 +160,14 @@
 		fnw_init(&vms[i], &(struct fnw_desc){.self = name});
 		for (int k = 0; k < N_VMS; k++) {
 			snprintf(name, sizeof(name), "vm%d", k);
-			fnw_on_listed(&vms[i], name, now_ms);
+			fnw_on_listed(&vms[i], name, 0, now_ms);
 		}
 		readers += fnw_is_reader(&vms[i], now_ms + FNW_HEARD_MS / 2);
 	}
 	assert_int_equal(readers, FNW_READERS);
 	/* Listed again and never heard: nobody waits for it a second time. */
-	fnw_on_listed(&vms[0], "vm1", now_ms + FNW_HEARD_MS);
-	fnw_on_listed(&vms[0], "vm2", now_ms + FNW_HEARD_MS);
+	fnw_on_listed(&vms[0], "vm1", 0, now_ms + FNW_HEARD_MS);
+	fnw_on_listed(&vms[0], "vm2", 0, now_ms + FNW_HEARD_MS);
 	assert_true(fnw_is_reader(&vms[0], now_ms + FNW_HEARD_MS));
 	for (int i = 0; i < N_VMS; i++)
 		fnw_finish(&vms[i]);
@@ -342,6 +366,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_readers),
 	    cmocka_unit_test(test_succession),
+	    cmocka_unit_test(test_bandwidth),
 	    cmocka_unit_test(test_alone),
 	    cmocka_unit_test(test_listed),
 	    cmocka_unit_test(test_changes),
--- a/tests/unit/test_pst.c
+++ b/tests/unit/test_pst.c
@@ -96,7 +96,7 @@
 	struct rig *r = rig_of(s);
 
 	assert_int_not_equal(kind, FST_UPSTREAMS);
-	g_clear_pointer(&r->changes, g_bytes_unref);
+	g_bytes_unref(r->changes);
 	r->changes = g_bytes_new(bytes.p, bytes.n);
 	r->base = base;
 }
@@ -187,7 +187,7 @@
 	struct rig *r = *state;
 
 	r->client->ops->free(r->client);
-	g_clear_pointer(&r->changes, g_bytes_unref);
+	g_bytes_unref(r->changes);
 	fls_finish(&r->fls);
 	ostore_free(r->store);
 	g_free(r);
@@ -398,6 +398,38 @@
 	RUN_UNTIL(r, r->reachable && version(r) == 9);
 }
 
+static void
+tell_all(struct rig *r)
+{
+	for (int k = 0; k < FST_KINDS; k++)
+		r->client->ops->told(
+		    r->client, (enum fst_kind)k, 0, clk_mono_ms() + LIMIT_MS);
+}
+
+/* A VM that alone is refused asks seldom while others tell it all it needs. */
+static void
+test_told_away(void **state)
+{
+	struct rig *r = *state;
+	int64_t begin_ms;
+	unsigned calls;
+
+	RUN_UNTIL(r, fls_is_ready(&r->fls));
+	ostore_fail(r->store, &(struct ostore_faults){.status = 503});
+	RUN_UNTIL(r, !r->reachable);
+	begin_ms = clk_mono_ms();
+	calls = met_get(&r->met, MET_STORE_READS);
+	while (clk_mono_ms() - begin_ms < 3000) {
+		tell_all(r);
+		r->client->ops->run(r->client, NULL, 0, ROUND_MS);
+	}
+	assert_int_equal(met_get(&r->met, MET_STORE_READS), calls);
+	/* It asks again as soon as it learns that it knows less. */
+	r->client->ops->hurry(r->client, FST_ZONES_OUT);
+	r->client->ops->run(r->client, NULL, 0, ROUND_MS);
+	RUN_UNTIL(r, met_get(&r->met, MET_STORE_READS) > calls);
+}
+
 /* The store's return is noticed at once, also when nothing changes. */
 static void
 test_return(void **state)
@@ -497,8 +529,11 @@
 test_member(void **state)
 {
 	struct rig *r = *state;
-	const struct fld_member self = {
-	    .id = "vm1", .zone = "a", .address = "127.0.0.1:7"};
+	const struct fld_member self = {.id = "vm1",
+	    .zone = "a",
+	    .address = "127.0.0.1:7",
+	    .link_mbps = 40};
+	const struct fls_member *m;
 
 	r->client->ops->write_member(r->client, &self);
 	RUN_UNTIL(r, ostore_calls(r->store, "lbmembers") >= 2);
@@ -508,6 +543,9 @@
 	RUN_UNTIL(r, ostore_calls(r->store, "lbmembers") >= 4);
 	r->client->ops->hurry(r->client, FST_MEMBERS);
 	RUN_UNTIL(r, g_hash_table_contains(r->fls.members, "vm1"));
+	m = g_hash_table_lookup(r->fls.members, "vm1");
+	assert_string_equal(m->member.address, "127.0.0.1:7");
+	assert_int_equal(m->member.link_mbps, 40);
 }
 
 #define TEST(f) cmocka_unit_test_setup_teardown(f, setup, teardown)
@@ -524,6 +562,7 @@
 	    TEST(test_passed_on),
 	    TEST(test_lead),
 	    TEST(test_outage),
+	    TEST(test_told_away),
 	    TEST(test_return),
 	    TEST(test_expired),
 	    TEST(test_conditional_write),
