Break a late request off only when another upstream can take it

Cause: at its goal an idempotent request without an answer was broken off before another upstream was looked for.

Ruled out: the retry budget (it was there).

Tests: test_late_alone (before: 504 upstream-timeout), test_late_elsewhere shows that the request still goes elsewhere when there is one.

--- a/packages/front/pck.h
+++ b/packages/front/pck.h
@@ -21,4 +21,10 @@
  */
 int pck_upstream(struct call *c, int64_t now_us);
 
+/**
+ * pck_has_other() - whether, by what is known now, another upstream than
+ * call->upstream could take the call
+ */
+bool pck_has_other(const struct call *c, int64_t now_us);
+
 #endif
--- a/packages/front/ups.c
+++ b/packages/front/ups.c
@@ -498,7 +498,8 @@
 		return;
 	c->late_n = c->answer_n;
 	/* The retry is taken from the budget here, before the attempt ends. */
-	c->failed = stalled && may_retry(c, ERR_UPSTREAM_TIMEOUT);
+	c->failed = stalled && pck_has_other(c, now_us) &&
+	    may_retry(c, ERR_UPSTREAM_TIMEOUT);
 	if (c->failed)
 		finish_attempt(c, ERR_UPSTREAM_TIMEOUT);
 	else if (c->attempts < max_attempts(c))
--- a/tests/lib/rig.c
+++ b/tests/lib/rig.c
@@ -5,7 +5,8 @@
 #define HEAD_TIMEOUT_MS 400
 #define LONG_GRANT_US 5000000
 #define MAX_REPLY (16 * 1024 * 1024)
-#define N_SERVICES 6
+#define N_SERVICES 7
+#define N_ROUTES 5
 
 struct rig rig = {.lock = PTHREAD_MUTEX_INITIALIZER};
 
@@ -86,23 +87,28 @@
 rig_publish(uint16_t dead, uint16_t hole)
 {
 	static const char *const names[N_SERVICES] = {
-	    "a", "dead", "hole", "two", "full", "none"};
+	    "a", "dead", "hole", "two", "full", "none", "both"};
 	struct rt_route routes[] = {
 	    {.prefix = BSTR("/"), .timeout_ms = LONG_MS},
 	    {.prefix = BSTR("/i"), .idempotent = true, .timeout_ms = LONG_MS},
 	    {.prefix = BSTR("/t"), .idempotent = true, .timeout_ms = SHORT_MS},
 	    {.prefix = BSTR("/u"), .timeout_ms = SHORT_MS},
+	    {.prefix = BSTR("/l"),
+		.idempotent = true,
+		.timeout_ms = LONG_MS,
+		.goal_ms = GOAL_MS},
 	};
 	const uint16_t ports[N_SERVICES][2] = {{rig.up_port}, {dead}, {hole},
-	    {dead, rig.up_port}, {rig.up_port}, {0}};
+	    {dead, rig.up_port}, {rig.up_port}, {0},
+	    {rig.up_port, rig.up_port}};
 	struct rt_version version = {BSTR("v1"), 1000};
 	struct rt_service s[N_SERVICES] = {0};
 	struct rt_upstream ups[N_SERVICES][2] = {0};
 	struct bstr hosts[N_SERVICES];
-	struct rt_tally *tallies[4];
+	struct rt_tally *tallies[N_ROUTES];
 	static char addrs[N_SERVICES][2][32];
 
-	for (int i = 0; i < 4; i++)
+	for (int i = 0; i < N_ROUTES; i++)
 		tallies[i] = rt_tally_new();
 	rig.tally = rt_tally_ref(tallies[1]);
 	for (int i = 0; i < N_SERVICES; i++) {
@@ -111,7 +117,7 @@
 		    .hosts = &hosts[i],
 		    .n_hosts = 1,
 		    .routes = routes,
-		    .n_routes = 4,
+		    .n_routes = N_ROUTES,
 		    .versions = &version,
 		    .n_versions = 1,
 		    .upstreams = ups[i],
@@ -133,7 +139,7 @@
 		for (uint32_t k = 0; k < s[i].n_upstreams; k++)
 			rt_stat_unref(ups[i][k].stat);
 	}
-	for (int i = 0; i < 4; i++)
+	for (int i = 0; i < N_ROUTES; i++)
 		rt_tally_unref(tallies[i]);
 }
 
--- a/tests/lib/rig.h
+++ b/tests/lib/rig.h
@@ -3,9 +3,11 @@
  * with a fake control thread.
  *
  * Hosts: "a" has the stand-in, "dead" refuses connections, "hole" does not
- * complete them, "two" has a dead upstream and the stand-in, "full" is at its
- * limit while rig.full is set, "none" has no upstream. Routes: /i and /t are
- * idempotent, / is not; /t and /u have a timeout of SHORT_MS.
+ * complete them, "two" has a dead upstream and the stand-in, "both" has the
+ * stand-in twice, "full" is at its limit while rig.full is set, "none" has no
+ * upstream. Routes: /i, /t and /l are idempotent, / is not; /t and /u have a
+ * timeout of SHORT_MS; /l has a goal of GOAL_MS, which the slow behaviours of the
+ * stand-in miss.
  *
  * The fake control thread decides a claim by the first word of its key.
  */
@@ -33,6 +35,7 @@
 #include "front/wrk.h"
 #include "sys/clk.h"
 
+#define GOAL_MS 10
 #define SHORT_MS 300
 #define LONG_MS 10000
 #define MAX_FINISHES 256
--- a/tests/unit/test_front_errors.c
+++ b/tests/unit/test_front_errors.c
@@ -172,6 +172,39 @@
 	atomic_store(&rig.dead_first, false);
 }
 
+/*
+ * Guards against a late request that is broken off while no other upstream can
+ * take it: the answer that was on its way would be lost (LOST 1).
+ */
+static void
+test_late_alone(void **state)
+{
+	uint64_t before;
+
+	(void)state;
+	rig_earn("a");
+	before = met_get(&rig.met, MET_RETRIES);
+	rig_expect_body(rig_call("GET", "a", "/l/slow/alone", "", NULL), "ok");
+	assert_int_equal(met_get(&rig.met, MET_RETRIES), before);
+	assert_int_equal(rig_count("/l/slow/alone"), 1);
+}
+
+/* Guards against a late request that keeps waiting while another could run it.
+ */
+static void
+test_late_elsewhere(void **state)
+{
+	uint64_t before;
+
+	(void)state;
+	rig_earn("both");
+	before = met_get(&rig.met, MET_RETRIES);
+	rig_expect_body(
+	    rig_call("GET", "both", "/l/slow/both", "", NULL), "ok");
+	assert_int_equal(met_get(&rig.met, MET_RETRIES), before + 1);
+	assert_int_equal(rig_count("/l/slow/both"), 2);
+}
+
 /* Guards against a second delivery when a kept connection closes. */
 static void
 test_reused_closes(void **state)
@@ -303,6 +336,8 @@
 	    cmocka_unit_test(test_idempotent),
 	    cmocka_unit_test(test_before_claim),
 	    cmocka_unit_test(test_retry),
+	    cmocka_unit_test(test_late_alone),
+	    cmocka_unit_test(test_late_elsewhere),
 	    cmocka_unit_test(test_reused_closes),
 	    cmocka_unit_test(test_waiting),
 	    cmocka_unit_test(test_stale_while_waiting),
