--- a/tests/lib/ostore.c
+++ b/tests/lib/ostore.c
@@ -321,6 +321,14 @@
 	    GUINT_TO_POINTER(GPOINTER_TO_UINT(n) + 1));
 }
 
+static enum MHD_Result
+stay_silent(struct ostore *o)
+{
+	while (!o->stopping)
+		pthread_cond_wait(&o->changed, &o->lock);
+	return (MHD_NO);
+}
+
 static enum MHD_Result
 serve(struct ostore *o, struct MHD_Connection *conn, const char *url,
     const char *method, const struct request *req)
@@ -336,7 +344,9 @@
 		body = json_loadb(req->body.p, req->body.n, 0, NULL);
 	pthread_mutex_lock(&o->lock);
 	count_call(o, kind);
-	if (o->faults.status != 0)
+	if (o->faults.silent)
+		rc = stay_silent(o);
+	else if (o->faults.status != 0)
 		rc = answer(conn, o->faults.status, NULL);
 	else if (strcmp(method, "GET") == 0)
 		rc = serve_read(o, conn, kind, name);
--- a/tests/lib/ostore.h
+++ b/tests/lib/ostore.h
@@ -32,6 +32,7 @@
 /** struct ostore_faults - how it misbehaves; all zero is well */
 struct ostore_faults {
 	unsigned status;   /* answer every call with this status */
+	bool silent;       /* calls that come now are never answered */
 	bool deaf_watches; /* watches that wait hear of no change */
 	bool lose_writes;  /* writes are done, their answers are lost */
 };
--- a/tests/lib/rig.h
+++ b/tests/lib/rig.h
@@ -6,8 +6,8 @@
  * complete them, "two" has a dead upstream and the stand-in, "both" has the
  * stand-in twice, "full" is at its limit while rig.full is set, "none" has no
  * upstream. Routes: /i, /t and /l are idempotent, / is not; /t and /u have a
- * timeout of SHORT_MS; /l has a goal of GOAL_MS, which the slow behaviours of the
- * stand-in miss.
+ * timeout of SHORT_MS; /l has a goal of GOAL_MS, which the slow behaviours of
+ * the stand-in miss.
  *
  * The fake control thread decides a claim by the first word of its key.
  */
--- a/tests/unit/test_pst.c
+++ b/tests/unit/test_pst.c
@@ -398,12 +398,15 @@
 	RUN_UNTIL(r, r->reachable && version(r) == 9);
 }
 
+/* All kinds but one; FST_KINDS for all. */
 static void
-tell_all(struct rig *r)
+tell_all_but(struct rig *r, enum fst_kind but)
 {
-	for (int k = 0; k < FST_KINDS; k++)
-		r->client->ops->told(
-		    r->client, (enum fst_kind)k, 0, clk_mono_ms() + LIMIT_MS);
+	for (int k = 0; k < FST_KINDS; k++) {
+		if (k != (int)but)
+			r->client->ops->told(r->client, (enum fst_kind)k, 0,
+			    clk_mono_ms() + LIMIT_MS);
+	}
 }
 
 /* A VM that alone is refused asks seldom while others tell it all it needs. */
@@ -419,15 +422,46 @@
 	RUN_UNTIL(r, !r->reachable);
 	begin_ms = clk_mono_ms();
 	calls = met_get(&r->met, MET_STORE_READS);
-	while (clk_mono_ms() - begin_ms < 3000) {
-		tell_all(r);
+	while (clk_mono_ms() - begin_ms < 2500) {
+		tell_all_but(r, FST_KINDS);
 		r->client->ops->run(r->client, NULL, 0, ROUND_MS);
 	}
 	assert_int_equal(met_get(&r->met, MET_STORE_READS), calls);
-	/* It asks again as soon as it learns that it knows less. */
-	r->client->ops->hurry(r->client, FST_ZONES_OUT);
-	r->client->ops->run(r->client, NULL, 0, ROUND_MS);
-	RUN_UNTIL(r, met_get(&r->met, MET_STORE_READS) > calls);
+	/* It asks again as soon as it learns that it knows less of one kind. */
+	while (met_get(&r->met, MET_STORE_READS) == calls) {
+		r->client->ops->hurry(r->client, FST_CONFIG);
+		tell_all_but(r, FST_CONFIG);
+		r->client->ops->run(r->client, NULL, 0, ROUND_MS);
+		assert_true(clk_mono_ms() - begin_ms < 3500);
+	}
+}
+
+/*
+ * A call that got no answer while the store was away hangs on after its return.
+ * Another VM that knows more shows that it is back (CONFIG, trouble-3).
+ */
+static void
+test_hanging_call(void **state)
+{
+	struct rig *r = *state;
+	int64_t begin_ms;
+	unsigned calls;
+
+	RUN_UNTIL(r, fls_is_ready(&r->fls));
+	RUN_UNTIL(r, ostore_calls(r->store, "config") >= 2);
+	ostore_fail(r->store,
+	    &(struct ostore_faults){.silent = true, .deaf_watches = true});
+	RUN_UNTIL(r, !r->reachable);
+	calls = ostore_calls(r->store, "servers");
+	RUN_UNTIL(r, ostore_calls(r->store, "servers") > calls);
+	ostore_fail(r->store, &(struct ostore_faults){.deaf_watches = true});
+	put_config(r->store, 4);
+	begin_ms = clk_mono_ms();
+	while (version(r) != 4) {
+		r->client->ops->hurry(r->client, FST_CONFIG);
+		r->client->ops->run(r->client, NULL, 0, ROUND_MS);
+		assert_true(clk_mono_ms() - begin_ms < 2000);
+	}
 }
 
 /* The store's return is noticed at once, also when nothing changes. */
@@ -563,6 +597,7 @@
 	    TEST(test_lead),
 	    TEST(test_outage),
 	    TEST(test_told_away),
+	    TEST(test_hanging_call),
 	    TEST(test_return),
 	    TEST(test_expired),
 	    TEST(test_conditional_write),
