--- a/packages/control/fct.c
+++ b/packages/control/fct.c
@@ -10,7 +10,7 @@
 #include <urcu.h>
 
 #include "control/fmr.h"
-#include "fleet/fnw.h"
+#include "control/fnr.h"
 #include "front/cmsg.h"
 #include "ops/ops.h"
 #include "peer/pnw.h"
@@ -20,17 +20,9 @@
 #define TICK_MS 100
 #define MOVE_TICK_MS 50
 #define MAX_DATAGRAM (PNW_MAX_TOLD + 512)
-/* Pause between two reads of the list of VMs because of an unknown one. */
-#define MEMBERS_PAUSE_MS 2000
-/* VMs start together, so the first list is short and is read again. */
-#define MEMBERS_SECOND_MS 1200
 /* The first list of VMs may be short, while the others start. */
 #define MIN_MEMBERS 12
-/* Without a list of VMs for this long, a VM reads for itself. */
-#define NO_MEMBERS_MS 2500
 #define MAX_PER_ROUND 256
-/* Datagrams kept while a list is under way. */
-#define MAX_KEPT 64
 /* Part of the fleet's unused retries that is dealt out to the VMs. */
 #define RETRY_DEALT_PERMILLE 600
 /* Part of the allowed ratio of retries that is used. */
@@ -42,18 +34,12 @@
 	struct fct_desc desc;
 	struct fls fls;
 	struct fmr fmr;
-	struct fnw fnw;
-	GPtrArray *kept; /* GBytes: news that came during a list of upstreams */
+	struct fnr fnr;
 	struct mq queue;
 	int udp_fd;
 	pthread_t thread;
 	_Atomic bool stop;
 	uint32_t n_members;
-	int64_t start_ms;
-	bool members_again;
-	bool members_known;     /* the second list was read */
-	bool reads;             /* this VM reads the store for the others */
-	int64_t members_due_ms; /* when the list of VMs may be hurried */
 };
 
 static struct fct *
@@ -109,7 +95,7 @@
 	struct fct *c = fct_of(s);
 
 	if (m != NULL)
-		fnw_on_listed(&c->fnw, id, m->link_mbps, clk_mono_ms());
+		fnr_on_member(&c->fnr, id, m, clk_mono_ms());
 	fls_set_member(&c->fls, id, m);
 }
 
@@ -160,129 +146,17 @@
 		met_add(c->desc.env->met, MET_PEER_BYTES_OUT, bytes.n);
 }
 
-/* To all other VMs. */
-static void
-send_all(struct fct *c, struct bstr datagram)
-{
-	GHashTableIter it;
-	void *id, *v;
-
-	g_hash_table_iter_init(&it, c->fls.members);
-	while (g_hash_table_iter_next(&it, &id, &v)) {
-		if (strcmp(id, c->fls.self) != 0)
-			send_datagram(c,
-			    ((struct fls_member *)v)->member.address, datagram);
-	}
-}
-
-static void
-send_news(struct fct *c, const struct pnw_head *head,
-    const struct pnw_change *changes, uint32_t n)
-{
-	struct bbuf b;
-
-	bbuf_init(&b);
-	pnw_encode(&b, head, changes, n);
-	send_all(c, bbuf_str(&b));
-	bbuf_finish(&b);
-}
-
-/* Passes on what the store told, so that the others need not list the kind. */
 static void
 on_changes(
     struct fst_sink *s, enum fst_kind kind, int64_t base, struct bstr bytes)
 {
-	struct fct *c = fct_of(s);
-	struct pnw_told told = {.kind = kind, .base = base};
-	struct bbuf b;
-
-	if (!c->reads || bytes.n > PNW_MAX_TOLD)
-		return;
-	g_strlcpy(told.vm, c->fls.self, sizeof(told.vm));
-	told.bytes = g_bytes_new(bytes.p, bytes.n);
-	bbuf_init(&b);
-	pnw_encode_told(&b, &told);
-	send_all(c, bbuf_str(&b));
-	bbuf_finish(&b);
-	g_bytes_unref(told.bytes);
-}
-
-/* Tells all VMs what changed since the last news, in one or more datagrams. */
-static void
-tell_news(struct fct *c)
-{
-	GPtrArray *ids = fls_take_changed(&c->fls);
-	const struct fst *store = c->desc.store;
-	struct pnw_head head = {0};
-	struct pnw_change changes[PNW_MAX_CHANGES];
-	guint at = 0;
-
-	g_strlcpy(head.vm, c->fls.self, sizeof(head.vm));
-	for (int k = 0; k < FST_KINDS; k++) {
-		enum fst_kind kind = (enum fst_kind)k;
-
-		head.digest[k] = fls_digest(&c->fls, kind);
-		head.revision[k] = store->ops->revision(store, kind);
-	}
-	do {
-		uint32_t n = 0;
-
-		for (; n < PNW_MAX_CHANGES && at < ids->len; n++, at++) {
-			const char *id = g_ptr_array_index(ids, at);
-			const struct fls_upstream *u =
-			    g_hash_table_lookup(c->fls.upstreams, id);
-
-			changes[n] = (struct pnw_change){
-			    id, u == NULL ? NULL : &u->entry};
-		}
-		head.last = at >= ids->len;
-		send_news(c, &head, changes, n);
-	} while (at < ids->len);
-	g_ptr_array_unref(ids);
-}
-
-static void
-apply_changes(struct fct *c, struct pnw_change *changes, uint32_t n)
-{
-	int64_t now_us = clk_mono_us();
-
-	for (uint32_t i = 0; i < n; i++)
-		fls_set_upstream(&c->fls, changes[i].id,
-		    (struct fld_upstream *)(uintptr_t)changes[i].entry, now_us);
-}
-
-/* What was told during a list is newer than its answer, which undid it. */
-static void
-apply_kept(struct fct *c, int64_t revision)
-{
-	for (guint i = 0; i < c->kept->len; i++) {
-		GBytes *b = g_ptr_array_index(c->kept, i);
-		struct pnw_change changes[PNW_MAX_CHANGES];
-		struct pnw_head head;
-		struct bstr bytes;
-		uint32_t n;
-
-		bytes.p = g_bytes_get_data(b, &bytes.n);
-		if (!pnw_decode(bytes, &head, changes, &n))
-			continue;
-		if (head.revision[FST_UPSTREAMS] > revision)
-			apply_changes(c, changes, n);
-		pnw_free(changes, n);
-	}
-	g_ptr_array_set_size(c->kept, 0);
+	fnr_on_changes(&fct_of(s)->fnr, kind, base, bytes);
 }
 
 static void
 on_updated(struct fst_sink *s, enum fst_kind kind, int64_t revision)
 {
-	struct fct *c = fct_of(s);
-
-	if (kind == FST_UPSTREAMS)
-		apply_kept(c, revision);
-	if (kind == FST_MEMBERS)
-		c->members_known = c->members_again;
-	else if (c->reads && fls_has_listed(&c->fls))
-		tell_news(c);
+	fnr_on_updated(&fct_of(s)->fnr, kind, revision, clk_mono_ms());
 }
 
 static const struct fst_sink_ops sink_ops = {
@@ -299,96 +173,6 @@
     .move_written = on_move_written,
 };
 
-/*
- * Puts the next read of a kind off when the sender knows the same, or hurries
- * it when the sender knows more. A sender with an older revision and another
- * digest is behind.
- */
-static void
-compare(struct fct *c, const struct pnw_head *head, enum fst_kind kind,
-    int64_t now_ms)
-{
-	struct fst *store = c->desc.store;
-	bool same = head->digest[kind] == fls_digest(&c->fls, kind);
-	bool orders = kind == FST_MOVES || kind == FST_ZONES_OUT;
-
-	if (same && kind == FST_UPSTREAMS && !c->reads)
-		fls_forget_changed(&c->fls);
-	if (same && !c->reads)
-		store->ops->told(store, kind, head->revision[kind],
-		    now_ms + (orders ? FNW_PUT_OFF_ORDERS_MS : FNW_PUT_OFF_MS));
-	else if (!same &&
-	    head->revision[kind] > store->ops->revision(store, kind))
-		store->ops->hurry(store, kind);
-}
-
-static void
-apply_news(struct fct *c, const struct pnw_head *head,
-    struct pnw_change *changes, uint32_t n, int64_t now_ms)
-{
-	struct fst *store = c->desc.store;
-
-	if (head->revision[FST_UPSTREAMS] >=
-	    store->ops->revision(store, FST_UPSTREAMS))
-		apply_changes(c, changes, n);
-	for (int k = 0; k < FST_KINDS && head->last; k++) {
-		if (k != FST_MEMBERS)
-			compare(c, head, (enum fst_kind)k, now_ms);
-	}
-}
-
-/* A VM that is not in the list is new; the list is read again. */
-static void
-note_sender(struct fct *c, const char *vm, int64_t now_ms)
-{
-	struct fst *store = c->desc.store;
-
-	fnw_on_heard(&c->fnw, vm, now_ms);
-	if (g_hash_table_contains(c->fls.members, vm) ||
-	    now_ms < c->members_due_ms)
-		return;
-	c->members_due_ms = now_ms + MEMBERS_PAUSE_MS;
-	store->ops->hurry(store, FST_MEMBERS);
-}
-
-/* News of another VM; false when the datagram is something else. */
-static bool
-take_news(struct fct *c, struct bstr bytes, int64_t now_ms)
-{
-	struct pnw_change changes[PNW_MAX_CHANGES];
-	struct pnw_head head;
-	uint32_t n;
-
-	if (!pnw_decode(bytes, &head, changes, &n))
-		return (false);
-	note_sender(c, head.vm, now_ms);
-	if (n != 0 && c->kept->len < MAX_KEPT &&
-	    c->desc.store->ops->is_listing(c->desc.store, FST_UPSTREAMS))
-		g_ptr_array_add(c->kept, g_bytes_new(bytes.p, bytes.n));
-	if (fls_has_listed(&c->fls))
-		apply_news(c, &head, changes, n, now_ms);
-	pnw_free(changes, n);
-	return (true);
-}
-
-/* A reader is told by the store itself. */
-static bool
-take_told(struct fct *c, struct bstr bytes, int64_t now_ms)
-{
-	struct fst *store = c->desc.store;
-	struct pnw_told told;
-	struct bstr body;
-
-	if (!pnw_decode_told(bytes, &told))
-		return (false);
-	note_sender(c, told.vm, now_ms);
-	body.p = g_bytes_get_data(told.bytes, &body.n);
-	if (!c->reads && fls_has_listed(&c->fls))
-		store->ops->take_changes(store, told.kind, told.base, body);
-	g_bytes_unref(told.bytes);
-	return (true);
-}
-
 static int64_t
 wall_ms(void *arg)
 {
@@ -427,11 +211,14 @@
 		g_free(c);
 		return (NULL);
 	}
-	c->kept = g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
 	fls_init(&c->fls, &(struct fls_desc){.self = desc->set->id});
-	fnw_init(&c->fnw,
-	    &(struct fnw_desc){.self = desc->set->id,
-		.link_mbps = (uint32_t)desc->set->link_mbps});
+	fnr_init(&c->fnr,
+	    &(struct fnr_desc){.self = desc->set->id,
+		.link_mbps = (uint32_t)desc->set->link_mbps,
+		.fls = &c->fls,
+		.store = desc->store,
+		.send = send_datagram,
+		.arg = c});
 	fmr_init(&c->fmr,
 	    &(struct fmr_desc){.self = desc->set->id,
 		.boot = desc->boot,
@@ -474,7 +261,7 @@
 static void
 take_datagram(struct fct *c, struct bstr bytes, int64_t now_ms)
 {
-	if (!take_news(c, bytes, now_ms) && !take_told(c, bytes, now_ms))
+	if (!fnr_on_datagram(&c->fnr, bytes, now_ms))
 		fmr_on_datagram(&c->fmr, bytes, now_ms);
 }
 
@@ -539,32 +326,6 @@
 	g_free(address);
 }
 
-static void
-read_members_again(struct fct *c, int64_t now_ms)
-{
-	if (c->members_again || now_ms - c->start_ms < MEMBERS_SECOND_MS)
-		return;
-	c->members_again = true;
-	c->desc.store->ops->hurry(c->desc.store, FST_MEMBERS);
-}
-
-/* Readers that live are heard, so who reads follows from who is heard. */
-static void
-choose_reader(struct fct *c, int64_t now_ms)
-{
-	bool reads = fnw_is_reader(&c->fnw, now_ms) &&
-	    (c->members_known || now_ms - c->start_ms >= NO_MEMBERS_MS);
-
-	if (reads == c->reads)
-		return;
-	c->reads = reads;
-	g_message("fleet: this VM %s the store for the others",
-	    reads ? "reads" : "no longer reads");
-	c->desc.store->ops->lead(c->desc.store, reads);
-	if (reads && fls_has_listed(&c->fls))
-		tell_news(c);
-}
-
 static void *
 run(void *arg)
 {
@@ -573,7 +334,7 @@
 	const int fds[] = {mq_fd(&c->queue), c->udp_fd};
 
 	rcu_register_thread();
-	c->start_ms = clk_mono_ms();
+	fnr_start(&c->fnr, clk_mono_ms());
 	store->ops->start(store, &c->sink);
 	publish_member(c);
 	while (!atomic_load(&c->stop)) {
@@ -581,8 +342,7 @@
 		    fmr_is_active(&c->fmr) ? MOVE_TICK_MS : TICK_MS);
 		take_messages(c);
 		take_datagrams(c);
-		read_members_again(c, clk_mono_ms());
-		choose_reader(c, clk_mono_ms());
+		fnr_tick(&c->fnr, clk_mono_ms());
 		divide_limits(c);
 		fmr_tick(&c->fmr, clk_mono_ms());
 		publish(c);
@@ -614,8 +374,7 @@
 	mq_finish(&c->queue);
 	c->desc.store->ops->free(c->desc.store);
 	fmr_finish(&c->fmr);
-	fnw_finish(&c->fnw);
-	g_ptr_array_unref(c->kept);
+	fnr_finish(&c->fnr);
 	fls_finish(&c->fls);
 	close(c->udp_fd);
 	g_free(c);
--- /dev/null
+++ b/packages/control/fnr.c
@@ -0,0 +1,295 @@
+#include "control/fnr.h"
+
+#include <string.h>
+
+#include "peer/pnw.h"
+
+/* Pause between two reads of the list of VMs because of an unknown one. */
+#define MEMBERS_PAUSE_MS 2000
+/* VMs start together, so the first list is short and is read again. */
+#define MEMBERS_SECOND_MS 1200
+/* Without a list of VMs for this long, a VM reads for itself. */
+#define NO_MEMBERS_MS 2500
+/* Datagrams kept while a list is under way. */
+#define MAX_KEPT 64
+
+void
+fnr_init(struct fnr *r, const struct fnr_desc *desc)
+{
+	*r = (struct fnr){.desc = *desc};
+	fnw_init(&r->fnw,
+	    &(struct fnw_desc){
+		.self = desc->self, .link_mbps = desc->link_mbps});
+	r->kept = g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
+}
+
+void
+fnr_finish(struct fnr *r)
+{
+	fnw_finish(&r->fnw);
+	g_ptr_array_unref(r->kept);
+}
+
+void
+fnr_start(struct fnr *r, int64_t now_ms)
+{
+	r->start_ms = now_ms;
+}
+
+void
+fnr_on_member(
+    struct fnr *r, const char *id, const struct fld_member *m, int64_t now_ms)
+{
+	fnw_on_listed(&r->fnw, id, m->link_mbps, now_ms);
+}
+
+/* To all other VMs. */
+static void
+send_all(struct fnr *r, struct bstr datagram)
+{
+	GHashTableIter it;
+	void *id, *v;
+
+	g_hash_table_iter_init(&it, r->desc.fls->members);
+	while (g_hash_table_iter_next(&it, &id, &v)) {
+		if (strcmp(id, r->desc.self) != 0)
+			r->desc.send(r->desc.arg,
+			    ((struct fls_member *)v)->member.address, datagram);
+	}
+}
+
+static void
+send_news(struct fnr *r, const struct pnw_head *head,
+    const struct pnw_change *changes, uint32_t n)
+{
+	struct bbuf b;
+
+	bbuf_init(&b);
+	pnw_encode(&b, head, changes, n);
+	send_all(r, bbuf_str(&b));
+	bbuf_finish(&b);
+}
+
+void
+fnr_on_changes(
+    struct fnr *r, enum fst_kind kind, int64_t base, struct bstr bytes)
+{
+	struct pnw_told told = {.kind = kind, .base = base};
+	struct bbuf b;
+
+	if (!r->reads || bytes.n > PNW_MAX_TOLD)
+		return;
+	g_strlcpy(told.vm, r->desc.self, sizeof(told.vm));
+	told.bytes = g_bytes_new(bytes.p, bytes.n);
+	bbuf_init(&b);
+	pnw_encode_told(&b, &told);
+	send_all(r, bbuf_str(&b));
+	bbuf_finish(&b);
+	g_bytes_unref(told.bytes);
+}
+
+/* Tells all VMs what changed since the last news, in one or more datagrams. */
+static void
+tell_news(struct fnr *r)
+{
+	GPtrArray *ids = fls_take_changed(r->desc.fls);
+	const struct fst *store = r->desc.store;
+	struct pnw_head head = {0};
+	struct pnw_change changes[PNW_MAX_CHANGES];
+	guint at = 0;
+
+	g_strlcpy(head.vm, r->desc.self, sizeof(head.vm));
+	for (int k = 0; k < FST_KINDS; k++) {
+		enum fst_kind kind = (enum fst_kind)k;
+
+		head.digest[k] = fls_digest(r->desc.fls, kind);
+		head.revision[k] = store->ops->revision(store, kind);
+	}
+	do {
+		uint32_t n = 0;
+
+		for (; n < PNW_MAX_CHANGES && at < ids->len; n++, at++) {
+			const char *id = g_ptr_array_index(ids, at);
+			const struct fls_upstream *u =
+			    g_hash_table_lookup(r->desc.fls->upstreams, id);
+
+			changes[n] = (struct pnw_change){
+			    id, u == NULL ? NULL : &u->entry};
+		}
+		head.last = at >= ids->len;
+		send_news(r, &head, changes, n);
+	} while (at < ids->len);
+	g_ptr_array_unref(ids);
+}
+
+static void
+apply_changes(
+    struct fnr *r, struct pnw_change *changes, uint32_t n, int64_t now_ms)
+{
+	for (uint32_t i = 0; i < n; i++)
+		fls_set_upstream(r->desc.fls, changes[i].id,
+		    (struct fld_upstream *)(uintptr_t)changes[i].entry,
+		    now_ms * 1000);
+}
+
+/* What was told during a list is newer than its answer, which undid it. */
+static void
+apply_kept(struct fnr *r, int64_t revision, int64_t now_ms)
+{
+	for (guint i = 0; i < r->kept->len; i++) {
+		GBytes *b = g_ptr_array_index(r->kept, i);
+		struct pnw_change changes[PNW_MAX_CHANGES];
+		struct pnw_head head;
+		struct bstr bytes;
+		uint32_t n;
+
+		bytes.p = g_bytes_get_data(b, &bytes.n);
+		if (!pnw_decode(bytes, &head, changes, &n))
+			continue;
+		if (head.revision[FST_UPSTREAMS] > revision)
+			apply_changes(r, changes, n, now_ms);
+		pnw_free(changes, n);
+	}
+	g_ptr_array_set_size(r->kept, 0);
+}
+
+void
+fnr_on_updated(
+    struct fnr *r, enum fst_kind kind, int64_t revision, int64_t now_ms)
+{
+	if (kind == FST_UPSTREAMS)
+		apply_kept(r, revision, now_ms);
+	if (kind == FST_MEMBERS)
+		r->members_known = r->members_again;
+	else if (r->reads && fls_has_listed(r->desc.fls))
+		tell_news(r);
+}
+
+/*
+ * Puts the next read of a kind off when the sender knows the same, or hurries
+ * it when the sender knows more. A sender with an older revision and another
+ * digest is behind.
+ */
+static void
+compare(struct fnr *r, const struct pnw_head *head, enum fst_kind kind,
+    int64_t now_ms)
+{
+	struct fst *store = r->desc.store;
+	bool same = head->digest[kind] == fls_digest(r->desc.fls, kind);
+	bool orders = kind == FST_MOVES || kind == FST_ZONES_OUT;
+
+	if (same && kind == FST_UPSTREAMS && !r->reads)
+		fls_forget_changed(r->desc.fls);
+	if (same && !r->reads)
+		store->ops->told(store, kind, head->revision[kind],
+		    now_ms + (orders ? FNW_PUT_OFF_ORDERS_MS : FNW_PUT_OFF_MS));
+	else if (!same &&
+	    head->revision[kind] > store->ops->revision(store, kind))
+		store->ops->hurry(store, kind);
+}
+
+static void
+apply_news(struct fnr *r, const struct pnw_head *head,
+    struct pnw_change *changes, uint32_t n, int64_t now_ms)
+{
+	struct fst *store = r->desc.store;
+
+	if (head->revision[FST_UPSTREAMS] >=
+	    store->ops->revision(store, FST_UPSTREAMS))
+		apply_changes(r, changes, n, now_ms);
+	for (int k = 0; k < FST_KINDS && head->last; k++) {
+		if (k != FST_MEMBERS)
+			compare(r, head, (enum fst_kind)k, now_ms);
+	}
+}
+
+/* A VM that is not in the list is new; the list is read again. */
+static void
+note_sender(struct fnr *r, const char *vm, int64_t now_ms)
+{
+	struct fst *store = r->desc.store;
+
+	fnw_on_heard(&r->fnw, vm, now_ms);
+	if (g_hash_table_contains(r->desc.fls->members, vm) ||
+	    now_ms < r->members_due_ms)
+		return;
+	r->members_due_ms = now_ms + MEMBERS_PAUSE_MS;
+	store->ops->hurry(store, FST_MEMBERS);
+}
+
+/* News of another VM; false when the datagram is something else. */
+static bool
+take_news(struct fnr *r, struct bstr bytes, int64_t now_ms)
+{
+	struct pnw_change changes[PNW_MAX_CHANGES];
+	struct pnw_head head;
+	uint32_t n;
+
+	if (!pnw_decode(bytes, &head, changes, &n))
+		return (false);
+	note_sender(r, head.vm, now_ms);
+	if (n != 0 && r->kept->len < MAX_KEPT &&
+	    r->desc.store->ops->is_listing(r->desc.store, FST_UPSTREAMS))
+		g_ptr_array_add(r->kept, g_bytes_new(bytes.p, bytes.n));
+	if (fls_has_listed(r->desc.fls))
+		apply_news(r, &head, changes, n, now_ms);
+	pnw_free(changes, n);
+	return (true);
+}
+
+/* A reader is told by the store itself. */
+static bool
+take_told(struct fnr *r, struct bstr bytes, int64_t now_ms)
+{
+	struct fst *store = r->desc.store;
+	struct pnw_told told;
+	struct bstr body;
+
+	if (!pnw_decode_told(bytes, &told))
+		return (false);
+	note_sender(r, told.vm, now_ms);
+	body.p = g_bytes_get_data(told.bytes, &body.n);
+	if (!r->reads && fls_has_listed(r->desc.fls))
+		store->ops->take_changes(store, told.kind, told.base, body);
+	g_bytes_unref(told.bytes);
+	return (true);
+}
+
+static void
+read_members_again(struct fnr *r, int64_t now_ms)
+{
+	if (r->members_again || now_ms - r->start_ms < MEMBERS_SECOND_MS)
+		return;
+	r->members_again = true;
+	r->desc.store->ops->hurry(r->desc.store, FST_MEMBERS);
+}
+
+/* Readers that live are heard, so who reads follows from who is heard. */
+static void
+choose_reader(struct fnr *r, int64_t now_ms)
+{
+	bool reads = fnw_is_reader(&r->fnw, now_ms) &&
+	    (r->members_known || now_ms - r->start_ms >= NO_MEMBERS_MS);
+
+	if (reads == r->reads)
+		return;
+	r->reads = reads;
+	g_message("fleet: this VM %s the store for the others",
+	    reads ? "reads" : "no longer reads");
+	r->desc.store->ops->lead(r->desc.store, reads);
+	if (reads && fls_has_listed(r->desc.fls))
+		tell_news(r);
+}
+
+bool
+fnr_on_datagram(struct fnr *r, struct bstr bytes, int64_t now_ms)
+{
+	return (take_news(r, bytes, now_ms) || take_told(r, bytes, now_ms));
+}
+
+void
+fnr_tick(struct fnr *r, int64_t now_ms)
+{
+	read_members_again(r, now_ms);
+	choose_reader(r, now_ms);
+}
