--- a/packages/front/ups.c
+++ b/packages/front/ups.c
@@ -511,9 +511,7 @@
 {
 	bool stalled = c->status == 0 || c->answer_n == c->late_n;
 
-	/* A VM that leaves breaks nothing off that an upstream works on. */
-	if (c->easy == NULL || c->answer_started ||
-	    atomic_load(&wrk_env(c->w)->unhealthy))
+	if (c->easy == NULL || c->answer_started)
 		return;
 	c->late_n = c->answer_n;
 	/* The retry is taken from the budget here, before the attempt ends. */
--- a/tests/unit/test_front_errors.c
+++ b/tests/unit/test_front_errors.c
@@ -205,6 +205,22 @@
 	assert_int_equal(rig_count("/l/slow/both"), 2);
 }
 
+/* The same on a VM that leaves: its answer may be lost as well (LOST 2). */
+static void
+test_late_leaving(void **state)
+{
+	uint64_t before;
+
+	(void)state;
+	rig_earn("both");
+	before = met_get(&rig.met, MET_RETRIES);
+	atomic_store(&rig.env.unhealthy, true);
+	rig_expect_body(
+	    rig_call("GET", "both", "/l/slow/leaving", "", NULL), "ok");
+	atomic_store(&rig.env.unhealthy, false);
+	assert_int_equal(met_get(&rig.met, MET_RETRIES), before + 1);
+}
+
 /* Guards against a second delivery when a kept connection closes. */
 static void
 test_reused_closes(void **state)
@@ -338,6 +354,7 @@
 	    cmocka_unit_test(test_retry),
 	    cmocka_unit_test(test_late_alone),
 	    cmocka_unit_test(test_late_elsewhere),
+	    cmocka_unit_test(test_late_leaving),
 	    cmocka_unit_test(test_reused_closes),
 	    cmocka_unit_test(test_waiting),
 	    cmocka_unit_test(test_stale_while_waiting),
