--- /dev/null
+++ b/tests/unit/test_lgr.c
@@ -0,0 +1,108 @@
+/* Log lines on a pipe that nobody reads. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lib/capture.h"
+#include "ops/lgr.h"
+
+/* Far more than a pipe holds. */
+#define MANY_LINES 20000
+
+static const struct lgr_desc desc = {.json = true, .vm = "vm1"};
+
+/*
+ * Guards against a log that blocks, and against lines that are lost without a
+ * trace: a full pipe drops lines, and the next one that fits is preceded by
+ * their number.
+ */
+static void
+test_full_pipe(void **state)
+{
+	uint64_t dropped;
+	struct capture c;
+	char expected[64];
+	char *text;
+
+	(void)state;
+	capture_begin(&c);
+	lgr_setup(&desc);
+	for (int i = 0; i < MANY_LINES; i++)
+		lgr_line(BSTR("a line that says nothing\n"));
+	dropped = lgr_dropped();
+	free(capture_take(&c));
+	lgr_line(BSTR("after\n"));
+	lgr_line(BSTR("again\n"));
+	text = capture_end(&c);
+	snprintf(expected, sizeof(expected),
+	    "{\"part\":\"log\",\"msg\":\"lines dropped\",\"count\":%llu}\n",
+	    (unsigned long long)dropped);
+	assert_true(dropped > 0 && dropped < MANY_LINES);
+	assert_true(g_str_has_prefix(text, expected));
+	assert_string_equal(text + strlen(expected), "after\nagain\n");
+	free(text);
+}
+
+/* Bytes of callers in a line cannot end it or pretend to be another field. */
+static void
+test_quote(void **state)
+{
+	static const char bytes[] = "a\"b\\c\nd\x01\xff";
+	struct bbuf b;
+	json_t *v;
+
+	(void)state;
+	bbuf_init(&b);
+	lgr_quote(&b, (struct bstr){bytes, sizeof(bytes) - 1});
+	assert_null(memchr(b.p, '\n', b.n));
+	v = json_loadb(b.p, b.n, JSON_DECODE_ANY, NULL);
+	assert_non_null(v);
+	assert_memory_equal(json_string_value(v), "a\"b\\c\nd\x01", 8);
+	json_decref(v);
+	bbuf_finish(&b);
+}
+
+/* What GLib's logging writes is one JSON object a line with its part. The
+ * writer can be installed only once, which test_full_pipe() did. */
+static void
+test_message(void **state)
+{
+	struct capture c;
+	json_t *line;
+	char *text;
+
+	(void)state;
+	capture_begin(&c);
+	g_message("store: answers again");
+	text = capture_end(&c);
+	line = json_loads(text, 0, NULL);
+	assert_non_null(line);
+	assert_string_equal(
+	    json_string_value(json_object_get(line, "part")), "store");
+	assert_string_equal(
+	    json_string_value(json_object_get(line, "msg")), "answers again");
+	assert_string_equal(
+	    json_string_value(json_object_get(line, "vm")), "vm1");
+	json_decref(line);
+	free(text);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_full_pipe),
+	    cmocka_unit_test(test_quote),
+	    cmocka_unit_test(test_message),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
