Mend what was written twice or kept for nobody

- Whether an upstream could take a request was decided in front/pck again, beside route/pbc: pbc_may_take(), with a case for each reason (test_may_take).
- Sending a datagram to all VMs stood in fmr and in fnr: it is the control thread's.
- struct fls_move kept when it was first seen, which nobody read.
- Two functions were called limit_shutdown().

--- a/packages/control/fct.c
+++ b/packages/control/fct.c
@@ -79,7 +79,7 @@
 static void
 on_move(struct fst_sink *s, const char *name, struct fld_move *m)
 {
-	fls_set_move(&fct_of(s)->fls, name, m, clk_mono_us());
+	fls_set_move(&fct_of(s)->fls, name, m);
 }
 
 static void
@@ -173,6 +173,21 @@
     .move_written = on_move_written,
 };
 
+static void
+send_all(void *arg, struct bstr bytes)
+{
+	struct fct *c = arg;
+	GHashTableIter it;
+	void *id, *v;
+
+	g_hash_table_iter_init(&it, c->fls.members);
+	while (g_hash_table_iter_next(&it, &id, &v)) {
+		if (strcmp(id, c->fls.self) != 0)
+			send_datagram(
+			    c, ((struct fls_member *)v)->member.address, bytes);
+	}
+}
+
 static int64_t
 wall_ms(void *arg)
 {
@@ -217,7 +232,7 @@
 		.link_mbps = (uint32_t)desc->set->link_mbps,
 		.fls = &c->fls,
 		.store = desc->store,
-		.send = send_datagram,
+		.send_all = send_all,
 		.arg = c});
 	fmr_init(&c->fmr,
 	    &(struct fmr_desc){.self = desc->set->id,
@@ -225,6 +240,7 @@
 		.fls = &c->fls,
 		.store = desc->store,
 		.send = send_datagram,
+		.send_all = send_all,
 		.wall_ms = wall_ms,
 		.arg = c});
 	return (c);
--- a/packages/control/fmr.c
+++ b/packages/control/fmr.c
@@ -143,45 +143,35 @@
 	return (msg);
 }
 
-static void
-send_to(struct fmr *r, const char *address, const struct pmv_msg *msg)
-{
-	struct bbuf b;
-
-	bbuf_init(&b);
-	pmv_encode(&b, msg);
-	r->desc.send(r->desc.arg, address, bbuf_str(&b));
-	bbuf_finish(&b);
-}
-
 static void
 send_counts(struct fmr *r, const struct fls_move *m)
 {
 	const struct fls_member *e =
 	    g_hash_table_lookup(r->desc.fls->members, m->order.executor);
 	struct pmv_msg msg = message(r, PMV_COUNTS, m);
+	struct bbuf b;
 
 	if (e == NULL)
 		return;
 	msg.counts = own_counts(r, m->order.service, m->order.to_version);
-	send_to(r, e->member.address, &msg);
+	bbuf_init(&b);
+	pmv_encode(&b, &msg);
+	r->desc.send(r->desc.arg, e->member.address, bbuf_str(&b));
+	bbuf_finish(&b);
 }
 
 static void
 send_word(struct fmr *r, const struct fls_move *m, const struct part *p)
 {
 	struct pmv_msg msg = message(r, PMV_WORD, m);
-	GHashTableIter it;
-	void *id, *v;
+	struct bbuf b;
 
 	msg.share = p->fmv.share;
 	msg.state = p->fmv.state;
-	g_hash_table_iter_init(&it, r->desc.fls->members);
-	while (g_hash_table_iter_next(&it, &id, &v)) {
-		if (strcmp(id, r->desc.self) != 0)
-			send_to(
-			    r, ((struct fls_member *)v)->member.address, &msg);
-	}
+	bbuf_init(&b);
+	pmv_encode(&b, &msg);
+	r->desc.send_all(r->desc.arg, bbuf_str(&b));
+	bbuf_finish(&b);
 }
 
 /* Usable upstreams of the new version per 1,000 of the other versions. */
--- a/packages/control/fmr.h
+++ b/packages/control/fmr.h
@@ -28,6 +28,7 @@
  * @fls: what this VM knows
  * @store: receives status writes
  * @send: sends a datagram to "ip:port"
+ * @send_all: sends a datagram to all other VMs
  * @wall_ms: Unix time
  * @arg: argument of the functions
  */
@@ -37,6 +38,7 @@
 	struct fls *fls;
 	struct fst *store;
 	void (*send)(void *arg, const char *address, struct bstr bytes);
+	void (*send_all)(void *arg, struct bstr bytes);
 	int64_t (*wall_ms)(void *arg);
 	void *arg;
 };
--- a/packages/control/fnr.c
+++ b/packages/control/fnr.c
@@ -43,21 +43,6 @@
 	fnw_on_listed(&r->fnw, id, m->link_mbps, now_ms);
 }
 
-/* To all other VMs. */
-static void
-send_all(struct fnr *r, struct bstr datagram)
-{
-	GHashTableIter it;
-	void *id, *v;
-
-	g_hash_table_iter_init(&it, r->desc.fls->members);
-	while (g_hash_table_iter_next(&it, &id, &v)) {
-		if (strcmp(id, r->desc.self) != 0)
-			r->desc.send(r->desc.arg,
-			    ((struct fls_member *)v)->member.address, datagram);
-	}
-}
-
 static void
 send_news(struct fnr *r, const struct pnw_head *head,
     const struct pnw_change *changes, uint32_t n)
@@ -66,7 +51,7 @@
 
 	bbuf_init(&b);
 	pnw_encode(&b, head, changes, n);
-	send_all(r, bbuf_str(&b));
+	r->desc.send_all(r->desc.arg, bbuf_str(&b));
 	bbuf_finish(&b);
 }
 
@@ -83,7 +68,7 @@
 	told.bytes = g_bytes_new(bytes.p, bytes.n);
 	bbuf_init(&b);
 	pnw_encode_told(&b, &told);
-	send_all(r, bbuf_str(&b));
+	r->desc.send_all(r->desc.arg, bbuf_str(&b));
 	bbuf_finish(&b);
 	g_bytes_unref(told.bytes);
 }
--- a/packages/control/fnr.h
+++ b/packages/control/fnr.h
@@ -27,15 +27,15 @@
  * @link_mbps: its bandwidth, 0 when not known
  * @fls: what this VM knows
  * @store: its reads are put off or hurried
- * @send: sends a datagram to "ip:port"
- * @arg: argument of @send
+ * @send_all: sends a datagram to all other VMs
+ * @arg: argument of @send_all
  */
 struct fnr_desc {
 	const char *self;
 	uint32_t link_mbps;
 	struct fls *fls;
 	struct fst *store;
-	void (*send)(void *arg, const char *address, struct bstr bytes);
+	void (*send_all)(void *arg, struct bstr bytes);
 	void *arg;
 };
 
--- a/packages/fleet/fls.c
+++ b/packages/fleet/fls.c
@@ -409,8 +409,7 @@
 }
 
 void
-fls_set_move(
-    struct fls *f, const char *name, struct fld_move *m, int64_t now_us)
+fls_set_move(struct fls *f, const char *name, struct fld_move *m)
 {
 	struct fls_move *o;
 
@@ -424,11 +423,9 @@
 	o = g_hash_table_lookup(f->moves, m->service);
 	if (o == NULL) {
 		o = new_zeroed(sizeof(*o));
-		o->since_us = now_us;
 		o->final = FLD_MOVE_RUNNING;
 		g_hash_table_insert(f->moves, g_strdup(m->service), o);
 	} else if (strcmp(o->order.to_version, m->to_version) != 0) {
-		o->since_us = now_us;
 		o->final = FLD_MOVE_RUNNING;
 		o->share = 0;
 	}
--- a/packages/fleet/fls.h
+++ b/packages/fleet/fls.h
@@ -54,7 +54,6 @@
  * @applied_share: share in the last routing table
  * @share_until_us: when the share ends for want of word from the executor
  * @final: outcome that the executor told before it was stored
- * @since_us: when this VM first saw the order
  */
 struct fls_move {
 	struct fld_move order;
@@ -63,7 +62,6 @@
 	uint32_t applied_share;
 	int64_t share_until_us;
 	enum fld_move_state final;
-	int64_t since_us;
 };
 
 /** struct fls_member - a VM of the fleet */
@@ -157,8 +155,7 @@
     struct fls *f, const char *id, struct fld_upstream *u, int64_t now_us);
 
 /** fls_set_move() - take over the contents of @m; NULL when it is gone */
-void fls_set_move(
-    struct fls *f, const char *name, struct fld_move *m, int64_t now_us);
+void fls_set_move(struct fls *f, const char *name, struct fld_move *m);
 
 /** fls_set_zone_out() - whether a zone is to get no work */
 void fls_set_zone_out(struct fls *f, const char *zone, bool out);
--- a/packages/front/pck.c
+++ b/packages/front/pck.c
@@ -112,21 +112,6 @@
 	return (ask(c, s, now_us));
 }
 
-static bool
-may_take(const struct call *c, const struct rt_upstream *u,
-    const struct rt_request *req, int64_t now_us)
-{
-	const struct rt_stat *s = u->stat;
-
-	return (s != c->upstream && u->state == RT_READY &&
-	    rt_is_eligible(u, req) && !rt_is_ejected(s, now_us) &&
-	    now_us >= atomic_load(&s->refusing_until_us) &&
-	    now_us >= atomic_load(&s->silent_until_us) &&
-	    now_us >= atomic_load(&s->cold_until_us) &&
-	    (u->slots == 0 || atomic_load(&s->in_flight) < (int32_t)u->slots) &&
-	    wrk_has_connection(c->w, s));
-}
-
 bool
 pck_has_other(const struct call *c, int64_t now_us)
 {
@@ -136,8 +121,13 @@
 
 	rcu_read_lock();
 	s = rt_find_service(env_table(wrk_env(c->w)), c->svc->name);
-	for (uint32_t i = 0; s != NULL && i < s->n_upstreams && !found; i++)
-		found = may_take(c, &s->upstreams[i], &req, now_us);
+	for (uint32_t i = 0; s != NULL && i < s->n_upstreams && !found; i++) {
+		const struct rt_upstream *u = &s->upstreams[i];
+
+		found = u->stat != c->upstream &&
+		    pbc_may_take(u, &req, now_us) &&
+		    wrk_has_connection(c->w, u->stat);
+	}
 	rcu_read_unlock();
 	return (found);
 }
--- a/packages/ops/set.c
+++ b/packages/ops/set.c
@@ -318,7 +318,7 @@
 
 /* Ends the graceful shutdown before the platform kills the process. */
 static void
-limit_shutdown(struct set *s)
+shorten_drain(struct set *s)
 {
 	int64_t limit_ms = s->stop_within_ms - STOP_MARGIN_MS;
 
@@ -354,7 +354,7 @@
 	default_string(&s->token, "");
 	default_string(&s->store_api, "plain");
 	default_string(&s->health_path, "/health");
-	limit_shutdown(s);
+	shorten_drain(s);
 	return (problems->n == before);
 }
 
--- a/packages/route/pbc.c
+++ b/packages/route/pbc.c
@@ -354,6 +354,18 @@
 	return (i);
 }
 
+bool
+pbc_may_take(
+    const struct rt_upstream *u, const struct rt_request *req, int64_t now_us)
+{
+	const struct rt_stat *s = u->stat;
+
+	return (usable(u, req, now_us) && !is_cold(u, now_us) &&
+	    now_us >= atomic_load(&s->silent_until_us) &&
+	    !rt_is_ejected(s, now_us) &&
+	    (u->slots == 0 || atomic_load(&s->in_flight) < (int32_t)u->slots));
+}
+
 void
 pbc_on_start(const struct rt_upstream *u, int64_t now_us)
 {
--- a/packages/route/pbc.h
+++ b/packages/route/pbc.h
@@ -87,6 +87,15 @@
 int pbc_pick(const struct rt_service *s, const struct rt_request *req,
     int64_t now_us, struct rng *rng);
 
+/**
+ * pbc_may_take() - whether, by what is known now, an upstream could take a
+ * request that was late elsewhere
+ *
+ * Its report may be old; it is asked again before the request is sent.
+ */
+bool pbc_may_take(
+    const struct rt_upstream *u, const struct rt_request *req, int64_t now_us);
+
 /** pbc_on_start() - a request is sent to @u */
 void pbc_on_start(const struct rt_upstream *u, int64_t now_us);
 
--- a/tests/unit/test_fnr.c
+++ b/tests/unit/test_fnr.c
@@ -104,7 +104,7 @@
 	for (int i = 0; i < N_VMS; i++) {
 		struct fld_member m = {.id = g_strdup(F.vms[i].name),
 		    .zone = g_strdup("a"),
-		    .address = g_strdup_printf("%d", i)};
+		    .address = g_strdup("127.0.0.1:7")};
 
 		fnr_on_member(&v->news, m.id, &m, F.now_ms);
 		fls_set_member(&v->fls, F.vms[i].name, &m);
@@ -180,15 +180,16 @@
 };
 
 static void
-send_datagram(void *arg, const char *address, struct bstr bytes)
+send_all(void *arg, struct bstr bytes)
 {
-	struct datagram d = {.to = (unsigned)atoi(address)};
+	for (unsigned i = 0; i < N_VMS; i++) {
+		struct datagram d = {.to = i};
 
-	(void)arg;
-	if (rng_below(&F.rng, 100) < F.loss_percent)
-		return;
-	d.bytes = g_bytes_new(bytes.p, bytes.n);
-	g_array_append_val(F.sent, d);
+		if (arg == &F.vms[i] || rng_below(&F.rng, 100) < F.loss_percent)
+			continue;
+		d.bytes = g_bytes_new(bytes.p, bytes.n);
+		g_array_append_val(F.sent, d);
+	}
 }
 
 static void
@@ -203,7 +204,8 @@
 	    &(struct fnr_desc){.self = v->name,
 		.fls = &v->fls,
 		.store = &v->store,
-		.send = send_datagram});
+		.send_all = send_all,
+		.arg = v});
 	fnr_start(&v->news, F.now_ms);
 	fls_end(&v->fls, FST_CONFIG, 0);
 	fls_end(&v->fls, FST_MOVES, 0);
--- a/tests/unit/test_pbc.c
+++ b/tests/unit/test_pbc.c
@@ -347,6 +347,38 @@
 	assert_true(pick(&req, NOW_US * 2) >= 0);
 }
 
+/* A late request is broken off only for an upstream that can take it. */
+static void
+test_may_take(void **state)
+{
+	struct rt_request req = {0};
+	struct rt_upstream *u = &upstreams[0];
+	struct rt_stat *s = stats[0];
+
+	(void)state;
+	assert_true(pbc_may_take(u, &req, NOW_US));
+	/* Its report may be old: it is asked again. */
+	assert_true(pbc_may_take(u, &req, NOW_US + 10 * PBC_FRESH_US));
+	pbc_on_silence(s, NOW_US);
+	assert_false(pbc_may_take(u, &req, NOW_US));
+	report(0, 0, 0, 100);
+	pbc_on_report(s, &(struct pbc_report){.refusing = true}, NOW_US);
+	assert_false(pbc_may_take(u, &req, NOW_US));
+	pbc_on_report(s, &(struct pbc_report){.cold_us = 1000}, NOW_US);
+	u->cold_share = true;
+	assert_false(pbc_may_take(u, &req, NOW_US));
+	report(0, 0, 0, 100);
+	atomic_store(&s->in_flight, SLOTS);
+	assert_false(pbc_may_take(u, &req, NOW_US));
+	atomic_store(&s->in_flight, SLOTS - 1);
+	assert_true(pbc_may_take(u, &req, NOW_US));
+	u->state = RT_DRAINING;
+	assert_false(pbc_may_take(u, &req, NOW_US));
+	u->state = RT_READY;
+	req.excluded[req.n_excluded++] = s;
+	assert_false(pbc_may_take(u, &req, NOW_US));
+}
+
 #define TEST(f) cmocka_unit_test_setup_teardown(f, setup, teardown)
 
 int
@@ -365,6 +397,7 @@
 	    TEST(test_left_alone),
 	    TEST(test_versions),
 	    TEST(test_no_report),
+	    TEST(test_may_take),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
--- a/tests/unit/test_pst.c
+++ b/tests/unit/test_pst.c
@@ -74,7 +74,7 @@
 static void
 on_move(struct fst_sink *s, const char *name, struct fld_move *m)
 {
-	fls_set_move(&rig_of(s)->fls, name, m, clk_mono_us());
+	fls_set_move(&rig_of(s)->fls, name, m);
 }
 
 static void
