Give the random tests one reader of SEED and SEEDS, and test_fnw one fleet

test_clm, test_cold, test_frs and test_fnr had the same lines; tests/lib/seeds has them now. test_fnw started its fleet in four ways.

test_listed could not fail in its last part: whether a VM that is listed again is waited for showed only where the two had better ranks, which the hash decided. They have more bandwidth now.

--- a/tests/unit/test_clm.c
+++ b/tests/unit/test_clm.c
@@ -15,6 +15,7 @@
 #include "claim/clm.h"
 #include "claim/prt.h"
 #include "lib/golden.h"
+#include "lib/seeds.h"
 
 #define MAX_NODES 9
 #define N_KEYS 40
@@ -770,22 +771,19 @@
 	     * the answer to the write was lost. */
 	    7191,
 	};
-	const char *one = getenv("SEED");
-	const char *many = getenv("SEEDS");
-	uint64_t first = one == NULL ? 1 : strtoull(one, NULL, 10);
-	uint64_t n = many == NULL ? DEFAULT_SEEDS : strtoull(many, NULL, 10);
+	struct seeds seeds = seeds_of(DEFAULT_SEEDS);
+	uint64_t n = seeds.end - seeds.first;
+	bool replay = getenv("SEED") != NULL;
 	uint64_t bad = 0, grants = 0, done = 0;
 
 	(void)state;
-	n = one == NULL ? n : 1;
-	for (uint64_t s = first; s < first + n; s++) {
+	for (uint64_t s = seeds.first; s < seeds.end; s++) {
 		bad += !run_seed(s, getenv("IGNORE_ACKS") != NULL);
 		grants += S.n_grants;
 		done += S.n_done;
 	}
 	for (size_t i = 0;
-	     one == NULL && i < sizeof(regressions) / sizeof(regressions[0]);
-	     i++)
+	     !replay && i < sizeof(regressions) / sizeof(regressions[0]); i++)
 		bad += !run_seed(regressions[i], false);
 	printf("%llu seeds, %llu bad, %llu grants, %llu done verdicts\n",
 	    (unsigned long long)n, (unsigned long long)bad,
--- a/tests/unit/test_cold.c
+++ b/tests/unit/test_cold.c
@@ -13,6 +13,7 @@
 
 #include "base/rng.h"
 #include "lib/golden.h"
+#include "lib/seeds.h"
 #include "route/cold.h"
 
 #define MAX_NODES 9
@@ -436,15 +437,12 @@
 static void
 test_random(void **state)
 {
-	const char *one = getenv("SEED");
-	const char *many = getenv("SEEDS");
-	uint64_t first = one == NULL ? 1 : strtoull(one, NULL, 10);
-	uint64_t n = many == NULL ? DEFAULT_SEEDS : strtoull(many, NULL, 10);
+	struct seeds seeds = seeds_of(DEFAULT_SEEDS);
+	uint64_t n = seeds.end - seeds.first;
 	uint64_t bad = 0, starts = 0, ready = 0;
 
 	(void)state;
-	n = one == NULL ? n : 1;
-	for (uint64_t s = first; s < first + n; s++) {
+	for (uint64_t s = seeds.first; s < seeds.end; s++) {
 		bad += !run_seed(s);
 		starts += S.starts;
 		ready += S.ready;
--- a/tests/unit/test_fnr.c
+++ b/tests/unit/test_fnr.c
@@ -14,6 +14,7 @@
 
 #include "base/rng.h"
 #include "control/fnr.h"
+#include "lib/seeds.h"
 
 #define N_VMS 20
 #define N_UPS 40
@@ -418,15 +419,11 @@
 static void
 test_random(void **state)
 {
-	const char *one = getenv("SEED");
-	const char *many = getenv("SEEDS");
-	uint64_t first = one == NULL ? 1 : strtoull(one, NULL, 10);
-	uint64_t n = many == NULL ? DEFAULT_SEEDS : strtoull(many, NULL, 10);
+	struct seeds seeds = seeds_of(DEFAULT_SEEDS);
 	int wrong = 0;
 
 	(void)state;
-	n = one == NULL ? n : 1;
-	for (uint64_t s = first; s < first + n; s++)
+	for (uint64_t s = seeds.first; s < seeds.end; s++)
 		wrong += run_seed(s);
 	assert_int_equal(wrong, 0);
 }
--- a/tests/unit/test_fnw.c
+++ b/tests/unit/test_fnw.c
@@ -30,6 +30,34 @@
 	fls_set_upstream(f, id, &u, 0);
 }
 
+/*
+ * VMs that start together; with @listed each knows the list of all. The later
+ * ones have more bandwidth when @step_mbps is above 0.
+ */
+static void
+start_fleet(struct fnw *vms, bool listed, uint32_t step_mbps, int64_t now_ms)
+{
+	char name[16];
+
+	for (uint32_t i = 0; i < N_VMS; i++) {
+		snprintf(name, sizeof(name), "vm%u", i);
+		fnw_init(&vms[i],
+		    &(struct fnw_desc){
+			.self = name, .link_mbps = step_mbps * i});
+		for (uint32_t k = 0; listed && k < N_VMS; k++) {
+			snprintf(name, sizeof(name), "vm%u", k);
+			fnw_on_listed(&vms[i], name, step_mbps * k, now_ms);
+		}
+	}
+}
+
+static void
+finish_fleet(struct fnw *vms)
+{
+	for (int i = 0; i < N_VMS; i++)
+		fnw_finish(&vms[i]);
+}
+
 /* Rounds of a fleet in which every reader is heard by all that live. */
 static int
 count_readers(struct fnw *vms, const bool *dead, int64_t *now_ms, int rounds)
@@ -62,19 +90,14 @@
 	struct fnw vms[N_VMS];
 	bool dead[N_VMS] = {false};
 	int64_t now_ms = 1000;
-	char name[16];
 
 	(void)state;
-	for (int i = 0; i < N_VMS; i++) {
-		snprintf(name, sizeof(name), "vm%d", i);
-		fnw_init(&vms[i], &(struct fnw_desc){.self = name});
-	}
+	start_fleet(vms, false, 0, now_ms);
 	assert_int_equal(count_readers(vms, dead, &now_ms, 3), FNW_READERS);
 	for (int i = 0; i < N_VMS; i++)
 		dead[i] = fnw_is_reader(&vms[i], now_ms);
 	assert_int_equal(count_readers(vms, dead, &now_ms, 4), FNW_READERS);
-	for (int i = 0; i < N_VMS; i++)
-		fnw_finish(&vms[i]);
+	finish_fleet(vms);
 }
 
 /*
@@ -86,24 +109,17 @@
 {
 	struct fnw vms[N_VMS];
 	int early = 0, late = 0;
-	char name[16];
 
 	(void)state;
+	start_fleet(vms, true, 0, 0);
 	for (int i = 0; i < N_VMS; i++) {
-		snprintf(name, sizeof(name), "vm%d", i);
-		fnw_init(&vms[i], &(struct fnw_desc){.self = name});
-		for (int k = 0; k < N_VMS; k++) {
-			snprintf(name, sizeof(name), "vm%d", k);
-			fnw_on_listed(&vms[i], name, 0, 0);
-		}
 		early += fnw_is_reader(&vms[i], FNW_PUT_OFF_MS - 100);
 		late += fnw_is_reader(&vms[i], FNW_HEARD_MS);
 	}
 	/* The two that were silent believe in themselves. */
 	assert_true(early > FNW_READERS && early <= 3 * FNW_READERS);
 	assert_int_equal(late, N_VMS);
-	for (int i = 0; i < N_VMS; i++)
-		fnw_finish(&vms[i]);
+	finish_fleet(vms);
 }
 
 /* Those that read are the ones with the most bandwidth. */
@@ -111,23 +127,13 @@
 test_bandwidth(void **state)
 {
 	struct fnw vms[N_VMS];
-	char name[16];
 
 	(void)state;
-	for (uint32_t i = 0; i < N_VMS; i++) {
-		snprintf(name, sizeof(name), "vm%u", i);
-		fnw_init(&vms[i],
-		    &(struct fnw_desc){.self = name, .link_mbps = 10 * i});
-		for (uint32_t k = 0; k < N_VMS; k++) {
-			snprintf(name, sizeof(name), "vm%u", k);
-			fnw_on_heard(&vms[i], name, 0);
-			fnw_on_listed(&vms[i], name, 10 * k, 0);
-		}
+	start_fleet(vms, true, 10, 0);
+	for (int i = 0; i < N_VMS; i++)
 		assert_int_equal(
 		    fnw_is_reader(&vms[i], 0), i >= N_VMS - FNW_READERS);
-	}
-	for (int i = 0; i < N_VMS; i++)
-		fnw_finish(&vms[i]);
+	finish_fleet(vms);
 }
 
 /* A VM that hears nobody reads by itself. */
@@ -152,25 +158,18 @@
 	struct fnw vms[N_VMS];
 	int64_t now_ms = 1000;
 	int readers = 0;
-	char name[16];
 
 	(void)state;
-	for (int i = 0; i < N_VMS; i++) {
-		snprintf(name, sizeof(name), "vm%d", i);
-		fnw_init(&vms[i], &(struct fnw_desc){.self = name});
-		for (int k = 0; k < N_VMS; k++) {
-			snprintf(name, sizeof(name), "vm%d", k);
-			fnw_on_listed(&vms[i], name, 0, now_ms);
-		}
+	start_fleet(vms, true, 10, now_ms);
+	for (int i = 0; i < N_VMS; i++)
 		readers += fnw_is_reader(&vms[i], now_ms + FNW_HEARD_MS / 2);
-	}
 	assert_int_equal(readers, FNW_READERS);
 	/* Listed again and never heard: nobody waits for it a second time. */
-	fnw_on_listed(&vms[0], "vm1", 0, now_ms + FNW_HEARD_MS);
-	fnw_on_listed(&vms[0], "vm2", 0, now_ms + FNW_HEARD_MS);
-	assert_true(fnw_is_reader(&vms[0], now_ms + FNW_HEARD_MS));
-	for (int i = 0; i < N_VMS; i++)
-		fnw_finish(&vms[i]);
+	now_ms += FNW_HEARD_MS;
+	for (int i = 1; i <= FNW_READERS; i++)
+		fnw_on_listed(&vms[0], vms[i].self, 10 * (uint32_t)i, now_ms);
+	assert_true(fnw_is_reader(&vms[0], now_ms));
+	finish_fleet(vms);
 }
 
 static void
--- a/tests/unit/test_frs.c
+++ b/tests/unit/test_frs.c
@@ -10,6 +10,7 @@
 #include "lib/fleet.h"
 #include "lib/fleet_script.h"
 #include "lib/golden.h"
+#include "lib/seeds.h"
 
 #define RANDOM_SEEDS 60
 #define RANDOM_STEPS 150
@@ -360,14 +361,11 @@
 static void
 test_random(void **state)
 {
-	const char *only = getenv("SEED");
-	const char *count = getenv("SEEDS");
-	uint64_t first = only == NULL ? 1 : strtoull(only, NULL, 10);
-	uint64_t n = count == NULL ? RANDOM_SEEDS : strtoull(count, NULL, 10);
+	struct seeds seeds = seeds_of(RANDOM_SEEDS);
 	int bad = 0;
 
 	(void)state;
-	for (uint64_t s = first; s < first + (only == NULL ? n : 1); s++) {
+	for (uint64_t s = seeds.first; s < seeds.end; s++) {
 		char why[256] = "";
 
 		if (run_seed(s, why, sizeof(why)))
