--- a/tests/standin/rawup.c
+++ b/tests/standin/rawup.c
@@ -292,6 +292,7 @@
 	   "Content-Length: 2\r\n\r\nok"},
     {"draining", false,
 	OK "X-State: draining\r\nX-Load: 3\r\nContent-Length: 2\r\n\r\nok"},
+    {"ready", false, OK "X-State: ready\r\nContent-Length: 2\r\n\r\nok"},
     {"refuse", false,
 	"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nbusy"},
     {"refusecut", true,
--- a/tests/unit/test_fnr.c
+++ b/tests/unit/test_fnr.c
@@ -321,6 +321,21 @@
 	return (wrong);
 }
 
+/* VMs that start together: after its first list only a reader calls again. */
+static void
+test_start(void **state)
+{
+	int callers = 0;
+
+	(void)state;
+	begin(4, 0);
+	run_until(F.now_ms + LIST_MS + LIST_PAUSE_MS + SETTLE_MS, false);
+	for (int i = 0; i < N_VMS; i++)
+		callers += F.vms[i].calls > 1;
+	assert_int_equal(callers, FNW_READERS);
+	end();
+}
+
 /* Once the list of VMs is known, two read and all know. */
 static void
 test_few_read(void **state)
@@ -339,6 +354,37 @@
 	assert_int_equal(callers, FNW_READERS);
 	run_until(F.now_ms + SETTLE_MS, false);
 	assert_int_equal(count_wrong(), 0);
+	/* Who has to step in need not tell it all again. */
+	for (int i = 0; i < N_VMS; i++) {
+		GPtrArray *ids = fls_take_changed(&F.vms[i].fls);
+
+		assert_int_equal(ids->len, 0);
+		g_ptr_array_unref(ids);
+	}
+	end();
+}
+
+/* VMs that missed what changed list at once when they hear the next digest. */
+static void
+test_missed(void **state)
+{
+	struct vm *reader = NULL;
+
+	(void)state;
+	begin(5, 0);
+	run_until(6000, false);
+	for (int i = 0; i < N_VMS; i++)
+		reader = F.vms[i].leads ? &F.vms[i] : reader;
+	assert_non_null(reader);
+	change_truth();
+	F.loss_percent = 100;
+	take(reader, &F.truth);
+	F.loss_percent = 0;
+	fnr_on_updated(
+	    &reader->news, FST_UPSTREAMS, reader->revision, F.now_ms);
+	deliver();
+	for (int i = 0; i < N_VMS; i++)
+		assert_int_equal(F.vms[i].listing, &F.vms[i] != reader);
 	end();
 }
 
@@ -383,11 +429,10 @@
 		    &F.vms[i].news, FST_ZONES_OUT, 1, BSTR("a is out"));
 	assert_int_equal(F.sent->len, FNW_READERS * (N_VMS - 1));
 	deliver();
-	for (int i = 0; i < N_VMS; i++) {
-		if (!F.vms[i].leads)
-			assert_true(
-			    g_hash_table_contains(F.vms[i].fls.zones_out, "a"));
-	}
+	/* A reader is told by the store itself. */
+	for (int i = 0; i < N_VMS; i++)
+		assert_int_equal(!F.vms[i].leads,
+		    g_hash_table_contains(F.vms[i].fls.zones_out, "a"));
 	end();
 }
 
@@ -432,7 +477,9 @@
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_start),
 	    cmocka_unit_test(test_few_read),
+	    cmocka_unit_test(test_missed),
 	    cmocka_unit_test(test_news_during_list),
 	    cmocka_unit_test(test_passes_on),
 	    cmocka_unit_test(test_random),
--- a/tests/unit/test_fnw.c
+++ b/tests/unit/test_fnw.c
@@ -325,6 +325,8 @@
 	assert_false(pnw_decode(bbuf_str(&b), &head, changes, &n));
 	for (size_t len = 0; len < b.n; len++)
 		assert_false(pnw_decode_told((struct bstr){b.p, len}, &got));
+	bbuf_add(&b, BSTR("x"));
+	assert_false(pnw_decode_told(bbuf_str(&b), &got));
 	bbuf_finish(&b);
 	b = encoded();
 	assert_false(pnw_decode_told(bbuf_str(&b), &got));
--- a/tests/unit/test_front_errors.c
+++ b/tests/unit/test_front_errors.c
@@ -1,5 +1,7 @@
 #include "lib/rig.h"
 
+#include "front/obs.h"
+
 /**
  * struct point - break point and what callers are told
  * @host: service
@@ -316,6 +318,7 @@
 	uint64_t failures = atomic_load(&rig.tally->failures);
 	uint64_t slow = atomic_load(&rig.tally->slow);
 	struct reply r;
+	int states;
 
 	(void)state;
 	rig_expect_body(rig_call("GET", "a", "/i/ok/o1", "", NULL), "ok");
@@ -333,6 +336,15 @@
 	for (int i = 0; i < 1000 && atomic_load(&rig.states) == 0; i++)
 		usleep(1000);
 	assert_in_range(atomic_load(&rig.states), 1, 9);
+	/* Ready again, as the table says all along: still news once. */
+	usleep(2 * OBS_STATE_PERIOD_MS * 1000);
+	states = atomic_load(&rig.states);
+	for (int i = 0; i < 10; i++)
+		rig_expect_body(
+		    rig_call("GET", "a", "/i/ready/o1", "", NULL), "ok");
+	for (int i = 0; i < 1000 && atomic_load(&rig.states) == states; i++)
+		usleep(1000);
+	assert_int_equal(atomic_load(&rig.states), states + 1);
 	rig_expect_body(rig_call("GET", "a", "/i/notrun200/o", "", NULL), "ok");
 }
 
