Rank VMs for cold upstreams once per list of VMs

Cause: each rebuild of the routing table hashed every pair of VM and upstream, and a table is rebuilt on each change of an upstream.

Change: fleet/cold_owners hashes each VM once, combines the hashes with a finalizer, and the rank is kept with the upstream until the list of VMs changes.

The hash differs from the old one: VMs of both builds disagree about the owners of a cold upstream while an upgrade runs, within the bound of twice the number that differing lists are allowed.

Ruled out: processor time at rest from timers or wake-ups (9 voluntary context switches of the main thread, worker 0.03 s).

--- a/packages/fleet/fleet_view.c
+++ b/packages/fleet/fleet_view.c
@@ -52,6 +52,7 @@
 	f->upstreams = table_new(free_upstream);
 	f->moves = table_new(free_move);
 	f->members = table_new(free_member);
+	cold_owners_init(&f->cold_owners, desc->self);
 	f->tallies = table_new(free_tally);
 	f->versions = table_new(g_free);
 	f->zones_out = table_new(NULL);
@@ -65,6 +66,7 @@
 	g_hash_table_unref(f->upstreams);
 	g_hash_table_unref(f->moves);
 	g_hash_table_unref(f->members);
+	cold_owners_finish(&f->cold_owners);
 	g_hash_table_unref(f->tallies);
 	g_hash_table_unref(f->versions);
 	g_hash_table_unref(f->zones_out);
@@ -199,6 +201,13 @@
 	}
 }
 
+static void
+record_member_change(struct fleet_view *f)
+{
+	f->dirty = true;
+	f->members_changed = true;
+}
+
 static void
 end_members(struct fleet_view *f)
 {
@@ -210,7 +219,7 @@
 		if (((struct view_member *)v)->listed)
 			continue;
 		g_hash_table_iter_remove(&it);
-		f->dirty = true;
+		record_member_change(f);
 	}
 }
 
@@ -466,13 +475,14 @@
 	struct view_member *o = g_hash_table_lookup(f->members, id);
 
 	if (m == NULL) {
-		f->dirty |= (bool)g_hash_table_remove(f->members, id);
+		if (g_hash_table_remove(f->members, id))
+			record_member_change(f);
 		return;
 	}
 	if (o == NULL) {
 		o = new_zeroed(sizeof(*o));
 		g_hash_table_insert(f->members, g_strdup(id), o);
-		f->dirty = true;
+		record_member_change(f);
 	}
 	obj_member_finish(&o->member);
 	o->member = *m;
--- a/packages/fleet/fleet_view.h
+++ b/packages/fleet/fleet_view.h
@@ -23,6 +23,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "fleet/cold_owners.h"
 #include "fleet/objects.h"
 #include "fleet/store.h"
 #include "route/routing.h"
@@ -46,6 +47,8 @@
  * @listed: the list that is being read contains the entry
  * @missing_since_us: when the entry was first missing after an outage, 0 while
  *	it is present
+ * @cold_rank: rank of this VM among the VMs for the upstream, see cold_owners
+ * @cold_rank_valid: @cold_rank was computed for the present list of VMs
  */
 struct view_upstream {
 	struct obj_upstream entry;
@@ -53,6 +56,8 @@
 	uint64_t hash;
 	bool listed;
 	int64_t missing_since_us;
+	uint32_t cold_rank;
+	bool cold_rank_valid;
 };
 
 /**
@@ -99,6 +104,8 @@
  * @moves: service -> struct view_move
  * @zones_out: names of availability zones that are out of service
  * @members: id -> struct view_member
+ * @cold_owners: the VMs that share cold upstreams
+ * @members_changed: @cold_owners has to be updated from @members
  * @tallies: service and version -> struct rt_tally
  * @versions: service and version -> int64_t, when it was first seen
  * @known: kinds whose list was read at least once
@@ -119,6 +126,8 @@
 	GHashTable *moves;
 	GHashTable *zones_out;
 	GHashTable *members;
+	struct cold_owners cold_owners;
+	bool members_changed;
 	GHashTable *tallies;
 	GHashTable *versions;
 	bool known[STORE_KINDS];
--- a/packages/fleet/fleet_view_table.c
+++ b/packages/fleet/fleet_view_table.c
@@ -88,31 +88,40 @@
 	g_array_append_val(b->services, s);
 }
 
+/* Applies changes of the list of VMs to the division of cold upstreams. */
+static void
+update_cold_owners(struct fleet_view *f)
+{
+	GHashTableIter it;
+	void *id, *v;
+
+	if (!f->members_changed)
+		return;
+	f->members_changed = false;
+	cold_owners_clear(&f->cold_owners);
+	g_hash_table_iter_init(&it, f->members);
+	while (g_hash_table_iter_next(&it, &id, NULL))
+		cold_owners_add(&f->cold_owners, id);
+	g_hash_table_iter_init(&it, f->upstreams);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		((struct view_upstream *)v)->cold_rank_valid = false;
+}
+
 /*
- * Whether this VM may send requests to a cold upstream. Rendezvous hashing over
- * the VMs and the upstream's id selects one VM for each request per second that
- * a cold upstream may get.
+ * Whether this VM may send requests to a cold upstream: one VM may for each
+ * request per second that the upstream can get.
  */
 static bool
-is_cold_owner(const struct fleet_view *f, const char *id, double cold_per_s)
+is_cold_owner(struct fleet_view *f, struct view_upstream *u, double cold_per_s)
 {
-	uint64_t own =
-	    bstr_hash(bstr_from(id), bstr_hash(bstr_from(f->self), 0));
-	uint32_t owners = (uint32_t)cold_per_s;
-	uint32_t before = 0;
-	GHashTableIter it;
-	void *name;
-
 	if (!f->known[STORE_MEMBERS])
 		return (false);
-	g_hash_table_iter_init(&it, f->members);
-	while (g_hash_table_iter_next(&it, &name, NULL)) {
-		uint64_t h =
-		    bstr_hash(bstr_from(id), bstr_hash(bstr_from(name), 0));
-
-		before += h > own;
+	if (!u->cold_rank_valid) {
+		u->cold_rank =
+		    cold_owners_rank(&f->cold_owners, bstr_from(u->entry.id));
+		u->cold_rank_valid = true;
 	}
-	return (before < owners);
+	return (u->cold_rank < (uint32_t)cold_per_s);
 }
 
 static enum rt_state
@@ -150,20 +159,20 @@
 	s->versions = alloc_array(b, max, sizeof(*s->versions));
 	g_hash_table_iter_init(&it, b->f->upstreams);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		const struct view_upstream *u = v;
+		struct view_upstream *u = v;
 		const struct obj_upstream *e = &u->entry;
 
 		if (strcmp(e->service, d->name) != 0)
 			continue;
-		s->upstreams[s->n_upstreams++] = (struct rt_upstream){
-		    .id = bstr_from(e->id),
-		    .addr = bstr_from(e->address),
-		    .zone = bstr_from(e->zone),
-		    .version = version_index(s, e->version),
-		    .slots = e->slots,
-		    .state = state_of(b->f, e),
-		    .cold_allowed = is_cold_owner(b->f, e->id, d->cold_per_s),
-		    .stat = u->stat};
+		s->upstreams[s->n_upstreams++] =
+		    (struct rt_upstream){.id = bstr_from(e->id),
+			.addr = bstr_from(e->address),
+			.zone = bstr_from(e->zone),
+			.version = version_index(s, e->version),
+			.slots = e->slots,
+			.state = state_of(b->f, e),
+			.cold_allowed = is_cold_owner(b->f, u, d->cold_per_s),
+			.stat = u->stat};
 	}
 }
 
@@ -404,6 +413,7 @@
 	struct table_builder b = {.f = f, .now_us = now_us};
 	struct rt_table *t;
 
+	update_cold_owners(f);
 	b.services = g_array_new(FALSE, TRUE, sizeof(struct rt_service));
 	b.allocations = g_ptr_array_new_with_free_func(free);
 	for (uint32_t i = 0; i < c->n_routes; i++) {
