Let lists that another VM's update requests be stale

A list that may be stale costs the store a tenth and does not count for its rate.

Change: a list that a newer revision of another VM requests may be stale. Readers and probes list exactly as before.

Test: test_stale_list (an upstream that left is not brought back by an old answer).

--- a/packages/control/update_relay.c
+++ b/packages/control/update_relay.c
@@ -184,7 +184,7 @@
 				  : READER_POSTPONE_MS));
 	else if (!same &&
 	    head->revision[kind] > store->ops->revision(store, kind))
-		store->ops->request_list(store, kind);
+		store->ops->request_list(store, kind, head->revision[kind]);
 }
 
 static void
@@ -213,7 +213,7 @@
 	    now_ms < r->members_due_ms)
 		return;
 	r->members_due_ms = now_ms + MEMBERS_MIN_INTERVAL_MS;
-	store->ops->request_list(store, STORE_MEMBERS);
+	store->ops->request_list(store, STORE_MEMBERS, 0);
 }
 
 /*
@@ -268,7 +268,7 @@
 	if (r->members_reread || now_ms - r->start_ms < MEMBERS_REREAD_MS)
 		return;
 	r->members_reread = true;
-	r->desc.store->ops->request_list(r->desc.store, STORE_MEMBERS);
+	r->desc.store->ops->request_list(r->desc.store, STORE_MEMBERS, 0);
 }
 
 /*
--- a/packages/fleet/store.h
+++ b/packages/fleet/store.h
@@ -100,7 +100,8 @@
  *	the next read may wait until the monotonic time @until_ms
  * @apply_changes: changes that the sink of another VM received; ignored when
  *	the state of this VM is older than their base or newer than they are
- * @request_list: list a kind now, because another VM has newer objects
+ * @request_list: list a kind now, because another VM has the objects as of
+ *	@revision, which is newer; 0 when its revision is not known
  * @set_reader: set whether other VMs rely on the reads of this one; if so, no
  *	read is postponed
  * @run: do due work and wait for up to @timeout_ms, or until one of the
@@ -120,7 +121,8 @@
 	    int64_t revision, int64_t until_ms);
 	void (*apply_changes)(struct fleet_store *s, enum store_kind kind,
 	    int64_t base, struct bstr bytes);
-	void (*request_list)(struct fleet_store *s, enum store_kind kind);
+	void (*request_list)(
+	    struct fleet_store *s, enum store_kind kind, int64_t revision);
 	void (*set_reader)(struct fleet_store *s, bool yes);
 	void (*run)(
 	    struct fleet_store *s, const int *fds, unsigned n, int timeout_ms);
--- a/tests/lib/object_store.c
+++ b/tests/lib/object_store.c
@@ -45,7 +45,10 @@
  * @history_from: watches since an earlier revision get 410
  * @objects: all struct object
  * @events: the kept history, as struct event in order of revision
+ * @stale: objects as of the injection of the fault stale_lists, NULL for none
+ * @stale_revision: revision of @stale
  * @calls: kind -> number of calls
+ * @exact_lists: kind -> number of lists that may not be stale
  * @stopping: calls that are waiting return
  */
 struct object_store {
@@ -59,7 +62,10 @@
 	json_int_t history_from;
 	GPtrArray *objects;
 	GPtrArray *events;
+	GPtrArray *stale;
+	json_int_t stale_revision;
 	GHashTable *calls;
+	GHashTable *exact_lists;
 	bool stopping;
 };
 
@@ -85,6 +91,24 @@
 	g_free(e);
 }
 
+static GPtrArray *
+copy_objects(const GPtrArray *objects)
+{
+	GPtrArray *copy = g_ptr_array_new_with_free_func(free_object);
+
+	for (guint i = 0; i < objects->len; i++) {
+		const struct object *obj = g_ptr_array_index(objects, i);
+		struct object *o = g_memdup2(obj, sizeof(*obj));
+
+		o->kind = g_strdup(obj->kind);
+		o->name = g_strdup(obj->name);
+		json_incref(o->spec);
+		json_incref(o->status);
+		g_ptr_array_add(copy, o);
+	}
+	return (copy);
+}
+
 static json_t *
 object_json(const struct object *obj)
 {
@@ -165,15 +189,16 @@
 }
 
 static json_t *
-list(struct object_store *store, const char *kind, const char *after)
+list(const struct object_store *store, GPtrArray *objects, json_int_t revision,
+    const char *kind, const char *after)
 {
 	unsigned page = store->desc.page != 0 ? store->desc.page : DEFAULT_PAGE;
 	json_t *items = json_array();
 	bool has_more = false;
 
-	g_ptr_array_sort(store->objects, compare_names);
-	for (guint i = 0; i < store->objects->len; i++) {
-		const struct object *obj = g_ptr_array_index(store->objects, i);
+	g_ptr_array_sort(objects, compare_names);
+	for (guint i = 0; i < objects->len; i++) {
+		const struct object *obj = g_ptr_array_index(objects, i);
 
 		if (strcmp(obj->kind, kind) != 0 ||
 		    (after != NULL && strcmp(obj->name, after) <= 0))
@@ -184,7 +209,37 @@
 		json_array_append_new(items, object_json(obj));
 	}
 	return (json_pack("{s:o,s:b,s:I}", "items", items, "hasMore", has_more,
-	    "storeRevision", store->revision));
+	    "storeRevision", revision));
+}
+
+static void
+count_call(GHashTable *counts, const char *kind)
+{
+	gpointer n = g_hash_table_lookup(counts, kind);
+
+	g_hash_table_replace(
+	    counts, g_strdup(kind), GUINT_TO_POINTER(GPOINTER_TO_UINT(n) + 1));
+}
+
+static const char *
+query_argument(struct MHD_Connection *conn, const char *name)
+{
+	return (MHD_lookup_connection_value(conn, MHD_GET_ARGUMENT_KIND, name));
+}
+
+static json_t *
+serve_list(
+    struct object_store *store, struct MHD_Connection *conn, const char *kind)
+{
+	const char *after = query_argument(conn, "after");
+	bool may_be_stale = query_argument(conn, "staleOk") != NULL;
+
+	if (!may_be_stale)
+		count_call(store->exact_lists, kind);
+	if (may_be_stale && store->stale != NULL)
+		return (list(
+		    store, store->stale, store->stale_revision, kind, after));
+	return (list(store, store->objects, store->revision, kind, after));
 }
 
 static json_t *
@@ -268,12 +323,6 @@
 	return (rc);
 }
 
-static const char *
-query_argument(struct MHD_Connection *conn, const char *name)
-{
-	return (MHD_lookup_connection_value(conn, MHD_GET_ARGUMENT_KIND, name));
-}
-
 static enum MHD_Result
 serve_read(struct object_store *store, struct MHD_Connection *conn,
     const char *kind, const char *name)
@@ -289,8 +338,7 @@
 				    : respond(conn, 200, object_json(obj)));
 	}
 	if (since == NULL)
-		return (respond(conn, 200,
-		    list(store, kind, query_argument(conn, "after"))));
+		return (respond(conn, 200, serve_list(store, conn, kind)));
 	value = watch(
 	    store, kind, atoll(since), wait_ms == NULL ? 0 : atol(wait_ms));
 	return (respond(conn, value == NULL ? 410 : 200, value));
@@ -338,15 +386,6 @@
 	return (respond(conn, 200, object_json(obj)));
 }
 
-static void
-count_call(struct object_store *store, const char *kind)
-{
-	gpointer n = g_hash_table_lookup(store->calls, kind);
-
-	g_hash_table_replace(store->calls, g_strdup(kind),
-	    GUINT_TO_POINTER(GPOINTER_TO_UINT(n) + 1));
-}
-
 static enum MHD_Result
 block_until_stop(struct object_store *store)
 {
@@ -369,7 +408,7 @@
 	if (req->body.n != 0)
 		body = json_loadb(req->body.p, req->body.n, 0, NULL);
 	pthread_mutex_lock(&store->lock);
-	count_call(store, kind);
+	count_call(store->calls, kind);
 	if (store->faults.no_response)
 		rc = block_until_stop(store);
 	else if (store->faults.status != 0)
@@ -435,6 +474,8 @@
 	store->events = g_ptr_array_new_with_free_func(free_event);
 	store->calls =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	store->exact_lists =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	store->mhd = MHD_start_daemon(
 	    MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, 0,
 	    NULL, NULL, on_request, store, MHD_OPTION_SOCK_ADDR, &sin,
@@ -457,6 +498,8 @@
 	g_ptr_array_unref(store->objects);
 	g_ptr_array_unref(store->events);
 	g_hash_table_unref(store->calls);
+	g_hash_table_unref(store->exact_lists);
+	g_clear_pointer(&store->stale, g_ptr_array_unref);
 	g_free(store);
 }
 
@@ -472,6 +515,10 @@
 {
 	pthread_mutex_lock(&store->lock);
 	store->faults = *faults;
+	g_clear_pointer(&store->stale, g_ptr_array_unref);
+	if (faults->stale_lists)
+		store->stale = copy_objects(store->objects);
+	store->stale_revision = store->revision;
 	pthread_mutex_unlock(&store->lock);
 }
 
@@ -529,13 +576,25 @@
 	return (copy);
 }
 
-unsigned
-object_store_calls(struct object_store *store, const char *kind)
+static unsigned
+read_count(struct object_store *store, GHashTable *counts, const char *kind)
 {
 	unsigned n;
 
 	pthread_mutex_lock(&store->lock);
-	n = GPOINTER_TO_UINT(g_hash_table_lookup(store->calls, kind));
+	n = GPOINTER_TO_UINT(g_hash_table_lookup(counts, kind));
 	pthread_mutex_unlock(&store->lock);
 	return (n);
 }
+
+unsigned
+object_store_calls(struct object_store *store, const char *kind)
+{
+	return (read_count(store, store->calls, kind));
+}
+
+unsigned
+object_store_exact_lists(struct object_store *store, const char *kind)
+{
+	return (read_count(store, store->exact_lists, kind));
+}
--- a/tests/lib/object_store.h
+++ b/tests/lib/object_store.h
@@ -37,6 +37,8 @@
  * @status: respond to every call with this HTTP status
  * @no_response: calls that arrive while this is set never get a response
  * @stall_watches: watches report no changes before they time out
+ * @stale_lists: lists that may be stale return the objects as of the time when
+ *	this fault was injected
  * @drop_write_responses: writes are applied, but the connection is closed
  *	without a response
  */
@@ -44,6 +46,7 @@
 	unsigned status;
 	bool no_response;
 	bool stall_watches;
+	bool stale_lists;
 	bool drop_write_responses;
 };
 
@@ -95,4 +98,7 @@
 /** object_store_calls() - number of calls received for a kind */
 unsigned object_store_calls(struct object_store *store, const char *kind);
 
+/** object_store_exact_lists() - number of lists that may not be stale */
+unsigned object_store_exact_lists(struct object_store *store, const char *kind);
+
 #endif
--- a/tests/unit/test_platform_store.c
+++ b/tests/unit/test_platform_store.c
@@ -18,6 +18,8 @@
 #define RUN_TIMEOUT_MS 20
 /* Far above what any test needs, so that a slow machine causes no failure. */
 #define WAIT_LIMIT_MS 20000
+/* Above the minimum interval between two requested lists. */
+#define RELIST_INTERVAL_MS 1000
 
 /**
  * struct fixture - client, fake store, and what the client reported
@@ -302,11 +304,51 @@
 	RUN_UNTIL(f, object_store_calls(f->store, "config") >= 2);
 	put_config(f->store, 4);
 	begin_ms = clk_mono_ms();
-	f->client->ops->request_list(f->client, STORE_CONFIG);
+	f->client->ops->request_list(f->client, STORE_CONFIG, 0);
 	RUN_UNTIL(f, config_version(f) == 4);
 	assert_true(clk_mono_ms() - begin_ms < 2000);
 }
 
+/*
+ * Many VMs list at the same time when an update was lost, so these lists may be
+ * stale. An answer that is older than the revision that another VM reported, or
+ * than what this VM knows, must not be used: an upstream that left would be
+ * back.
+ */
+static void
+test_stale_list(void **state)
+{
+	struct fixture *f = *state;
+	const int64_t until_ms = clk_mono_ms() + WAIT_LIMIT_MS;
+	int64_t revision;
+	unsigned exact;
+
+	put_upstream(f->store, "u1", "ready");
+	put_upstream(f->store, "u2", "ready");
+	put_upstream(f->store, "u3", "ready");
+	RUN_UNTIL(f, view_is_ready(&f->view));
+	exact = object_store_exact_lists(f->store, "servers");
+	put_upstream(f->store, "u4", "ready");
+	revision = f->client->ops->revision(f->client, STORE_UPSTREAMS);
+	f->client->ops->request_list(f->client, STORE_UPSTREAMS, revision + 1);
+	RUN_UNTIL(f, n_upstreams(f) == 4);
+	assert_int_equal(object_store_exact_lists(f->store, "servers"), exact);
+	revision = f->client->ops->revision(f->client, STORE_UPSTREAMS);
+	f->client->ops->postpone_read(
+	    f->client, STORE_UPSTREAMS, revision, until_ms);
+
+	object_store_set_faults(
+	    f->store, &(struct object_store_faults){.stale_lists = true});
+	object_store_remove(f->store, "servers", "u4");
+	RUN_UNTIL(
+	    f, clk_mono_ms() > until_ms - WAIT_LIMIT_MS + RELIST_INTERVAL_MS);
+	f->client->ops->request_list(f->client, STORE_UPSTREAMS, revision + 1);
+	RUN_UNTIL(f, n_upstreams(f) == 3);
+	assert_true(object_store_exact_lists(f->store, "servers") > exact);
+	assert_true(
+	    f->client->ops->revision(f->client, STORE_UPSTREAMS) > revision);
+}
+
 /* An update from another VM postpones the next read of that kind. */
 static void
 test_postponed_read(void **state)
@@ -450,7 +492,7 @@
 	assert_int_equal(metrics_get(&f->metrics, METRICS_STORE_READS), calls);
 	/* It probes soon after it learns that one kind is out of date. */
 	while (metrics_get(&f->metrics, METRICS_STORE_READS) == calls) {
-		f->client->ops->request_list(f->client, STORE_CONFIG);
+		f->client->ops->request_list(f->client, STORE_CONFIG, 0);
 		postpone_all_but(f, STORE_CONFIG);
 		f->client->ops->run(f->client, NULL, 0, RUN_TIMEOUT_MS);
 		assert_true(clk_mono_ms() - begin_ms < 3500);
@@ -483,7 +525,7 @@
 	put_config(f->store, 4);
 	begin_ms = clk_mono_ms();
 	while (config_version(f) != 4) {
-		f->client->ops->request_list(f->client, STORE_CONFIG);
+		f->client->ops->request_list(f->client, STORE_CONFIG, 0);
 		f->client->ops->run(f->client, NULL, 0, RUN_TIMEOUT_MS);
 		assert_true(clk_mono_ms() - begin_ms < 2000);
 	}
@@ -606,7 +648,7 @@
 	/* After a restart the entry already exists in the store. */
 	f->client->ops->write_member(f->client, &self);
 	RUN_UNTIL(f, object_store_calls(f->store, "lbmembers") >= 4);
-	f->client->ops->request_list(f->client, STORE_MEMBERS);
+	f->client->ops->request_list(f->client, STORE_MEMBERS, 0);
 	RUN_UNTIL(f, g_hash_table_contains(f->view.members, "vm1"));
 	m = g_hash_table_lookup(f->view.members, "vm1");
 	assert_string_equal(m->member.address, "127.0.0.1:7");
@@ -623,6 +665,7 @@
 	    TEST(test_watch),
 	    TEST(test_dropped_history),
 	    TEST(test_list_now),
+	    TEST(test_stale_list),
 	    TEST(test_postponed_read),
 	    TEST(test_relayed_changes),
 	    TEST(test_elected_reader),
--- a/tests/unit/test_update_relay.c
+++ b/tests/unit/test_update_relay.c
@@ -165,10 +165,12 @@
 }
 
 static void
-store_request_list(struct fleet_store *s, enum store_kind kind)
+store_request_list(
+    struct fleet_store *s, enum store_kind kind, int64_t revision)
 {
 	struct vm *v = vm_of(s);
 
+	(void)revision;
 	if (kind == STORE_MEMBERS)
 		list_members(v);
 	if (kind != STORE_UPSTREAMS || v->listing)
@@ -228,7 +230,7 @@
 	view_end(&v->view, STORE_CONFIG, 0);
 	view_end(&v->view, STORE_MOVES, 0);
 	view_end(&v->view, STORE_ZONES_OUT, 0);
-	store_request_list(&v->store, STORE_UPSTREAMS);
+	store_request_list(&v->store, STORE_UPSTREAMS, 0);
 }
 
 static void
@@ -428,7 +430,7 @@
 	}
 	assert_non_null(reader);
 	assert_non_null(other);
-	store_request_list(&other->store, STORE_UPSTREAMS);
+	store_request_list(&other->store, STORE_UPSTREAMS, 0);
 	for (int i = 0; i < 10; i++)
 		change_store();
 	apply_state(reader, &sim.stored);
