Let VMs take over a silent move in turn, those with bandwidth first

The executor was any VM, also one of the smallest, though it receives counters of all VMs five times a second.

Change: the order has no end, later VMs follow in shorter steps; it goes by bandwidth first (fleet/vm_rank, shared with reader_election).

--- a/packages/control/move_runner.c
+++ b/packages/control/move_runner.c
@@ -3,17 +3,21 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "fleet/vm_rank.h"
+
 /* Interval between two rounds of counters and decisions. */
 #define ROUND_INTERVAL_MS 200
 /* How long a decision of the executor is valid. */
 #define DECISION_VALID_MS 1500
 /*
  * A VM takes over when it has received no decision for this long, plus a step
- * for each VM that ranks before it.
+ * for each VM that ranks before it. The steps of the later VMs are shorter, as
+ * many of the first have to be lost before their turn.
  */
 #define EXECUTOR_TIMEOUT_MS 1800
 #define TAKEOVER_STEP_MS 150
-#define MAX_TAKEOVER_RANK 10
+#define TAKEOVER_FIRST_VMS 10
+#define TAKEOVER_LATE_STEP_MS 20
 /* Interval between two writes of a status. */
 #define STATUS_WRITE_INTERVAL_MS 400
 #define PERMILLE 1000u
@@ -73,22 +77,41 @@
 }
 
 /*
- * Number of VMs that take over a move of this service before this VM, at most
- * MAX_TAKEOVER_RANK. The order differs for each service.
+ * Number of VMs that take over a move of this service before this VM. The order
+ * differs for each service.
  */
 static uint32_t
 takeover_rank(const struct move_runner *r, const char *service)
 {
 	uint64_t seed = bstr_hash(bstr_from(service), 0);
-	uint64_t own = bstr_hash(bstr_from(r->desc.self), seed);
+	const struct view_member *self =
+	    g_hash_table_lookup(r->desc.view->members, r->desc.self);
+	uint64_t own = vm_rank(
+	    r->desc.self, self == NULL ? 0 : self->member.link_mbps, seed);
 	uint32_t before = 0;
 	GHashTableIter it;
-	void *id;
+	void *id, *v;
 
 	g_hash_table_iter_init(&it, r->desc.view->members);
-	while (g_hash_table_iter_next(&it, &id, NULL))
-		before += bstr_hash(bstr_from(id), seed) > own;
-	return (before < MAX_TAKEOVER_RANK ? before : MAX_TAKEOVER_RANK);
+	while (g_hash_table_iter_next(&it, &id, &v)) {
+		const struct view_member *m = v;
+
+		before += vm_rank(id, m->member.link_mbps, seed) < own;
+	}
+	return (before);
+}
+
+/* Time without an executor after which this VM takes over. */
+static int64_t
+takeover_wait_ms(const struct move_runner *r, const struct view_move *m)
+{
+	int64_t wait_ms = m->order.executor == NULL ? 0 : EXECUTOR_TIMEOUT_MS;
+	uint32_t rank = takeover_rank(r, m->order.service);
+
+	if (rank <= TAKEOVER_FIRST_VMS)
+		return (wait_ms + (int64_t)rank * TAKEOVER_STEP_MS);
+	return (wait_ms + TAKEOVER_FIRST_VMS * TAKEOVER_STEP_MS +
+	    (int64_t)(rank - TAKEOVER_FIRST_VMS) * TAKEOVER_LATE_STEP_MS);
 }
 
 static struct local_move *
@@ -281,13 +304,9 @@
 follow_executor(struct move_runner *r, const struct view_move *m,
     struct local_move *p, int64_t now_ms)
 {
-	int64_t wait_ms =
-	    (m->order.executor == NULL ? 0 : EXECUTOR_TIMEOUT_MS) +
-	    (int64_t)takeover_rank(r, m->order.service) * TAKEOVER_STEP_MS;
-
 	if (m->order.executor != NULL)
 		send_counts(r, m);
-	if (now_ms - p->executor_seen_ms >= wait_ms)
+	if (now_ms - p->executor_seen_ms >= takeover_wait_ms(r, m))
 		write_status(r, m, p, OBJ_MOVE_RUNNING, now_ms);
 }
 
--- a/packages/fleet/reader_election.c
+++ b/packages/fleet/reader_election.c
@@ -2,8 +2,9 @@
 
 #include <string.h>
 
-/* The rank holds the inverted bandwidth above this many bits of a hash. */
-#define HASH_BITS 32
+#include "fleet/vm_rank.h"
+
+#define RANK_SEED 0
 
 /**
  * struct peer_vm - another VM that sent updates or is in the list
@@ -14,19 +15,11 @@
 	int64_t last_ms;
 };
 
-static uint64_t
-rank_of(const char *vm, uint32_t link_mbps)
-{
-	uint64_t hash = bstr_hash(bstr_from(vm), 0) >> (64 - HASH_BITS);
-
-	return ((uint64_t)(UINT32_MAX - link_mbps) << HASH_BITS | hash);
-}
-
 void
 reader_init(struct reader_election *e, const struct reader_desc *desc)
 {
 	*e = (struct reader_election){.self = g_strdup(desc->self),
-	    .rank = rank_of(desc->self, desc->link_mbps)};
+	    .rank = vm_rank(desc->self, desc->link_mbps, RANK_SEED)};
 	e->peers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
@@ -44,7 +37,7 @@
 {
 	struct peer_vm *p = g_new(struct peer_vm, 1);
 
-	p->rank = rank_of(vm, link_mbps);
+	p->rank = vm_rank(vm, link_mbps, RANK_SEED);
 	p->last_ms = now_ms;
 	g_hash_table_insert(e->peers, g_strdup(vm), p);
 	return (p);
@@ -70,7 +63,7 @@
 		return;
 	if (p == NULL)
 		p = add_peer(e, vm, link_mbps, now_ms);
-	p->rank = rank_of(vm, link_mbps);
+	p->rank = vm_rank(vm, link_mbps, RANK_SEED);
 }
 
 /* Number of better-ranked VMs that sent an update in the last @within_ms. */
