--- a/tests/unit/test_platform_store.c
+++ b/tests/unit/test_platform_store.c
@@ -632,27 +632,55 @@
 	RUN_UNTIL(f, m->order.state == OBJ_MOVE_RUNNING);
 }
 
+/* Starts the client again, as after a restart of the process. */
+static void
+restart_client(struct fixture *f, const struct obj_member *self)
+{
+	struct platform_store_desc desc = {.metrics = &f->metrics, .seed = 4};
+	char address[32];
+
+	f->client->ops->free(f->client);
+	snprintf(address, sizeof(address), "127.0.0.1:%u",
+	    object_store_port(f->store));
+	desc.address = address;
+	f->client = platform_store_new(&desc);
+	f->client->ops->start(f->client, &f->sink);
+	f->client->ops->write_member(f->client, self);
+}
+
 static void
 test_member(void **state)
 {
 	struct fixture *f = *state;
-	const struct obj_member self = {.id = "vm1",
+	struct obj_member self = {.id = "vm1",
 	    .zone = "a",
 	    .address = "127.0.0.1:7",
 	    .link_mbps = 40};
 	const struct view_member *m;
+	unsigned calls;
 
 	f->client->ops->write_member(f->client, &self);
 	RUN_UNTIL(f, object_store_calls(f->store, "lbmembers") >= 2);
 	RUN_UNTIL(f, view_is_ready(&f->view));
-	/* After a restart the entry already exists in the store. */
-	f->client->ops->write_member(f->client, &self);
-	RUN_UNTIL(f, object_store_calls(f->store, "lbmembers") >= 4);
 	f->client->ops->request_list(f->client, STORE_MEMBERS, 0);
 	RUN_UNTIL(f, g_hash_table_contains(f->view.members, "vm1"));
 	m = g_hash_table_lookup(f->view.members, "vm1");
 	assert_string_equal(m->member.address, "127.0.0.1:7");
 	assert_int_equal(m->member.link_mbps, 40);
+	/* After a restart the entry already exists and is not written. */
+	calls = object_store_calls(f->store, "lbmembers");
+	restart_client(f, &self);
+	RUN_UNTIL(f, object_store_calls(f->store, "config") >= 3);
+	assert_int_equal(object_store_calls(f->store, "lbmembers"), calls + 1);
+	/* With another address it is replaced, in a single call. */
+	self.address = "127.0.0.1:8";
+	restart_client(f, &self);
+	RUN_UNTIL(f, object_store_calls(f->store, "lbmembers") >= calls + 3);
+	f->client->ops->request_list(f->client, STORE_MEMBERS, 0);
+	RUN_UNTIL(f,
+	    (m = g_hash_table_lookup(f->view.members, "vm1")) != NULL &&
+		strcmp(m->member.address, "127.0.0.1:8") == 0);
+	assert_int_equal(object_store_calls(f->store, "lbmembers"), calls + 4);
 }
 
 #define TEST(f) cmocka_unit_test_setup_teardown(f, setup, teardown)
