Start with a stale list of upstreams and one list of VMs

Configuration, moves and zones are still read exactly. A list of VMs that contains the VM itself is from before its restart and is not read again; the readers start at once. While the datagrams of a long update arrive, a VM does not read itself.

Tests: test_stale_start, test_restart, test_long_update.

--- a/packages/control/update_relay.c
+++ b/packages/control/update_relay.c
@@ -8,7 +8,7 @@
 #define MEMBERS_MIN_INTERVAL_MS 2000
 /*
  * The list of VMs is read again after this time, because the first one is
- * incomplete when VMs start together.
+ * incomplete when VMs start together for the first time.
  */
 #define MEMBERS_REREAD_MS 1200
 /* After this time, a VM may become a reader without a second list of VMs. */
@@ -150,6 +150,18 @@
 	g_ptr_array_set_size(r->buffered, 0);
 }
 
+/*
+ * A list that contains this VM is from before its restart, so it is complete
+ * and is not read again.
+ */
+static void
+note_members(struct update_relay *r)
+{
+	if (g_hash_table_contains(r->desc.view->members, r->desc.self))
+		r->members_reread = true;
+	r->members_known = r->members_reread;
+}
+
 void
 update_relay_on_updated(struct update_relay *r, enum store_kind kind,
     int64_t revision, int64_t now_ms)
@@ -157,7 +169,7 @@
 	if (kind == STORE_UPSTREAMS)
 		apply_buffered(r, revision, now_ms);
 	if (kind == STORE_MEMBERS)
-		r->members_known = r->members_reread;
+		note_members(r);
 	else if (r->is_reader && view_is_synced(r->desc.view))
 		broadcast_changes(r);
 }
@@ -187,6 +199,21 @@
 		store->ops->request_list(store, kind, head->revision[kind]);
 }
 
+/*
+ * Postpones the next read while an update is being received: on a large fleet
+ * its datagrams take long, and without this the VMs would all read themselves.
+ */
+static void
+postpone_own_read(struct update_relay *r, enum store_kind kind, int64_t now_ms)
+{
+	struct fleet_store *store = r->desc.store;
+
+	if (!r->is_reader)
+		store->ops->postpone_read(store, kind,
+		    store->ops->revision(store, kind),
+		    now_ms + READER_POSTPONE_MS);
+}
+
 static void
 apply_update(struct update_relay *r, const struct update_datagram_head *head,
     struct update_datagram_change *changes, uint32_t n, int64_t now_ms)
@@ -196,9 +223,13 @@
 	if (head->revision[STORE_UPSTREAMS] >=
 	    store->ops->revision(store, STORE_UPSTREAMS))
 		apply_upstreams(r, changes, n, now_ms);
-	for (int k = 0; k < STORE_KINDS && head->last; k++) {
-		if (k != STORE_MEMBERS)
-			compare_digest(r, head, (enum store_kind)k, now_ms);
+	for (int k = 0; k < STORE_KINDS; k++) {
+		enum store_kind kind = (enum store_kind)k;
+
+		if (kind == STORE_UPSTREAMS && !head->last)
+			postpone_own_read(r, kind, now_ms);
+		else if (kind != STORE_MEMBERS)
+			compare_digest(r, head, kind, now_ms);
 	}
 }
 
--- a/packages/control/update_relay.h
+++ b/packages/control/update_relay.h
@@ -49,8 +49,8 @@
  * @buffered: GBytes, datagrams received while upstreams are listed
  * @is_reader: this VM reads the store for the others
  * @start_ms: time of update_relay_start()
- * @members_reread: the second list of VMs was requested
- * @members_known: the second list of VMs was read
+ * @members_reread: the second list of VMs was requested, or is not needed
+ * @members_known: a complete list of VMs was read
  * @members_due_ms: when the list of VMs may be requested again because of an
  *	unknown sender
  */
--- a/tests/unit/test_platform_store.c
+++ b/tests/unit/test_platform_store.c
@@ -683,6 +683,35 @@
 	assert_int_equal(object_store_calls(f->store, "lbmembers"), calls + 4);
 }
 
+/*
+ * A VM that restarts begins with a list of upstreams that may be stale; the
+ * configuration never is, so a withdrawn route is not used again. The list is
+ * up to date soon, also without updates of other VMs.
+ */
+static void
+test_stale_start(void **state)
+{
+	struct fixture *f = *state;
+	const struct obj_member self = {
+	    .id = "vm1", .zone = "a", .address = "127.0.0.1:7"};
+	unsigned exact;
+
+	put_upstream(f->store, "u1", "ready");
+	RUN_UNTIL(f, view_is_ready(&f->view));
+	object_store_set_faults(
+	    f->store, &(struct object_store_faults){.stale_lists = true});
+	put_config(f->store, 4);
+	object_store_remove(f->store, "servers", "u1");
+	exact = object_store_exact_lists(f->store, "servers");
+	view_finish(&f->view);
+	view_init(&f->view, &(struct view_desc){.self = "vm1"});
+	restart_client(f, &self);
+	RUN_UNTIL(f, view_is_ready(&f->view));
+	assert_int_equal(config_version(f), 4);
+	RUN_UNTIL(f, n_upstreams(f) == 0);
+	assert_int_equal(object_store_exact_lists(f->store, "servers"), exact);
+}
+
 #define TEST(f) cmocka_unit_test_setup_teardown(f, setup, teardown)
 
 int
@@ -705,6 +734,7 @@
 	    TEST(test_conditional_write),
 	    TEST(test_lost_response),
 	    TEST(test_member),
+	    TEST(test_stale_start),
 	};
 
 	signal(SIGPIPE, SIG_IGN);
--- a/tests/unit/test_update_relay.c
+++ b/tests/unit/test_update_relay.c
@@ -15,6 +15,7 @@
 #include "base/random.h"
 #include "control/update_relay.h"
 #include "lib/seeds.h"
+#include "peer/update_datagram.h"
 
 #define N_VMS 20
 #define N_UPSTREAMS 40
@@ -47,6 +48,7 @@
  * @listed_ms: when the answer of the list arrives
  * @answer: contents of the store when the list was requested
  * @reads: number of reads
+ * @member_lists: number of lists of the VMs that were requested
  */
 struct vm {
 	struct fleet_store store;
@@ -61,6 +63,7 @@
 	struct store_state answer;
 	int64_t stopped_until_ms;
 	unsigned reads;
+	unsigned member_lists;
 };
 
 /** struct datagram - a datagram in flight */
@@ -171,8 +174,10 @@
 	struct vm *v = vm_of(s);
 
 	(void)revision;
-	if (kind == STORE_MEMBERS)
+	if (kind == STORE_MEMBERS) {
+		v->member_lists++;
 		list_members(v);
+	}
 	if (kind != STORE_UPSTREAMS || v->listing)
 		return;
 	v->reads++;
@@ -358,6 +363,69 @@
 	stop_fleet();
 }
 
+/*
+ * When power returns to all VMs, their first list of the fleet contains
+ * themselves. They do not list it again, and the readers start at once.
+ */
+static void
+test_restart(void **state)
+{
+	int n_readers = 0;
+
+	(void)state;
+	start_fleet(6, 0);
+	for (int i = 0; i < N_VMS; i++)
+		list_members(&sim.vms[i]);
+	run_until(sim.now_ms + STEP_MS, false);
+	for (int i = 0; i < N_VMS; i++)
+		n_readers += sim.vms[i].is_reader;
+	assert_int_equal(n_readers, READER_COUNT);
+	run_until(sim.now_ms + SETTLE_MS, false);
+	for (int i = 0; i < N_VMS; i++)
+		assert_int_equal(sim.vms[i].member_lists, 0);
+	assert_int_equal(count_outdated(), 0);
+	stop_fleet();
+}
+
+/*
+ * On a large fleet the datagrams of an update take longer than a VM waits for
+ * updates. As long as they arrive, no VM reads itself.
+ */
+static void
+test_long_update(void **state)
+{
+	struct vm *v = NULL;
+	struct update_datagram_head head = {.vm = "vm1"};
+	struct bbuf b;
+	unsigned reads;
+
+	(void)state;
+	start_fleet(7, 0);
+	run_until(6000, false);
+	for (int i = 0; i < N_VMS; i++)
+		v = sim.vms[i].is_reader ? v : &sim.vms[i];
+	assert_non_null(v);
+	for (int k = 0; k < STORE_KINDS; k++) {
+		head.revision[k] =
+		    store_revision(&v->store, (enum store_kind)k);
+		head.digest[k] = view_digest(&v->view, (enum store_kind)k);
+	}
+	head.digest[STORE_UPSTREAMS]++;
+	head.revision[STORE_UPSTREAMS]++;
+	reads = v->reads;
+	bbuf_init(&b);
+	update_datagram_encode(&b, &head, NULL, 0);
+	for (int64_t end_ms = sim.now_ms + SETTLE_MS; sim.now_ms < end_ms;
+	     sim.now_ms += STEP_MS) {
+		assert_true(update_relay_on_datagram(
+		    &v->relay, bbuf_str(&b), sim.now_ms));
+		run_store(v);
+	}
+	assert_int_equal(v->reads, reads);
+	bbuf_finish(&b);
+	stop_fleet();
+}
+
 /* Once the list of VMs is known, two VMs read and all are up to date. */
 static void
 test_few_read(void **state)
@@ -508,6 +576,8 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_start),
+	    cmocka_unit_test(test_restart),
+	    cmocka_unit_test(test_long_update),
 	    cmocka_unit_test(test_few_read),
 	    cmocka_unit_test(test_missed),
 	    cmocka_unit_test(test_update_during_list),
