Route with a part of the list of upstreams after a start

Change: a VM routes once it knows the configuration, the moves, the zones out of service and 256 upstreams. A service of which a partial list shows only the version that is being moved to gets no requests until the list is complete.

Ruled out: the VM's own processor and link (first page handled in 20 ms). Tests: test_fleet_view.

--- a/packages/fleet/fleet_view.c
+++ b/packages/fleet/fleet_view.c
@@ -502,17 +502,26 @@
 	f->outage = false;
 }
 
+/* Whether the lists are known that decide where a request may go. */
+static bool
+rules_known(const struct fleet_view *f)
+{
+	return (f->known[STORE_CONFIG] && f->known[STORE_MOVES] &&
+	    f->known[STORE_ZONES_OUT]);
+}
+
 bool
 view_is_synced(const struct fleet_view *f)
 {
-	return (f->known[STORE_CONFIG] && f->known[STORE_UPSTREAMS] &&
-	    f->known[STORE_MOVES] && f->known[STORE_ZONES_OUT]);
+	return (rules_known(f) && f->known[STORE_UPSTREAMS]);
 }
 
 bool
 view_is_ready(const struct fleet_view *f)
 {
-	return (f->config != NULL && view_is_synced(f));
+	return (f->config != NULL && rules_known(f) &&
+	    (f->known[STORE_UPSTREAMS] ||
+		g_hash_table_size(f->upstreams) >= VIEW_ENOUGH_UPSTREAMS));
 }
 
 uint32_t
--- a/packages/fleet/fleet_view.h
+++ b/packages/fleet/fleet_view.h
@@ -39,6 +39,12 @@
  */
 #define VIEW_NEW_VERSION_US 3000000
 
+/*
+ * A VM that starts routes as soon as it knows this many upstreams. On a large
+ * fleet the rest of the list takes seconds when all VMs start together.
+ */
+#define VIEW_ENOUGH_UPSTREAMS 256
+
 /**
  * struct view_upstream - an upstream as this VM knows it
  * @entry: its entry in the store
@@ -216,8 +222,10 @@
 void view_on_reachable(struct fleet_view *f, bool yes, int64_t now_us);
 
 /**
- * view_is_ready() - whether view_is_synced() is true and there is a
- * configuration, so that the routing table can be built
+ * view_is_ready() - whether the routing table can be built
+ *
+ * There has to be a configuration, and the lists of all kinds that routing
+ * needs have to be complete, or that of the upstreams long enough.
  */
 bool view_is_ready(const struct fleet_view *f);
 
--- a/packages/fleet/fleet_view_table.c
+++ b/packages/fleet/fleet_view_table.c
@@ -293,6 +293,17 @@
 	return (m->applied_share);
 }
 
+/*
+ * Sends no requests to a service: while the list of upstreams is incomplete,
+ * its other versions may be missing.
+ */
+static void
+hold_upstreams(struct rt_service *s)
+{
+	for (uint32_t i = 0; i < s->n_upstreams; i++)
+		s->upstreams[i].state = RT_DOWN;
+}
+
 /* Sets the shares of a service that is being moved to version @to. */
 static void
 set_move_shares(struct table_builder *b, struct rt_service *s,
@@ -312,8 +323,10 @@
 		break;
 	}
 	/* All remaining upstreams run the new version. */
-	if (s->n_versions == 1)
+	if (s->n_versions == 1 && b->f->known[STORE_UPSTREAMS])
 		share = PERMILLE;
+	else if (s->n_versions == 1 && share != PERMILLE)
+		hold_upstreams(s);
 	s->versions[to].share = share;
 	distribute(s, PERMILLE - share, to);
 }
