--- a/packages/ops/log_writer.h
+++ b/packages/ops/log_writer.h
@@ -22,12 +22,12 @@
 /**
  * struct log_writer_desc - settings
  * @json: print each message as a JSON object instead of text
- * @debug: print debug messages too
+ * @debug: print debug messages too; may change while the writer is in use
  * @vm: identity of this VM, included in each JSON line
  */
 struct log_writer_desc {
 	bool json;
-	bool debug;
+	_Atomic bool debug;
 	const char *vm;
 };
 
