Test answers that never end

Upstreams in trouble may send bytes that are no answer without end, in a head or a body. Sixteen cases through the real worker: noise, fields, one field line, interim heads, a chunk size, a chunk extension, trailers and a body, each as fast as the connection takes them and a byte at a time. Each call ends with an error or an incomplete body, its connection is closed, the request ran once, memory stays within the bound of the other streams, and the next call is answered.

--- a/tests/standin/rawup.c
+++ b/tests/standin/rawup.c
@@ -10,13 +10,16 @@
  *	early, earlybad           answer after the head, then read the body
  *	earlydeaf, earlybaddeaf   answer after the head, never read the body
  *
+ * Behaviours that begin with "endless" send bytes until the peer closes, see
+ * endless[].
+ *
  * early and earlydeaf answer 200, the others 413 with a body of 1 MB.
  *
  * The counters are read with:
  *
  *	/ctl/count<path>   complete requests received for <path>
  *	/ctl/gone<path>    connections closed by the peer during stall, hang,
- *	                   hangbody, earlydeaf or earlybaddeaf
+ *	                   hangbody, earlydeaf, earlybaddeaf or endless ones
  *
  * Prints "port N" when it listens.
  */
@@ -46,6 +49,9 @@
 #define OK "HTTP/1.1 200 OK\r\n"
 #define SECOND_SEND_DELAY_US 30000
 #define SLOW_DELAY_US 30000
+#define SLOW_BYTE_US 10000
+/* Far more than a client may read before it gives up. */
+#define MAX_ENDLESS_BYTES (256 * 1024 * 1024)
 
 /**
  * struct path_count - counters of one path
@@ -211,6 +217,59 @@
 	pthread_mutex_unlock(&lock);
 }
 
+/**
+ * struct endless - answer that never ends
+ * @name: behaviour; with "slow" appended it is sent a byte at a time
+ * @start: beginning of the answer
+ * @unit: bytes that are repeated
+ */
+struct endless {
+	const char *name, *start, *unit;
+};
+
+#define CHUNKED OK "Transfer-Encoding: chunked\r\n\r\n"
+
+static const struct endless endless[] = {
+    {"endlessnoise", "", "no HTTP at all"},
+    {"endlesshead", OK, "X-Field: value\r\n"},
+    {"endlessline", OK "X-Field: ", "value"},
+    {"endlessinterim", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+    {"endlesssize", CHUNKED, "0"},
+    {"endlessextension", CHUNKED "2;", "name"},
+    {"endlesstrailer", CHUNKED "2\r\nok\r\n0\r\n", "X-Field: value\r\n"},
+    {"endlessbody", CHUNKED, "4\r\ndata\r\n"},
+};
+
+/* Sends an answer that never ends; returns false for any other behaviour. */
+static bool
+send_endless(struct conn *c, const char *name)
+{
+	const struct endless *e = NULL;
+	bool slow = strstr(name, "slow") != NULL;
+	size_t n, step;
+
+	for (size_t i = 0; i < sizeof(endless) / sizeof(*endless); i++) {
+		if (strncmp(name, endless[i].name, strlen(endless[i].name)) ==
+		    0)
+			e = &endless[i];
+	}
+	if (e == NULL)
+		return (false);
+	send_str(c->fd, e->start);
+	n = strlen(e->unit);
+	step = slow ? 1 : n;
+	for (size_t sent = 0; sent < MAX_ENDLESS_BYTES; sent += step) {
+		if (send(c->fd, e->unit + sent % n, step, MSG_NOSIGNAL) < 0)
+			break;
+		if (slow)
+			usleep(SLOW_BYTE_US);
+	}
+	pthread_mutex_lock(&lock);
+	find_path(c->path)->closed++;
+	pthread_mutex_unlock(&lock);
+	return (true);
+}
+
 /* Answers when only the head was read; the connection ends afterwards. */
 static void
 answer_early(struct conn *c)
@@ -465,6 +524,8 @@
 		keep_alive = c->requests == 1;
 		if (keep_alive)
 			send_str(c->fd, CANNED_OK);
+	} else if (send_endless(c, name)) {
+		keep_alive = false;
 	} else if (strcmp(name, "hang") == 0) {
 		wait_for_close(c);
 		keep_alive = false;
--- a/tests/unit/test_front_stream.c
+++ b/tests/unit/test_front_stream.c
@@ -281,6 +281,39 @@
 	close(fd);
 }
 
+/*
+ * Guards against an upstream that sends bytes without end, in a head or a body:
+ * the call has to end with an error or a body that is not complete, the
+ * connection has to be closed, and memory stays bounded.
+ */
+static void
+test_endless_answer(void **state)
+{
+	static const char *const names[] = {"endlessnoise", "endlesshead",
+	    "endlessline", "endlessinterim", "endlesssize", "endlessextension",
+	    "endlesstrailer", "endlessbody"};
+	static const char *const paces[] = {"", "slow"};
+	long before = resident_bytes();
+
+	(void)state;
+	for (size_t i = 0; i < 2 * sizeof(names) / sizeof(*names); i++) {
+		char path[128];
+		struct reply r;
+
+		snprintf(path, sizeof(path), "/u/%s%s/%zu", names[i / 2],
+		    paces[i % 2], i);
+		r = rig_call("POST", "a", path, "", "body");
+		assert_true(r.status == 502 || r.status == 504 ||
+		    (r.status == 200 && !r.complete));
+		rig_reply_free(&r);
+		assert_true(resident_bytes() - before < MAX_GROWTH);
+		assert_int_equal(rig_request_count(path), 1);
+		rig_wait_closed(path);
+		rig_expect_body(
+		    rig_call("GET", "a", "/i/ok/after", "", NULL), "ok");
+	}
+}
+
 /* Guards against state of a request that leaks into the next on keep-alive. */
 static void
 test_keep_alive(void **state)
@@ -426,6 +459,7 @@
 	    cmocka_unit_test(test_stop),
 	    /* Runs last, because its stalled call holds a connection. */
 	    cmocka_unit_test(test_bounded_memory),
+	    cmocka_unit_test(test_endless_answer),
 	};
 
 	return (cmocka_run_group_tests(tests, rig_setup, rig_teardown));
