Let few VMs probe the store during an outage

Cause: without updates of the readers, every VM reads itself, fails and probes each 0.25 to 2.1 s; refused calls cost as much as others.

Change: during an outage only the ten VMs of the best ranks become readers. A VM that cannot route yet probes as often as a reader.

Tests: test_outage (update_relay: 20 readers before, 10 now, 2 after the outage), test_outage_large_fleet (platform_store).

--- a/packages/control/update_relay.c
+++ b/packages/control/update_relay.c
@@ -303,14 +303,24 @@
 }
 
 /*
- * Starts or stops reading for the others. The updates received show which
- * readers are alive.
+ * The updates received show which readers are alive. During an outage of the
+ * store there are none, and all VMs would become readers.
  */
+static bool
+should_read(const struct update_relay *r, int64_t now_ms)
+{
+	if (!r->members_known && now_ms - r->start_ms < MEMBERS_TIMEOUT_MS)
+		return (false);
+	if (r->desc.view->outage && !reader_is_backup(&r->election))
+		return (false);
+	return (reader_is_reader(&r->election, now_ms));
+}
+
+/* Starts or stops reading for the others. */
 static void
 update_reader_role(struct update_relay *r, int64_t now_ms)
 {
-	bool is_reader = reader_is_reader(&r->election, now_ms) &&
-	    (r->members_known || now_ms - r->start_ms >= MEMBERS_TIMEOUT_MS);
+	bool is_reader = should_read(r, now_ms);
 
 	if (is_reader == r->is_reader)
 		return;
--- a/packages/fleet/reader_election.c
+++ b/packages/fleet/reader_election.c
@@ -94,3 +94,9 @@
 	within_ms = MIN(within_ms, READER_TIMEOUT_MAX_MS);
 	return (count_better(e, now_ms, within_ms) < READER_COUNT);
 }
+
+bool
+reader_is_backup(const struct reader_election *e)
+{
+	return (count_better(e, 0, INT64_MAX) < READER_BACKUP_COUNT);
+}
--- a/packages/fleet/reader_election.h
+++ b/packages/fleet/reader_election.h
@@ -30,6 +30,11 @@
 
 /* Number of readers; the other VMs need at least one of them. */
 #define READER_COUNT 2
+/*
+ * While the store does not answer, only this many VMs of the best ranks become
+ * readers, so that the number of probes does not grow with the fleet.
+ */
+#define READER_BACKUP_COUNT 10
 /*
  * How long a VM counts as a reader after its last update: the minimum plus a
  * step for each VM of a better rank, up to the maximum. The next VMs in rank
@@ -94,4 +99,8 @@
  */
 bool reader_is_reader(const struct reader_election *e, int64_t now_ms);
 
+/** reader_is_backup() - whether this VM is among the READER_BACKUP_COUNT best
+ */
+bool reader_is_backup(const struct reader_election *e);
+
 #endif
--- a/tests/unit/test_platform_store.c
+++ b/tests/unit/test_platform_store.c
@@ -712,6 +712,42 @@
 	assert_int_equal(object_store_exact_lists(f->store, "servers"), exact);
 }
 
+/*
+ * In a large fleet, a VM that is not a reader hardly probes during an outage,
+ * and soon after it becomes one. A VM that cannot route yet probes as often as
+ * a reader.
+ */
+static void
+test_outage_large_fleet(void **state)
+{
+	struct fixture *f = *state;
+	int64_t end_ms;
+	unsigned calls;
+
+	for (int i = 0; i < 500; i++) {
+		char name[16];
+
+		snprintf(name, sizeof(name), "vm%d", i);
+		object_store_put(f->store, "lbmembers", name,
+		    "{\"zone\":\"a\",\"address\":\"127.0.0.1:9\"}");
+	}
+	f->client->ops->request_list(f->client, STORE_MEMBERS, 0);
+	RUN_UNTIL(f, view_is_ready(&f->view));
+	RUN_UNTIL(f, g_hash_table_size(f->view.members) == 500);
+	object_store_set_faults(
+	    f->store, &(struct object_store_faults){.status = 503});
+	RUN_UNTIL(f, !f->reachable);
+	/* Watches that were in flight fail, too. */
+	end_ms = clk_mono_ms() + 1000;
+	RUN_UNTIL(f, clk_mono_ms() > end_ms);
+	calls = metrics_get(&f->metrics, METRICS_STORE_READS);
+	end_ms = clk_mono_ms() + 3000;
+	RUN_UNTIL(f, clk_mono_ms() > end_ms);
+	assert_int_equal(metrics_get(&f->metrics, METRICS_STORE_READS), calls);
+	f->client->ops->set_reader(f->client, true);
+	RUN_UNTIL(f, metrics_get(&f->metrics, METRICS_STORE_READS) > calls + 2);
+}
+
 #define TEST(f) cmocka_unit_test_setup_teardown(f, setup, teardown)
 
 int
@@ -735,6 +771,7 @@
 	    TEST(test_lost_response),
 	    TEST(test_member),
 	    TEST(test_stale_start),
+	    TEST(test_outage_large_fleet),
 	};
 
 	signal(SIGPIPE, SIG_IGN);
--- a/tests/unit/test_update_relay.c
+++ b/tests/unit/test_update_relay.c
@@ -426,6 +426,40 @@
 	stop_fleet();
 }
 
+/*
+ * While the store does not answer, no VM sends updates. Only a few VMs become
+ * readers then and probe the store often; after the outage there are two again.
+ */
+static void
+test_outage(void **state)
+{
+	int n_readers = 0;
+
+	(void)state;
+	start_fleet(8, 0);
+	run_until(6000, false);
+	for (int i = 0; i < N_VMS; i++)
+		view_on_reachable(&sim.vms[i].view, false, sim.now_ms * 1000);
+	for (int64_t end_ms = sim.now_ms + SETTLE_MS; sim.now_ms < end_ms;
+	     sim.now_ms += STEP_MS) {
+		for (int i = 0; i < N_VMS; i++)
+			update_relay_tick(&sim.vms[i].relay, sim.now_ms);
+	}
+	for (int i = 0; i < N_VMS; i++)
+		n_readers += sim.vms[i].is_reader;
+	assert_int_equal(n_readers, READER_BACKUP_COUNT);
+	for (int i = 0; i < N_VMS; i++)
+		view_on_reachable(&sim.vms[i].view, true, sim.now_ms * 1000);
+	run_until(sim.now_ms + SETTLE_MS, true);
+	run_until(sim.now_ms + SETTLE_MS, false);
+	n_readers = 0;
+	for (int i = 0; i < N_VMS; i++)
+		n_readers += sim.vms[i].is_reader;
+	assert_int_equal(n_readers, READER_COUNT);
+	assert_int_equal(count_outdated(), 0);
+	stop_fleet();
+}
+
 /* Once the list of VMs is known, two VMs read and all are up to date. */
 static void
 test_few_read(void **state)
@@ -577,6 +611,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_start),
 	    cmocka_unit_test(test_restart),
+	    cmocka_unit_test(test_outage),
 	    cmocka_unit_test(test_long_update),
 	    cmocka_unit_test(test_few_read),
 	    cmocka_unit_test(test_missed),
