--- a/packages/fleet/reader_election.h
+++ b/packages/fleet/reader_election.h
@@ -99,7 +99,9 @@
  */
 bool reader_is_reader(const struct reader_election *e, int64_t now_ms);
 
-/** reader_is_backup() - whether this VM is among the READER_BACKUP_COUNT best
+/**
+ * reader_is_backup() - whether this VM may become a reader during an outage of
+ * the store
  */
 bool reader_is_backup(const struct reader_election *e);
 
