--- a/tests/lib/object_store.c
+++ b/tests/lib/object_store.c
@@ -487,6 +487,14 @@
 	return (store);
 }
 
+static void
+drop_stale(struct object_store *store)
+{
+	if (store->stale != NULL)
+		g_ptr_array_unref(store->stale);
+	store->stale = NULL;
+}
+
 void
 object_store_free(struct object_store *store)
 {
@@ -499,7 +507,7 @@
 	g_ptr_array_unref(store->events);
 	g_hash_table_unref(store->calls);
 	g_hash_table_unref(store->exact_lists);
-	g_clear_pointer(&store->stale, g_ptr_array_unref);
+	drop_stale(store);
 	g_free(store);
 }
 
@@ -515,7 +523,7 @@
 {
 	pthread_mutex_lock(&store->lock);
 	store->faults = *faults;
-	g_clear_pointer(&store->stale, g_ptr_array_unref);
+	drop_stale(store);
 	if (faults->stale_lists)
 		store->stale = copy_objects(store->objects);
 	store->stale_revision = store->revision;
