--- a/review/1/case.c
+++ b/review/1/case.c
@@ -66,12 +66,13 @@
 {
 	bool is_new = strcmp(t->version, "v2") == 0, bad = false;
 	double now = kit_now();
-	char *body;
+	char *body, id[64];
 	size_t n;
 
 	if (!kit_read_body(c, h, false, 5, &body, &n))
 		return (false);
 	free(body);
+	kit_field(h, "X-Request-Id", id, sizeof(id));
 	/* At `completed` the old targets stop immediately. */
 	if (!is_new && old_stopped)
 		return (false);
@@ -87,6 +88,8 @@
 	if (is_new && bad_50th_s != 0 && now > bad_50th_s + ROLLBACK_S + 1)
 		late_at_new++;
 	pthread_mutex_unlock(&lock);
+	kit_record("target %s (%s) runs %s%s", t->id, t->version, id,
+	    bad ? ", which fails" : "");
 	kit_sleep(WORK_S);
 	return (bad ? fail(c, h) : kit_answer(c, h, "done", 4));
 }
--- a/review/5/case.c
+++ b/review/5/case.c
@@ -1,7 +1,7 @@
 /*
  * The targets of the service don't tell their load: no answer of theirs has
  * X-Server-Load. All processes are killed and start again; requests must be
- * served after that. With TROUBLE=0 the targets tell their load.
+ * served after that. With ONLY_KILL=1, or TROUBLE=0, the targets tell their load.
  */
 #include <pthread.h>
 #include <signal.h>
@@ -25,16 +25,24 @@
 static int phase; /* 1 before the fault, 2 recovery, 3 after it, 0 the end */
 static int asked[4], served[4];
 
+/* Whether the kill of all processes is played alone, for comparison. */
+static bool
+only_kill(void)
+{
+	return (getenv("ONLY_KILL") != NULL);
+}
+
 static bool
 serve(struct kit_target *t, struct kit_conn *c, const struct kit_head *h)
 {
-	char *body;
+	char *body, id[64];
 	size_t n;
 
-	(void)t;
 	if (!kit_read_body(c, h, false, 5, &body, &n))
 		return (false);
 	free(body);
+	kit_field(h, "X-Request-Id", id, sizeof(id));
+	kit_record("target %s runs %s", t->id, id);
 	kit_sleep(0.05);
 	return (kit_answer(c, h, "seats", 5));
 }
@@ -101,7 +109,7 @@
 		strcpy(targets[i].version, "v1");
 		targets[i].slots = 6;
 		targets[i].serve = serve;
-		targets[i].hides_load = kit_trouble();
+		targets[i].hides_load = kit_trouble() && !only_kill();
 		kit_target_start(&targets[i]);
 	}
 	for (int i = 0; i < N_VMS; i++) {
@@ -117,12 +125,12 @@
 		pthread_create(&t, NULL, run_requester, (void *)i);
 	kit_sleep(BEFORE_S);
 	set_phase(2);
-	for (int i = 0; i < N_VMS; i++)
+	for (int i = 0; i < N_VMS && kit_trouble(); i++)
 		kit_vm_kill(&vms[i], SIGKILL);
-	for (int i = 0; i < N_VMS; i++)
+	for (int i = 0; i < N_VMS && kit_trouble(); i++)
 		kit_vm_wait_end(&vms[i], 5, &status);
 	kit_sleep(DOWN_S);
-	for (int i = 0; i < N_VMS; i++)
+	for (int i = 0; i < N_VMS && kit_trouble(); i++)
 		kit_vm_start(&vms[i]);
 	kit_sleep(RECOVERY_S);
 	set_phase(3);
--- a/review/lib/kit.c
+++ b/review/lib/kit.c
@@ -14,6 +14,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <time.h>
@@ -981,7 +982,11 @@
 		bin = "target/camphorhollowd";
 	vm->pid = fork();
 	if (vm->pid == 0) {
-		int fd = open(vm->log, O_WRONLY | O_CREAT | O_APPEND, 0600);
+		int fd;
+
+		/* It ends with this process, however that ends. */
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
+		fd = open(vm->log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 
 		dup2(fd, 1);
 		dup2(fd, 2);
