Keep a rollback that was announced when the executor of a move changes

Seen: the executor of a move found the new version bad, told the other VMs to roll back and was lost before it could store the outcome.

Cause: the outcome lived in the executor that announced it. The next executor began anew from the counters, but the VMs that had received the rollback sent nothing to the new version any more, so the counters could not show the fault a second time. The class: a decision that others act on is not handed over with the duty to carry it out.

Ruled out: two executors at the same time (the status is written under a condition; the record shows one), lost counters alone (the survivors' counters cover 20 calls and stay under the limit, which is allowed).

Now an executor that takes over rolls back if it has received that decision itself or any other VM has: followers name the outcome that they know in the datagram that carries their counters. The field existed and was zero; an old VM ignores it. On the same path: a VM that had received "done" from a lost executor kept sending all requests to the new version although the next one rolled back.

Tests: test_rollback_known_at_takeover, test_rollback_known_to_another_vm and test_rollback_after_lost_done fail before (the first two write "done", the third keeps the outcome), pass after; test_completed_after_takeover holds both times.

--- a/packages/control/move_runner.c
+++ b/packages/control/move_runner.c
@@ -21,6 +21,8 @@
 /* Interval between two writes of a status. */
 #define STATUS_WRITE_INTERVAL_MS 400
 #define PERMILLE 1000u
+/* Reason of an executor that takes over a move which was rolled back. */
+#define REASON_EARLIER_ROLLBACK "a former executor rolled the move back"
 
 /**
  * struct local_move - state of one move on this VM
@@ -186,6 +188,7 @@
 	if (e == NULL)
 		return;
 	msg.counts = own_counts(r, m->order.service, m->order.to_version);
+	msg.state = m->outcome;
 	bbuf_init(&b);
 	move_datagram_encode(&b, &msg);
 	r->desc.send(r->desc.arg, e->member.address, bbuf_str(&b));
@@ -247,6 +250,19 @@
 	    r->desc.store, &m->order, state, started_ms, r->desc.self);
 }
 
+/*
+ * The VMs that received the rollback of a former executor send no requests to
+ * the new version any more, so the counters cannot show the fault again.
+ */
+static void
+adopt_rollback(struct local_move *p, const char *service)
+{
+	if (p->exec.state != OBJ_MOVE_RUNNING)
+		return;
+	move_exec_roll_back(&p->exec, REASON_EARLIER_ROLLBACK);
+	g_message("move: %s: %s", service, p->exec.reason);
+}
+
 static void
 become_executor(struct move_runner *r, const struct view_move *m,
     struct local_move *p, int64_t now_ms)
@@ -263,6 +279,8 @@
 	p->next_write_ms = 0;
 	g_message("move: %s: this VM is the executor, %lld ms elapsed",
 	    m->order.service, (long long)d.elapsed_ms);
+	if (m->outcome == OBJ_MOVE_ROLLED_BACK)
+		adopt_rollback(p, m->order.service);
 }
 
 static void
@@ -385,6 +403,8 @@
 		return;
 	if (msg.type == MOVE_DATAGRAM_COUNTS && p->is_executor) {
 		move_exec_add(&p->exec, msg.vm, msg.boot, &msg.counts);
+		if (msg.state == OBJ_MOVE_ROLLED_BACK)
+			adopt_rollback(p, msg.service);
 		return;
 	}
 	if (msg.type != MOVE_DATAGRAM_DECISION ||
--- a/packages/fleet/fleet_view.h
+++ b/packages/fleet/fleet_view.h
@@ -74,7 +74,8 @@
  * @applied_share: share in the last routing table
  * @share_until_us: when the share expires unless the executor renews it
  * @outcome: outcome that the executor announced, possibly before it was stored;
- *	OBJ_MOVE_RUNNING before that
+ *	OBJ_MOVE_RUNNING before that. A rollback is final, also for the next
+ *	executor.
  */
 struct view_move {
 	struct obj_move order;
--- a/packages/fleet/move_executor.c
+++ b/packages/fleet/move_executor.c
@@ -198,6 +198,13 @@
 	m->reason = reason;
 }
 
+void
+move_exec_roll_back(struct move_executor *m, const char *reason)
+{
+	if (m->state == OBJ_MOVE_RUNNING)
+		roll_back(m, reason);
+}
+
 static void
 raise_share(struct move_executor *m, int64_t elapsed_ms, uint32_t capacity)
 {
--- a/packages/fleet/move_executor.h
+++ b/packages/fleet/move_executor.h
@@ -98,6 +98,13 @@
 void move_exec_add(struct move_executor *m, const char *vm, uint64_t boot,
     const struct move_exec_counts *counts);
 
+/**
+ * move_exec_roll_back() - roll a running move back for a reason outside of its
+ * counters; does nothing once the move has ended
+ * @reason: string constant
+ */
+void move_exec_roll_back(struct move_executor *m, const char *reason);
+
 /**
  * move_exec_tick() - evaluate the counters and update the share and the state
  * @capacity: usable upstreams of the new version per 1,000 of the others
--- a/packages/peer/move_datagram.h
+++ b/packages/peer/move_datagram.h
@@ -34,7 +34,9 @@
  * @counts: counters of both versions, for MOVE_DATAGRAM_COUNTS
  * @share: traffic share of the new version in permille, for
  *	MOVE_DATAGRAM_DECISION
- * @state: state of the move, for MOVE_DATAGRAM_DECISION
+ * @state: for MOVE_DATAGRAM_DECISION the state of the move, for
+ *	MOVE_DATAGRAM_COUNTS the outcome that the sender received from an
+ *	executor
  */
 struct move_datagram_msg {
 	enum move_datagram_type type;
--- a/tests/unit/test_move_runner.c
+++ b/tests/unit/test_move_runner.c
@@ -1,7 +1,6 @@
 /*
- * Tests which VMs take over a move when its executor is silent, in virtual
- * time. No datagram and no new status arrives, which is the worst case for the
- * number of writes.
+ * Tests which VMs take over a move when its executor is silent, and what the
+ * new executor does with the move, in virtual time.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -23,6 +22,8 @@
 /**
  * struct vm - a VM with a fake store that counts writes
  * @store: has to be the first member
+ * @last_written: state of the last write
+ * @completed: OBJ_MOVE_DONE was written
  */
 struct vm {
 	struct fleet_store store;
@@ -30,9 +31,14 @@
 	struct move_runner runner;
 	char name[16];
 	unsigned writes;
+	enum obj_move_state last_written;
+	bool completed;
 };
 
 static struct vm vms[N_VMS];
+/* Deliver datagrams between these first VMs. */
+static unsigned n_connected;
+static int64_t now_ms;
 
 static void
 write_move(struct fleet_store *s, const struct obj_move *m,
@@ -41,8 +47,9 @@
 	(void)m;
 	(void)started_ms;
 	(void)executor;
-	assert_int_equal(state, OBJ_MOVE_RUNNING);
 	((struct vm *)s)->writes++;
+	((struct vm *)s)->last_written = state;
+	((struct vm *)s)->completed |= state == OBJ_MOVE_DONE;
 }
 
 static const struct store_ops ops = {.write_move = write_move};
@@ -51,15 +58,19 @@
 send_one(void *arg, const char *address, struct bstr bytes)
 {
 	(void)arg;
-	(void)address;
-	(void)bytes;
+	for (unsigned i = 0; i < n_connected; i++) {
+		if (strcmp(address, vms[i].name) == 0)
+			move_runner_on_datagram(&vms[i].runner, bytes, now_ms);
+	}
 }
 
 static void
 send_all(void *arg, struct bstr bytes)
 {
-	(void)arg;
-	(void)bytes;
+	for (unsigned i = 0; i < n_connected; i++) {
+		if (&vms[i] != arg)
+			move_runner_on_datagram(&vms[i].runner, bytes, now_ms);
+	}
 }
 
 static int64_t
@@ -75,7 +86,7 @@
 	for (unsigned i = 0; i < N_VMS; i++) {
 		struct obj_member m = {.id = g_strdup(vms[i].name),
 		    .zone = g_strdup("a"),
-		    .address = g_strdup("127.0.0.1:7"),
+		    .address = g_strdup(vms[i].name),
 		    .link_mbps = i < N_FAST ? FAST_MBPS : SLOW_MBPS};
 
 		view_set_member(view, vms[i].name, &m);
@@ -85,6 +96,7 @@
 static void
 start_fleet(void)
 {
+	n_connected = 0;
 	for (unsigned i = 0; i < N_VMS; i++) {
 		struct vm *v = &vms[i];
 
@@ -144,7 +156,7 @@
 
 	(void)state;
 	start_fleet();
-	for (int64_t now_ms = 0; now_ms <= 20000; now_ms += STEP_MS) {
+	for (now_ms = 0; now_ms <= 20000; now_ms += STEP_MS) {
 		unsigned writers;
 
 		for (unsigned i = 0; i < N_VMS; i++)
@@ -159,6 +171,158 @@
 	/* VMs with more bandwidth come first; in the end each had its turn. */
 	assert_true(first_slow > N_FAST);
 	assert_int_equal(before, N_VMS);
+	for (unsigned i = 0; i < N_VMS; i++)
+		assert_int_equal(vms[i].last_written, OBJ_MOVE_RUNNING);
+	stop_fleet();
+}
+
+#define CONNECTED 3
+#define NEW_EXECUTOR 1
+#define SHARE_PERMILLE 100
+
+static void
+run_until(int64_t end_ms)
+{
+	for (; now_ms <= end_ms; now_ms += STEP_MS) {
+		for (unsigned i = 0; i < n_connected; i++)
+			move_runner_tick(&vms[i].runner, now_ms);
+	}
+}
+
+/* The lost executor announces its decision to one VM only. */
+static void
+announce_decision(unsigned vm, uint32_t share, enum obj_move_state outcome)
+{
+	struct move_datagram_msg msg = {.type = MOVE_DATAGRAM_DECISION,
+	    .vm = "lost",
+	    .service = "s",
+	    .to_version = "v2",
+	    .share = share,
+	    .state = outcome};
+	struct bbuf b;
+
+	bbuf_init(&b);
+	move_datagram_encode(&b, &msg);
+	move_runner_on_datagram(&vms[vm].runner, bbuf_str(&b), now_ms);
+	bbuf_finish(&b);
+}
+
+/* As if the store had accepted the running status of the new executor. */
+static void
+replace_executor(void)
+{
+	for (unsigned i = 0; i < n_connected; i++) {
+		struct obj_move m = {.name = g_strdup("s"),
+		    .service = g_strdup("s"),
+		    .to_version = g_strdup("v2"),
+		    .executor = g_strdup(vms[NEW_EXECUTOR].name),
+		    .state = OBJ_MOVE_RUNNING,
+		    .started_ms = 1,
+		    .duration_ms = 20000};
+
+		view_set_move(&vms[i].view, "s", &m);
+	}
+}
+
+/* All VMs count requests of both versions without an error. */
+static void
+count_good_calls(void)
+{
+	for (unsigned i = 0; i < n_connected; i++) {
+		atomic_fetch_add(
+		    &view_tally(&vms[i].view, "s", "v1")->calls, 1000);
+		atomic_fetch_add(
+		    &view_tally(&vms[i].view, "s", "v2")->calls, 100);
+	}
+}
+
+static void
+assert_rolled_back(void)
+{
+	assert_int_equal(vms[NEW_EXECUTOR].last_written, OBJ_MOVE_ROLLED_BACK);
+	for (unsigned i = 0; i < n_connected; i++) {
+		const struct view_move *m =
+		    g_hash_table_lookup(vms[i].view.moves, "s");
+
+		assert_false(vms[i].completed);
+		assert_int_equal(m->share, 0);
+		assert_int_equal(m->outcome, OBJ_MOVE_ROLLED_BACK);
+	}
+}
+
+/*
+ * An executor decided to roll back, could not store it and was lost; the next
+ * executor completed the bad version.
+ */
+static void
+take_over_after_rollback(unsigned informed_vm)
+{
+	start_fleet();
+	n_connected = CONNECTED;
+	now_ms = 0;
+	run_until(1000);
+	count_good_calls();
+	announce_decision(informed_vm, 0, OBJ_MOVE_ROLLED_BACK);
+	replace_executor();
+	run_until(25000);
+	assert_rolled_back();
+	stop_fleet();
+}
+
+/* The new executor itself received the decision. */
+static void
+test_rollback_known_at_takeover(void **state)
+{
+	(void)state;
+	take_over_after_rollback(NEW_EXECUTOR);
+}
+
+/* Only another VM received the decision. */
+static void
+test_rollback_known_to_another_vm(void **state)
+{
+	(void)state;
+	take_over_after_rollback(0);
+}
+
+/*
+ * A VM that received "done" from a lost executor kept sending all requests to
+ * the new version, although the next executor rolled the move back.
+ */
+static void
+test_rollback_after_lost_done(void **state)
+{
+	(void)state;
+	start_fleet();
+	n_connected = CONNECTED;
+	now_ms = 0;
+	run_until(1000);
+	announce_decision(0, 1000, OBJ_MOVE_DONE);
+	replace_executor();
+	run_until(1500);
+	for (unsigned i = 0; i < n_connected; i++)
+		atomic_fetch_add(
+		    &view_tally(&vms[i].view, "s", "v2")->failures, 90);
+	count_good_calls();
+	run_until(4000);
+	assert_rolled_back();
+	stop_fleet();
+}
+
+/* Without such a decision, the new executor completes the move. */
+static void
+test_completed_after_takeover(void **state)
+{
+	(void)state;
+	start_fleet();
+	n_connected = CONNECTED;
+	now_ms = 0;
+	run_until(1000);
+	count_good_calls();
+	announce_decision(0, SHARE_PERMILLE, OBJ_MOVE_RUNNING);
+	replace_executor();
+	run_until(25000);
+	assert_int_equal(vms[NEW_EXECUTOR].last_written, OBJ_MOVE_DONE);
 	stop_fleet();
 }
 
@@ -167,6 +331,10 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_takeover_in_turn),
+	    cmocka_unit_test(test_rollback_known_at_takeover),
+	    cmocka_unit_test(test_rollback_known_to_another_vm),
+	    cmocka_unit_test(test_rollback_after_lost_done),
+	    cmocka_unit_test(test_completed_after_takeover),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
