Count only calls in flight at upstreams that tell no load

Cause: the load of an upstream is its last report plus the calls started since. Without reports nothing ever ended that sum. The class: an estimate that only the next message corrects, and no message is due.

Ruled out: concurrency limit of rt_pick() (its reports expire), probes (they are not sent to such upstreams, as intended), the restart (the same without it).

Now such an upstream's load is this VM's own calls in flight, or the load in a response that is younger than a report may be. Found on the same path: a load that came with a response, and said "full", would have kept an upstream of this kind full for good as well; and its pace was taken for 0, so that all of them cost the same, however many calls they ran.

--- a/packages/route/load_choice.c
+++ b/packages/route/load_choice.c
@@ -62,6 +62,7 @@
 	    &s->cold_until_us, r->cold_us > 0 ? now_us + r->cold_us : 0);
 	if (r->none) {
 		atomic_store(&s->no_report, true);
+		atomic_store(&s->reported_us, 0);
 		return;
 	}
 	atomic_store(&s->no_report, false);
@@ -253,11 +254,34 @@
 	return (n != 0 ? n : add_candidates(&q, rng, max, n, out));
 }
 
+/*
+ * The calls started since a report replace the next one only for as long as
+ * there is a next one. Without reports, the own calls in flight are all that is
+ * known, beside the load in a recent response.
+ */
 static int32_t
-load_of(const struct rt_stat *s)
+load_of(const struct rt_stat *s, int64_t now_us)
+{
+	int32_t started = atomic_load(&s->started_since_report);
+	int32_t own = atomic_load(&s->in_flight);
+	int32_t load;
+
+	if (!atomic_load(&s->no_report))
+		return (atomic_load(&s->reported) + atomic_load(&s->waiting) +
+		    started);
+	if (now_us - atomic_load(&s->reported_us) > LOAD_CHOICE_FRESH_US)
+		return (own);
+	load = atomic_load(&s->reported) + started;
+	return (load > own ? load : own);
+}
+
+/* An upstream without reports counts as running at its normal pace. */
+static double
+pace_of(const struct rt_stat *s)
 {
-	return (atomic_load(&s->reported) + atomic_load(&s->waiting) +
-	    atomic_load(&s->started_since_report));
+	if (atomic_load(&s->no_report))
+		return (1);
+	return (atomic_load(&s->pace) / NORMAL_PACE_PCT);
 }
 
 /*
@@ -265,13 +289,13 @@
  * beyond it, more concurrent requests lower the throughput.
  */
 static bool
-is_full(const struct rt_upstream *u)
+is_full(const struct rt_upstream *u, int64_t now_us)
 {
 	double limit = u->slots;
 
 	if (u->slots >= SATURATION_MIN_SLOTS)
 		limit *= SATURATION_SHARE;
-	return (u->slots != 0 && load_of(u->stat) + 1 > limit);
+	return (u->slots != 0 && load_of(u->stat, now_us) + 1 > limit);
 }
 
 /*
@@ -299,10 +323,9 @@
     const struct rt_upstream *u, const struct rt_request *req, int64_t now_us)
 {
 	double slots = u->slots == 0 ? 1 : u->slots;
-	double load = load_of(u->stat) + 1;
-	double pace = atomic_load(&u->stat->pace) / NORMAL_PACE_PCT;
+	double load = load_of(u->stat, now_us) + 1;
 	double fail = atomic_load(&u->stat->fail_permille) / 1000.0;
-	double x = pace;
+	double x = pace_of(u->stat);
 
 	if (load > slots * SATURATION_SHARE)
 		x *= SATURATION_FACTOR;
@@ -338,7 +361,7 @@
 		if (!atomic_load(&u->stat->no_report) &&
 		    !load_choice_is_fresh(u->stat, now_us))
 			continue;
-		if (is_full(u) || should_wait(u->stat, req, now_us)) {
+		if (is_full(u, now_us) || should_wait(u->stat, req, now_us)) {
 			if (best == RT_NONE)
 				best = RT_FULL;
 			continue;
--- a/packages/route/load_choice.h
+++ b/packages/route/load_choice.h
@@ -89,8 +89,8 @@
 /**
  * load_choice_pick() - choose among the upstreams with a fresh report
  *
- * Upstreams that answer probes without their load are compared by the load that
- * their responses reported.
+ * Upstreams that answer probes without their load are compared by this VM's own
+ * calls in flight and the load in recent responses.
  *
  * Return: like rt_pick(), an index into s->upstreams, RT_FULL or RT_NONE.
  */
--- a/tests/unit/test_load_choice.c
+++ b/tests/unit/test_load_choice.c
@@ -391,6 +391,72 @@
 	assert_false(load_choice_may_take(u, &req, NOW_US));
 }
 
+/* Starts and ends @n calls at each upstream; responses tell @reported. */
+static void
+run_calls(unsigned n, int32_t reported, int64_t now_us)
+{
+	struct rt_result ok = {.latency_us = 1000, .reported = reported};
+
+	for (uint32_t i = 0; i < N_UP; i++) {
+		for (unsigned k = 0; k < n; k++) {
+			assert_true(rt_try_start(stats[i], false, now_us));
+			rt_on_finish(stats[i], SLOTS, &ok, now_us);
+		}
+	}
+}
+
+static void
+set_no_report(void)
+{
+	struct load_choice_report none = {.none = true};
+
+	for (uint32_t i = 0; i < N_UP; i++)
+		load_choice_on_report(stats[i], &none, NOW_US);
+}
+
+/*
+ * Upstreams that never tell their load counted as full for good after as many
+ * requests as they have slots, although all of them had ended.
+ */
+static void
+test_no_report_ended_calls(void **state)
+{
+	struct rt_request req = {0};
+	bool used[N_UP] = {false};
+
+	(void)state;
+	set_no_report();
+	run_calls(10 * SLOTS, -1, NOW_US);
+	assert_true(pick(&req, NOW_US) >= 0);
+	/* Calls in flight count, and the upstream with the fewest is used. */
+	for (uint32_t i = 0; i < N_UP; i++)
+		atomic_store(&stats[i]->in_flight, i == 6 ? 1 : 2);
+	for (int k = 0; k < 20; k++)
+		used[pick(&req, NOW_US)] = true;
+	for (uint32_t i = 0; i < N_UP; i++)
+		assert_int_equal(used[i], i == 6);
+	for (uint32_t i = 0; i < N_UP; i++)
+		atomic_store(&stats[i]->in_flight, SLOTS - 2);
+	assert_int_equal(pick(&req, NOW_US), RT_FULL);
+}
+
+/*
+ * An upstream that tells its load in responses but not to probes must not stay
+ * full because its last response was sent while it was.
+ */
+static void
+test_no_report_old_response(void **state)
+{
+	struct rt_request req = {0};
+	int64_t now_us = NOW_US + LOAD_CHOICE_FRESH_US;
+
+	(void)state;
+	set_no_report();
+	run_calls(1, SLOTS, NOW_US);
+	assert_int_equal(pick(&req, now_us), RT_FULL);
+	assert_true(pick(&req, now_us + 1) >= 0);
+}
+
 #define TEST(f) cmocka_unit_test_setup_teardown(f, setup, teardown)
 
 int
@@ -409,6 +475,8 @@
 	    TEST(test_probe_backoff),
 	    TEST(test_versions),
 	    TEST(test_no_report),
+	    TEST(test_no_report_ended_calls),
+	    TEST(test_no_report_old_response),
 	    TEST(test_may_take),
 	};
 
