End a late attempt only when its successor has a slot

Cause: upstream_side_on_late() ended the attempt on a guess that another upstream could take it (any version, by this VM's own calls). The choice that followed queries the load, draws the version, waits behind others and may find nothing. The class: giving a resource up before its replacement is held.

Ruled out: the give-up at the end of the grace time (1.2 s were left), the retry budget (it was taken before, and allowed the retry), the upstream (it answered).

Now the choice is made while the attempt goes on: upstream_choice_pick() returns a pick with its slot reserved, and only then does the attempt end, the budget pay and the new transfer start. When the choice finds none, the attempt stays and is looked at again after LATE_RECHECK_MS. A transfer that ends during the load query leaves it.

--- a/packages/front/call.h
+++ b/packages/front/call.h
@@ -172,8 +172,8 @@
  * @reported: requests that the upstream is serving, as its response reports,
  *	-1 when not reported
  * @refused: the upstream reports that it did not run the request
- * @failed: the attempt got a 5xx response or was late; its response is
- *	discarded and its retry was already taken from the retry budget
+ * @failed: the attempt got a 5xx response, which is discarded; its retry was
+ *	already taken from the retry budget
  * @head: head of the answer
  * @head_bad: the upstream's answer must not be used
  * @status: status of the answer, 0 until its final head is complete
--- a/packages/front/load_query.c
+++ b/packages/front/load_query.c
@@ -76,12 +76,8 @@
 static void
 resume(struct call *c)
 {
-	enum err_kind kind;
-
 	load_query_leave(c);
-	kind = upstream_side_start(c);
-	if (kind != ERR_NONE)
-		upstream_side_end(c, kind);
+	upstream_side_resume(c);
 }
 
 /* Counts an ended probe in each call that waits for it. */
--- a/packages/front/upstream_choice.c
+++ b/packages/front/upstream_choice.c
@@ -8,30 +8,40 @@
 #include "front/worker_service.h"
 #include "sys/clocks.h"
 
-/* Records the chosen upstream and the data of the choice in the call. */
+/* Copies what the call needs of the routing table. */
 static void
-set_upstream(
-    struct call *c, const struct rt_service *s, const struct rt_upstream *u)
+fill_pick(struct upstream_pick *out, const struct call *c,
+    const struct rt_service *s, const struct rt_upstream *u)
 {
 	const struct rt_route *r = rt_find_route(s, c->path);
 	struct rt_tally *t = r == NULL ? NULL : rt_tally_at(s, r, u->version);
 
-	c->upstream = rt_stat_ref(u->stat);
 	load_choice_on_start(u, clk_mono_us());
-	memcpy(c->instance, u->id.p, u->id.n);
-	c->instance[u->id.n] = '\0';
-	c->tally = t == NULL ? NULL : rt_tally_ref(t);
-	c->upstream_state = u->state;
-	c->chosen =
-	    (struct call_choice){.running = atomic_load(&u->stat->reported),
+	*out = (struct upstream_pick){.upstream = rt_stat_ref(u->stat),
+	    .tally = t == NULL ? NULL : rt_tally_ref(t),
+	    .upstream_state = u->state,
+	    .slots = u->slots,
+	    .slow_us = s->slow_us,
+	    .chosen = {.running = atomic_load(&u->stat->reported),
 		.waiting = atomic_load(&u->stat->waiting),
 		.pace = atomic_load(&u->stat->pace),
 		.age_us = clk_mono_us() - atomic_load(&u->stat->reported_us),
-		.table_version = shared_version(worker_shared_state(c->w))};
-	c->slots = u->slots;
-	c->slow_us = s->slow_us;
-	memcpy(c->addr, u->addr.p, u->addr.n);
-	c->addr[u->addr.n] = '\0';
+		.table_version = shared_version(worker_shared_state(c->w))}};
+	memcpy(out->instance, u->id.p, u->id.n);
+	memcpy(out->addr, u->addr.p, u->addr.n);
+}
+
+void
+upstream_choice_apply(struct call *c, const struct upstream_pick *p)
+{
+	c->upstream = p->upstream;
+	c->tally = p->tally;
+	c->upstream_state = p->upstream_state;
+	c->slots = p->slots;
+	c->slow_us = p->slow_us;
+	c->chosen = p->chosen;
+	memcpy(c->instance, p->instance, sizeof(c->instance));
+	memcpy(c->addr, p->addr, sizeof(c->addr));
 }
 
 static struct rt_request
@@ -47,6 +57,8 @@
 
 	for (uint32_t k = 0; k < c->n_excluded; k++)
 		req.excluded[k] = c->excluded[k];
+	if (c->upstream != NULL && req.n_excluded < RT_MAX_EXCLUDED)
+		req.excluded[req.n_excluded++] = c->upstream;
 	return (req);
 }
 
@@ -127,8 +139,7 @@
 	for (uint32_t i = 0; s != NULL && i < s->n_upstreams && !found; i++) {
 		const struct rt_upstream *u = &s->upstreams[i];
 
-		found = u->stat != c->upstream &&
-		    load_choice_may_take(u, &req, now_us) &&
+		found = load_choice_may_take(s, u, &req, now_us) &&
 		    worker_has_connection(c->w, u->stat);
 	}
 	rcu_read_unlock();
@@ -136,7 +147,7 @@
 }
 
 int
-upstream_choice_pick(struct call *c, int64_t now_us)
+upstream_choice_pick(struct call *c, int64_t now_us, struct upstream_pick *out)
 {
 	const struct rt_service *s;
 	int i = RT_NONE;
@@ -151,7 +162,7 @@
 	if (i == RT_NONE && s != NULL && query_remaining(c, s, now_us))
 		i = UPSTREAM_CHOICE_WAIT;
 	if (i >= 0) {
-		set_upstream(c, s, &s->upstreams[i]);
+		fill_pick(out, c, s, &s->upstreams[i]);
 		i = 0;
 	}
 	rcu_read_unlock();
--- a/packages/front/upstream_choice.h
+++ b/packages/front/upstream_choice.h
@@ -5,25 +5,50 @@
  * The choice is limited to upstreams for which this worker has a connection
  * available.
  *
- *	switch (upstream_choice_pick(c, now_us)) ...
+ *	switch (upstream_choice_pick(c, now_us, &pick)) ...
+ *	upstream_choice_apply(c, &pick);
  */
 #ifndef FRONT_UPSTREAM_CHOICE_H
 #define FRONT_UPSTREAM_CHOICE_H
 
 #include "front/call.h"
 
-/* A load query is in flight; upstream_side_start() is called after it. */
+/* A load query is in flight; upstream_side_resume() is called after it. */
 #define UPSTREAM_CHOICE_WAIT (-3)
 
+/**
+ * struct upstream_pick - chosen upstream with a slot reserved on it
+ *
+ * The fields have the meaning of those of the same name in struct call.
+ */
+struct upstream_pick {
+	struct rt_stat *upstream;
+	struct rt_tally *tally;
+	enum rt_state upstream_state;
+	uint32_t slots;
+	int64_t slow_us;
+	struct call_choice chosen;
+	char instance[CALL_ID_MAX + 1];
+	char addr[CALL_ADDR_MAX + 1];
+};
+
 /**
  * upstream_choice_pick() - choose an upstream from the current routing table
- * @c: call without a current upstream
+ * @c: call; an upstream that it has is not chosen again
  * @now_us: boot-time microseconds
+ * @out: set when the return value is 0
  *
- * Return: 0 with call->upstream set, RT_FULL when all are at their limit,
- * RT_NONE when none is usable, or UPSTREAM_CHOICE_WAIT.
+ * Return: 0, RT_FULL when all are at their limit, RT_NONE when none is usable,
+ * or UPSTREAM_CHOICE_WAIT.
+ */
+int upstream_choice_pick(
+    struct call *c, int64_t now_us, struct upstream_pick *out);
+
+/**
+ * upstream_choice_apply() - make @p the upstream of a call that has none; moves
+ * the references of @p into the call
  */
-int upstream_choice_pick(struct call *c, int64_t now_us);
+void upstream_choice_apply(struct call *c, const struct upstream_pick *p);
 
 /**
  * upstream_choice_has_other() - whether an upstream other than call->upstream
--- a/packages/front/upstream_side.c
+++ b/packages/front/upstream_side.c
@@ -195,10 +195,10 @@
 	return (c->max_attempts != 0 ? c->max_attempts : DEFAULT_MAX_ATTEMPTS);
 }
 
+/* Whether another attempt is allowed after @kind, apart from the budget. */
 static bool
-may_retry(struct call *c, enum err_kind kind)
+is_retryable(struct call *c, enum err_kind kind, int64_t now_us)
 {
-	int64_t now_us = clk_mono_us();
 
 	if (kind == ERR_NONE || kind == ERR_DEADLINE || kind == ERR_NOT_FRESH)
 		return (false);
@@ -211,6 +211,16 @@
 	    !(kind == ERR_REFUSED &&
 		worker_shared_state(c->w)->protocol->status_means_not_run))
 		return (false);
+	return (true);
+}
+
+static bool
+may_retry(struct call *c, enum err_kind kind)
+{
+	int64_t now_us = clk_mono_us();
+
+	if (!is_retryable(c, kind, now_us))
+		return (false);
 	/*
 	 * Nothing was sent on an unclean connection, so its retry is free. The
 	 * retry of a failed attempt was taken from the budget earlier.
@@ -308,28 +318,10 @@
 
 static void on_done(struct curl_transfer *x, CURL *easy, CURLcode result);
 
-enum err_kind
-upstream_side_start(struct call *c)
+/* Sends the request to the upstream of the call. */
+static void
+start_transfer(struct call *c, int64_t now_us)
 {
-	int64_t now_us = clk_mono_us();
-	enum err_kind kind =
-	    filter_check_fresh(worker_shared_state(c->w), now_us);
-
-	if (kind != ERR_NONE)
-		return (kind);
-	if (now_us >= c->deadline_us)
-		return (ERR_DEADLINE);
-	if (worker_service_must_wait(c->service_state))
-		return (worker_service_wait(c, now_us));
-	switch (upstream_choice_pick(c, now_us)) {
-	case RT_NONE:
-		return (ERR_NO_UPSTREAM);
-	case RT_FULL:
-		c->may_probe = true;
-		return (worker_service_wait(c, now_us));
-	case UPSTREAM_CHOICE_WAIT:
-		return (ERR_NONE);
-	}
 	c->may_probe = true;
 	c->xfer.done = on_done;
 	call_reset_answer(c);
@@ -350,6 +342,33 @@
 	curl_multi_add_handle(worker_multi(c->w), c->easy);
 	if (c->idempotent && c->goal_us != 0)
 		worker_timer_set(c->w, c, now_us + c->goal_us);
+}
+
+enum err_kind
+upstream_side_start(struct call *c)
+{
+	int64_t now_us = clk_mono_us();
+	enum err_kind kind =
+	    filter_check_fresh(worker_shared_state(c->w), now_us);
+	struct upstream_pick pick;
+
+	if (kind != ERR_NONE)
+		return (kind);
+	if (now_us >= c->deadline_us)
+		return (ERR_DEADLINE);
+	if (worker_service_must_wait(c->service_state))
+		return (worker_service_wait(c, now_us));
+	switch (upstream_choice_pick(c, now_us, &pick)) {
+	case RT_NONE:
+		return (ERR_NO_UPSTREAM);
+	case RT_FULL:
+		c->may_probe = true;
+		return (worker_service_wait(c, now_us));
+	case UPSTREAM_CHOICE_WAIT:
+		return (ERR_NONE);
+	}
+	upstream_choice_apply(c, &pick);
+	start_transfer(c, now_us);
 	return (ERR_NONE);
 }
 
@@ -515,24 +534,89 @@
 	struct call *c = (struct call *)x;
 
 	(void)easy;
+	load_query_leave(c);
 	worker_timer_clear(c->w, c);
 	finish_attempt(c, error_kind_of(c, result));
 }
 
+/* Whether the attempt of @c should be replaced by one at another upstream. */
+static bool
+is_late(struct call *c, int64_t now_us)
+{
+	return (c->easy != NULL && !c->answer_started && !c->failed &&
+	    (c->status == 0 || c->answer_bytes == c->answer_bytes_when_late) &&
+	    is_retryable(c, ERR_UPSTREAM_TIMEOUT, now_us) &&
+	    worker_service_has_retry(c, now_us) &&
+	    !worker_service_must_wait(c->service_state));
+}
+
+/* Ends the late attempt and starts one at the upstream of @pick. */
+static void
+move_to(struct call *c, const struct upstream_pick *pick, int64_t now_us)
+{
+	worker_service_take_retry(c, now_us);
+	call_log_attempt(c, ERR_UPSTREAM_TIMEOUT);
+	attempt_report_count(c, true, now_us);
+	end_transfer(c);
+	release_upstream(c, true, true);
+	if (c->first_err == ERR_NONE)
+		c->first_err = ERR_UPSTREAM_TIMEOUT;
+	c->need_new_conn = false;
+	upstream_choice_apply(c, pick);
+	start_transfer(c, now_us);
+	metrics_add(worker_shared_state(c->w)->metrics, METRICS_RETRIES, 1);
+	worker_wake_waiting(c->w, c->service_state);
+}
+
+/*
+ * The present attempt ends only when its successor has a slot: the upstream is
+ * still at work on it, and without a successor its answer is the only one.
+ */
+static void
+try_other(struct call *c, int64_t now_us)
+{
+	struct upstream_pick pick;
+
+	switch (upstream_choice_pick(c, now_us, &pick)) {
+	case 0:
+		move_to(c, &pick, now_us);
+		break;
+	case UPSTREAM_CHOICE_WAIT:
+		break;
+	default:
+		worker_timer_set(c->w, c, now_us + LATE_RECHECK_MS * 1000);
+		break;
+	}
+}
+
 void
 upstream_side_on_late(struct call *c, int64_t now_us)
 {
-	bool stalled =
-	    c->status == 0 || c->answer_bytes == c->answer_bytes_when_late;
+	bool late = is_late(c, now_us);
 
 	if (c->easy == NULL || c->answer_started)
 		return;
 	c->answer_bytes_when_late = c->answer_bytes;
-	/* Takes the retry from the budget before the attempt is ended. */
-	c->failed = stalled && upstream_choice_has_other(c, now_us) &&
-	    may_retry(c, ERR_UPSTREAM_TIMEOUT);
-	if (c->failed)
-		finish_attempt(c, ERR_UPSTREAM_TIMEOUT);
+	c->may_probe = true;
+	if (late && upstream_choice_has_other(c, now_us))
+		try_other(c, now_us);
 	else if (c->attempts < max_attempts(c))
 		worker_timer_set(c->w, c, now_us + LATE_RECHECK_MS * 1000);
 }
+
+void
+upstream_side_resume(struct call *c)
+{
+	int64_t now_us = clk_mono_us();
+	enum err_kind kind;
+
+	if (c->easy == NULL) {
+		kind = upstream_side_start(c);
+		if (kind != ERR_NONE)
+			upstream_side_end(c, kind);
+	} else if (is_late(c, now_us)) {
+		try_other(c, now_us);
+	} else if (!c->answer_started) {
+		worker_timer_set(c->w, c, now_us + LATE_RECHECK_MS * 1000);
+	}
+}
--- a/packages/front/upstream_side.h
+++ b/packages/front/upstream_side.h
@@ -27,6 +27,13 @@
  */
 enum err_kind upstream_side_start(struct call *c);
 
+/**
+ * upstream_side_resume() - continue after load reports have arrived
+ *
+ * Starts the request, or moves a late request to another upstream.
+ */
+void upstream_side_resume(struct call *c);
+
 /**
  * upstream_side_end() - end the call with @kind, or with the response for
  * ERR_NONE
@@ -52,8 +59,9 @@
  * upstream_side_on_late() - handle an idempotent request that exceeded its
  * latency goal
  *
- * The response may be lost. If it makes no progress, the request is retried on
- * another upstream when one is available and the retry budget allows it.
+ * The response may be lost. If it makes no progress and the retry budget allows
+ * it, the request moves to another upstream once a slot is reserved there.
+ * Until then, its present attempt goes on.
  */
 void upstream_side_on_late(struct call *c, int64_t now_us);
 
--- a/packages/front/worker_service.c
+++ b/packages/front/worker_service.c
@@ -43,8 +43,9 @@
 	return (s);
 }
 
-bool
-worker_service_take_retry(struct call *c, int64_t now_us)
+/* The service's retry budget, with this VM's present share of the limit. */
+static struct retry_budget *
+current_budget(struct call *c)
 {
 	const struct shared_state *shared = worker_shared_state(c->w);
 	struct retry_budget *b = &c->service_state->budget;
@@ -53,7 +54,19 @@
 	if (burst != 0)
 		retry_budget_limit(
 		    b, atomic_load(&shared->retry_permille), burst);
-	return (retry_budget_take(b, now_us));
+	return (b);
+}
+
+bool
+worker_service_has_retry(struct call *c, int64_t now_us)
+{
+	return (retry_budget_has(current_budget(c), now_us));
+}
+
+bool
+worker_service_take_retry(struct call *c, int64_t now_us)
+{
+	return (retry_budget_take(current_budget(c), now_us));
 }
 
 void
--- a/packages/front/worker_service.h
+++ b/packages/front/worker_service.h
@@ -66,6 +66,10 @@
 struct worker_service *worker_service_get(
     GHashTable *table, struct bstr name, int64_t now_us);
 
+/** worker_service_has_retry() - whether the retry budget allows a retry of @c
+ */
+bool worker_service_has_retry(struct call *c, int64_t now_us);
+
 /**
  * worker_service_take_retry() - take a retry of @c from the retry budget; false
  * when the budget allows none
--- a/packages/route/load_choice.c
+++ b/packages/route/load_choice.c
@@ -393,15 +393,17 @@
 }
 
 bool
-load_choice_may_take(
-    const struct rt_upstream *u, const struct rt_request *req, int64_t now_us)
+load_choice_may_take(const struct rt_service *s, const struct rt_upstream *u,
+    const struct rt_request *req, int64_t now_us)
 {
-	const struct rt_stat *s = u->stat;
+	const struct rt_stat *stat = u->stat;
 
 	return (usable(u, req, now_us) && !is_cold(u, now_us) &&
-	    now_us >= atomic_load(&s->no_probe_until_us) &&
-	    !rt_is_ejected(s, now_us) &&
-	    (u->slots == 0 || atomic_load(&s->in_flight) < (int32_t)u->slots));
+	    now_us >= atomic_load(&stat->no_probe_until_us) &&
+	    !rt_is_ejected(stat, now_us) &&
+	    (u->slots == 0 ||
+		atomic_load(&stat->in_flight) < (int32_t)u->slots) &&
+	    u->version == choose_version(s, req, now_us));
 }
 
 void
--- a/packages/route/load_choice.h
+++ b/packages/route/load_choice.h
@@ -98,13 +98,13 @@
     int64_t now_us, struct random *rng);
 
 /**
- * load_choice_may_take() - whether an upstream could accept a request that is
- * late at another one
+ * load_choice_may_take() - whether an upstream of @s could accept a request
+ * that is late at another one
  *
  * The last report of the upstream may have expired, since the upstream is
  * probed again before the request is sent.
  */
-bool load_choice_may_take(
+bool load_choice_may_take(const struct rt_service *s,
     const struct rt_upstream *u, const struct rt_request *req, int64_t now_us);
 
 /** load_choice_on_start() - record that a request is sent to @u */
--- a/packages/route/retry_budget.c
+++ b/packages/route/retry_budget.c
@@ -65,10 +65,16 @@
 }
 
 bool
-retry_budget_take(struct retry_budget *b, int64_t now_us)
+retry_budget_has(struct retry_budget *b, int64_t now_us)
 {
 	refill(b, now_us);
-	if (b->level < ONE_RETRY)
+	return (b->level >= ONE_RETRY);
+}
+
+bool
+retry_budget_take(struct retry_budget *b, int64_t now_us)
+{
+	if (!retry_budget_has(b, now_us))
 		return (false);
 	b->level -= ONE_RETRY;
 	return (true);
--- a/tests/lib/rig.c
+++ b/tests/lib/rig.c
@@ -153,6 +153,9 @@
 {
 	if (bstr_eq(s->name, BSTR("full")) && atomic_load(&rig.full))
 		return (RT_FULL);
+	if (bstr_eq(s->name, BSTR("both")) && atomic_load(&rig.second_full) &&
+	    req->n_excluded != 0)
+		return (RT_FULL);
 	if (bstr_eq(s->name, BSTR("two")) && req->n_excluded == 0)
 		return (atomic_load(&rig.dead_first) ? 0 : 1);
 	return (rt_pick(s, req, now_us, rng));
--- a/tests/lib/rig.h
+++ b/tests/lib/rig.h
@@ -7,9 +7,9 @@
  *	dead	one that refuses connections
  *	hole	one where connecting never completes
  *	two	one that refuses connections, and the stand-in
- *	both	the stand-in, twice
- *	full	the stand-in; at its limit while rig.full is set
- *	none	none
+ *	both	the stand-in, twice; while rig.second_full is set, the second is
+ *at its limit full	the stand-in; at its limit while rig.full is set none
+ *none
  *
  * Routes: /i, /t and /l are idempotent, / and /u are not. /t and /u have a
  * timeout of SHORT_TIMEOUT_MS. /l has a latency goal of LATENCY_GOAL_MS, which
@@ -60,6 +60,7 @@
  * @control: messages from the worker to the fake control thread
  * @stop: ends the control thread
  * @full: host "full" is at its limit
+ * @second_full: the second upstream of host "both" is at its limit
  * @dead_first: host "two" is tried at the refusing upstream first
  * @hold: claims with a key that begins with "hold" wait until this is cleared
  * @grant_us: validity of a grant, 0 for the default of 5 s
@@ -82,6 +83,7 @@
 	struct message_queue control;
 	_Atomic bool stop;
 	_Atomic bool full;
+	_Atomic bool second_full;
 	_Atomic bool dead_first;
 	_Atomic bool hold;
 	_Atomic int64_t grant_us;
--- a/tests/unit/test_front_errors.c
+++ b/tests/unit/test_front_errors.c
@@ -213,6 +213,27 @@
 	assert_int_equal(rig_request_count("/l/slow/both"), 2);
 }
 
+/*
+ * Guards against a late request whose attempt is broken off for one at another
+ * upstream that then has no free slot: the caller got an error in place of the
+ * answer that its upstream was working on.
+ */
+static void
+test_late_no_slot(void **state)
+{
+	uint64_t before;
+
+	(void)state;
+	rig_fill_retry_budget("both");
+	before = metrics_get(&rig.metrics, METRICS_RETRIES);
+	atomic_store(&rig.second_full, true);
+	rig_expect_body(
+	    rig_call("GET", "both", "/l/slow/no-slot", "", NULL), "ok");
+	atomic_store(&rig.second_full, false);
+	assert_int_equal(metrics_get(&rig.metrics, METRICS_RETRIES), before);
+	assert_int_equal(rig_request_count("/l/slow/no-slot"), 1);
+}
+
 /*
  * As above, while the VM reports itself unhealthy before it stops; a late
  * response may be lost then, too.
@@ -380,6 +401,7 @@
 	    cmocka_unit_test(test_retry),
 	    cmocka_unit_test(test_late_alone),
 	    cmocka_unit_test(test_late_elsewhere),
+	    cmocka_unit_test(test_late_no_slot),
 	    cmocka_unit_test(test_late_leaving),
 	    cmocka_unit_test(test_reused_closes),
 	    cmocka_unit_test(test_waiting),
--- a/tests/unit/test_load_choice.c
+++ b/tests/unit/test_load_choice.c
@@ -365,30 +365,30 @@
 	struct rt_stat *s = stats[0];
 
 	(void)state;
-	assert_true(load_choice_may_take(u, &req, NOW_US));
+	assert_true(load_choice_may_take(&service, u, &req, NOW_US));
 	/* The report may be old, since the upstream is probed again. */
-	assert_true(
-	    load_choice_may_take(u, &req, NOW_US + 10 * LOAD_CHOICE_FRESH_US));
+	assert_true(load_choice_may_take(
+	    &service, u, &req, NOW_US + 10 * LOAD_CHOICE_FRESH_US));
 	load_choice_on_probe_failure(s, NOW_US);
-	assert_false(load_choice_may_take(u, &req, NOW_US));
+	assert_false(load_choice_may_take(&service, u, &req, NOW_US));
 	report(0, 0, 0, 100);
 	load_choice_on_report(
 	    s, &(struct load_choice_report){.refusing = true}, NOW_US);
-	assert_false(load_choice_may_take(u, &req, NOW_US));
+	assert_false(load_choice_may_take(&service, u, &req, NOW_US));
 	load_choice_on_report(
 	    s, &(struct load_choice_report){.cold_us = 1000}, NOW_US);
 	u->cold_allowed = true;
-	assert_false(load_choice_may_take(u, &req, NOW_US));
+	assert_false(load_choice_may_take(&service, u, &req, NOW_US));
 	report(0, 0, 0, 100);
 	atomic_store(&s->in_flight, SLOTS);
-	assert_false(load_choice_may_take(u, &req, NOW_US));
+	assert_false(load_choice_may_take(&service, u, &req, NOW_US));
 	atomic_store(&s->in_flight, SLOTS - 1);
-	assert_true(load_choice_may_take(u, &req, NOW_US));
+	assert_true(load_choice_may_take(&service, u, &req, NOW_US));
 	u->state = RT_DRAINING;
-	assert_false(load_choice_may_take(u, &req, NOW_US));
+	assert_false(load_choice_may_take(&service, u, &req, NOW_US));
 	u->state = RT_READY;
 	req.excluded[req.n_excluded++] = s;
-	assert_false(load_choice_may_take(u, &req, NOW_US));
+	assert_false(load_choice_may_take(&service, u, &req, NOW_US));
 }
 
 /* Starts and ends @n calls at each upstream; responses tell @reported. */
