--- a/Makefile
+++ b/Makefile
@@ -49,12 +49,12 @@
     $(wildcard tests/standin/*.c))
 BIN_PATHS := $(foreach b,$(BINS),$(if $(wildcard packages/$(b)/*.c),$(B)/$(b)))
 
-.PHONY: all build deps test unit scenario run bench format format-check lint \
+.PHONY: all build deps test unit scenario soak run bench format format-check lint \
     clean
 
 all: build
 
-build: $(BIN_PATHS) $(UNIT_TESTS) $(STANDINS)
+build: $(BIN_PATHS) $(UNIT_TESTS) $(STANDINS) $(B)/soak
 
 $(B)/%.o: %.c
 	@mkdir -p $(@D)
@@ -90,6 +90,11 @@
 	@$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) -Wl,--start-group $(ARCHIVES) \
 	    -Wl,--end-group $(LDLIBS)
 
+$(B)/soak: $(patsubst %.c,$(B)/%.o,$(wildcard tests/soak/*.c)) \
+    $(TESTLIB_OBJS) $(ARCHIVES)
+	@$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) -Wl,--start-group $(ARCHIVES) \
+	    -Wl,--end-group $(LDLIBS)
+
 # Installs missing libraries and tools.
 deps:
 	@pkg-config --exists $(DEPS) cmocka 2>/dev/null && \
@@ -105,10 +110,15 @@
 	@$(MAKE) --no-print-directory build
 	@$(MAKE) --no-print-directory unit
 	@$(MAKE) --no-print-directory scenario
+	@$(MAKE) --no-print-directory soak
 
 scenario: build
 	@tools/run-scripts $(B)
 
+# Runs real VMs under random disturbances, with the seeds that once failed.
+soak: build
+	@tools/run-soak $(B)
+
 # Runs all phases of the demonstration with stand-ins and 13 entry VMs.
 run: deps
 	@$(MAKE) --no-print-directory build
--- a/packages/front/call_log.c
+++ b/packages/front/call_log.c
@@ -129,6 +129,9 @@
 	add_text(&b, "kind", bstr_from(err_answer(c->err)->name));
 	add_number(&b, "status", c->status);
 	add_number(&b, "ms", (now_us - c->start_us) / 1000);
+	add_number(&b, "answer_bytes", (int64_t)c->answer_bytes);
+	if (worker_stopping(c->w))
+		add_number(&b, "stopping", 1);
 	if (c->deadline_us != 0)
 		add_number(&b, "left_ms", (c->deadline_us - now_us) / 1000);
 	finish(&b, l);
--- a/packages/front/caller_side.c
+++ b/packages/front/caller_side.c
@@ -412,6 +412,8 @@
 	if (c == NULL)
 		return;
 	count_end(c, code);
+	if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK && c->err == ERR_NONE)
+		c->err = ERR_CALLER_GONE;
 	call_log_end(c);
 	cancel_work(c);
 	c->caller_conn->call = NULL;
