Notice callers that leave in the middle of a head

Seen: 2 to 5 of about 6 planned stops in 30 s of the soak did not end within their time; the process ended by itself with status 1 and cut what was in progress, of any kind of request.

Cause: when the last bytes of a caller and its close arrive together, epoll tells MHD once (edge-triggered); MHD reads the bytes, and as it got fewer than it asked for, waits for another event that has already been. Such a connection stays until the time limit of its head, 10 s, above the time of a stop, 5.7 s.

Ruled out: idle connections (closed in the drain stage), requests in progress (their log lines end before).

Now a hang-up that is seen while MHD reads shuts the reading side down, which makes a new event; no more bytes can come, and those that have arrived are still read.

Test: test_left_heads fails before (the stop takes 10 s), passes after.

--- a/packages/front/caller_side.c
+++ b/packages/front/caller_side.c
@@ -510,6 +510,13 @@
 	p->hung_up = true;
 	if (p->call != NULL && p->call->suspended)
 		end_on_hangup(p->call);
+	else
+		/*
+		 * MHD reads once for each event. If the end arrived together
+		 * with data, it would find the end only after a timeout; this
+		 * makes another event.
+		 */
+		shutdown(p->source.fd, SHUT_RD);
 }
 
 /*
--- a/tests/unit/test_front_stop.c
+++ b/tests/unit/test_front_stop.c
@@ -248,6 +248,37 @@
 	rig_expect_error(reply, 504, "upstream-timeout", "unknown");
 }
 
+#define N_LEFT 20
+/* Above the stages of a stop, below the time limit for a head. */
+#define STOP_LIMIT_MS 4000
+
+/*
+ * Guards against connections whose callers left in the middle of a head: each
+ * held a stop until the time limit for the head, and the process then ended
+ * with requests in progress.
+ */
+static void
+test_left_heads(void **state)
+{
+	struct running_worker worker;
+	int64_t begin_us;
+
+	(void)state;
+	start_worker(&worker);
+	for (int i = 0; i < N_LEFT; i++) {
+		static const char text[] = "GET /i/ok/left HTTP/1.1\r\nHos";
+		int fd = connect_caller();
+
+		assert_true(fd >= 0);
+		send(fd, text, sizeof(text) - 1, MSG_NOSIGNAL);
+		close(fd);
+	}
+	usleep(100000);
+	begin_us = clk_mono_us();
+	stop_worker(&worker);
+	assert_true(clk_mono_us() - begin_us < STOP_LIMIT_MS * 1000);
+}
+
 static int
 setup(void **state)
 {
@@ -263,6 +294,7 @@
 	    cmocka_unit_test(test_one_listener),
 	    cmocka_unit_test(test_two_listeners),
 	    cmocka_unit_test(test_gives_up),
+	    cmocka_unit_test(test_left_heads),
 	};
 
 	return (cmocka_run_group_tests(tests, setup, rig_teardown));
