--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -3,12 +3,13 @@
  * times and checks what callers and upstreams see.
  *
  * Usage: soak [--seed N] [--seconds N] [--vms N] [--targets N] [--callers N]
- *            [--only KIND] [--binary PATH] [--keep FOLDER]
+ *            [--only KIND] [--limit PER_S] [--binary PATH] [--keep FOLDER]
  *
  * One seed gives one schedule of disturbances and one series of requests for
  * each caller; what they meet depends on the machine. KIND limits the
- * disturbances: stop, freeze, kill, reload, fault, leave, config. The exit
- * status is 0 when no rule was broken.
+ * disturbances: stop, freeze, kill, reload, fault, leave, config. With PER_S,
+ * the first upstream names a limit from LIMIT_AT_US on. The exit status is 0
+ * when no rule was broken.
  */
 #include <getopt.h>
 #include <signal.h>
@@ -38,11 +39,13 @@
 #define SETTLE_US 8000000
 #define DRAIN_US 2500000
 #define N_ZONES 3
+#define LIMIT_AT_US 2000000
 
 /** struct soak_options - command line */
 struct soak_options {
 	uint64_t seed;
 	unsigned seconds, vms, targets, callers;
+	double limit;
 	const char *only, *binary, *folder;
 };
 
@@ -257,6 +260,10 @@
 		broken++;
 	}
 	start_callers(k);
+	if (k->opt.limit > 0) {
+		run_until(k, clk_mono_us() + LIMIT_AT_US, true);
+		target_set_limit(&k->targets[0], k->opt.limit);
+	}
 	run_until(k, clk_mono_us() + k->opt.seconds * 1000000LL, true);
 	run_until(k, clk_mono_us() + SETTLE_US, false);
 	atomic_store(&k->stop_callers, true);
@@ -281,6 +288,7 @@
 	    {"targets", required_argument, NULL, 't'},
 	    {"callers", required_argument, NULL, 'c'},
 	    {"only", required_argument, NULL, 'o'},
+	    {"limit", required_argument, NULL, 'l'},
 	    {"binary", required_argument, NULL, 'b'},
 	    {"keep", required_argument, NULL, 'k'},
 	    {0},
@@ -307,6 +315,9 @@
 		case 'o':
 			o->only = optarg;
 			break;
+		case 'l':
+			o->limit = strtod(optarg, NULL);
+			break;
 		case 'b':
 			o->binary = optarg;
 			break;
--- a/tests/soak/record.c
+++ b/tests/soak/record.c
@@ -37,6 +37,33 @@
 	int64_t from_us, until_us;
 };
 
+/* A limit is checked from this time after it was first named. */
+#define LIMIT_AFTER_US 3000000
+#define LIMIT_WINDOW_S 4
+#define LIMIT_FACTOR 1.5
+#define LIMIT_SLACK 5
+/* A VM knows the limit this long after an answer. */
+#define LIMIT_TOLD_US 500000
+#define MAX_ARRIVALS 65536
+#define MAX_VMS 256
+
+/** struct arrival - a request that reached the upstream with a limit */
+struct arrival {
+	unsigned vm;
+	int64_t at_us;
+	bool told;
+};
+
+/** struct limit_record - the upstream with a limit */
+struct limit_record {
+	double per_s;
+	int64_t begin_us;
+	int64_t told_us[MAX_VMS];
+	struct arrival arrivals[MAX_ARRIVALS];
+	unsigned n;
+};
+
+static struct limit_record limit;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static GHashTable *requests;
 static unsigned n_requests;
@@ -144,6 +171,82 @@
 	pthread_mutex_unlock(&lock);
 }
 
+void
+rec_limit_begin(double per_s, int64_t now_us)
+{
+	pthread_mutex_lock(&lock);
+	limit.per_s = per_s;
+	limit.begin_us = now_us;
+	pthread_mutex_unlock(&lock);
+}
+
+void
+rec_on_limited(const char *id, int64_t now_us)
+{
+	const struct rec_request *r;
+
+	pthread_mutex_lock(&lock);
+	r = find_locked(id);
+	if (r != NULL && r->vm < MAX_VMS && limit.n < MAX_ARRIVALS) {
+		int64_t told_us = limit.told_us[r->vm];
+
+		limit.arrivals[limit.n++] = (struct arrival){r->vm, now_us,
+		    told_us != 0 && now_us - told_us >= LIMIT_TOLD_US};
+	}
+	pthread_mutex_unlock(&lock);
+}
+
+void
+rec_on_told(const char *id, int64_t now_us)
+{
+	const struct rec_request *r;
+
+	pthread_mutex_lock(&lock);
+	r = find_locked(id);
+	if (r != NULL && r->vm < MAX_VMS && limit.told_us[r->vm] == 0)
+		limit.told_us[r->vm] = now_us;
+	pthread_mutex_unlock(&lock);
+}
+
+/* Most requests in any window, from VMs that had been told. */
+static unsigned
+most_in_window(void)
+{
+	unsigned most = 0;
+
+	for (unsigned i = 0; i < limit.n; i++) {
+		int64_t from_us = limit.arrivals[i].at_us;
+		unsigned n = 0;
+
+		if (from_us < limit.begin_us + LIMIT_AFTER_US)
+			continue;
+		for (unsigned k = i; k < limit.n &&
+		     limit.arrivals[k].at_us <
+			 from_us + LIMIT_WINDOW_S * 1000000LL;
+		     k++)
+			n += limit.arrivals[k].told;
+		most = n > most ? n : most;
+	}
+	return (most);
+}
+
+static unsigned
+check_limit(FILE *out)
+{
+	double allowed =
+	    LIMIT_FACTOR * LIMIT_WINDOW_S * limit.per_s + LIMIT_SLACK;
+	unsigned most = most_in_window();
+
+	if (limit.per_s <= 0)
+		return (0);
+	fprintf(out,
+	    "%s: %u requests in %d s, allowed %.1f; %u requests after the "
+	    "limit of %.1f a second was named\n",
+	    most > allowed ? "LIMIT" : "limit kept", most, LIMIT_WINDOW_S,
+	    allowed, limit.n, limit.per_s);
+	return (most > allowed);
+}
+
 /* Whether unplanned trouble of the VM excuses the request. */
 static bool
 is_excused(const struct rec_request *r)
@@ -272,6 +375,7 @@
 		n += report(out, is_mixed(r), "MIXED", r, term_us);
 		n += report(out, r->changed, "UNASKED", r, term_us);
 	}
+	n += check_limit(out);
 	pthread_mutex_unlock(&lock);
 	return (n);
 }
--- a/tests/soak/record.h
+++ b/tests/soak/record.h
@@ -83,6 +83,15 @@
 void rec_on_disturbance(
     unsigned vm, enum rec_disturbance what, int64_t from_us, int64_t until_us);
 
+/** rec_limit_begin() - an upstream begins to name a limit */
+void rec_limit_begin(double per_s, int64_t now_us);
+
+/** rec_on_limited() - a request reached that upstream */
+void rec_on_limited(const char *id, int64_t now_us);
+
+/** rec_on_told() - that upstream has sent an answer that names its limit */
+void rec_on_told(const char *id, int64_t now_us);
+
 /**
  * rec_check() - check all rules after the last request has ended
  *
--- a/tests/soak/target.c
+++ b/tests/soak/target.c
@@ -57,6 +57,25 @@
 	atomic_store(&t->fault, fault);
 }
 
+void
+target_set_limit(struct soak_target *t, double per_s)
+{
+	rec_limit_begin(per_s, clk_mono_us());
+	atomic_store(&t->limit_milli_per_s, (int)(per_s * 1000));
+}
+
+/* Field that names the limit, empty without one. */
+static const char *
+limit_field(const struct soak_target *t, char *out, size_t max)
+{
+	int milli = atomic_load(&t->limit_milli_per_s);
+
+	out[0] = '\0';
+	if (milli != 0)
+		snprintf(out, max, "Server-Limit: %.3f\r\n", milli / 1000.0);
+	return (out);
+}
+
 static void
 add_to_sum(void *arg, const char *p, size_t n)
 {
@@ -125,7 +144,7 @@
 send_answer(struct target_conn *c, const struct answer_plan *p, unsigned status,
     uint64_t size)
 {
-	char signature[64], framing[64] = "Connection: close";
+	char signature[64], framing[64] = "Connection: close", limit[48];
 
 	target_signature(signature, p->id, p->size);
 	if (p->framing == 'l')
@@ -136,9 +155,10 @@
 	return (stream_printf(&c->s,
 		    "HTTP/1.1 %u X\r\nX-Request-Id: %s\r\n"
 		    "X-Server-Signature: %s\r\n"
-		    "X-Server-Load: %d,0,%d,100\r\n%s\r\n\r\n",
+		    "X-Server-Load: %d,0,%d,100\r\n%s%s\r\n\r\n",
 		    status, p->id, signature, atomic_load(&c->t->running),
-		    c->t->slots, framing) &&
+		    c->t->slots, limit_field(c->t, limit, sizeof(limit)),
+		    framing) &&
 	    send_body(&c->s, p, size));
 }
 
@@ -226,12 +246,16 @@
 		return (shed(c, p.id) &&
 		    (!early || stream_read_body(&c->s, h, add_to_sum, &sum)));
 	rec_on_run(p.id, clk_mono_us());
+	if (atomic_load(&c->t->limit_milli_per_s) != 0)
+		rec_on_limited(p.id, clk_mono_us());
 	if (!early)
 		check_contents(h, p.id, sum);
 	atomic_fetch_add(&c->t->running, 1);
 	keep = run(c, &p, fault);
 	atomic_fetch_sub(&c->t->running, 1);
 	rec_on_run_end(p.id, clk_mono_us());
+	if (atomic_load(&c->t->limit_milli_per_s) != 0)
+		rec_on_told(p.id, clk_mono_us());
 	if (early && keep)
 		keep = stream_read_body(&c->s, h, add_to_sum, &sum);
 	return (keep);
--- a/tests/soak/target.h
+++ b/tests/soak/target.h
@@ -35,6 +35,7 @@
  * struct soak_target - one upstream; @id, @slots and @zone are set by the
  * caller
  * @running: requests at work
+ * @limit_milli_per_s: limit that its answers name, 0 for none
  */
 struct soak_target {
 	char id[32];
@@ -42,6 +43,7 @@
 	int slots;
 	uint16_t port;
 	_Atomic int running;
+	_Atomic int limit_milli_per_s;
 	_Atomic enum target_fault fault;
 };
 
@@ -55,6 +57,9 @@
 /** target_set_fault() - applies to requests that arrive from now on */
 void target_set_fault(struct soak_target *t, enum target_fault fault);
 
+/** target_set_limit() - begin to name a limit in all answers */
+void target_set_limit(struct soak_target *t, double per_s);
+
 /** target_signature() - X-Server-Signature of the answer to a request */
 void target_signature(char out[64], const char *id, uint64_t size);
 
