Keep the rate limit that an upstream names over the whole fleet

Cause: no VM read the field. A limit kept by each VM alone would not do, as 13 VMs with one request each are above it.

Now route/upstream_limit decides before each send: VMs of the lowest rendezvous ranks for the upstream send in turn, one VM for each request a second, the others nothing; the ranks are those that divide cold starts. Malformed values count as absent.

--- a/packages/fleet/fleet_view_table.c
+++ b/packages/fleet/fleet_view_table.c
@@ -107,21 +107,19 @@
 		((struct view_upstream *)v)->cold_rank_valid = false;
 }
 
-/*
- * Whether this VM may send requests to a cold upstream: one VM may for each
- * request per second that the upstream can get.
+/* Rank of this VM in shares of the upstream; the last one before it is known.
  */
-static bool
-is_cold_owner(struct fleet_view *f, struct view_upstream *u, double cold_per_s)
+static uint32_t
+rank_of(struct fleet_view *f, struct view_upstream *u)
 {
 	if (!f->known[STORE_MEMBERS])
-		return (false);
+		return (UINT32_MAX);
 	if (!u->cold_rank_valid) {
 		u->cold_rank =
 		    cold_owners_rank(&f->cold_owners, bstr_from(u->entry.id));
 		u->cold_rank_valid = true;
 	}
-	return (u->cold_rank < (uint32_t)cold_per_s);
+	return (u->cold_rank);
 }
 
 static enum rt_state
@@ -152,6 +150,7 @@
     struct table_builder *b, const struct obj_service *d, struct rt_service *s)
 {
 	uint32_t max = g_hash_table_size(b->f->upstreams);
+	uint32_t n_vms = view_n_members(b->f);
 	GHashTableIter it;
 	void *v;
 
@@ -164,15 +163,18 @@
 
 		if (strcmp(e->service, d->name) != 0)
 			continue;
-		s->upstreams[s->n_upstreams++] =
-		    (struct rt_upstream){.id = bstr_from(e->id),
-			.addr = bstr_from(e->address),
-			.zone = bstr_from(e->zone),
-			.version = version_index(s, e->version),
-			.slots = e->slots,
-			.state = state_of(b->f, e),
-			.cold_allowed = is_cold_owner(b->f, u, d->cold_per_s),
-			.stat = u->stat};
+		s->upstreams[s->n_upstreams++] = (struct rt_upstream){
+		    .id = bstr_from(e->id),
+		    .addr = bstr_from(e->address),
+		    .zone = bstr_from(e->zone),
+		    .version = version_index(s, e->version),
+		    .slots = e->slots,
+		    .state = state_of(b->f, e),
+		    .rank = rank_of(b->f, u),
+		    .n_vms = n_vms,
+		    /* One VM for each request a second that it can get. */
+		    .cold_allowed = rank_of(b->f, u) < (uint32_t)d->cold_per_s,
+		    .stat = u->stat};
 	}
 }
 
--- a/packages/front/attempt_report.c
+++ b/packages/front/attempt_report.c
@@ -84,6 +84,21 @@
 	rcu_read_unlock();
 }
 
+void
+attempt_report_limit(struct rt_stat *upstream, struct bstr id,
+    int64_t milli_per_s, bool probe, int64_t now_us)
+{
+	if (!ulim_on_answer(&upstream->limit, milli_per_s, probe, now_us))
+		return;
+	if (milli_per_s == ULIM_NONE)
+		g_message("call: upstream %.*s names no limit any more",
+		    BSTR_ARG(id));
+	else
+		g_message("call: upstream %.*s takes %.3f requests a second of "
+			  "all VMs together",
+		    BSTR_ARG(id), (double)milli_per_s / 1000);
+}
+
 void
 attempt_report_count(struct call *c, bool failed, int64_t now_us)
 {
--- a/packages/front/load_query.c
+++ b/packages/front/load_query.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "front/attempt_report.h"
 #include "front/upstream_request.h"
 #include "front/upstream_side.h"
 #include "front/worker.h"
@@ -175,6 +176,9 @@
 	if (r.idle_limit_ms > 0)
 		atomic_store(&p->stat->idle_limit_us, r.idle_limit_ms * 1000);
 	load_choice_on_report(p->stat, &report, now_us);
+	if (r.verdict == PROTO_MATCH)
+		attempt_report_limit(p->stat, bstr_from(p->id),
+		    r.limit_milli_per_s, true, now_us);
 	return (true);
 }
 
--- a/packages/front/upstream_protocol.c
+++ b/packages/front/upstream_protocol.c
@@ -8,7 +8,8 @@
 	uint64_t v;
 
 	(void)expect;
-	*out = (struct proto_report){.running = -1};
+	*out = (struct proto_report){
+	    .running = -1, .limit_milli_per_s = ULIM_NONE};
 	if (bstr_to_u64(load, &v) && v <= INT32_MAX)
 		out->running = (int32_t)v;
 	out->not_run = head->status >= 400 &&
--- a/packages/route/load_choice.c
+++ b/packages/route/load_choice.c
@@ -114,6 +114,7 @@
 {
 	return (rt_is_eligible(u, req) &&
 	    now_us >= atomic_load(&u->stat->refusing_until_us) &&
+	    ulim_allows(&u->stat->limit, u->rank, u->n_vms, now_us) &&
 	    is_warm_or_due(u, now_us));
 }
 
@@ -409,6 +410,7 @@
 void
 load_choice_on_start(const struct rt_upstream *u, int64_t now_us)
 {
+	ulim_on_send(&u->stat->limit, now_us);
 	if (is_cold(u, now_us))
 		atomic_store(&u->stat->cold_sent_us, now_us);
 }
--- a/packages/route/routing.c
+++ b/packages/route/routing.c
@@ -75,6 +75,7 @@
 
 	atomic_init(&s->refs, 1);
 	atomic_init(&s->reported, -1);
+	ulim_init(&s->limit);
 	return (s);
 }
 
--- a/packages/route/routing.h
+++ b/packages/route/routing.h
@@ -26,6 +26,7 @@
 
 #include "base/byte_string.h"
 #include "base/random.h"
+#include "route/upstream_limit.h"
 
 #define RT_NONE (-1) /* no upstream is eligible for the call */
 #define RT_FULL (-2) /* all eligible upstreams are at their limit */
@@ -68,6 +69,7 @@
  * @idle_limit_us: idle timeout of its connections, 0 when not known
  * @state_reported: state (enum rt_state) last reported to the control thread
  * @no_report: it answers probes without a load report, so it is not probed
+ * @limit: rate limit that it asks of the fleet
  * @good: number of successful calls that were not slow
  * @failed: number of failed calls
  * @slow: number of successful calls slower than the service's slow_us
@@ -100,6 +102,7 @@
 	_Atomic int64_t idle_limit_us;
 	_Atomic int32_t state_reported;
 	_Atomic bool no_report;
+	struct upstream_limit limit;
 	_Atomic uint64_t good;
 	_Atomic uint64_t failed;
 	_Atomic uint64_t slow;
@@ -127,6 +130,8 @@
  * @version: index of its version in rt_service.versions
  * @slots: requests that it can execute at a time, 0 for no limit
  * @state: readiness for new calls
+ * @rank: number of VMs that precede this one in shares of the upstream
+ * @n_vms: number of VMs of the fleet, 0 when not known
  * @cold_allowed: this process may send requests to it while it is cold, see
  *	rt_stat.cold_until_us
  * @secondary: queried for its load only after the other upstreams of the
@@ -140,6 +145,8 @@
 	uint32_t version;
 	uint32_t slots;
 	enum rt_state state;
+	uint32_t rank;
+	uint32_t n_vms;
 	bool cold_allowed;
 	bool secondary;
 	struct rt_stat *stat;
