--- a/tests/standin/rawup.c
+++ b/tests/standin/rawup.c
@@ -47,6 +47,9 @@
 #define EARLY_BODY 1000000
 #define EARLY_LENGTH "Content-Length: 1000000\r\n\r\n"
 #define OK "HTTP/1.1 200 OK\r\n"
+#define REFUSAL                                                                \
+	"HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nX-Not-Run: 1\r\n"              \
+	"Content-Length: 0\r\n\r\n"
 #define SECOND_SEND_DELAY_US 30000
 #define SLOW_DELAY_US 30000
 #define SLOW_BYTE_US 10000
@@ -381,6 +384,7 @@
 	"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nb"},
     {"notrun200", false, OK "X-Not-Run: 1\r\nContent-Length: 2\r\n\r\nok"},
     {"close", true, ""},
+    {"refusetwice", false, REFUSAL REFUSAL},
     {"cuthead", true, OK "Content-Len"},
     {"cutfields", true, OK "Content-Length: 2\r\n"},
     {"cutlen", true, OK "Content-Length: 10\r\n\r\npart"},
@@ -516,6 +520,10 @@
 	} else if (strcmp(name, "slow") == 0) {
 		usleep(SLOW_DELAY_US);
 		send_str(c->fd, CANNED_OK);
+	} else if (strcmp(name, "refuselate") == 0) {
+		send_str(c->fd, REFUSAL);
+		usleep(SECOND_SEND_DELAY_US);
+		send_str(c->fd, REFUSAL);
 	} else if (strcmp(name, "lateextra") == 0) {
 		send_str(c->fd, CANNED_OK);
 		usleep(SECOND_SEND_DELAY_US);
--- a/tests/unit/test_front_errors.c
+++ b/tests/unit/test_front_errors.c
@@ -1,5 +1,7 @@
 #include "lib/rig.h"
 
+#include "platform/field_names.h"
+
 #include "front/attempt_report.h"
 
 /**
@@ -390,6 +392,65 @@
 	return (rig_setup(state));
 }
 
+#define REPEATED_ROUNDS 10
+
+/* The protocol of the users' platform, in which a refusal means "not run". */
+static const struct upstream_protocol *
+use_platform_protocol(void)
+{
+	const struct upstream_protocol *before = rig.shared.protocol;
+
+	rig.shared.protocol = field_names_protocol();
+	return (before);
+}
+
+/*
+ * Guards against a refusal that an upstream writes once more on a kept
+ * connection: the caller of the next request was told "not run" while the
+ * request ran, or the request ran at a second upstream.
+ */
+static void
+test_repeated_refusal(void **state)
+{
+	static const char *const refusals[] = {"refusetwice", "refuselate"};
+	const struct upstream_protocol *before = use_platform_protocol();
+
+	(void)state;
+	for (int i = 0; i < 2 * REPEATED_ROUNDS; i++) {
+		char refused[64], run[64];
+		struct reply r;
+
+		snprintf(
+		    refused, sizeof(refused), "/p/%s/%d", refusals[i % 2], i);
+		snprintf(run, sizeof(run), "/p/slow/after-refusal-%d", i);
+		r = rig_call("POST", "a", refused, "", "b");
+		assert_int_equal(r.status, 503);
+		rig_reply_free(&r);
+		rig_expect_body(rig_call("POST", "a", run, "", "b"), "ok");
+		assert_int_equal(rig_request_count(run), 1);
+	}
+	rig.shared.protocol = before;
+}
+
+/*
+ * Guards against an answer that ends in its head and reaches the caller as a
+ * complete one with an empty body.
+ */
+static void
+test_cut_head(void **state)
+{
+	static const char *const paths[] = {"/i/cuthead/platform",
+	    "/i/cutfields/platform", "/p/cuthead/platform",
+	    "/p/cutfields/platform"};
+	const struct upstream_protocol *before = use_platform_protocol();
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(paths) / sizeof(*paths); i++)
+		rig_expect_error(rig_call("POST", "a", paths[i], "", "b"), 502,
+		    "upstream-answer", "unknown");
+	rig.shared.protocol = before;
+}
+
 int
 main(void)
 {
@@ -403,6 +464,8 @@
 	    cmocka_unit_test(test_late_elsewhere),
 	    cmocka_unit_test(test_late_no_slot),
 	    cmocka_unit_test(test_late_leaving),
+	    cmocka_unit_test(test_repeated_refusal),
+	    cmocka_unit_test(test_cut_head),
 	    cmocka_unit_test(test_reused_closes),
 	    cmocka_unit_test(test_waiting),
 	    cmocka_unit_test(test_stale_while_waiting),
--- a/tests/unit/test_object_decode.c
+++ b/tests/unit/test_object_decode.c
@@ -306,6 +306,59 @@
 	assert_int_equal(r.verdict, PROTO_MOVED);
 }
 
+/*
+ * Guards against an earlier refusal that is received once more: the request
+ * that waits for its answer may run.
+ */
+static void
+test_refusal_of_another_request(void **state)
+{
+	static const char *const heads[] = {"HTTP/1.1 503 Full\r\n",
+	    "HTTP/1.1 429 Full\r\n", "HTTP/1.1 421 Other\r\n"};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(heads) / sizeof(*heads); i++) {
+		struct proto_report r = read_head(
+		    LINES(heads[i], "X-Request-Id: r2\r\n",
+			"X-Not-Executed: 1\r\n", "Content-Length: 0\r\n"),
+		    false);
+
+		assert_int_equal(r.verdict, PROTO_MISMATCH);
+		assert_false(r.not_run);
+	}
+}
+
+/* Guards against a limit of malformed values, and one that is not read. */
+static void
+test_limit(void **state)
+{
+	static const struct {
+		const char *line;
+		int64_t milli_per_s;
+	} cases[] = {
+	    {"Server-Limit: 1.5\r\n", 1500},
+	    {"Server-Limit: 0\r\n", 0},
+	    {"Server-Limit: 120\r\n", 120000},
+	    {"Server-Limit: -3\r\n", ULIM_NONE},
+	    {"Server-Limit: nan\r\n", ULIM_NONE},
+	    {"Server-Limit: 1e9\r\n", ULIM_NONE},
+	    {"Server-Limit: 1.2.3\r\n", ULIM_NONE},
+	    {"Server-Limit: \r\n", ULIM_NONE},
+	    {"Server-Limit: 99999999999999999999999\r\n", ULIM_NONE},
+	    {"X-Other: 1\r\n", ULIM_NONE},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		struct proto_report r = read_head(
+		    LINES("HTTP/1.1 200 OK\r\n", "X-Request-Id: r1\r\n",
+			cases[i].line, "Content-Length: 0\r\n"),
+		    false);
+
+		assert_int_equal(r.limit_milli_per_s, cases[i].milli_per_s);
+	}
+}
+
 static void
 test_probe_responses(void **state)
 {
@@ -357,6 +410,8 @@
 	    cmocka_unit_test(test_durations),
 	    cmocka_unit_test(test_response_matching),
 	    cmocka_unit_test(test_not_run),
+	    cmocka_unit_test(test_refusal_of_another_request),
+	    cmocka_unit_test(test_limit),
 	    cmocka_unit_test(test_probe_responses),
 	};
 
