Observe that an upstream leaves or asks for a pause

Seen: nothing was reported; no VM read Server-Leaving, nor Retry-After of a 503, so requests went on as before.

route/upstream_limit becomes route/upstream_terms, which holds for one incarnation of an upstream what it asked for in its answers: it leaves (for good), wants nothing for a time (a 503 with Retry-After), or takes so much of the fleet. rt_is_eligible() asks it, so that first requests, retries, late requests, load queries and both ways to choose obey it. When no upstream can be used, the caller is refused at once and told the end of the first pause.

--- a/packages/front/attempt_report.c
+++ b/packages/front/attempt_report.c
@@ -84,13 +84,10 @@
 	rcu_read_unlock();
 }
 
-void
-attempt_report_limit(struct rt_stat *upstream, struct bstr id,
-    int64_t milli_per_s, bool probe, int64_t now_us)
+static void
+log_limit(struct bstr id, int64_t milli_per_s)
 {
-	if (!ulim_on_answer(&upstream->limit, milli_per_s, probe, now_us))
-		return;
-	if (milli_per_s == ULIM_NONE)
+	if (milli_per_s == TERMS_NO_LIMIT)
 		g_message("call: upstream %.*s names no limit any more",
 		    BSTR_ARG(id));
 	else
@@ -99,6 +96,22 @@
 		    BSTR_ARG(id), (double)milli_per_s / 1000);
 }
 
+void
+attempt_report_terms(struct rt_stat *upstream, struct bstr id,
+    const struct terms_answer *a, int64_t now_us)
+{
+	unsigned changed = terms_on_answer(&upstream->terms, a, now_us);
+
+	if (changed & TERMS_LEAVING_CHANGED)
+		g_message(
+		    "call: upstream %.*s says that it leaves", BSTR_ARG(id));
+	if (changed & TERMS_PAUSE_CHANGED)
+		g_message("call: upstream %.*s wants nothing for %lld ms",
+		    BSTR_ARG(id), (long long)a->pause_ms);
+	if (changed & TERMS_LIMIT_CHANGED)
+		log_limit(id, a->limit_milli_per_s);
+}
+
 void
 attempt_report_count(struct call *c, bool failed, int64_t now_us)
 {
--- a/packages/front/attempt_report.h
+++ b/packages/front/attempt_report.h
@@ -21,14 +21,12 @@
 void attempt_report_state(struct call *c, int64_t now_us);
 
 /**
- * attempt_report_limit() - record the rate limit in an answer of an upstream,
- * and log when it begins, changes or ends
+ * attempt_report_terms() - record what an answer of an upstream asks for, and
+ * log when something begins, changes or ends
  * @id: id of the upstream, for the log
- * @milli_per_s: requests in 1,000 s, ULIM_NONE when the answer names none
- * @probe: it is the answer to a load probe
  */
-void attempt_report_limit(struct rt_stat *upstream, struct bstr id,
-    int64_t milli_per_s, bool probe, int64_t now_us);
+void attempt_report_terms(struct rt_stat *upstream, struct bstr id,
+    const struct terms_answer *a, int64_t now_us);
 
 /**
  * attempt_report_count() - count a finished attempt in call->tally
--- a/packages/front/load_query.c
+++ b/packages/front/load_query.c
@@ -177,8 +177,8 @@
 		atomic_store(&p->stat->idle_limit_us, r.idle_limit_ms * 1000);
 	load_choice_on_report(p->stat, &report, now_us);
 	if (r.verdict == PROTO_MATCH)
-		attempt_report_limit(p->stat, bstr_from(p->id),
-		    r.limit_milli_per_s, true, now_us);
+		attempt_report_terms(
+		    p->stat, bstr_from(p->id), &r.terms, now_us);
 	return (true);
 }
 
--- a/packages/front/upstream_choice.c
+++ b/packages/front/upstream_choice.c
@@ -161,6 +161,9 @@
 		i = pick_free(c, s, now_us);
 	if (i == RT_NONE && s != NULL && query_remaining(c, s, now_us))
 		i = UPSTREAM_CHOICE_WAIT;
+	c->pause_left_us = i == RT_NONE && s != NULL
+	    ? load_choice_first_return_us(s, now_us)
+	    : 0;
 	if (i >= 0) {
 		fill_pick(out, c, s, &s->upstreams[i]);
 		i = 0;
--- a/packages/front/upstream_protocol.c
+++ b/packages/front/upstream_protocol.c
@@ -9,7 +9,7 @@
 
 	(void)expect;
 	*out = (struct proto_report){
-	    .running = -1, .limit_milli_per_s = ULIM_NONE};
+	    .running = -1, .terms = {.limit_milli_per_s = TERMS_NO_LIMIT}};
 	if (bstr_to_u64(load, &v) && v <= INT32_MAX)
 		out->running = (int32_t)v;
 	out->not_run = head->status >= 400 &&
--- a/packages/front/upstream_protocol.h
+++ b/packages/front/upstream_protocol.h
@@ -16,7 +16,7 @@
 
 #include "base/byte_string.h"
 #include "front/response_head.h"
-#include "route/upstream_limit.h"
+#include "route/upstream_terms.h"
 
 /**
  * enum proto_verdict - whether a response belongs to the request
@@ -39,8 +39,7 @@
  * @waiting: requests waiting for a slot
  * @pace: current service time in percent of the usual service time
  * @cold_ms: remaining cold start in milliseconds, 0 when warm or not reported
- * @limit_milli_per_s: requests in 1,000 s that the upstream takes of the whole
- *	fleet, ULIM_NONE when it names no limit
+ * @terms: what the response asks for
  * @idle_limit_ms: how long the upstream keeps an idle connection open, in
  *	milliseconds, 0 when not reported
  */
@@ -52,7 +51,7 @@
 	int32_t waiting;
 	int32_t pace;
 	int64_t cold_ms;
-	int64_t limit_milli_per_s;
+	struct terms_answer terms;
 	int64_t idle_limit_ms;
 };
 
--- a/packages/front/upstream_side.c
+++ b/packages/front/upstream_side.c
@@ -253,8 +253,8 @@
 		atomic_store(
 		    &c->upstream->idle_limit_us, r.idle_limit_ms * 1000);
 	if (r.verdict == PROTO_MATCH)
-		attempt_report_limit(c->upstream, bstr_from(c->instance),
-		    r.limit_milli_per_s, false, c->head_us);
+		attempt_report_terms(
+		    c->upstream, bstr_from(c->instance), &r.terms, c->head_us);
 }
 
 static void
--- a/packages/route/load_choice.c
+++ b/packages/route/load_choice.c
@@ -112,9 +112,8 @@
 usable(
     const struct rt_upstream *u, const struct rt_request *req, int64_t now_us)
 {
-	return (rt_is_eligible(u, req) &&
+	return (rt_is_eligible(u, req, now_us) &&
 	    now_us >= atomic_load(&u->stat->refusing_until_us) &&
-	    ulim_allows(&u->stat->limit, u->rank, u->n_vms, now_us) &&
 	    is_warm_or_due(u, now_us));
 }
 
@@ -407,10 +406,24 @@
 	    u->version == choose_version(s, req, now_us));
 }
 
+int64_t
+load_choice_first_return_us(const struct rt_service *s, int64_t now_us)
+{
+	int64_t first_us = 0;
+
+	for (uint32_t i = 0; i < s->n_upstreams; i++) {
+		int64_t left_us =
+		    terms_pause_left_us(&s->upstreams[i].stat->terms, now_us);
+
+		if (left_us != 0 && (first_us == 0 || left_us < first_us))
+			first_us = left_us;
+	}
+	return (first_us);
+}
+
 void
 load_choice_on_start(const struct rt_upstream *u, int64_t now_us)
 {
-	ulim_on_send(&u->stat->limit, now_us);
 	if (is_cold(u, now_us))
 		atomic_store(&u->stat->cold_sent_us, now_us);
 }
--- a/packages/route/load_choice.h
+++ b/packages/route/load_choice.h
@@ -107,6 +107,12 @@
 bool load_choice_may_take(const struct rt_service *s,
     const struct rt_upstream *u, const struct rt_request *req, int64_t now_us);
 
+/**
+ * load_choice_first_return_us() - time until the first pause ends that an
+ * upstream of @s asked for, 0 when none did
+ */
+int64_t load_choice_first_return_us(const struct rt_service *s, int64_t now_us);
+
 /** load_choice_on_start() - record that a request is sent to @u */
 void load_choice_on_start(const struct rt_upstream *u, int64_t now_us);
 
--- a/packages/route/routing.c
+++ b/packages/route/routing.c
@@ -75,7 +75,7 @@
 
 	atomic_init(&s->refs, 1);
 	atomic_init(&s->reported, -1);
-	ulim_init(&s->limit);
+	terms_init(&s->terms);
 	return (s);
 }
 
@@ -352,12 +352,15 @@
 }
 
 bool
-rt_is_eligible(const struct rt_upstream *u, const struct rt_request *req)
+rt_is_eligible(
+    const struct rt_upstream *u, const struct rt_request *req, int64_t now_us)
 {
 	const struct rt_stat *s = u->stat;
 
 	if (u->state != RT_READY && u->state != RT_COLD)
 		return (false);
+	if (!terms_allow(&s->terms, u->rank, u->n_vms, now_us))
+		return (false);
 	for (uint32_t i = 0; i < req->n_excluded; i++) {
 		if (req->excluded[i] == s)
 			return (false);
@@ -463,7 +466,7 @@
 		const struct rt_upstream *u = &s->upstreams[i];
 
 		i = (i + step) % n;
-		if (u->version != version || !rt_is_eligible(u, req))
+		if (u->version != version || !rt_is_eligible(u, req, now_us))
 			continue;
 		if (!include_ejected && rt_is_ejected(u->stat, now_us))
 			continue;
@@ -512,6 +515,7 @@
 			return (false);
 	} while (!atomic_compare_exchange_weak(&s->in_flight, &own, own + 1));
 	atomic_fetch_add(&s->started_since_report, 1);
+	terms_on_send(&s->terms, now_us);
 	return (true);
 }
 
--- a/packages/route/routing.h
+++ b/packages/route/routing.h
@@ -26,7 +26,7 @@
 
 #include "base/byte_string.h"
 #include "base/random.h"
-#include "route/upstream_limit.h"
+#include "route/upstream_terms.h"
 
 #define RT_NONE (-1) /* no upstream is eligible for the call */
 #define RT_FULL (-2) /* all eligible upstreams are at their limit */
@@ -69,7 +69,7 @@
  * @idle_limit_us: idle timeout of its connections, 0 when not known
  * @state_reported: state (enum rt_state) last reported to the control thread
  * @no_report: it answers probes without a load report, so it is not probed
- * @limit: rate limit that it asks of the fleet
+ * @terms: what it has asked for in its answers
  * @good: number of successful calls that were not slow
  * @failed: number of failed calls
  * @slow: number of successful calls slower than the service's slow_us
@@ -102,7 +102,7 @@
 	_Atomic int64_t idle_limit_us;
 	_Atomic int32_t state_reported;
 	_Atomic bool no_report;
-	struct upstream_limit limit;
+	struct upstream_terms terms;
 	_Atomic uint64_t good;
 	_Atomic uint64_t failed;
 	_Atomic uint64_t slow;
@@ -339,8 +339,12 @@
 /** rt_is_ejected() - whether too many failures exclude the upstream for now */
 bool rt_is_ejected(const struct rt_stat *s, int64_t now_us);
 
-/** rt_is_eligible() - whether state and exclusions allow the upstream */
-bool rt_is_eligible(const struct rt_upstream *u, const struct rt_request *req);
+/**
+ * rt_is_eligible() - whether its state, what it has asked for and the
+ * exclusions allow the upstream
+ */
+bool rt_is_eligible(
+    const struct rt_upstream *u, const struct rt_request *req, int64_t now_us);
 
 /**
  * rt_pick() - choose an upstream
--- a/tests/soak/record.c
+++ b/tests/soak/record.c
@@ -208,6 +208,15 @@
 	pthread_mutex_unlock(&lock);
 }
 
+void
+rec_on_restart(unsigned vm)
+{
+	pthread_mutex_lock(&lock);
+	if (vm < MAX_VMS)
+		limit.told_us[vm] = 0;
+	pthread_mutex_unlock(&lock);
+}
+
 /* Most requests in any window, from VMs that had been told. */
 static unsigned
 most_in_window(void)
--- a/tests/soak/record.h
+++ b/tests/soak/record.h
@@ -92,6 +92,9 @@
 /** rec_on_told() - that upstream has sent an answer that names its limit */
 void rec_on_told(const char *id, int64_t now_us);
 
+/** rec_on_restart() - a VM started anew, or continues after a freeze */
+void rec_on_restart(unsigned vm);
+
 /**
  * rec_check() - check all rules after the last request has ended
  *
--- a/tests/soak/vm_process.c
+++ b/tests/soak/vm_process.c
@@ -75,6 +75,7 @@
 	vm->ending = false;
 	vm->thaw_us = 0;
 	vm->misses = 0;
+	rec_on_restart(vm->index);
 	vm->pid = fork();
 	if (vm->pid == 0) {
 		int fd = open(vm->log, O_WRONLY | O_CREAT | O_APPEND, 0600);
@@ -113,6 +114,7 @@
 		vmproc_start(vm);
 	if (vm->thaw_us != 0 && now_us >= vm->thaw_us) {
 		vm->thaw_us = 0;
+		rec_on_restart(vm->index);
 		if (vm->pid != 0)
 			kill(vm->pid, SIGCONT);
 	}
--- a/tests/standin/rawup.c
+++ b/tests/standin/rawup.c
@@ -384,6 +384,10 @@
 	"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nb"},
     {"notrun200", false, OK "X-Not-Run: 1\r\nContent-Length: 2\r\n\r\nok"},
     {"close", true, ""},
+    {"leaving", false, OK "Server-Leaving: 1\r\nContent-Length: 2\r\n\r\nok"},
+    {"pause", false,
+	"HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nRetry-After: 0.6\r\n"
+	"Content-Length: 0\r\n\r\n"},
     {"refusetwice", false, REFUSAL REFUSAL},
     {"cuthead", true, OK "Content-Len"},
     {"cutfields", true, OK "Content-Length: 2\r\n"},
--- a/tests/unit/test_front_errors.c
+++ b/tests/unit/test_front_errors.c
@@ -451,6 +451,57 @@
 	rig.shared.protocol = before;
 }
 
+#define PAUSE_MS 600 /* of the stand-in's behaviour "pause" */
+
+/*
+ * Guards against requests to an upstream during the pause that it asked for,
+ * and callers that are told to return before its end.
+ */
+static void
+test_pause(void **state)
+{
+	const struct upstream_protocol *before = use_platform_protocol();
+	struct reply r;
+
+	(void)state;
+	atomic_store(&rig.full, false);
+	r = rig_call("GET", "full", "/i/pause/1", "", NULL);
+	assert_int_equal(r.status, 503);
+	assert_true(atof(rig_field(&r, "Retry-After")) > PAUSE_MS / 2000.0);
+	rig_reply_free(&r);
+	for (int i = 0; i < 5; i++)
+		rig_expect_error(
+		    rig_call("POST", "full", "/p/ok/in-pause", "", "b"), 503,
+		    "no-upstream", "not-run");
+	assert_int_equal(rig_request_count("/i/pause/1"), 1);
+	assert_int_equal(rig_request_count("/p/ok/in-pause"), 0);
+	usleep(PAUSE_MS * 1000);
+	rig_expect_body(rig_call("POST", "full", "/p/ok/after", "", "b"), "ok");
+	rig.shared.protocol = before;
+}
+
+/*
+ * Guards against requests to an upstream that said that it leaves, in the
+ * answer to another request. It comes last, as the upstream does not return.
+ */
+static void
+test_leaving(void **state)
+{
+	const struct upstream_protocol *before = use_platform_protocol();
+
+	(void)state;
+	atomic_store(&rig.full, false);
+	rig_expect_body(
+	    rig_call("GET", "full", "/i/leaving/1", "", NULL), "ok");
+	rig_expect_error(rig_call("GET", "full", "/i/ok/left", "", NULL), 503,
+	    "no-upstream", "not-run");
+	rig_expect_error(rig_call("POST", "full", "/p/ok/left", "", "b"), 503,
+	    "no-upstream", "not-run");
+	assert_int_equal(rig_request_count("/i/ok/left"), 0);
+	assert_int_equal(rig_request_count("/p/ok/left"), 0);
+	rig.shared.protocol = before;
+}
+
 int
 main(void)
 {
@@ -470,6 +521,8 @@
 	    cmocka_unit_test(test_waiting),
 	    cmocka_unit_test(test_stale_while_waiting),
 	    cmocka_unit_test(test_observations),
+	    cmocka_unit_test(test_pause),
+	    cmocka_unit_test(test_leaving),
 	};
 
 	return (cmocka_run_group_tests(tests, setup, rig_teardown));
