Refuse requests that begin late in a planned stop

Seen: not in a run of real processes; by a test of the worker. A caller that sends its head slowly, within the limits, completes it late in a stop. A head that was never completed held the stop until its own time limit.

Cause: only connections without any request were closed in a stop; the decision to begin work did not look at the time that was left for it.

Now a VM refuses new requests as not run, with an early Retry-After, from half of the stop's time on, and closes connections whose head is incomplete then.

Test: test_late_head fails before (it does not compile without worker_refuse_from(), so this is by reading), passes after.

--- a/packages/camphorhollowd/main.c
+++ b/packages/camphorhollowd/main.c
@@ -204,8 +204,10 @@
 static void
 shut_down(struct daemon *d)
 {
-	int64_t give_up_us = clk_mono_us() +
-	    (d->set.drain_timeout_ms - GIVE_UP_MARGIN_MS) * 1000;
+	int64_t start_us = clk_mono_us();
+	int64_t refuse_us = start_us + d->set.drain_timeout_ms * 1000 / 2;
+	int64_t give_up_us =
+	    start_us + (d->set.drain_timeout_ms - GIVE_UP_MARGIN_MS) * 1000;
 
 	g_message("main: shutting down");
 	atomic_store(&d->shared.unhealthy, true);
@@ -213,6 +215,7 @@
 		ctl_leave(d->ctl);
 	sleep_ms((long)d->set.leave_notice_ms);
 	for (int64_t i = 0; i < d->set.workers; i++) {
+		worker_refuse_from(d->workers[i], refuse_us);
 		worker_give_up_at(d->workers[i], give_up_us);
 		worker_stop(d->workers[i]);
 	}
--- a/packages/front/caller_side.c
+++ b/packages/front/caller_side.c
@@ -89,9 +89,10 @@
 };
 
 /*
- * A refusal by one upstream says little about the others, so the caller may
- * retry almost at once. After an overload, the retries are spread, so that
- * callers that were refused together do not retry together.
+ * A refusal by one upstream, or by a VM that stops, says little about the
+ * others, so the caller may retry almost at once. After an overload, the
+ * retries are spread, so that callers that were refused together do not retry
+ * together.
  */
 static struct retry_after
 retry_after_range(enum err_kind kind)
@@ -99,6 +100,7 @@
 	switch (kind) {
 	case ERR_REFUSED:
 	case ERR_CONNECT:
+	case ERR_LEAVING:
 		return ((struct retry_after){10, 30});
 	case ERR_OVERLOADED:
 		return ((struct retry_after){100, 300});
@@ -567,6 +569,10 @@
 			shutdown(p->source.fd, SHUT_RDWR);
 		else if (p->call == NULL && idle_too)
 			close_idle(p);
+		else if (p->call != NULL && p->call->conn == NULL &&
+		    worker_refuses(w, now_us))
+			/* Its head is incomplete: nothing was begun. */
+			shutdown(p->source.fd, SHUT_RD);
 		else if (p->hung_up && p->call != NULL && p->call->suspended)
 			end_on_hangup(p->call);
 	}
--- a/packages/front/filter.c
+++ b/packages/front/filter.c
@@ -35,10 +35,11 @@
 check_freshness(struct filter *f, struct call *c)
 {
 	const struct shared_state *shared = worker_shared_state(c->w);
-	enum err_kind kind = filter_check_fresh(shared, clk_mono_us());
+	int64_t now_us = clk_mono_us();
+	enum err_kind kind = filter_check_fresh(shared, now_us);
 
 	(void)f;
-	if (atomic_load(&shared->leaving))
+	if (atomic_load(&shared->leaving) || worker_refuses(c->w, now_us))
 		return (stop(c, ERR_LEAVING));
 	return (kind == ERR_NONE ? FILTER_NEXT : stop(c, kind));
 }
--- a/packages/front/worker.c
+++ b/packages/front/worker.c
@@ -77,6 +77,8 @@
 	struct call_log call_log;
 	/* Time of caller_side_give_up(), INT64_MAX when unset or done. */
 	_Atomic int64_t give_up_us;
+	/* Time of worker_refuse_from(), INT64_MAX when unset. */
+	_Atomic int64_t refuse_us;
 };
 
 struct shared_state *
@@ -173,6 +175,12 @@
 	return (w->stage != STAGE_RUN);
 }
 
+bool
+worker_refuses(const struct worker *w, int64_t now_us)
+{
+	return (now_us >= atomic_load(&w->refuse_us));
+}
+
 int64_t
 worker_head_timeout_us(const struct worker *w)
 {
@@ -332,6 +340,7 @@
 	upstream_socket_init(&w->sockets);
 	load_query_init(&w->load_query);
 	atomic_store(&w->give_up_us, INT64_MAX);
+	atomic_store(&w->refuse_us, INT64_MAX);
 }
 
 static void
@@ -669,6 +678,12 @@
 	atomic_store(&w->give_up_us, at_us);
 }
 
+void
+worker_refuse_from(struct worker *w, int64_t at_us)
+{
+	atomic_store(&w->refuse_us, at_us);
+}
+
 void
 worker_stop(struct worker *w)
 {
--- a/packages/front/worker.h
+++ b/packages/front/worker.h
@@ -74,6 +74,18 @@
  */
 void worker_give_up_at(struct worker *w, int64_t at_us);
 
+/**
+ * worker_refuse_from() - refuse requests whose head arrives later
+ * @w: worker
+ * @at_us: boot-time microseconds
+ *
+ * It may be called from any thread.
+ *
+ * A stop has a time limit. A request that begins late in it might be cut off
+ * while an upstream works on it; another VM can take it.
+ */
+void worker_refuse_from(struct worker *w, int64_t at_us);
+
 /**
  * worker_stop() - stop accepting connections and make worker_run() return when
  * the worker is drained
@@ -91,6 +103,9 @@
 
 /* The functions below are for the call modules, on the worker's own thread. */
 
+/** worker_refuses() - whether the time of worker_refuse_from() has come */
+bool worker_refuses(const struct worker *w, int64_t now_us);
+
 /** worker_shared_state() - state shared with the control thread */
 struct shared_state *worker_shared_state(const struct worker *w);
 
--- a/tests/unit/test_front_stop.c
+++ b/tests/unit/test_front_stop.c
@@ -279,6 +279,54 @@
 	assert_true(clk_mono_us() - begin_us < STOP_LIMIT_MS * 1000);
 }
 
+#define REFUSE_AFTER_US 300000
+#define GIVE_UP_AFTER_US 800000
+
+/*
+ * Guards against a request that begins late in a stop, when its head is
+ * completed: its upstream was at work when the stop's time was over, and its
+ * caller got an error. Heads that are never completed do not hold the stop.
+ */
+static void
+test_late_head(void **state)
+{
+	static const char first[] = "GET /i/hang/late-head HTTP/1.1\r\n";
+	static const char rest[] = "Host: a\r\nConnection: close\r\n\r\n";
+	struct running_worker worker;
+	int64_t now_us;
+	char buf[1024];
+	ssize_t n;
+	int fd, held_fd;
+
+	(void)state;
+	start_worker(&worker);
+	fd = connect_caller();
+	held_fd = connect_caller();
+	assert_true(fd >= 0 && held_fd >= 0);
+	send(fd, first, sizeof(first) - 1, MSG_NOSIGNAL);
+	send(held_fd, first, sizeof(first) - 1, MSG_NOSIGNAL);
+	usleep(50000);
+	now_us = clk_mono_us();
+	worker_refuse_from(worker.w, now_us + REFUSE_AFTER_US);
+	worker_give_up_at(worker.w, now_us + GIVE_UP_AFTER_US);
+	worker_stop(worker.w);
+	usleep(REFUSE_AFTER_US + 1000);
+	send(fd, rest, sizeof(rest) - 1, MSG_NOSIGNAL);
+	n = recv(fd, buf, sizeof(buf) - 1, 0);
+	/* Refused as not run, or closed before the head was read. */
+	if (n > 0) {
+		buf[n] = '\0';
+		assert_non_null(strstr(buf, "HTTP/1.1 503"));
+		assert_non_null(strstr(buf, "X-Outcome: not-run"));
+	}
+	assert_int_equal(rig_request_count("/i/hang/late-head"), 0);
+	pthread_join(worker.thread, NULL);
+	assert_true(clk_mono_us() - now_us < STOP_LIMIT_MS * 1000);
+	worker_free(worker.w);
+	close(fd);
+	close(held_fd);
+}
+
 static int
 setup(void **state)
 {
@@ -295,6 +343,7 @@
 	    cmocka_unit_test(test_two_listeners),
 	    cmocka_unit_test(test_gives_up),
 	    cmocka_unit_test(test_left_heads),
+	    cmocka_unit_test(test_late_head),
 	};
 
 	return (cmocka_run_group_tests(tests, setup, rig_teardown));
