--- a/packages/front/upstream_side.c
+++ b/packages/front/upstream_side.c
@@ -11,6 +11,7 @@
 #include "front/claim_filter.h"
 #include "front/filter.h"
 #include "front/load_query.h"
+#include "front/retry_policy.h"
 #include "front/upstream_choice.h"
 #include "front/upstream_request.h"
 #include "front/worker.h"
@@ -22,7 +23,6 @@
 #define ANSWER_LOW_WATER (64 * 1024)
 /* Responses of unknown length are buffered whole for HTTP/1.0 callers. */
 #define ANSWER_MAX_HTTP10 (256 * 1024)
-#define DEFAULT_MAX_ATTEMPTS 3
 /* A late attempt that could not be retried is checked again after this. */
 #define LATE_RECHECK_MS 150
 
@@ -69,7 +69,7 @@
  * libcurl calls this when the connection is established, before it writes the
  * request. It calls it again to resend the request on a new connection after a
  * reused one was closed without a response. Such a resend is always aborted,
- * because a retry has to pass may_retry() and the retry budget.
+ * because a retry has to pass retry_policy_take() and the retry budget.
  */
 static int
 on_prereq(
@@ -188,47 +188,6 @@
 	caller_side_on_body_taken(c);
 }
 
-/* Limit on attempts, from the route or the default. */
-static unsigned
-max_attempts(const struct call *c)
-{
-	return (c->max_attempts != 0 ? c->max_attempts : DEFAULT_MAX_ATTEMPTS);
-}
-
-/* Whether another attempt is allowed after @kind, apart from the budget. */
-static bool
-is_retryable(struct call *c, enum err_kind kind, int64_t now_us)
-{
-
-	if (kind == ERR_NONE || kind == ERR_DEADLINE || kind == ERR_NOT_FRESH)
-		return (false);
-	if (c->conn == NULL || c->attempts >= max_attempts(c) ||
-	    c->answer_started || c->body_dropped)
-		return (false);
-	if (now_us >= c->deadline_us)
-		return (false);
-	if (c->sent == CALL_MAY_BE_SENT && !c->idempotent &&
-	    !(kind == ERR_REFUSED &&
-		worker_shared_state(c->w)->protocol->status_means_not_run))
-		return (false);
-	return (true);
-}
-
-static bool
-may_retry(struct call *c, enum err_kind kind)
-{
-	int64_t now_us = clk_mono_us();
-
-	if (!is_retryable(c, kind, now_us))
-		return (false);
-	/*
-	 * Nothing was sent on an unclean connection, so its retry is free. The
-	 * retry of a failed attempt was taken from the budget earlier.
-	 */
-	return (
-	    c->unclean || c->failed || worker_service_take_retry(c, now_us));
-}
-
 /* Evaluates the status fields of the response head. */
 static void
 read_report(struct call *c)
@@ -274,7 +233,7 @@
 	c->answer_complete = !response_head_has_body(h) || h->len == 0;
 	c->failed = h->status >= 500 && !c->refused &&
 	    worker_shared_state(c->w)->protocol->status_means_not_run &&
-	    may_retry(c, ERR_UPSTREAM_ANSWER);
+	    retry_policy_take(c, ERR_UPSTREAM_ANSWER);
 	drop_upload(c);
 	if (!c->refused && !c->failed)
 		caller_side_on_head(c);
@@ -495,7 +454,7 @@
 static bool
 retry(struct call *c, enum err_kind kind)
 {
-	if (!may_retry(c, kind))
+	if (!retry_policy_take(c, kind))
 		return (false);
 	if (c->first_err == ERR_NONE &&
 	    err_answer(kind)->outcome == ERR_UNKNOWN)
@@ -548,7 +507,7 @@
 {
 	return (c->easy != NULL && !c->answer_started && !c->failed &&
 	    (c->status == 0 || c->answer_bytes == c->answer_bytes_when_late) &&
-	    is_retryable(c, ERR_UPSTREAM_TIMEOUT, now_us) &&
+	    retry_policy_is_allowed(c, ERR_UPSTREAM_TIMEOUT, now_us) &&
 	    worker_service_has_retry(c, now_us) &&
 	    !worker_service_must_wait(c->service_state));
 }
@@ -603,7 +562,7 @@
 	c->may_probe = true;
 	if (late && upstream_choice_has_other(c, now_us))
 		try_other(c, now_us);
-	else if (c->attempts < max_attempts(c))
+	else if (c->attempts < retry_policy_max_attempts(c))
 		worker_timer_set(c->w, c, now_us + LATE_RECHECK_MS * 1000);
 }
 
--- a/tests/lib/rig.h
+++ b/tests/lib/rig.h
@@ -7,9 +7,9 @@
  *	dead	one that refuses connections
  *	hole	one where connecting never completes
  *	two	one that refuses connections, and the stand-in
- *	both	the stand-in, twice; while rig.second_full is set, the second is
- *at its limit full	the stand-in; at its limit while rig.full is set none
- *none
+ *	both	the stand-in, twice; see rig.second_full
+ *	full	the stand-in; at its limit while rig.full is set
+ *	none	none
  *
  * Routes: /i, /t and /l are idempotent, / and /u are not. /t and /u have a
  * timeout of SHORT_TIMEOUT_MS. /l has a latency goal of LATENCY_GOAL_MS, which
