Restore a check of the takeover test and plain words in comments

The takeover test had asserted that each write is a running status; since only the last write was checked. Each write is checked again, but for the VM that a test lets end the move.

--- a/packages/fleet/fleet_view.c
+++ b/packages/fleet/fleet_view.c
@@ -602,7 +602,7 @@
 		f->dirty = true;
 	m->share = share;
 	m->share_until_us = until_us;
-	/* Only the executor that announced "done" may still complete it. */
+	/* A rollback is final; "done" lapses when a new executor decides. */
 	if (m->outcome != OBJ_MOVE_ROLLED_BACK)
 		m->outcome = outcome;
 	if (until_us < f->due_us)
--- a/packages/fleet/fleet_view_table.c
+++ b/packages/fleet/fleet_view_table.c
@@ -107,8 +107,7 @@
 		((struct view_upstream *)v)->cold_rank_valid = false;
 }
 
-/* Rank of this VM in shares of the upstream; the last one before it is known.
- */
+/* Rank of this VM for an upstream, the last one before VMs are known. */
 static uint32_t
 rank_of(struct fleet_view *f, struct view_upstream *u)
 {
--- a/packages/route/load_choice.c
+++ b/packages/route/load_choice.c
@@ -255,9 +255,9 @@
 }
 
 /*
- * The calls started since a report replace the next one only for as long as
- * there is a next one. Without reports, the own calls in flight are all that is
- * known, beside the load in a recent response.
+ * The load is the last report plus the own calls started since, until the next
+ * report resets that count. An upstream without reports would never reset it,
+ * so its load is the own calls in flight, or that of a recent response.
  */
 static int32_t
 load_of(const struct rt_stat *s, int64_t now_us)
--- a/tests/unit/test_move_runner.c
+++ b/tests/unit/test_move_runner.c
@@ -24,6 +24,7 @@
  * @store: has to be the first member
  * @last_written: state of the last write
  * @completed: OBJ_MOVE_DONE was written
+ * @may_end_move: writes of a final state are allowed
  */
 struct vm {
 	struct fleet_store store;
@@ -33,6 +34,7 @@
 	unsigned writes;
 	enum obj_move_state last_written;
 	bool completed;
+	bool may_end_move;
 };
 
 static struct vm vms[N_VMS];
@@ -47,6 +49,8 @@
 	(void)m;
 	(void)started_ms;
 	(void)executor;
+	if (!((struct vm *)s)->may_end_move)
+		assert_int_equal(state, OBJ_MOVE_RUNNING);
 	((struct vm *)s)->writes++;
 	((struct vm *)s)->last_written = state;
 	((struct vm *)s)->completed |= state == OBJ_MOVE_DONE;
@@ -147,7 +151,8 @@
 
 /*
  * The VMs of an incident had the same wait after the first ten, so that all of
- * them wrote at once.
+ * them wrote at once. No datagram and no new status arrives, which is the worst
+ * case for the number of writes.
  */
 static void
 test_takeover_in_turn(void **state)
@@ -171,8 +176,6 @@
 	/* VMs with more bandwidth come first; in the end each had its turn. */
 	assert_true(first_slow > N_FAST);
 	assert_int_equal(before, N_VMS);
-	for (unsigned i = 0; i < N_VMS; i++)
-		assert_int_equal(vms[i].last_written, OBJ_MOVE_RUNNING);
 	stop_fleet();
 }
 
@@ -211,6 +214,7 @@
 static void
 replace_executor(void)
 {
+	vms[NEW_EXECUTOR].may_end_move = true;
 	for (unsigned i = 0; i < n_connected; i++) {
 		struct obj_move m = {.name = g_strdup("s"),
 		    .service = g_strdup("s"),
