--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 VARIANT ?= release
 B := build/$(VARIANT)
 
-LIBS := base sys route fleet member claim config move slo peer platform front ops \
+LIBS := base sys usage workspace route admission fleet member claim config move slo peer platform front ops \
     control model load
 BINS := camphorhollowd camphorctl bench callers
 DEPS := liburcu libmicrohttpd neon glib-2.0 jansson libxxhash libcurl msgpack
--- a/packages/fleet/fleet_view_table.c
+++ b/packages/fleet/fleet_view_table.c
@@ -52,7 +52,9 @@
 	    .timeout_ms = from->timeout_ms,
 	    .goal_ms = from->goal_ms,
 	    .attempts = from->attempts,
-	    .n_splits = from->n_splits};
+	    .n_splits = from->n_splits,
+	    .priority = from->priority,
+	    .is_public = from->is_public};
 	to->splits = alloc_array(b, from->n_splits, sizeof(*to->splits));
 	for (uint32_t i = 0; i < from->n_splits; i++) {
 		to->splits[i].service = bstr_from(from->splits[i].service);
--- a/packages/fleet/objects.c
+++ b/packages/fleet/objects.c
@@ -23,6 +23,15 @@
 	free(r->splits);
 }
 
+static void
+workspace_finish(struct obj_workspace *w)
+{
+	free(w->name);
+	for (uint32_t i = 0; i < w->n_keys; i++)
+		free(w->keys[i]);
+	free(w->keys);
+}
+
 void
 obj_config_free(struct obj_config *c)
 {
@@ -34,8 +43,11 @@
 		free(c->services[i].name);
 		free(c->services[i].probe_path);
 	}
+	for (uint32_t i = 0; i < c->n_workspaces; i++)
+		workspace_finish(&c->workspaces[i]);
 	free(c->routes);
 	free(c->services);
+	free(c->workspaces);
 	free(c);
 }
 
--- a/packages/fleet/objects.h
+++ b/packages/fleet/objects.h
@@ -30,6 +30,9 @@
  * @goal_ms: latency goal of a response, 0 when not set
  * @attempts: most upstreams that one request may be sent to, at least 1
  * @splits: services and their weights, at least one
+ * @priority: rank of its requests when there is too little room, 0 is the most
+ *	urgent
+ * @is_public: requests need no key of a workspace
  */
 struct obj_route {
 	char *host;
@@ -40,6 +43,24 @@
 	uint32_t attempts;
 	struct obj_split *splits;
 	uint32_t n_splits;
+	uint32_t priority;
+	bool is_public;
+};
+
+/* Workspace without a priority of its own: that of the route applies. */
+#define OBJ_NO_PRIORITY UINT32_MAX
+
+/**
+ * struct obj_workspace - a workspace and the keys of its callers
+ * @name: name
+ * @priority: rank of its requests, before that of the route, or OBJ_NO_PRIORITY
+ * @keys: keys that its callers present
+ */
+struct obj_workspace {
+	char *name;
+	uint32_t priority;
+	char **keys;
+	uint32_t n_keys;
 };
 
 /**
@@ -69,7 +90,16 @@
 	uint32_t idle_timeout_ms;
 };
 
-/** struct obj_config - one version of the operators' configuration */
+/**
+ * struct obj_config - one version of the operators' configuration
+ * @version: version, greater than that of all earlier configurations
+ * @routes: routes
+ * @services: services
+ * @limits: limits for callers
+ * @has_workspaces: requests need the key of a workspace, unless their route is
+ *	public
+ * @workspaces: workspaces, empty without @has_workspaces
+ */
 struct obj_config {
 	int64_t version;
 	struct obj_route *routes;
@@ -77,6 +107,9 @@
 	struct obj_service *services;
 	uint32_t n_services;
 	struct obj_limits limits;
+	bool has_workspaces;
+	struct obj_workspace *workspaces;
+	uint32_t n_workspaces;
 };
 
 /**
--- a/packages/route/routing.h
+++ b/packages/route/routing.h
@@ -182,6 +182,9 @@
  * @splits: services that share the requests; without splits, all requests go
  *	to the service that has the route
  * @n_splits: number of splits
+ * @priority: rank of its requests when there is too little room, 0 is the most
+ *	urgent
+ * @is_public: requests need no key of a workspace
  */
 struct rt_route {
 	struct bstr prefix;
@@ -191,6 +194,8 @@
 	uint32_t attempts;
 	struct rt_split *splits;
 	uint32_t n_splits;
+	uint32_t priority;
+	bool is_public;
 };
 
 /**
@@ -198,6 +203,8 @@
  * @slots: slots of an upstream of this service
  * @slow_us: attempts above this time count as slow, 0 for no limit
  * @probe_path: path of the load report; empty for no probes
+ * @ranked: its requests have different priorities, so that admission ranks
+ *	them; without it all are equal
  * @tallies: counters at [route * n_versions + version]; NULL for none
  */
 struct rt_service {
@@ -213,6 +220,7 @@
 	uint32_t slots;
 	int64_t slow_us;
 	struct bstr probe_path;
+	bool ranked;
 	struct rt_tally **tallies;
 };
 
@@ -248,6 +256,8 @@
  *	accepted
  * @include_secondary: include upstreams with rt_upstream.secondary, because the
  *	others were full
+ * @use_all_slots: it may take the slots above the share at which upstreams get
+ *	slower; admission decides for which requests
  * @work_us: usual service time of a request, 0 when not known
  * @remaining_us: time until the request's deadline
  */
@@ -258,6 +268,7 @@
 	uint32_t draw;
 	bool accept_slow;
 	bool include_secondary;
+	bool use_all_slots;
 	int64_t work_us;
 	int64_t remaining_us;
 };
