Ask upstreams of the own zone first, and spread the candidates evenly

Cause: half of the load queries went to other zones; on a fleet of 121 VMs they were most of the bytes between zones. Candidates were the next usable upstream after a random place in the table, so upstreams behind a long run of unusable ones were drawn several times as often. Upstreams with three or four slots were filled to the last one, at which they get slower; the share of slots that stays free held only from five slots on.

Change: a VM prefers 16 upstreams of its own zone, at equal distances from those of the zone's other VMs; a request asks four of them, and other zones at once when it finds no room. Candidates and equally good upstreams are drawn with equal probability. From three slots on, 0.8 of the slots are used; rt_request.use_all_slots is for the requests that admission lets use the rest.

--- a/packages/control/fleet_control.c
+++ b/packages/control/fleet_control.c
@@ -239,7 +239,9 @@
 		g_free(c);
 		return (NULL);
 	}
-	view_init(&c->view, &(struct view_desc){.self = desc->set->id});
+	view_init(&c->view,
+	    &(struct view_desc){
+		.self = desc->set->id, .zone = desc->set->zone});
 	update_relay_init(&c->relay,
 	    &(struct update_relay_desc){.self = desc->set->id,
 		.link_mbps = (uint32_t)desc->set->link_mbps,
--- a/packages/fleet/fleet_view.c
+++ b/packages/fleet/fleet_view.c
@@ -47,8 +47,9 @@
 void
 view_init(struct fleet_view *f, const struct view_desc *desc)
 {
-	*f = (struct fleet_view){
-	    .self = g_strdup(desc->self), .due_us = INT64_MAX};
+	*f = (struct fleet_view){.self = g_strdup(desc->self),
+	    .zone = g_strdup(desc->zone == NULL ? "" : desc->zone),
+	    .due_us = INT64_MAX};
 	f->upstreams = table_new(free_upstream);
 	f->moves = table_new(free_move);
 	f->members = table_new(free_member);
@@ -74,6 +75,7 @@
 	g_hash_table_unref(f->changed);
 	obj_config_free(f->config);
 	g_free(f->self);
+	g_free(f->zone);
 }
 
 static void *
--- a/packages/fleet/fleet_view.h
+++ b/packages/fleet/fleet_view.h
@@ -98,14 +98,17 @@
 /**
  * struct view_desc - settings
  * @self: id of this VM
+ * @zone: its availability zone, NULL when not known
  */
 struct view_desc {
 	const char *self;
+	const char *zone;
 };
 
 /**
  * struct fleet_view - state on caller-owned memory
  * @self: id of this VM
+ * @zone: its availability zone, empty when not known
  * @config: newest configuration, NULL before the first
  * @upstreams: id -> struct view_upstream
  * @moves: service -> struct view_move
@@ -128,6 +131,7 @@
  */
 struct fleet_view {
 	char *self;
+	char *zone;
 	struct obj_config *config;
 	GHashTable *upstreams;
 	GHashTable *moves;
--- a/packages/fleet/fleet_view_table.c
+++ b/packages/fleet/fleet_view_table.c
@@ -16,7 +16,7 @@
 #define DEFAULT_GOAL_MS 1000
 /*
  * Number of upstreams per version that a VM prefers; enough to find one with a
- * free slot.
+ * free slot. They are in its own zone, if that has as many.
  */
 #define NEAR_UPSTREAMS 16
 
@@ -179,7 +179,7 @@
 	}
 }
 
-/** struct ranked - an upstream and its rank for this VM */
+/** struct ranked - an upstream and its place in the order of a service */
 struct ranked {
 	uint32_t i;
 	uint64_t rank;
@@ -193,28 +193,107 @@
 	return ((x->rank > y->rank) - (x->rank < y->rank));
 }
 
+/**
+ * struct primaries - choice of the primary upstreams of a service
+ * @s: service
+ * @order: its upstreams, ordered by a hash
+ * @n: number of primary upstreams of each version so far
+ */
+struct primaries {
+	struct rt_service *s;
+	struct ranked *order;
+	uint32_t *n;
+};
+
+static bool
+is_in_zone(const struct rt_upstream *u, struct bstr zone)
+{
+	return (zone.n == 0 || bstr_eq(u->zone, zone));
+}
+
+/* Orders the upstreams by a hash that begins with @seed. */
+static void
+order_upstreams(struct primaries *p, uint64_t seed)
+{
+	for (uint32_t i = 0; i < p->s->n_upstreams; i++)
+		p->order[i] =
+		    (struct ranked){i, bstr_hash(p->s->upstreams[i].id, seed)};
+	qsort(p->order, p->s->n_upstreams, sizeof(*p->order), by_rank);
+}
+
+/*
+ * Makes ready upstreams primary in their order, first those after the first
+ * @skip, until each version has @max of them; only those in @zone, unless that
+ * is empty.
+ */
+static void
+add_primaries(
+    struct primaries *p, struct bstr zone, uint32_t skip, uint32_t max)
+{
+	uint32_t n = p->s->n_upstreams;
+
+	for (uint32_t k = 0, seen = 0; k < 2 * n; k++) {
+		struct rt_upstream *u = &p->s->upstreams[p->order[k % n].i];
+
+		if (u->state != RT_READY || !is_in_zone(u, zone))
+			continue;
+		if (seen++ < skip || !u->secondary || p->n[u->version] >= max)
+			continue;
+		u->secondary = false;
+		p->n[u->version]++;
+	}
+}
+
+/*
+ * Number of upstreams of this VM's zone that come before the primary ones. The
+ * VMs of a zone begin at equal distances, so that each upstream of the zone is
+ * primary for about the same number of VMs.
+ */
+static uint32_t
+n_before(const struct fleet_view *f, const struct rt_service *s)
+{
+	uint64_t self = bstr_hash(bstr_from(f->self), 0);
+	uint64_t n_vms = 1, rank = 0, n_upstreams = 0;
+	GHashTableIter it;
+	void *id, *v;
+
+	for (uint32_t i = 0; i < s->n_upstreams; i++)
+		n_upstreams += s->upstreams[i].state == RT_READY &&
+		    is_in_zone(&s->upstreams[i], bstr_from(f->zone));
+	g_hash_table_iter_init(&it, f->members);
+	while (g_hash_table_iter_next(&it, &id, &v)) {
+		const struct view_member *m = v;
+
+		if (strcmp(id, f->self) == 0 ||
+		    strcmp(m->member.zone, f->zone) != 0)
+			continue;
+		n_vms++;
+		rank += bstr_hash(bstr_from(id), 0) < self;
+	}
+	return ((uint32_t)(rank * n_upstreams / n_vms));
+}
+
 /*
  * Marks all but NEAR_UPSTREAMS ready upstreams of each version as secondary.
- * The hash that ranks them includes the id of this VM, so that the connections
- * of all VMs spread over all upstreams.
+ * The order of those in other zones depends on this VM's id, so that the
+ * connections of all VMs spread over all upstreams.
  */
 static void
 mark_secondary(struct table_builder *b, struct rt_service *s)
 {
-	uint64_t seed = bstr_hash(bstr_from(b->f->self), 0);
-	struct ranked *list = alloc_array(b, s->n_upstreams, sizeof(*list));
-	uint32_t *near = alloc_array(b, s->n_versions, sizeof(*near));
+	struct primaries p = {.s = s,
+	    .order = alloc_array(b, s->n_upstreams, sizeof(*p.order)),
+	    .n = alloc_array(b, s->n_versions, sizeof(*p.n))};
 
 	for (uint32_t i = 0; i < s->n_upstreams; i++)
-		list[i] =
-		    (struct ranked){i, bstr_hash(s->upstreams[i].id, seed)};
-	qsort(list, s->n_upstreams, sizeof(*list), by_rank);
-	for (uint32_t k = 0; k < s->n_upstreams; k++) {
-		struct rt_upstream *u = &s->upstreams[list[k].i];
-
-		if (u->state == RT_READY)
-			u->secondary = near[u->version]++ >= NEAR_UPSTREAMS;
+		s->upstreams[i].secondary = s->upstreams[i].state == RT_READY;
+	if (b->f->zone[0] != '\0') {
+		order_upstreams(&p, 0);
+		add_primaries(&p, bstr_from(b->f->zone), n_before(b->f, s),
+		    NEAR_UPSTREAMS);
 	}
+	order_upstreams(&p, bstr_hash(bstr_from(b->f->self), 0));
+	add_primaries(&p, (struct bstr){0}, 0, NEAR_UPSTREAMS);
 }
 
 static uint32_t
--- a/packages/front/call.h
+++ b/packages/front/call.h
@@ -151,6 +151,8 @@
  * @n_probe_answers: number of those probes that have ended, with a response or
  *	by a failure
  * @may_probe: upstreams may be probed before the next choice
+ * @other_zones: this VM's own zone had no room, so upstreams of other zones are
+ *	queried too
  * @pause_left_us: when no upstream could be used: time until the first pause
  *	ends that one of them asked for, 0 when none did
  * @accept_slow: slow upstreams are accepted, as half of the time for
@@ -247,6 +249,7 @@
 	unsigned n_probed;
 	unsigned n_probe_answers;
 	bool may_probe;
+	bool other_zones;
 	int64_t pause_left_us;
 	bool accept_slow;
 	char instance[CALL_ID_MAX + 1];
--- a/packages/front/upstream_choice.c
+++ b/packages/front/upstream_choice.c
@@ -51,7 +51,7 @@
 	    .zone = bstr_from(worker_shared_state(c->w)->zone),
 	    .draw = c->draw,
 	    .accept_slow = c->accept_slow,
-	    .include_secondary = c->wait_until_us != 0,
+	    .include_secondary = c->wait_until_us != 0 || c->other_zones,
 	    .work_us = c->service_state->work_us,
 	    .remaining_us = c->deadline_us - clk_mono_us()};
 
@@ -126,6 +126,20 @@
 	return (query_load(c, s, now_us));
 }
 
+/*
+ * The upstreams queried first are in this VM's own zone. When they have no
+ * room, those of other zones are queried at once; waiting costs the call more
+ * than the way to another zone.
+ */
+static int
+pick_other_zones(struct call *c, const struct rt_service *s, int64_t now_us)
+{
+	c->other_zones = true;
+	if (query_load(c, s, now_us))
+		return (UPSTREAM_CHOICE_WAIT);
+	return (pick_free(c, s, now_us));
+}
+
 bool
 upstream_choice_has_other(const struct call *c, int64_t now_us)
 {
@@ -159,6 +173,8 @@
 		i = UPSTREAM_CHOICE_WAIT;
 	else if (s != NULL && s->n_upstreams != 0)
 		i = pick_free(c, s, now_us);
+	if (i == RT_FULL && !c->other_zones)
+		i = pick_other_zones(c, s, now_us);
 	if (i == RT_NONE && s != NULL && query_remaining(c, s, now_us))
 		i = UPSTREAM_CHOICE_WAIT;
 	c->pause_left_us = i == RT_NONE && s != NULL
--- a/packages/route/load_choice.c
+++ b/packages/route/load_choice.c
@@ -6,8 +6,11 @@
 /* Above this share of busy slots, upstreams get slower by the factor below. */
 #define SATURATION_SHARE 0.8
 #define SATURATION_FACTOR 1.7
-/* With fewer slots the share is too coarse, so all slots are used. */
-#define SATURATION_MIN_SLOTS 5
+/*
+ * With fewer slots, all are used: one slot of two left free would cost more
+ * throughput than the slower pace does.
+ */
+#define SATURATION_MIN_SLOTS 3
 /*
  * From this pace on, an upstream counts as slow. A request that starts there
  * occupies its slot several times as long as normal, while the slow phase lasts
@@ -209,30 +212,42 @@
 	return (false);
 }
 
-/* Draws matching upstreams at random until @out has @want of them. */
+/*
+ * Adds matching upstreams until @out has @want of them, each with the same
+ * probability (reservoir sampling).
+ */
 static uint32_t
 add_candidates(const struct search *q, struct random *rng, uint32_t want,
     uint32_t n, uint32_t *out)
 {
-	while (n < want) {
-		uint32_t start = rng_below(rng, q->s->n_upstreams);
-		uint32_t before = n;
-
-		for (uint32_t k = 0; k < q->s->n_upstreams; k++) {
-			uint32_t i = (start + k) % q->s->n_upstreams;
-
-			if (!matches(q, &q->s->upstreams[i]) ||
-			    contains(out, n, i))
-				continue;
-			out[n++] = i;
-			break;
-		}
-		if (n == before)
-			break;
+	uint32_t first = n, found = 0;
+
+	for (uint32_t i = 0; i < q->s->n_upstreams && first < want; i++) {
+		uint32_t at;
+
+		if (!matches(q, &q->s->upstreams[i]) || contains(out, first, i))
+			continue;
+		at = first + (n < want ? found : rng_below(rng, found + 1));
+		found++;
+		if (at >= want)
+			continue;
+		out[at] = i;
+		n += n < want;
 	}
 	return (n);
 }
 
+/*
+ * Number of candidates in this VM's zone. Load reports are a large part of the
+ * bytes between zones, so other zones are asked only when a request has found
+ * no room in its own.
+ */
+static uint32_t
+own_zone_share(const struct rt_request *req, uint32_t max)
+{
+	return (req->include_secondary ? max / 2 : max);
+}
+
 uint32_t
 load_choice_candidates(const struct rt_service *s, const struct rt_request *req,
     int64_t now_us, struct random *rng, uint32_t *out, uint32_t max)
@@ -245,7 +260,7 @@
 	q.version = choose_version(s, req, now_us);
 	q.include_secondary = req->include_secondary;
 	q.own_zone_only = true;
-	n = add_candidates(&q, rng, max / 2, n, out);
+	n = add_candidates(&q, rng, own_zone_share(req, max), n, out);
 	q.own_zone_only = false;
 	n = add_candidates(&q, rng, max, n, out);
 	q.include_secondary = true;
@@ -286,14 +301,16 @@
 
 /*
  * An upstream is full at the share of its slots above which it gets slower:
- * beyond it, more concurrent requests lower the throughput.
+ * beyond it, more concurrent requests lower the throughput. Requests for which
+ * admission keeps the remaining slots may use them.
  */
 static bool
-is_full(const struct rt_upstream *u, int64_t now_us)
+is_full(
+    const struct rt_upstream *u, const struct rt_request *req, int64_t now_us)
 {
 	double limit = u->slots;
 
-	if (u->slots >= SATURATION_MIN_SLOTS)
+	if (u->slots >= SATURATION_MIN_SLOTS && !req->use_all_slots)
 		limit *= SATURATION_SHARE;
 	return (u->slots != 0 && load_of(u->stat, now_us) + 1 > limit);
 }
@@ -340,17 +357,16 @@
 	return (x * (1 + FAILURE_WEIGHT * fail));
 }
 
-/* Picks the best upstream of a version. */
+/* Picks the best upstream of a version, one at random if several are equal. */
 static int
 pick_version(const struct rt_service *s, const struct rt_request *req,
     uint32_t version, bool include_ejected, int64_t now_us, struct random *rng)
 {
-	uint32_t start = rng_below(rng, s->n_upstreams);
 	double best_cost = 0;
+	uint32_t n_equal = 0;
 	int best = RT_NONE;
 
-	for (uint32_t k = 0; k < s->n_upstreams; k++) {
-		uint32_t i = (start + k) % s->n_upstreams;
+	for (uint32_t i = 0; i < s->n_upstreams; i++) {
 		const struct rt_upstream *u = &s->upstreams[i];
 		double x;
 
@@ -361,13 +377,16 @@
 		if (!atomic_load(&u->stat->no_report) &&
 		    !load_choice_is_fresh(u->stat, now_us))
 			continue;
-		if (is_full(u, now_us) || should_wait(u->stat, req, now_us)) {
+		if (is_full(u, req, now_us) ||
+		    should_wait(u->stat, req, now_us)) {
 			if (best == RT_NONE)
 				best = RT_FULL;
 			continue;
 		}
 		x = estimate_cost(u, req, now_us);
-		if (best < 0 || x < best_cost) {
+		n_equal = best >= 0 && x == best_cost ? n_equal + 1 : 1;
+		if (best < 0 || x < best_cost ||
+		    (x == best_cost && rng_below(rng, n_equal) == 0)) {
 			best = (int)i;
 			best_cost = x;
 		}
--- a/packages/route/load_choice.h
+++ b/packages/route/load_choice.h
@@ -78,7 +78,8 @@
  * @out: receives indices into s->upstreams
  * @max: length of @out
  *
- * Half of the candidates are in this VM's availability zone if that has enough.
+ * The candidates are in this VM's availability zone if that has enough, or half
+ * of them when the request found no room there (@req.include_secondary).
  *
  * Return: number of candidates; 0 when no upstream has to be probed.
  */
--- a/packages/route/routing.h
+++ b/packages/route/routing.h
@@ -135,7 +135,8 @@
  * @cold_allowed: this process may send requests to it while it is cold, see
  *	rt_stat.cold_until_us
  * @secondary: queried for its load only after the other upstreams of the
- *	service, which keeps the number of connections small
+ *	service, which keeps the number of connections small; those in other
+ *	zones are secondary if this VM's zone has enough
  * @stat: load statistics
  */
 struct rt_upstream {
@@ -254,8 +255,8 @@
  * @draw: random number below 1000, drawn once per request to choose its version
  * @accept_slow: it has waited so long that a persistently slow upstream is
  *	accepted
- * @include_secondary: include upstreams with rt_upstream.secondary, because the
- *	others were full
+ * @include_secondary: include upstreams with rt_upstream.secondary and of other
+ *	zones, because the others were full
  * @use_all_slots: it may take the slots above the share at which upstreams get
  *	slower; admission decides for which requests
  * @work_us: usual service time of a request, 0 when not known
--- a/tests/unit/test_load_choice.c
+++ b/tests/unit/test_load_choice.c
@@ -105,6 +105,38 @@
 	assert_int_equal(pick(&req, NOW_US), 2);
 }
 
+/*
+ * Guards against lost throughput at upstreams with few slots, where one free
+ * slot is a large share, and against urgent requests that find no room although
+ * the last slots are kept for them.
+ */
+static void
+test_reserved_slots(void **state)
+{
+	static const uint32_t slots[] = {1, 2, 3, 4, 6};
+	static const int32_t usual[] = {1, 2, 2, 3, 4};
+	struct rt_request req = {0};
+
+	(void)state;
+	for (int i = 0; i < 5; i++) {
+		for (int k = 0; k < N_UP; k++) {
+			upstreams[k].slots = slots[i];
+			report(k, usual[i] - 1, 0, 100);
+		}
+		req.use_all_slots = false;
+		assert_true(pick(&req, NOW_US) >= 0);
+		for (int k = 0; k < N_UP; k++)
+			report(k, usual[i], 0, 100);
+		assert_int_equal(pick(&req, NOW_US), RT_FULL);
+		req.use_all_slots = true;
+		assert_int_equal(
+		    pick(&req, NOW_US) >= 0, usual[i] < (int32_t)slots[i]);
+		for (int k = 0; k < N_UP; k++)
+			report(k, (int32_t)slots[i], 0, 100);
+		assert_int_equal(pick(&req, NOW_US), RT_FULL);
+	}
+}
+
 /*
  * Guards against requests that start during a short slow phase and then occupy
  * a slot several times as long as normal. They wait even when all upstreams are
@@ -224,6 +256,59 @@
 	    0);
 }
 
+/*
+ * Guards against some upstreams that get more requests than others because of
+ * their place in the table: candidates are spread evenly, also when most of the
+ * upstreams between them cannot be used.
+ */
+static void
+test_even_candidates(void **state)
+{
+	enum { ROUNDS = 20000, USED = 3 };
+	struct rt_request req = {0};
+	uint32_t drawn[N_UP] = {0};
+	uint32_t out[1];
+
+	(void)state;
+	for (int i = 0; i < N_UP; i++)
+		upstreams[i].state =
+		    i == 0 || i == 1 || i == N_UP - 1 ? RT_READY : RT_DOWN;
+	for (int round = 0; round < ROUNDS; round++) {
+		assert_int_equal(load_choice_candidates(
+				     &service, &req, NOW_US, &rng, out, 1),
+		    1);
+		drawn[out[0]]++;
+	}
+	for (int i = 0; i < N_UP; i++)
+		assert_in_range(drawn[i],
+		    upstreams[i].state == RT_READY ? ROUNDS / USED * 0.95 : 0,
+		    upstreams[i].state == RT_READY ? ROUNDS / USED * 1.05 : 0);
+}
+
+/* Guards against load reports from other zones that nobody needs. */
+static void
+test_own_zone_first(void **state)
+{
+	struct rt_request req = {.zone = BSTR("a")};
+	uint32_t out[LOAD_CHOICE_FANOUT];
+	uint32_t n;
+	bool other = false;
+
+	(void)state;
+	for (int round = 0; round < 50; round++) {
+		n = load_choice_candidates(
+		    &service, &req, NOW_US, &rng, out, LOAD_CHOICE_FANOUT);
+		for (uint32_t i = 0; i < n; i++)
+			assert_true(out[i] < N_UP / 2);
+	}
+	req.include_secondary = true;
+	n = load_choice_candidates(
+	    &service, &req, NOW_US, &rng, out, LOAD_CHOICE_FANOUT);
+	for (uint32_t i = 0; i < n; i++)
+		other = other || out[i] >= N_UP / 2;
+	assert_true(other);
+}
+
 /* Guards against duplicate candidates and too few from this VM's zone. */
 static void
 test_candidates(void **state)
@@ -471,6 +556,9 @@
 	    TEST(test_cold),
 	    TEST(test_cold_not_probed),
 	    TEST(test_candidates),
+	    TEST(test_reserved_slots),
+	    TEST(test_even_candidates),
+	    TEST(test_own_zone_first),
 	    TEST(test_secondary),
 	    TEST(test_probe_backoff),
 	    TEST(test_versions),
