--- a/packages/front/call.c
+++ b/packages/front/call.c
@@ -54,6 +54,8 @@
 		rt_stat_unref(c->upstream);
 	if (c->tally != NULL)
 		rt_tally_unref(c->tally);
+	if (c->usage != NULL)
+		usage_counter_unref(c->usage);
 	free(c);
 }
 
--- a/packages/front/call.h
+++ b/packages/front/call.h
@@ -27,9 +27,11 @@
 #include "front/transfers.h"
 #include "route/load_choice.h"
 #include "route/routing.h"
+#include "usage/usage_counter.h"
 
 #define CALL_ADDR_MAX 63
 #define CALL_ID_MAX 127
+#define CALL_WORKSPACE_MAX 255
 /*
  * Largest answer that is buffered whole before it is passed on. It is below the
  * size at which the transfer from the upstream is paused.
@@ -112,6 +114,12 @@
  * @idempotent: may be retried after bytes were sent
  * @keyed: carries an idempotency key on a non-idempotent route
  * @owner_decided: the owner of the key's partition decided the claim
+ * @workspaces_required: the configuration has workspaces, so the caller's
+ *	credential and workspace fields are not forwarded
+ * @workspace: name of the caller's workspace, empty for none
+ * @usage: counter of that workspace, NULL for none, a reference is held
+ * @priority: rank of the request, 0 is the most urgent: that of the workspace
+ *	if it has one, else that of the route
  * @body: request body; bytes before @body_off were passed to libcurl
  * @body_off: position of the next byte to send
  * @body_dropped: sent bytes were freed, so the body cannot be sent again
@@ -208,6 +216,10 @@
 	bool idempotent;
 	bool keyed;
 	bool owner_decided;
+	bool workspaces_required;
+	char workspace[CALL_WORKSPACE_MAX + 1];
+	struct usage_counter *usage;
+	uint32_t priority;
 
 	struct bbuf body;
 	size_t body_off;
--- a/packages/front/filter.c
+++ b/packages/front/filter.c
@@ -100,6 +100,7 @@
 		c->goal_us = (int64_t)r->goal_ms * 1000;
 		c->max_attempts = r->attempts;
 		c->idempotent = r->idempotent;
+		c->priority = r->priority;
 		c->keyed = !r->idempotent &&
 		    MHD_lookup_connection_value(
 			c->conn, MHD_HEADER_KIND, "Idempotency-Key") != NULL;
