--- a/packages/route/hash_index.c
+++ b/packages/base/hash_index.c
@@ -1,4 +1,4 @@
-#include "route/hash_index.h"
+#include "base/hash_index.h"
 
 #include <stdlib.h>
 
--- a/packages/route/hash_index.h
+++ b/packages/base/hash_index.h
@@ -11,8 +11,8 @@
  *	s = hash_index_find(&h, BSTR("ONE.example"));
  *	hash_index_finish(&h);
  */
-#ifndef ROUTE_HASH_INDEX_H
-#define ROUTE_HASH_INDEX_H
+#ifndef BASE_HASH_INDEX_H
+#define BASE_HASH_INDEX_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/packages/route/routing.c
+++ b/packages/route/routing.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 
 #include "route/concurrency_limit.h"
-#include "route/hash_index.h"
+#include "base/hash_index.h"
 
 /* A sample has the weight 1 / 2^SHIFT in its moving average. */
 #define SERVICE_SHIFT 4
--- a/tests/unit/test_routing.c
+++ b/tests/unit/test_routing.c
@@ -6,7 +6,7 @@
 #include <cmocka.h>
 #include <pthread.h>
 
-#include "route/hash_index.h"
+#include "base/hash_index.h"
 #include "route/routing.h"
 
 #define N_UP 4
