--- a/tests/unit/test_object_decode.c
+++ b/tests/unit/test_object_decode.c
@@ -148,6 +148,104 @@
 	json_decref(o);
 }
 
+/* Decodes a configuration whose spec has the member "tenants", or not. */
+static struct obj_config *
+parse_tenants(const char *tenants)
+{
+	char *text = g_strdup_printf(
+	    "{\"metadata\":{\"name\":\"main\"},\"spec\":{\"version\":7,"
+	    "\"routes\":{},\"services\":{},\"limits\":{}%s%s}}",
+	    tenants == NULL ? "" : ",\"tenants\":",
+	    tenants == NULL ? "" : tenants);
+	json_t *o = json_loads(text, 0, NULL);
+	const char *why;
+	struct obj_config *c = decode_config(o, &why);
+
+	assert_non_null(o);
+	assert_true((c == NULL) == (why != NULL));
+	json_decref(o);
+	g_free(text);
+	return (c);
+}
+
+/* Guards against keys that are not required, or are required by mistake. */
+static void
+test_tenants(void **state)
+{
+	struct obj_config *c = parse_tenants(
+	    "{\"sese880\":{\"apiKeys\":[\"k1\",\"\",\"k 3\"],"
+	    "\"priority\":2},\"locu91\":{\"apiKeys\":[],\"priority\":null},"
+	    "\"none\":{}}");
+
+	(void)state;
+	assert_non_null(c);
+	assert_true(c->has_workspaces);
+	assert_int_equal(c->n_workspaces, 3);
+	assert_string_equal(c->workspaces[0].name, "sese880");
+	assert_int_equal(c->workspaces[0].priority, 2);
+	assert_int_equal(c->workspaces[0].n_keys, 3);
+	assert_string_equal(c->workspaces[0].keys[0], "k1");
+	assert_string_equal(c->workspaces[0].keys[1], "");
+	assert_int_equal(c->workspaces[1].priority, OBJ_NO_PRIORITY);
+	assert_int_equal(c->workspaces[1].n_keys, 0);
+	assert_int_equal(c->workspaces[2].n_keys, 0);
+	obj_config_free(c);
+	c = parse_tenants("{}");
+	assert_true(c->has_workspaces);
+	assert_int_equal(c->n_workspaces, 0);
+	obj_config_free(c);
+	c = parse_tenants("null");
+	assert_false(c->has_workspaces);
+	obj_config_free(c);
+	c = parse_tenants(NULL);
+	assert_false(c->has_workspaces);
+	obj_config_free(c);
+}
+
+/*
+ * Guards against a configuration that is used in part, and against a name that
+ * would add a field to the requests to upstreams.
+ */
+static void
+test_bad_tenants(void **state)
+{
+	static const char *const bad[] = {
+	    "[]",
+	    "\"a\"",
+	    "false",
+	    "{\"a\":null}",
+	    "{\"a\":[\"k\"]}",
+	    "{\"a\":{\"apiKeys\":\"k\"}}",
+	    "{\"a\":{\"apiKeys\":{\"k\":1}}}",
+	    "{\"a\":{\"apiKeys\":[\"k\",1]}}",
+	    "{\"a\":{\"apiKeys\":[null]}}",
+	    "{\"a\":{\"apiKeys\":[\"k\"],\"priority\":-1}}",
+	    "{\"a\":{\"apiKeys\":[\"k\"],\"priority\":1001}}",
+	    "{\"a\":{\"apiKeys\":[\"k\"],\"priority\":\"1\"}}",
+	    "{\"a\":{\"apiKeys\":[\"k\"],\"priority\":1.5}}",
+	    "{\"\":{\"apiKeys\":[\"k\"]}}",
+	    "{\" a\":{\"apiKeys\":[\"k\"]}}",
+	    "{\"a \":{\"apiKeys\":[\"k\"]}}",
+	    "{\"a\\r\\nX-B: c\":{\"apiKeys\":[\"k\"]}}",
+	    "{\"a\\tb\":{\"apiKeys\":[\"k\"]}}",
+	    "{\"good\":{\"apiKeys\":[\"k\"]},\"bad\":7}",
+	};
+	char name[257];
+	char *text;
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(bad) / sizeof(*bad); i++)
+		assert_null(parse_tenants(bad[i]));
+	memset(name, 'n', sizeof(name));
+	name[256] = '\0'; /* one byte longer than the longest name */
+	text = g_strdup_printf("{\"%s\":{}}", name);
+	assert_null(parse_tenants(text));
+	g_free(text);
+	text = g_strdup_printf("{\"%s\":{}}", name + 1);
+	obj_config_free(parse_tenants(text));
+	g_free(text);
+}
+
 static enum obj_move_state
 parse_move_state(const char *status)
 {
@@ -454,6 +552,8 @@
 	    cmocka_unit_test(test_bad_upstreams),
 	    cmocka_unit_test(test_bad_fields),
 	    cmocka_unit_test(test_config),
+	    cmocka_unit_test(test_tenants),
+	    cmocka_unit_test(test_bad_tenants),
 	    cmocka_unit_test(test_move),
 	    cmocka_unit_test(test_encoded_status),
 	    cmocka_unit_test(test_durations),
