Publish the workspaces with the routing table, and set rt_service.ranked

The table of keys is built once for each version of the configuration and shared by all routing tables of that version, because a change of an upstream builds a new routing table and must not copy 100,000 keys.

--- a/packages/bench/routing_bench.c
+++ b/packages/bench/routing_bench.c
@@ -122,7 +122,8 @@
 		make_service(f, i,
 		    n_upstreams * (i + 1) / n_services -
 			n_upstreams * i / n_services);
-	f->table = rt_table_new(&(struct rt_desc){f->desc, n_services});
+	f->table = rt_table_new(
+	    &(struct rt_desc){.services = f->desc, .n_services = n_services});
 }
 
 static void
--- a/packages/control/controller_config.c
+++ b/packages/control/controller_config.c
@@ -368,7 +368,8 @@
 		fill_service(c, set->services[i].service, &s[i]);
 	remove_unseen_upstreams(c);
 	shared_publish(c->desc.shared,
-	    rt_table_new(&(struct rt_desc){s, set->n_services}));
+	    rt_table_new(&(struct rt_desc){
+		.services = s, .n_services = set->n_services}));
 	for (uint32_t i = 0; i < set->n_services; i++) {
 		g_free(s[i].hosts);
 		g_free(s[i].routes);
--- a/packages/fleet/fleet_view.c
+++ b/packages/fleet/fleet_view.c
@@ -37,6 +37,12 @@
 	rt_tally_unref(arg);
 }
 
+static void
+free_usage(void *arg)
+{
+	usage_counter_unref(arg);
+}
+
 static GHashTable *
 table_new(GDestroyNotify free_value)
 {
@@ -54,12 +60,22 @@
 	f->members = table_new(free_member);
 	cold_owners_init(&f->cold_owners, desc->self);
 	f->tallies = table_new(free_tally);
+	f->usage = table_new(free_usage);
 	f->versions = table_new(g_free);
 	f->zones_out = table_new(NULL);
 	f->zones_listed = table_new(NULL);
 	f->changed = table_new(NULL);
 }
 
+/* The routing tables in use hold references of their own. */
+static void
+drop_workspaces(struct fleet_view *f)
+{
+	if (f->workspaces != NULL)
+		wstab_unref(f->workspaces);
+	f->workspaces = NULL;
+}
+
 void
 view_finish(struct fleet_view *f)
 {
@@ -68,6 +84,8 @@
 	g_hash_table_unref(f->members);
 	cold_owners_finish(&f->cold_owners);
 	g_hash_table_unref(f->tallies);
+	drop_workspaces(f);
+	g_hash_table_unref(f->usage);
 	g_hash_table_unref(f->versions);
 	g_hash_table_unref(f->zones_out);
 	g_hash_table_unref(f->zones_listed);
@@ -272,6 +290,7 @@
 	}
 	obj_config_free(f->config);
 	f->config = c;
+	drop_workspaces(f);
 	f->dirty = true;
 	return (true);
 }
@@ -590,6 +609,18 @@
 	return (t);
 }
 
+struct usage_counter *
+view_usage(struct fleet_view *f, const char *workspace)
+{
+	struct usage_counter *c = g_hash_table_lookup(f->usage, workspace);
+
+	if (c == NULL) {
+		c = usage_counter_new();
+		g_hash_table_insert(f->usage, g_strdup(workspace), c);
+	}
+	return (c);
+}
+
 void
 view_set_share(struct fleet_view *f, const char *service, uint32_t share,
     int64_t until_us, enum obj_move_state outcome)
--- a/packages/fleet/fleet_view.h
+++ b/packages/fleet/fleet_view.h
@@ -114,6 +114,10 @@
  * @cold_owners: the VMs that share cold upstreams
  * @members_changed: @cold_owners has to be updated from @members
  * @tallies: service and version -> struct rt_tally
+ * @usage: name of a workspace -> struct usage_counter; entries are kept when a
+ *	workspace is removed, because its last windows are still to be reported
+ * @workspaces: table of the workspaces in @config, shared by the routing tables
+ *	that are built from it; NULL before the first one and without workspaces
  * @versions: service and version -> int64_t, when it was first seen
  * @known: kinds whose list was read at least once
  * @changed: ids of changed upstreams, see view_take_changed()
@@ -136,6 +140,8 @@
 	struct cold_owners cold_owners;
 	bool members_changed;
 	GHashTable *tallies;
+	GHashTable *usage;
+	struct workspace_table *workspaces;
 	GHashTable *versions;
 	bool known[STORE_KINDS];
 	GHashTable *changed;
@@ -255,6 +261,15 @@
 struct rt_tally *view_tally(
     struct fleet_view *f, const char *service, const char *version);
 
+/**
+ * view_usage() - counter of a workspace's requests, created on first use
+ *
+ * The counter outlives routing tables and versions of the configuration.
+ *
+ * Return: valid until view_finish(); the caller holds no reference.
+ */
+struct usage_counter *view_usage(struct fleet_view *f, const char *workspace);
+
 /**
  * view_digest() - hash of all objects of a kind
  *
--- a/packages/fleet/fleet_view_table.c
+++ b/packages/fleet/fleet_view_table.c
@@ -62,6 +62,94 @@
 	}
 }
 
+_Static_assert(WSTAB_NO_PRIORITY == OBJ_NO_PRIORITY,
+    "a workspace without a priority is marked alike in both types");
+
+/* Builds the table of the workspaces that all routing tables of @f share. */
+static void
+update_workspaces(struct fleet_view *f)
+{
+	const struct obj_config *c = f->config;
+	struct wstab_entry *list;
+
+	if (!c->has_workspaces || f->workspaces != NULL)
+		return;
+	list = g_new0(struct wstab_entry, c->n_workspaces);
+	for (uint32_t i = 0; i < c->n_workspaces; i++) {
+		const struct obj_workspace *w = &c->workspaces[i];
+
+		list[i] = (struct wstab_entry){
+		    .workspace = {.name = bstr_from(w->name),
+			.priority = w->priority,
+			.usage = view_usage(f, w->name)},
+		    .keys = w->keys,
+		    .n_keys = w->n_keys};
+	}
+	f->workspaces = wstab_new(list, c->n_workspaces);
+	g_free(list);
+}
+
+/** struct priority_range - least and greatest priority of some requests */
+struct priority_range {
+	uint32_t min;
+	uint32_t max;
+};
+
+static const struct priority_range empty_range = {.min = UINT32_MAX};
+
+static void
+add_priority(struct priority_range *r, uint32_t priority)
+{
+	r->min = MIN(r->min, priority);
+	r->max = MAX(r->max, priority);
+}
+
+/* As rt_draw_split() chooses: the first split if no split has a weight. */
+static bool
+is_routed_to(const struct obj_route *r, const char *service)
+{
+	uint32_t total = 0;
+
+	for (uint32_t k = 0; k < r->n_splits; k++) {
+		total += r->splits[k].weight;
+		if (r->splits[k].weight != 0 &&
+		    strcmp(r->splits[k].service, service) == 0)
+			return (true);
+	}
+	return (total == 0 && r->n_splits != 0 &&
+	    strcmp(r->splits[0].service, service) == 0);
+}
+
+/* Adds the priorities of the requests that a route lets through. */
+static void
+add_route_priorities(struct priority_range *out, const struct obj_config *c,
+    const struct obj_route *r)
+{
+	if (!c->has_workspaces || r->is_public)
+		add_priority(out, r->priority);
+	for (uint32_t i = 0; i < c->n_workspaces; i++) {
+		const struct obj_workspace *w = &c->workspaces[i];
+
+		if (w->n_keys != 0)
+			add_priority(out,
+			    w->priority == OBJ_NO_PRIORITY ? r->priority
+							   : w->priority);
+	}
+}
+
+/* Whether requests of different priorities reach a service. */
+static bool
+is_ranked(const struct obj_config *c, const char *service)
+{
+	struct priority_range range = empty_range;
+
+	for (uint32_t i = 0; i < c->n_routes; i++) {
+		if (is_routed_to(&c->routes[i], service))
+			add_route_priorities(&range, c, &c->routes[i]);
+	}
+	return (range.min < range.max);
+}
+
 static bool
 is_host_added(const struct obj_config *c, uint32_t at)
 {
@@ -417,6 +505,7 @@
 	mark_secondary(b, &s);
 	fill_shares(b, &s, d->name);
 	fill_tallies(b, &s, d->name);
+	s.ranked = is_ranked(b->f->config, d->name);
 	s.slow_us =
 	    (int64_t)(SLOW_GOAL_FACTOR * goal_ms(b->f->config, d->name)) * 1000;
 	g_array_append_val(b->services, s);
@@ -430,6 +519,7 @@
 	struct rt_table *t;
 
 	update_cold_owners(f);
+	update_workspaces(f);
 	b.services = g_array_new(FALSE, TRUE, sizeof(struct rt_service));
 	b.allocations = g_ptr_array_new_with_free_func(free);
 	for (uint32_t i = 0; i < c->n_routes; i++) {
@@ -440,7 +530,8 @@
 		add_service(&b, &c->services[i]);
 	t = rt_table_new(&(struct rt_desc){
 	    .services = (struct rt_service *)(void *)b.services->data,
-	    .n_services = b.services->len});
+	    .n_services = b.services->len,
+	    .workspaces = f->workspaces});
 	f->table_built = true;
 	g_array_unref(b.services);
 	g_ptr_array_unref(b.allocations);
--- a/packages/model/fleet_model.c
+++ b/packages/model/fleet_model.c
@@ -239,7 +239,7 @@
 	    .upstreams = upstreams,
 	    .n_upstreams = m->d.upstreams,
 	    .slots = m->d.slots};
-	struct rt_desc desc = {&s, 1};
+	struct rt_desc desc = {.services = &s, .n_services = 1};
 
 	rng_init(&v->rng, seed);
 	v->stats = xcalloc(m->d.upstreams, sizeof(struct rt_stat *));
--- a/packages/route/routing.c
+++ b/packages/route/routing.c
@@ -38,12 +38,14 @@
  * @n: number of services
  * @hosts: index from host to struct rt_service, ignoring ASCII case
  * @names: index from name to struct rt_service
+ * @workspaces: workspaces or NULL, a reference is held
  */
 struct rt_table {
 	struct rt_service *services;
 	uint32_t n;
 	struct hash_index hosts;
 	struct hash_index names;
+	struct workspace_table *workspaces;
 };
 
 static void *
@@ -250,6 +252,8 @@
 	for (uint32_t i = 0; i < t->n; i++)
 		copy_service(&t->services[i], &desc->services[i]);
 	build_indexes(t);
+	if (desc->workspaces != NULL)
+		t->workspaces = wstab_ref(desc->workspaces);
 	return (t);
 }
 
@@ -262,6 +266,8 @@
 		free_service(&t->services[i]);
 	hash_index_finish(&t->hosts);
 	hash_index_finish(&t->names);
+	if (t->workspaces != NULL)
+		wstab_unref(t->workspaces);
 	free(t->services);
 	free(t);
 }
@@ -273,6 +279,12 @@
 	return (t->services);
 }
 
+const struct workspace_table *
+rt_workspaces(const struct rt_table *t)
+{
+	return (t->workspaces);
+}
+
 const struct rt_service *
 rt_find_host(const struct rt_table *t, struct bstr host)
 {
--- a/packages/route/routing.h
+++ b/packages/route/routing.h
@@ -27,6 +27,7 @@
 #include "base/byte_string.h"
 #include "base/random.h"
 #include "route/upstream_terms.h"
+#include "workspace/workspace_table.h"
 
 #define RT_NONE (-1) /* no upstream is eligible for the call */
 #define RT_FULL (-2) /* all eligible upstreams are at their limit */
@@ -226,10 +227,17 @@
 
 struct rt_table;
 
-/** struct rt_desc - input of rt_table_new(), which copies it */
+/**
+ * struct rt_desc - input of rt_table_new(), which copies it
+ * @services: services
+ * @n_services: number of services
+ * @workspaces: workspaces and their keys, NULL when requests need no keys; the
+ *	table takes a reference of its own
+ */
 struct rt_desc {
 	const struct rt_service *services;
 	uint32_t n_services;
+	struct workspace_table *workspaces;
 };
 
 /**
@@ -317,6 +325,11 @@
 /** rt_services() - all services of the table; sets @n to their number */
 const struct rt_service *rt_services(const struct rt_table *t, uint32_t *n);
 
+/**
+ * rt_workspaces() - workspaces and their keys, NULL when requests need no keys
+ */
+const struct workspace_table *rt_workspaces(const struct rt_table *t);
+
 /** rt_find_host() - service of a Host value without its port, or NULL */
 const struct rt_service *rt_find_host(
     const struct rt_table *t, struct bstr host);
--- a/tests/unit/test_fleet_view.c
+++ b/tests/unit/test_fleet_view.c
@@ -152,6 +152,180 @@
 	assert_true(view_take_dirty(f, 0));
 }
 
+/**
+ * struct priority_case - configuration and whether its service is ranked
+ * @first: priority of the first route
+ * @second: priority of the second route, which leads to another service too
+ * @workspaces: priorities of the workspaces
+ * @n_workspaces: number of workspaces, -1 when requests need no keys
+ * @is_public: the first route is public
+ * @ranked: the service of both routes is ranked
+ */
+struct priority_case {
+	uint32_t first, second;
+	uint32_t workspaces[2];
+	int n_workspaces;
+	bool is_public;
+	bool ranked;
+};
+
+static void
+set_route(struct obj_route *r, const char *prefix, uint32_t priority)
+{
+	*r = (struct obj_route){.host = g_strdup("h"),
+	    .prefix = g_strdup(prefix),
+	    .splits = calloc(2, sizeof(*r->splits)),
+	    .n_splits = 1,
+	    .priority = priority};
+	r->splits[0] = (struct obj_split){g_strdup("s"), 1};
+}
+
+/* Each workspace has the key "key-" and its index, and the key "both". */
+static void
+set_workspaces(struct obj_config *c, const struct priority_case *p)
+{
+	static const char *const names[] = {"w1", "w0"};
+
+	c->has_workspaces = p->n_workspaces >= 0;
+	c->workspaces = calloc(2, sizeof(*c->workspaces));
+	for (int i = 0; i < p->n_workspaces; i++) {
+		struct obj_workspace *w = &c->workspaces[c->n_workspaces++];
+
+		*w = (struct obj_workspace){.name = g_strdup(names[i]),
+		    .priority = p->workspaces[i],
+		    .keys = calloc(2, sizeof(*w->keys)),
+		    .n_keys = 2};
+		w->keys[0] = g_strdup_printf("key-%d", i);
+		w->keys[1] = g_strdup("both");
+	}
+}
+
+static void
+add_ranked_config(
+    struct fleet_view *f, const struct priority_case *p, int64_t version)
+{
+	struct obj_config *c = obj_config_new();
+
+	c->version = version;
+	c->n_services = 2;
+	c->services = calloc(2, sizeof(*c->services));
+	for (int i = 0; i < 2; i++) {
+		c->services[i].name = g_strdup(i == 0 ? "s" : "other");
+		c->services[i].probe_path = g_strdup("/health");
+	}
+	c->n_routes = 2;
+	c->routes = calloc(2, sizeof(*c->routes));
+	set_route(&c->routes[0], "/a/", p->first);
+	c->routes[0].is_public = p->is_public;
+	set_route(&c->routes[1], "/b/", p->second);
+	c->routes[1].splits[c->routes[1].n_splits++] =
+	    (struct obj_split){g_strdup("other"), 1};
+	set_workspaces(c, p);
+	assert_true(view_set_config(f, c));
+}
+
+/*
+ * Guards against requests of different priorities that wait in order of
+ * arrival, and against ranking where all are equal.
+ */
+static void
+test_ranked(void **state)
+{
+	static const struct priority_case cases[] = {
+	    {1, 1, {0}, -1, false, false},
+	    {0, 1, {0}, -1, false, true},
+	    /* Without a valid key, no request reaches a private route. */
+	    {0, 1, {0}, 0, false, false},
+	    {0, 1, {0}, 0, true, false},
+	    {0, 1, {OBJ_NO_PRIORITY}, 1, false, true},
+	    {1, 1, {OBJ_NO_PRIORITY, OBJ_NO_PRIORITY}, 2, false, false},
+	    /* The priority of the workspace goes before that of the route. */
+	    {0, 1, {2}, 1, false, false},
+	    {1, 1, {OBJ_NO_PRIORITY, 2}, 2, false, true},
+	    {1, 1, {3, 2}, 2, false, true},
+	    /* A public route is open to requests without a workspace. */
+	    {1, 1, {2}, 1, true, true},
+	    {2, 1, {2}, 1, true, false},
+	};
+	struct fleet_view *f = *state;
+	struct rt_table *t;
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		add_ranked_config(f, &cases[i], (int64_t)i + 1);
+		t = view_table(f, 0);
+		assert_int_equal(
+		    rt_find_service(t, BSTR("s"))->ranked, cases[i].ranked);
+		rt_table_free(t);
+	}
+	/* Only the second route leads to the other service. */
+	add_ranked_config(f, &cases[1], 100);
+	t = view_table(f, 0);
+	assert_true(rt_find_service(t, BSTR("s"))->ranked);
+	assert_false(rt_find_service(t, BSTR("other"))->ranked);
+	rt_table_free(t);
+	/* No request takes a split without weight. */
+	add_ranked_config(f, &cases[1], 101);
+	f->config->routes[1].splits[0].weight = 0;
+	t = view_table(f, 0);
+	assert_false(rt_find_service(t, BSTR("s"))->ranked);
+	rt_table_free(t);
+}
+
+static const struct workspace *
+find_key(const struct rt_table *t, const char *key)
+{
+	return (wstab_find(rt_workspaces(t), bstr_from(key)));
+}
+
+/*
+ * Guards against a key that stays valid in a newer table, becomes valid again
+ * by an older configuration, or counts for another workspace than before.
+ */
+static void
+test_keys(void **state)
+{
+	static const struct priority_case two = {.n_workspaces = 2};
+	static const struct priority_case one = {.n_workspaces = 1};
+	static const struct priority_case none = {.n_workspaces = -1};
+	struct fleet_view *f = *state;
+	struct rt_table *t, *old;
+	struct obj_config *stale = obj_config_new();
+	uint64_t digest;
+
+	add_ranked_config(f, &two, 5);
+	digest = view_digest(f, STORE_CONFIG);
+	old = view_table(f, 0);
+	assert_true(bstr_eq(find_key(old, "key-0")->name, BSTR("w1")));
+	assert_true(bstr_eq(find_key(old, "key-1")->name, BSTR("w0")));
+	assert_true(bstr_eq(find_key(old, "both")->name, BSTR("w0")));
+	assert_ptr_equal(find_key(old, "both")->usage, view_usage(f, "w0"));
+	/* A table for other reasons shares the keys. */
+	t = view_table(f, 0);
+	assert_ptr_equal(rt_workspaces(t), rt_workspaces(old));
+	rt_table_free(t);
+	add_ranked_config(f, &one, 6);
+	assert_int_not_equal(view_digest(f, STORE_CONFIG), digest);
+	t = view_table(f, 0);
+	assert_null(find_key(t, "key-1"));
+	assert_true(bstr_eq(find_key(t, "both")->name, BSTR("w1")));
+	assert_non_null(find_key(old, "key-1"));
+	rt_table_free(old);
+	rt_table_free(t);
+	/* A stale list or another VM may still bring the older version. */
+	stale->version = 5;
+	assert_false(view_set_config(f, stale));
+	t = view_table(f, 0);
+	assert_null(find_key(t, "key-1"));
+	rt_table_free(t);
+	usage_counter_add(view_usage(f, "w0"), 1, 1);
+	add_ranked_config(f, &none, 7);
+	t = view_table(f, 0);
+	assert_null(rt_workspaces(t));
+	rt_table_free(t);
+	/* Requests of a removed workspace are still to be reported. */
+	assert_int_equal(usage_counter_get(view_usage(f, "w0"), 1), 1);
+}
+
 #define TEST(f) cmocka_unit_test_setup_teardown(f, setup, teardown)
 
 int
@@ -161,6 +335,8 @@
 	    TEST(test_partial_list),
 	    TEST(test_partial_list_during_move),
 	    TEST(test_short_list),
+	    TEST(test_ranked),
+	    TEST(test_keys),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
--- a/tests/unit/test_routing.c
+++ b/tests/unit/test_routing.c
@@ -71,7 +71,8 @@
 		    .state = RT_READY,
 		    .stat = stats[i]};
 	}
-	table = rt_table_new(&(struct rt_desc){services, 2});
+	table = rt_table_new(
+	    &(struct rt_desc){.services = services, .n_services = 2});
 	return (0);
 }
 
