Refuse requests without a valid key of a workspace

A new filter after the match filter finds the workspace by the key in the Authorization field. The upstream gets its name; the caller's credential and any spelling of the workspace field are not forwarded. Log lines of the end of a call tell its workspace and priority.

--- a/packages/base/error_kind.c
+++ b/packages/base/error_kind.c
@@ -7,6 +7,7 @@
     [ERR_BAD_REQUEST] = {"bad-request", 400, ERR_NOT_RUN, 0},
     [ERR_UNKNOWN_HOST] = {"unknown-host", 404, ERR_NOT_RUN, 0},
     [ERR_UNKNOWN_ROUTE] = {"unknown-route", 404, ERR_NOT_RUN, 0},
+    [ERR_UNAUTHORIZED] = {"unauthorized", 401, ERR_NOT_RUN, 0},
     [ERR_BODY_TOO_LARGE] = {"body-too-large", 413, ERR_NOT_RUN, 0},
     [ERR_NOT_FRESH] = {"not-fresh", 503, ERR_NOT_RUN, 1},
     [ERR_LEAVING] = {"leaving", 503, ERR_NOT_RUN, 1},
--- a/packages/base/error_kind.h
+++ b/packages/base/error_kind.h
@@ -28,6 +28,7 @@
 	ERR_BAD_REQUEST,
 	ERR_UNKNOWN_HOST,
 	ERR_UNKNOWN_ROUTE,
+	ERR_UNAUTHORIZED, /* no valid key of a workspace */
 	ERR_BODY_TOO_LARGE,
 	/* No upstream executed the request. */
 	ERR_NOT_FRESH, /* the data of this VM is stale */
--- a/packages/control/fleet_control.c
+++ b/packages/control/fleet_control.c
@@ -341,6 +341,8 @@
 	if (!view_take_dirty(&c->view, now_us))
 		return;
 	shared_publish(c->desc.shared, view_table(&c->view, now_us));
+	atomic_store(
+	    &c->desc.shared->metrics->workspaces, c->view.config->n_workspaces);
 	if (atomic_load(&c->desc.shared->fresh_until_us) == 0)
 		g_message("main: ready to route");
 	atomic_store(&c->desc.shared->fresh_until_us, INT64_MAX);
--- a/packages/front/call.h
+++ b/packages/front/call.h
@@ -116,6 +116,7 @@
  * @owner_decided: the owner of the key's partition decided the claim
  * @workspaces_required: the configuration has workspaces, so the caller's
  *	credential and workspace fields are not forwarded
+ * @unauthorized: the route needs a key and the request has no valid one
  * @workspace: name of the caller's workspace, empty for none
  * @usage: counter of that workspace, NULL for none, a reference is held
  * @priority: rank of the request, 0 is the most urgent: that of the workspace
@@ -217,6 +218,7 @@
 	bool keyed;
 	bool owner_decided;
 	bool workspaces_required;
+	bool unauthorized;
 	char workspace[CALL_WORKSPACE_MAX + 1];
 	struct usage_counter *usage;
 	uint32_t priority;
--- a/packages/front/call_log.c
+++ b/packages/front/call_log.c
@@ -130,6 +130,9 @@
 	add_number(&b, "status", c->status);
 	add_number(&b, "ms", (now_us - c->start_us) / 1000);
 	add_number(&b, "answer_bytes", (int64_t)c->answer_bytes);
+	if (c->workspace[0] != '\0')
+		add_text(&b, "workspace", bstr_from(c->workspace));
+	add_number(&b, "priority", c->priority);
 	if (worker_stopping(c->w))
 		add_number(&b, "stopping", 1);
 	if (c->deadline_us != 0)
--- a/packages/front/caller_side.c
+++ b/packages/front/caller_side.c
@@ -152,6 +152,8 @@
 	MHD_add_response_header(r, "Content-Type", "application/json");
 	MHD_add_response_header(r, "X-Error-Kind", a->name);
 	MHD_add_response_header(r, "X-Outcome", err_outcome_name(o));
+	if (c->err == ERR_UNAUTHORIZED)
+		MHD_add_response_header(r, "WWW-Authenticate", "Bearer");
 	add_retry_after(c, r, status);
 	return (queue(c, status, r));
 }
--- a/packages/front/filter.c
+++ b/packages/front/filter.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <urcu.h>
 
+#include "front/authenticate.h"
 #include "front/caller_side.h"
 #include "front/claim_filter.h"
 #include "front/request_head.h"
@@ -81,14 +82,15 @@
 static enum filter_verdict
 match_route(struct filter *f, struct call *c)
 {
+	const struct rt_table *t;
 	const struct rt_service *s;
 	const struct rt_route *r;
 	enum filter_verdict v = FILTER_NEXT;
 
 	(void)f;
 	rcu_read_lock();
-	s = rt_find_host(shared_table(worker_shared_state(c->w)),
-	    host_without_port(call_header_in(c, "Host")));
+	t = shared_table(worker_shared_state(c->w));
+	s = rt_find_host(t, host_without_port(call_header_in(c, "Host")));
 	r = s == NULL ? NULL : find_route(s, c->path);
 	if (s == NULL) {
 		v = stop(c, ERR_UNKNOWN_HOST);
@@ -100,11 +102,11 @@
 		c->goal_us = (int64_t)r->goal_ms * 1000;
 		c->max_attempts = r->attempts;
 		c->idempotent = r->idempotent;
-		c->priority = r->priority;
 		c->keyed = !r->idempotent &&
 		    MHD_lookup_connection_value(
 			c->conn, MHD_HEADER_KIND, "Idempotency-Key") != NULL;
 		c->deadline_us = c->start_us + (int64_t)r->timeout_ms * 1000;
+		authenticate_read(c, t, r);
 	}
 	rcu_read_unlock();
 	return (v);
@@ -148,6 +150,8 @@
 
 static const struct filter_ops freshness_ops = {"freshness", check_freshness};
 static const struct filter_ops match_ops = {"match", match_route};
+static const struct filter_ops authenticate_ops = {
+    "authenticate", authenticate_request};
 static const struct filter_ops deadline_ops = {"deadline", set_deadline};
 static const struct filter_ops claim_ops = {"claim", claim_filter_request};
 static const struct filter_ops send_ops = {"send", send_request};
@@ -155,6 +159,7 @@
 static struct filter chain[] = {
     {&freshness_ops},
     {&match_ops},
+    {&authenticate_ops},
     {&deadline_ops},
     {&claim_ops},
     {&send_ops},
--- a/packages/front/upstream_protocol.c
+++ b/packages/front/upstream_protocol.c
@@ -24,6 +24,7 @@
     .deadline_field = "X-Deadline-Ms",
     .instance_field = "",
     .request_id_field = "",
+    .workspace_field = "",
 };
 
 const struct upstream_protocol *
--- a/packages/front/upstream_protocol.h
+++ b/packages/front/upstream_protocol.h
@@ -88,6 +88,8 @@
  * @instance_field: request field with the id of the intended upstream, empty
  *	for none
  * @request_id_field: request field with the caller's request id, empty for none
+ * @workspace_field: request field with the name of the caller's workspace,
+ *	empty for none
  * @close_ends_body: a response body without a length ends when the connection
  *	closes
  * @status_means_not_run: a status of 408, 421, 429 or 503 guarantees that the
@@ -102,6 +104,7 @@
 	bool deadline_left;
 	const char *instance_field;
 	const char *request_id_field;
+	const char *workspace_field;
 	bool close_ends_body;
 	bool status_means_not_run;
 	bool new_connection_for_non_idempotent;
--- a/packages/front/upstream_request.c
+++ b/packages/front/upstream_request.c
@@ -72,6 +72,37 @@
 	return (search.found);
 }
 
+/*
+ * Compares field names as an upstream may that passes fields as environment
+ * variables: without regard to letter case, and with "_" as "-".
+ */
+static bool
+is_same_variable(struct bstr a, struct bstr b)
+{
+	if (a.n != b.n)
+		return (false);
+	for (size_t i = 0; i < a.n; i++) {
+		char x = a.p[i] == '_' ? '-' : a.p[i];
+		char y = b.p[i] == '_' ? '-' : b.p[i];
+
+		if (g_ascii_tolower(x) != g_ascii_tolower(y))
+			return (false);
+	}
+	return (true);
+}
+
+/* Whether a field of the caller must not reach upstreams of a workspace. */
+static bool
+is_credential(const struct call *c, struct bstr name)
+{
+	const char *field =
+	    worker_shared_state(c->w)->protocol->workspace_field;
+
+	return (c->workspaces_required &&
+	    (bstr_caseeq(name, BSTR("Authorization")) ||
+		is_same_variable(name, bstr_from(field))));
+}
+
 static enum MHD_Result
 copy_field(
     void *arg, enum MHD_ValueKind kind, const char *key, const char *value)
@@ -87,7 +118,7 @@
 	    bstr_caseeq(name, BSTR("Expect")) ||
 	    bstr_caseeq(name, bstr_from(protocol->deadline_field)) ||
 	    bstr_caseeq(name, bstr_from(protocol->instance_field)) ||
-	    is_listed(c, name))
+	    is_credential(c, name) || is_listed(c, name))
 		return (MHD_YES);
 	add_field(c, name, bstr_from(value));
 	return (MHD_YES);
@@ -114,6 +145,9 @@
 	if (protocol->instance_field[0] != '\0')
 		add_field(c, bstr_from(protocol->instance_field),
 		    bstr_from(c->instance));
+	if (protocol->workspace_field[0] != '\0' && c->workspace[0] != '\0')
+		add_field(c, bstr_from(protocol->workspace_field),
+		    bstr_from(c->workspace));
 }
 
 static void
--- a/packages/ops/metrics.c
+++ b/packages/ops/metrics.c
@@ -13,6 +13,8 @@
     [METRICS_CLAIMS] = "claims",
     [METRICS_TAKEOVERS] = "partition_takeovers",
     [METRICS_PERMITS] = "cold_start_permits",
+    [METRICS_CALLS_WITHOUT_KEY] = "calls_without_key",
+    [METRICS_CALLS_UNKNOWN_KEY] = "calls_with_unknown_key",
 };
 
 static const double quantiles[] = {0.5, 0.99, 0.999};
@@ -45,6 +47,10 @@
 		    names[i], names[i],
 		    (unsigned long long)metrics_get(m, (enum metrics_id)i));
 	}
+	bbuf_addf(out,
+	    "# TYPE camphorhollow_workspaces gauge\n"
+	    "camphorhollow_workspaces %llu\n",
+	    (unsigned long long)atomic_load(&m->workspaces));
 	bbuf_add(out, BSTR("# TYPE camphorhollow_errors_total counter\n"));
 	for (int k = 1; k < ERR_KIND_COUNT; k++) {
 		bbuf_addf(out, "camphorhollow_errors_total{kind=\"%s\"} %llu\n",
--- a/packages/ops/metrics.h
+++ b/packages/ops/metrics.h
@@ -31,6 +31,9 @@
  * @METRICS_CLAIMS: claims that this VM requested for idempotency keys
  * @METRICS_TAKEOVERS: partitions that this VM took over
  * @METRICS_PERMITS: calls to cold upstreams that this VM was granted
+ * @METRICS_CALLS_WITHOUT_KEY: calls whose Authorization field is missing,
+ *	repeated or malformed, counted if the configuration has workspaces
+ * @METRICS_CALLS_UNKNOWN_KEY: calls whose key belongs to no workspace
  */
 enum metrics_id {
 	METRICS_CALLS,
@@ -45,18 +48,22 @@
 	METRICS_CLAIMS,
 	METRICS_TAKEOVERS,
 	METRICS_PERMITS,
+	METRICS_CALLS_WITHOUT_KEY,
+	METRICS_CALLS_UNKNOWN_KEY,
 	METRICS_COUNT
 };
 
 /**
  * struct metrics - all metrics; zero-initialized memory is valid
  * @count: counters without labels, by enum metrics_id
+ * @workspaces: number of workspaces in the configuration, 0 without them
  * @errors: calls that ended with an error, by enum err_kind
  * @latency: time from the request head to the end of the response of calls
  *	without an error, in microseconds
  */
 struct metrics {
 	_Atomic uint64_t count[METRICS_COUNT];
+	_Atomic uint64_t workspaces;
 	_Atomic uint64_t errors[ERR_KIND_COUNT];
 	struct histogram latency;
 };
--- a/tests/lib/rig.c
+++ b/tests/lib/rig.c
@@ -5,8 +5,9 @@
 #define HEAD_TIMEOUT_MS 400
 #define LONG_GRANT_US 5000000
 #define MAX_REPLY (16 * 1024 * 1024)
+#define MAX_EXCHANGE (64 * 1024)
 #define N_SERVICES 7
-#define N_ROUTES 5
+#define N_ROUTES 6
 
 struct rig rig = {.lock = PTHREAD_MUTEX_INITIALIZER};
 
@@ -57,7 +58,7 @@
 	return (port);
 }
 
-static void
+void
 rig_start_upstream(void)
 {
 	char exe[512], path[600], line[64] = "";
@@ -83,8 +84,8 @@
 	assert_int_not_equal(rig.upstream_port, 0);
 }
 
-static void
-rig_build_table(uint16_t refusing, uint16_t hanging)
+static struct rt_table *
+rig_build_table(struct workspace_table *workspaces)
 {
 	static const char *const names[N_SERVICES] = {
 	    "a", "dead", "hole", "two", "full", "none", "both"};
@@ -101,9 +102,14 @@
 		.idempotent = true,
 		.timeout_ms = LONG_TIMEOUT_MS,
 		.goal_ms = LATENCY_GOAL_MS},
+	    {.prefix = BSTR("/open"),
+		.idempotent = true,
+		.timeout_ms = LONG_TIMEOUT_MS,
+		.is_public = true},
 	};
-	const uint16_t ports[N_SERVICES][2] = {{rig.upstream_port}, {refusing},
-	    {hanging}, {refusing, rig.upstream_port}, {rig.upstream_port}, {0},
+	const uint16_t ports[N_SERVICES][2] = {{rig.upstream_port},
+	    {rig.refusing_port}, {rig.hanging_port},
+	    {rig.refusing_port, rig.upstream_port}, {rig.upstream_port}, {0},
 	    {rig.upstream_port, rig.upstream_port}};
 	struct rt_version version = {BSTR("v1"), 1000};
 	struct rt_service s[N_SERVICES] = {0};
@@ -111,10 +117,12 @@
 	struct bstr hosts[N_SERVICES];
 	struct rt_tally *tallies[N_ROUTES];
 	static char addrs[N_SERVICES][2][32];
+	struct rt_table *t;
 
 	for (int i = 0; i < N_ROUTES; i++)
 		tallies[i] = rt_tally_new();
-	rig.tally = rt_tally_ref(tallies[1]);
+	if (rig.tally == NULL)
+		rig.tally = rt_tally_ref(tallies[1]);
 	for (int i = 0; i < N_SERVICES; i++) {
 		hosts[i] = bstr_from(names[i]);
 		s[i] = (struct rt_service){.name = hosts[i],
@@ -137,14 +145,30 @@
 	}
 	s[0].tallies = tallies;
 	s[0].slow_us = 10000;
-	rig.shared.table = rt_table_new(
-	    &(struct rt_desc){.services = s, .n_services = N_SERVICES});
+	t = rt_table_new(&(struct rt_desc){
+	    .services = s, .n_services = N_SERVICES, .workspaces = workspaces});
 	for (int i = 0; i < N_SERVICES; i++) {
 		for (uint32_t k = 0; k < s[i].n_upstreams; k++)
 			rt_stat_unref(ups[i][k].stat);
 	}
 	for (int i = 0; i < N_ROUTES; i++)
 		rt_tally_unref(tallies[i]);
+	return (t);
+}
+
+void
+rig_set_workspaces(const struct wstab_entry *entries, uint32_t n)
+{
+	struct workspace_table *w = wstab_new(entries, n);
+
+	shared_publish(&rig.shared, rig_build_table(w));
+	wstab_unref(w);
+}
+
+void
+rig_clear_workspaces(void)
+{
+	shared_publish(&rig.shared, rig_build_table(NULL));
 }
 
 int
@@ -268,7 +292,6 @@
 int
 rig_setup(void **state)
 {
-	uint16_t refusing;
 	struct worker_desc d = {.shared = &rig.shared,
 	    .addr = "127.0.0.1",
 	    .seed = 1,
@@ -279,8 +302,9 @@
 	signal(SIGPIPE, SIG_IGN);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	rig_start_upstream();
-	rig_bind(-1, &refusing, 0);
-	rig_build_table(refusing, rig_hanging_port());
+	rig_bind(-1, &rig.refusing_port, 0);
+	rig.hanging_port = rig_hanging_port();
+	rig.shared.table = rig_build_table(NULL);
 	msgq_init(&rig.control);
 	rig.shared.control = &rig.control;
 	rig.shared.metrics = &rig.metrics;
@@ -436,6 +460,22 @@
 	*r = (struct reply){0};
 }
 
+struct reply
+rig_exchange(int fd, const char *text)
+{
+	struct reply r = {.p = calloc(1, MAX_EXCHANGE + 1)};
+	ssize_t k;
+
+	send(fd, text, strlen(text), MSG_NOSIGNAL);
+	while (!r.complete && r.n < MAX_EXCHANGE &&
+	    (k = recv(fd, r.p + r.n, MAX_EXCHANGE - r.n, 0)) > 0) {
+		r.n += (size_t)k;
+		r.p[r.n] = '\0';
+		rig_parse(&r, false);
+	}
+	return (r);
+}
+
 struct reply
 rig_send_raw(const char *text)
 {
@@ -475,24 +515,17 @@
 {
 	char text[512];
 	struct reply r;
-	char buf[512];
-	size_t n = 0;
 	int fd = rig_connect_to(rig.upstream_port, 0);
+	int n;
 
 	snprintf(text, sizeof(text), "GET /ctl/%s%s HTTP/1.1\r\n\r\n", counter,
 	    path);
-	send(fd, text, strlen(text), MSG_NOSIGNAL);
-	do {
-		ssize_t k = recv(fd, buf + n, sizeof(buf) - 1 - n, 0);
-
-		assert_true(k > 0);
-		n += (size_t)k;
-		buf[n] = '\0';
-		r = (struct reply){.p = buf, .n = n};
-		rig_parse(&r, false);
-	} while (!r.complete);
+	r = rig_exchange(fd, text);
+	assert_true(r.complete);
+	n = atoi(r.body);
 	close(fd);
-	return (atoi(r.body));
+	rig_reply_free(&r);
+	return (n);
 }
 
 int
--- a/tests/lib/rig.h
+++ b/tests/lib/rig.h
@@ -13,7 +13,9 @@
  *
  * Routes: /i, /t and /l are idempotent, / and /u are not. /t and /u have a
  * timeout of SHORT_TIMEOUT_MS. /l has a latency goal of LATENCY_GOAL_MS, which
- * the slow responses of the stand-in exceed.
+ * the slow responses of the stand-in exceed. /open is idempotent and public.
+ *
+ * At first there are no workspaces, see rig_set_workspaces().
  *
  * The fake control thread answers a claim by the prefix of its key: "grant",
  * "progress", "done", "doneomit", "unknown", "mismatch", "unavailable",
@@ -71,6 +73,8 @@
  * @tally: tally of route /i of host "a"
  * @upstream: process of the stand-in
  * @upstream_port: port of the stand-in
+ * @refusing_port: port that refuses connections
+ * @hanging_port: port where connecting never completes
  * @port: port of the worker
  * @fds: descriptors that stay open until rig_teardown()
  */
@@ -95,6 +99,8 @@
 	struct rt_tally *tally;
 	pid_t upstream;
 	uint16_t upstream_port;
+	uint16_t refusing_port;
+	uint16_t hanging_port;
 	uint16_t port;
 	int fds[16];
 	int n_fds;
@@ -162,6 +168,19 @@
 /** rig_teardown() - cmocka group teardown: stop everything */
 int rig_teardown(void **state);
 
+/** rig_start_upstream() - start only the stand-in; part of rig_setup() */
+void rig_start_upstream(void);
+
+/**
+ * rig_set_workspaces() - publish a table in which requests need a key
+ *
+ * The entries have to stay valid only during the call.
+ */
+void rig_set_workspaces(const struct wstab_entry *entries, uint32_t n);
+
+/** rig_clear_workspaces() - publish a table in which requests need no key */
+void rig_clear_workspaces(void);
+
 /**
  * rig_open() - connect to the worker and send @n bytes
  *
@@ -187,6 +206,15 @@
  */
 struct reply rig_read(int fd, bool head_request);
 
+/**
+ * rig_exchange() - send @text on a connection that stays open, and read one
+ * response, which has to have a Content-Length
+ *
+ * Return: reply, freed with rig_reply_free(); incomplete when the connection
+ * was closed.
+ */
+struct reply rig_exchange(int fd, const char *text);
+
 /** rig_reply_free() - free a reply */
 void rig_reply_free(struct reply *r);
 
--- a/tests/standin/rawup.c
+++ b/tests/standin/rawup.c
@@ -524,6 +524,9 @@
 	} else if (strcmp(name, "slow") == 0) {
 		usleep(SLOW_DELAY_US);
 		send_str(c->fd, CANNED_OK);
+	} else if (strcmp(name, "slowhead") == 0) {
+		usleep(SLOW_DELAY_US);
+		send_body(c->fd, "", c->head, strlen(c->head));
 	} else if (strcmp(name, "refuselate") == 0) {
 		send_str(c->fd, REFUSAL);
 		usleep(SECOND_SEND_DELAY_US);
