--- a/tests/unit/test_platform_store.c
+++ b/tests/unit/test_platform_store.c
@@ -309,6 +309,24 @@
 	assert_true(clk_mono_ms() - begin_ms < 2000);
 }
 
+/*
+ * Guards against a VM that starts with an older configuration than it had
+ * before its restart, in which withdrawn keys are valid: another VM, which lags
+ * behind, reports an older revision before the first list was sent.
+ */
+static void
+test_stale_first_config(void **state)
+{
+	struct fixture *f = *state;
+
+	object_store_set_faults(
+	    f->store, &(struct object_store_faults){.stale_lists = true});
+	put_config(f->store, 4);
+	f->client->ops->request_list(f->client, STORE_CONFIG, 1);
+	RUN_UNTIL(f, f->view.known[STORE_CONFIG]);
+	assert_int_equal(config_version(f), 4);
+}
+
 /*
  * Many VMs list at the same time when an update was lost, so these lists may be
  * stale. An answer that is older than the revision that another VM reported, or
@@ -758,6 +776,7 @@
 	    TEST(test_watch),
 	    TEST(test_dropped_history),
 	    TEST(test_list_now),
+	    TEST(test_stale_first_config),
 	    TEST(test_stale_list),
 	    TEST(test_postponed_read),
 	    TEST(test_relayed_changes),
