--- a/packages/workspace/workspace_table.c
+++ b/packages/workspace/workspace_table.c
@@ -34,9 +34,9 @@
 static int
 by_name(const void *a, const void *b)
 {
-	const struct wstab_entry *const *x = a, *const *y = b;
+	const struct wstab_entry *x = a, *y = b;
 
-	return (bstr_cmp((*x)->workspace.name, (*y)->workspace.name));
+	return (bstr_cmp(x->workspace.name, y->workspace.name));
 }
 
 /* Copies the bytes of a key to the end of those at @at. */
@@ -67,14 +67,13 @@
 wstab_new(const struct wstab_entry *entries, uint32_t n)
 {
 	struct workspace_table *t = xcalloc(1, sizeof(*t));
-	const struct wstab_entry **sorted =
-	    xcalloc(n, sizeof(const struct wstab_entry *));
+	struct wstab_entry *sorted = xcalloc(n, sizeof(*sorted));
 	uint32_t n_keys = 0;
 	size_t bytes = 0;
 	char *at;
 
 	for (uint32_t i = 0; i < n; i++) {
-		sorted[i] = &entries[i];
+		sorted[i] = entries[i];
 		n_keys += entries[i].n_keys;
 		for (uint32_t k = 0; k < entries[i].n_keys; k++)
 			bytes += strlen(entries[i].keys[k]);
@@ -86,7 +85,7 @@
 	hash_index_init(&t->keys, n_keys, false);
 	at = t->text;
 	for (uint32_t i = 0; i < n; i++)
-		add_workspace(t, sorted[i], &at);
+		add_workspace(t, &sorted[i], &at);
 	free(sorted);
 	return (t);
 }
--- a/tests/lib/rig.c
+++ b/tests/lib/rig.c
@@ -522,7 +522,7 @@
 	    path);
 	r = rig_exchange(fd, text);
 	assert_true(r.complete);
-	n = atoi(r.body);
+	n = r.complete ? atoi(r.body) : 0;
 	close(fd);
 	rig_reply_free(&r);
 	return (n);
--- a/tests/unit/test_front_workspace.c
+++ b/tests/unit/test_front_workspace.c
@@ -134,10 +134,8 @@
 		char path[64];
 		struct reply r;
 
-		snprintf(path, sizeof(path), "/%s/echohead/key-case-%d",
+		snprintf(path, sizeof(path), "/%s/echohead/case-%d",
 		    routes[i % 2], i);
-		/* The word "key-" of the path would be taken for a key. */
-		memcpy(strstr(path, "key-"), "k-e-", 4);
 		r = rig_call(methods[i % 2], "a", path, p->fields, body);
 		if (p->workspace == NULL)
 			expect_refusal(r);
--- a/tests/unit/test_workspace.c
+++ b/tests/unit/test_workspace.c
@@ -71,14 +71,13 @@
 {
 	char text[sizeof("Bearer ") + CRED_KEY_MAX + 1];
 	struct bstr key;
+	int n;
 
 	(void)state;
-	memset(text, 'k', sizeof(text));
-	memcpy(text, "Bearer ", 7);
-	assert_true(cred_parse((struct bstr){text, 7 + CRED_KEY_MAX}, &key));
+	n = snprintf(text, sizeof(text), "Bearer %0*d", CRED_KEY_MAX + 1, 0);
+	assert_false(cred_parse((struct bstr){text, (size_t)n}, &key));
+	assert_true(cred_parse((struct bstr){text, (size_t)n - 1}, &key));
 	assert_int_equal(key.n, CRED_KEY_MAX);
-	assert_false(
-	    cred_parse((struct bstr){text, 7 + CRED_KEY_MAX + 1}, &key));
 }
 
 static struct wstab_entry
