--- a/tests/lib/rig.c
+++ b/tests/lib/rig.c
@@ -90,7 +90,9 @@
 	static const char *const names[N_SERVICES] = {
 	    "a", "dead", "hole", "two", "full", "none", "both"};
 	struct rt_route routes[] = {
-	    {.prefix = BSTR("/"), .timeout_ms = LONG_TIMEOUT_MS},
+	    {.prefix = BSTR("/"),
+		.timeout_ms = LONG_TIMEOUT_MS,
+		.priority = RIG_PRIORITY},
 	    {.prefix = BSTR("/i"),
 		.idempotent = true,
 		.timeout_ms = LONG_TIMEOUT_MS},
--- a/tests/lib/rig.h
+++ b/tests/lib/rig.h
@@ -53,6 +53,7 @@
 
 #define LATENCY_GOAL_MS 10
 #define SHORT_TIMEOUT_MS 300
+#define RIG_PRIORITY 2 /* of the route / */
 #define LONG_TIMEOUT_MS 10000
 #define MAX_FINISHES 256
 #define CLIENT_TIMEOUT_S 20
--- a/tests/unit/test_front_workspace.c
+++ b/tests/unit/test_front_workspace.c
@@ -5,6 +5,8 @@
 #include "platform/field_names.h"
 
 #define KEY_MAX 1024
+/* Differs from the priority of all routes. */
+#define PRIORITY_B 5
 #define LARGE_BODY 3000000
 
 static char long_key[KEY_MAX + 1];
@@ -55,7 +57,7 @@
 use_keys(char *const *a, uint32_t n_a, char *const *b, uint32_t n_b)
 {
 	struct wstab_entry e[] = {
-	    {{BSTR("wb"), 0, usage_counter_new()}, b, n_b},
+	    {{BSTR("wb"), PRIORITY_B, usage_counter_new()}, b, n_b},
 	    {{BSTR("wa"), WSTAB_NO_PRIORITY, usage_counter_new()}, a, n_a},
 	};
 
@@ -457,9 +459,11 @@
 	log = log_of_calls();
 	assert_int_equal(count_text(log, "key-"), 0);
 	assert_int_equal(count_text(log, "Bearer"), 0);
+	/* The priority of the workspace goes before that of the route. */
 	assert_int_equal(
-	    count_text(log, "\"workspace\":\"wb\",\"priority\":0"), 1);
-	assert_int_equal(count_text(log, "\"workspace\":\"wa\""), 1);
+	    count_text(log, "\"workspace\":\"wb\",\"priority\":5"), 1);
+	assert_int_equal(
+	    count_text(log, "\"workspace\":\"wa\",\"priority\":2"), 1);
 	assert_int_equal(count_text(log, "\"kind\":\"unauthorized\""), 1);
 	free(log);
 	bbuf_init(&text);
