--- a/tests/unit/test_daemon_workspace.c
+++ b/tests/unit/test_daemon_workspace.c
@@ -17,6 +17,8 @@
 #define WAIT_LIMIT_MS 30000
 #define POLL_US 5000
 #define HOST "a.example"
+#define N_KEYS 100000
+#define LAST_KEY "key-0000000000000000000000000000000000099999"
 
 /**
  * struct vm - a daemon process
@@ -112,9 +114,10 @@
 static void
 put_config(const char *tenants)
 {
-	char text[2048];
+	struct bbuf text;
 
-	snprintf(text, sizeof(text),
+	bbuf_init(&text);
+	bbuf_addf(&text,
 	    "{\"version\":%d,\"routes\":{"
 	    "\"r1\":{\"host\":\"" HOST "\",\"pathPrefix\":\"/i/\","
 	    "\"kind\":\"safe\",\"service\":\"s\",\"attempts\":2},"
@@ -125,7 +128,8 @@
 	    "\"services\":{\"s\":{}},\"limits\":{}%s%s}",
 	    ++config_version, tenants == NULL ? "" : ",\"tenants\":",
 	    tenants == NULL ? "" : tenants);
-	object_store_put(store, "config", "main", text);
+	object_store_put(store, "config", "main", text.p);
+	bbuf_finish(&text);
 }
 
 static void
@@ -425,6 +429,35 @@
 	object_store_set_faults(store, &(struct object_store_faults){0});
 }
 
+/*
+ * Guards against a size of the configuration that a VM does not read. The time
+ * is printed and not judged.
+ */
+static void
+test_many_keys(void **state)
+{
+	int64_t begin_ms;
+	struct bbuf text;
+
+	(void)state;
+	bbuf_init(&text);
+	bbuf_add(&text, BSTR("{\"wa\":{\"apiKeys\":["));
+	for (int i = 0; i < N_KEYS; i++)
+		bbuf_addf(&text, "%s\"key-%040d\"", i == 0 ? "" : ",", i);
+	bbuf_add(&text, BSTR("]},\"wb\":{\"apiKeys\":[\"key-two\"]}}"));
+	put_config(text.p);
+	bbuf_finish(&text);
+	begin_ms = clk_mono_ms();
+	for (unsigned i = 0; i < N_VMS; i++) {
+		wait_status(i, LAST_KEY, 200);
+		print_message("vm%u: %d keys in effect after %lld ms\n", i,
+		    N_KEYS, (long long)(clk_mono_ms() - begin_ms));
+	}
+	put_config("{\"wb\":{\"apiKeys\":[\"key-two\"]}}");
+	for (unsigned i = 0; i < N_VMS; i++)
+		wait_status(i, LAST_KEY, 401);
+}
+
 /* Guards against a key in a metric, and against a wrong number. */
 static void
 test_metrics(void **state)
@@ -509,6 +542,7 @@
 	    cmocka_unit_test(test_withdrawn),
 	    cmocka_unit_test(test_not_valid_again),
 	    cmocka_unit_test(test_outage),
+	    cmocka_unit_test(test_many_keys),
 	    cmocka_unit_test(test_metrics),
 	    cmocka_unit_test(test_log),
 	};
