--- a/tests/lib/rig.c
+++ b/tests/lib/rig.c
@@ -31,12 +31,13 @@
 	return (fd);
 }
 
-int
-rig_connect_to(uint16_t port, int flags)
+/* Connects to a loopback address in host byte order. */
+static int
+rig_connect_at(uint32_t addr, uint16_t port, int flags)
 {
 	struct sockaddr_in sin = {.sin_family = AF_INET,
 	    .sin_port = htons(port),
-	    .sin_addr = {htonl(INADDR_LOOPBACK)}};
+	    .sin_addr = {htonl(addr)}};
 	const struct timeval limit = {.tv_sec = CLIENT_TIMEOUT_S};
 	int fd = socket(AF_INET, SOCK_STREAM | flags, 0);
 
@@ -46,6 +47,12 @@
 	return (fd);
 }
 
+int
+rig_connect_to(uint16_t port, int flags)
+{
+	return (rig_connect_at(INADDR_LOOPBACK, port, flags));
+}
+
 /* Returns a port with a full accept queue: connecting never completes. */
 static uint16_t
 rig_hanging_port(void)
@@ -349,7 +356,8 @@
 int
 rig_open(const char *text, size_t n)
 {
-	int fd = rig_connect_to(rig.port, 0);
+	uint32_t addr = rig.addr == 0 ? INADDR_LOOPBACK : rig.addr;
+	int fd = rig_connect_at(addr, rig.port, 0);
 
 	while (n != 0) {
 		ssize_t k = send(fd, text, n, MSG_NOSIGNAL);
--- a/tests/lib/rig.h
+++ b/tests/lib/rig.h
@@ -77,6 +77,7 @@
  * @refusing_port: port that refuses connections
  * @hanging_port: port where connecting never completes
  * @port: port of the worker
+ * @addr: address of the worker in host byte order, 0 for 127.0.0.1
  * @fds: descriptors that stay open until rig_teardown()
  */
 struct rig {
@@ -103,6 +104,7 @@
 	uint16_t refusing_port;
 	uint16_t hanging_port;
 	uint16_t port;
+	uint32_t addr;
 	int fds[16];
 	int n_fds;
 };
--- a/tests/unit/test_daemon_workspace.c
+++ b/tests/unit/test_daemon_workspace.c
@@ -4,6 +4,7 @@
  */
 #include "lib/rig.h"
 
+#include <arpa/inet.h>
 #include <fcntl.h>
 #include <libgen.h>
 #include <sys/prctl.h>
@@ -17,6 +18,8 @@
 #define WAIT_LIMIT_MS 30000
 #define POLL_US 5000
 #define HOST "a.example"
+#define FIRST_ADDR 0x7f400000u /* 127.64.0.0 */
+#define ADDR_MASK 0x3fffffu
 #define N_KEYS 100000
 #define LAST_KEY "key-0000000000000000000000000000000000099999"
 
@@ -39,11 +42,15 @@
 static uint16_t
 free_port(void)
 {
-	uint16_t port;
+	struct sockaddr_in sin = {
+	    .sin_family = AF_INET, .sin_addr = {htonl(rig.addr)}};
+	socklen_t len = sizeof(sin);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
-	rig_bind(-1, &port, SO_REUSEADDR);
-	close(rig.fds[--rig.n_fds]);
-	return (port);
+	assert_int_equal(bind(fd, (struct sockaddr *)&sin, len), 0);
+	getsockname(fd, (struct sockaddr *)&sin, &len);
+	close(fd);
+	return (ntohs(sin.sin_port));
 }
 
 static void
@@ -56,23 +63,26 @@
 write_settings(unsigned i)
 {
 	const struct vm *vm = &vms[i];
-	char path[PATH_MAX_BYTES];
+	char path[PATH_MAX_BYTES], ip[INET_ADDRSTRLEN];
+	struct in_addr addr = {htonl(rig.addr)};
 	FILE *f;
 
+	inet_ntop(AF_INET, &addr, ip, sizeof(ip));
 	file_of(path, i, "json");
 	f = fopen(path, "w");
 	assert_non_null(f);
 	fprintf(f,
 	    "{\"id\": \"vm%u\", \"zone\": \"a\","
-	    " \"listen\": {\"addr\": \"127.0.0.1\", \"port\": %u},"
-	    " \"peer\": {\"addr\": \"127.0.0.1\", \"port\": %u},"
-	    " \"ops\": {\"addr\": \"127.0.0.1\", \"port\": %u,"
+	    " \"listen\": {\"addr\": \"%s\", \"port\": %u},"
+	    " \"peer\": {\"addr\": \"%s\", \"port\": %u},"
+	    " \"ops\": {\"addr\": \"%s\", \"port\": %u,"
 	    " \"health_path\": \"/health\"},"
 	    " \"platform\": {\"addr\": \"127.0.0.1\", \"port\": %u,"
 	    " \"api\": \"objects\"}, \"workers\": 1, \"leave_notice_ms\": 0,"
 	    " \"retry\": {\"ratio\": 0.2, \"burst\": 60},"
 	    " \"log\": {\"json\": true, \"debug\": true}}\n",
-	    i, vm->front, vm->peer, vm->ops, object_store_port(store));
+	    i, ip, vm->front, ip, vm->peer, ip, vm->ops,
+	    object_store_port(store));
 	fclose(f);
 }
 
@@ -165,7 +175,7 @@
 {
 	struct sockaddr_in sin = {.sin_family = AF_INET,
 	    .sin_port = htons(vms[i].front),
-	    .sin_addr = {htonl(INADDR_LOOPBACK)}};
+	    .sin_addr = {htonl(rig.addr)}};
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 	bool ok = connect(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0;
 
@@ -350,7 +360,8 @@
 
 	(void)state;
 	for (unsigned i = 0; i < N_VMS; i++) {
-		fds[i] = rig_connect_to(vms[i].front, 0);
+		rig.port = vms[i].front;
+		fds[i] = rig_open("", 0);
 		assert_int_equal(exchange(fds[i]), 200);
 	}
 	put_config("{\"wa\":{\"apiKeys\":[\"key-bad\"],\"priority\":-1}}");
@@ -497,6 +508,11 @@
 {
 	(void)state;
 	signal(SIGPIPE, SIG_IGN);
+	/*
+	 * Connections of other processes, which come from 127.0.0.1, cannot
+	 * take a port of this address while a VM is down.
+	 */
+	rig.addr = FIRST_ADDR | ((uint32_t)getpid() & ADDR_MASK);
 	assert_non_null(mkdtemp(folder));
 	store = object_store_new(&(struct object_store_desc){0});
 	assert_non_null(store);
