--- a/packages/ops/settings.c
+++ b/packages/ops/settings.c
@@ -69,6 +69,11 @@
     {"retry.ratio", IT_REAL, AT(retry_ratio), false, 0, 1, 0},
     {"retry.burst", IT_INT, AT(retry_burst), false, 0, 1000000, 0},
     {"max_connections", IT_INT, AT(max_connections), false, 1, 1000, 6},
+    {"usage.addr", IT_STRING, AT(usage.addr), false, 7, 15, 0},
+    {"usage.port", IT_INT, AT(usage.port), false, 1, 65535, 0},
+    {"usage.window", IT_MS, AT(usage_window_ms), false, 200, 3600000, 5000},
+    {"usage.due", IT_MS, AT(usage_due_ms), false, 200, 3600000, 10000},
+    {"usage.lease", IT_MS, AT(usage_lease_ms), false, 100, 600000, 3000},
     {"log.json", IT_BOOL, AT(log_json), false, 0, 1, 0},
     {"log.debug", IT_BOOL, AT(log_debug), false, 0, 1, 0},
 };
@@ -316,6 +321,16 @@
 	}
 }
 
+/* The other keys of the group have no meaning without the address. */
+static void
+check_usage(const json_t *root, struct bbuf *problems)
+{
+	const json_t *group = json_object_get(root, "usage");
+
+	if (group != NULL && json_object_get(group, "addr") == NULL)
+		report_problem(problems, "usage.address", NULL, "is required");
+}
+
 static void
 default_string(char **s, const char *value)
 {
@@ -358,6 +373,7 @@
 			report_problem(
 			    problems, items[i].path, NULL, "is required");
 	}
+	check_usage(root, problems);
 	json_decref(root);
 	default_string(&s->token, "");
 	default_string(&s->store_api, "plain");
--- a/packages/ops/settings.h
+++ b/packages/ops/settings.h
@@ -57,6 +57,11 @@
  * @retry_ratio: retries per request that the whole fleet may send
  * @retry_burst: retries that the whole fleet may send in excess of the ratio
  * @max_connections: maximum connections from one worker to one upstream
+ * @usage: address for usage reports; @usage.addr is NULL when usage is not
+ *	reported
+ * @usage_window_ms: length of a window of usage reports in milliseconds
+ * @usage_due_ms: a usage report is due this long after the end of its window
+ * @usage_lease_ms: lease of the duty to send usage reports
  * @log_json: log JSON objects instead of text
  * @log_debug: log debug messages too
  */
@@ -83,6 +88,10 @@
 	double retry_ratio;
 	int64_t retry_burst;
 	int64_t max_connections;
+	struct settings_addr usage;
+	int64_t usage_window_ms;
+	int64_t usage_due_ms;
+	int64_t usage_lease_ms;
 	bool log_json;
 	bool log_debug;
 };
