--- a/packages/fleet/store.h
+++ b/packages/fleet/store.h
@@ -19,6 +19,7 @@
 
 #include "base/byte_string.h"
 #include "fleet/objects.h"
+#include "usage/usage_duty.h"
 
 /** enum store_kind - kinds of objects */
 enum store_kind {
@@ -59,6 +60,9 @@
  *	to be relayed to other VMs unchanged; not called for upstreams
  * @reachable: the store answers again, or stopped answering
  * @move_written: the write of a move's status ended
+ * @usage_record: a read or write of the usage record ended, see
+ *	usage_duty_on_record(); @r is valid during the call only
+ * @usage_reported: a usage report ended
  */
 struct store_sink_ops {
 	void (*begin)(struct store_sink *s, enum store_kind kind);
@@ -78,6 +82,10 @@
 	void (*reachable)(struct store_sink *s, bool yes);
 	void (*move_written)(
 	    struct store_sink *s, const char *name, enum store_result result);
+	void (*usage_record)(struct store_sink *s,
+	    enum usage_record_event event, const struct usage_record *r);
+	void (*usage_reported)(struct store_sink *s, int64_t window,
+	    enum usage_report_result result);
 };
 
 /** struct store_sink - base of a receiver, its first member */
@@ -104,6 +112,10 @@
  *	@revision, which is newer; 0 when its revision is not known
  * @set_reader: set whether other VMs rely on the reads of this one; if so, no
  *	read is postponed
+ * @read_usage: read the usage record
+ * @write_usage: conditional write of the usage record: creates it when its
+ *	revision is 0, otherwise replaces it if it still has this revision
+ * @report_usage: report a window in the name of @holder under a fencing token
  * @run: do due work and wait for up to @timeout_ms, or until one of the
  *	descriptors is readable
  * @free: close and free
@@ -124,6 +136,11 @@
 	void (*request_list)(
 	    struct fleet_store *s, enum store_kind kind, int64_t revision);
 	void (*set_reader)(struct fleet_store *s, bool yes);
+	void (*read_usage)(struct fleet_store *s);
+	void (*write_usage)(
+	    struct fleet_store *s, const struct usage_record *r);
+	void (*report_usage)(struct fleet_store *s, const char *holder,
+	    int64_t token, const struct usage_window *w);
 	void (*run)(
 	    struct fleet_store *s, const int *fds, unsigned n, int timeout_ms);
 	void (*free)(struct fleet_store *s);
--- a/packages/ops/metrics.c
+++ b/packages/ops/metrics.c
@@ -13,6 +13,15 @@
     [METRICS_CLAIMS] = "claims",
     [METRICS_TAKEOVERS] = "partition_takeovers",
     [METRICS_PERMITS] = "cold_start_permits",
+    [METRICS_USAGE_ACCEPTED] = "usage_reports_accepted",
+    [METRICS_USAGE_FENCED] = "usage_reports_refused",
+    [METRICS_USAGE_FAILED] = "usage_reports_failed",
+};
+
+static const char *const gauge_names[METRICS_GAUGES] = {
+    [METRICS_USAGE_WINDOW] = "usage_reported_window",
+    [METRICS_USAGE_HOLDER] = "usage_holder",
+    [METRICS_USAGE_TOKEN] = "usage_token",
 };
 
 static const double quantiles[] = {0.5, 0.99, 0.999};
@@ -29,6 +38,12 @@
 	return (atomic_load_explicit(&m->count[id], memory_order_relaxed));
 }
 
+void
+metrics_set(struct metrics *m, enum metrics_gauge id, int64_t value)
+{
+	atomic_store_explicit(&m->gauges[id], value, memory_order_relaxed);
+}
+
 void
 metrics_error(struct metrics *m, enum err_kind kind)
 {
@@ -45,6 +60,12 @@
 		    names[i], names[i],
 		    (unsigned long long)metrics_get(m, (enum metrics_id)i));
 	}
+	for (int i = 0; i < METRICS_GAUGES; i++)
+		bbuf_addf(out,
+		    "# TYPE camphorhollow_%s gauge\ncamphorhollow_%s %lld\n",
+		    gauge_names[i], gauge_names[i],
+		    (long long)atomic_load_explicit(
+			&m->gauges[i], memory_order_relaxed));
 	bbuf_add(out, BSTR("# TYPE camphorhollow_errors_total counter\n"));
 	for (int k = 1; k < ERR_KIND_COUNT; k++) {
 		bbuf_addf(out, "camphorhollow_errors_total{kind=\"%s\"} %llu\n",
--- a/packages/ops/metrics.h
+++ b/packages/ops/metrics.h
@@ -31,6 +31,9 @@
  * @METRICS_CLAIMS: claims that this VM requested for idempotency keys
  * @METRICS_TAKEOVERS: partitions that this VM took over
  * @METRICS_PERMITS: calls to cold upstreams that this VM was granted
+ * @METRICS_USAGE_ACCEPTED: usage reports that were accepted
+ * @METRICS_USAGE_FENCED: usage reports refused because of a higher token
+ * @METRICS_USAGE_FAILED: usage reports with no or another answer
  */
 enum metrics_id {
 	METRICS_CALLS,
@@ -45,18 +48,36 @@
 	METRICS_CLAIMS,
 	METRICS_TAKEOVERS,
 	METRICS_PERMITS,
+	METRICS_USAGE_ACCEPTED,
+	METRICS_USAGE_FENCED,
+	METRICS_USAGE_FAILED,
 	METRICS_COUNT
 };
 
+/**
+ * enum metrics_gauge - values of the moment
+ * @METRICS_USAGE_WINDOW: last window known to be reported
+ * @METRICS_USAGE_HOLDER: 1 while this VM has the duty of reporting usage
+ * @METRICS_USAGE_TOKEN: fencing token of the holder
+ */
+enum metrics_gauge {
+	METRICS_USAGE_WINDOW,
+	METRICS_USAGE_HOLDER,
+	METRICS_USAGE_TOKEN,
+	METRICS_GAUGES
+};
+
 /**
  * struct metrics - all metrics; zero-initialized memory is valid
  * @count: counters without labels, by enum metrics_id
+ * @gauges: by enum metrics_gauge
  * @errors: calls that ended with an error, by enum err_kind
  * @latency: time from the request head to the end of the response of calls
  *	without an error, in microseconds
  */
 struct metrics {
 	_Atomic uint64_t count[METRICS_COUNT];
+	_Atomic int64_t gauges[METRICS_GAUGES];
 	_Atomic uint64_t errors[ERR_KIND_COUNT];
 	struct histogram latency;
 };
@@ -67,6 +88,9 @@
 /** metrics_get() - read a counter */
 uint64_t metrics_get(const struct metrics *m, enum metrics_id id);
 
+/** metrics_set() - set a gauge */
+void metrics_set(struct metrics *m, enum metrics_gauge id, int64_t value);
+
 /** metrics_error() - count a call that ended with @kind */
 void metrics_error(struct metrics *m, enum err_kind kind);
 
--- a/tests/lib/object_store.c
+++ b/tests/lib/object_store.c
@@ -13,8 +13,10 @@
 #include <unistd.h>
 
 #include "base/byte_string.h"
+#include "lib/usage_reports.h"
 
 #define PREFIX "/v1/objects/"
+#define REPORT_PATH "/usage"
 #define DEFAULT_PAGE 500
 #define MAX_NAME_LEN 200
 
@@ -49,6 +51,7 @@
  * @stale_revision: revision of @stale
  * @calls: kind -> number of calls
  * @exact_lists: kind -> number of lists that may not be stale
+ * @reports: receiver of usage reports
  * @stopping: calls that are waiting return
  */
 struct object_store {
@@ -66,6 +69,7 @@
 	json_int_t stale_revision;
 	GHashTable *calls;
 	GHashTable *exact_lists;
+	struct usage_reports *reports;
 	bool stopping;
 };
 
@@ -394,29 +398,65 @@
 	return (MHD_NO);
 }
 
+static const char *
+header_field(struct MHD_Connection *conn, const char *name)
+{
+	return (MHD_lookup_connection_value(conn, MHD_HEADER_KIND, name));
+}
+
 static enum MHD_Result
-serve(struct object_store *store, struct MHD_Connection *conn, const char *url,
-    const char *method, const struct request *req)
+serve_report(struct object_store *store, struct MHD_Connection *conn,
+    const char *method, const json_t *body)
+{
+	const char *token = header_field(conn, "X-Fencing-Token");
+	unsigned status;
+
+	count_call(store->calls, "reports");
+	if (strcmp(method, "POST") != 0)
+		return (respond(conn, 405, NULL));
+	if (store->faults.report_status != 0)
+		return (respond(conn, store->faults.report_status, NULL));
+	status = usage_reports_receive(store->reports,
+	    header_field(conn, "X-Lease-Holder"),
+	    token == NULL ? 0 : atoll(token), body);
+	if (store->faults.drop_report_responses)
+		return (MHD_NO);
+	return (respond(conn, status, NULL));
+}
+
+static enum MHD_Result
+serve_object(struct object_store *store, struct MHD_Connection *conn,
+    const char *url, const char *method, const json_t *body)
 {
 	char kind[MAX_NAME_LEN], name[MAX_NAME_LEN] = "";
-	json_t *body = NULL;
-	enum MHD_Result rc;
 
 	if (strncmp(url, PREFIX, strlen(PREFIX)) != 0 ||
 	    sscanf(url + strlen(PREFIX), "%199[^/]/%199s", kind, name) < 1)
 		return (respond(conn, 404, NULL));
+	count_call(store->calls, kind);
+	if (store->faults.no_response)
+		return (block_until_stop(store));
+	if (store->faults.status != 0)
+		return (respond(conn, store->faults.status, NULL));
+	if (strcmp(method, "GET") == 0)
+		return (serve_read(store, conn, kind, name));
+	return (serve_write(store, conn, method, kind, name, body));
+}
+
+static enum MHD_Result
+serve(struct object_store *store, struct MHD_Connection *conn, const char *url,
+    const char *method, const struct request *req)
+{
+	json_t *body = NULL;
+	enum MHD_Result rc;
+
 	if (req->body.n != 0)
 		body = json_loadb(req->body.p, req->body.n, 0, NULL);
 	pthread_mutex_lock(&store->lock);
-	count_call(store->calls, kind);
-	if (store->faults.no_response)
-		rc = block_until_stop(store);
-	else if (store->faults.status != 0)
-		rc = respond(conn, store->faults.status, NULL);
-	else if (strcmp(method, "GET") == 0)
-		rc = serve_read(store, conn, kind, name);
+	if (strcmp(url, REPORT_PATH) == 0)
+		rc = serve_report(store, conn, method, body);
 	else
-		rc = serve_write(store, conn, method, kind, name, body);
+		rc = serve_object(store, conn, url, method, body);
 	pthread_mutex_unlock(&store->lock);
 	json_decref(body);
 	return (rc);
@@ -476,6 +516,7 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	store->exact_lists =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	store->reports = usage_reports_new();
 	store->mhd = MHD_start_daemon(
 	    MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, 0,
 	    NULL, NULL, on_request, store, MHD_OPTION_SOCK_ADDR, &sin,
@@ -508,6 +549,7 @@
 	g_hash_table_unref(store->calls);
 	g_hash_table_unref(store->exact_lists);
 	drop_stale(store);
+	usage_reports_free(store->reports);
 	g_free(store);
 }
 
@@ -570,6 +612,12 @@
 	pthread_mutex_unlock(&store->lock);
 }
 
+struct usage_reports *
+object_store_reports(struct object_store *store)
+{
+	return (store->reports);
+}
+
 json_t *
 object_store_status(
     struct object_store *store, const char *kind, const char *name)
--- a/tests/lib/object_store.h
+++ b/tests/lib/object_store.h
@@ -2,7 +2,8 @@
  * object_store - HTTP server in the test's process that fakes the platform's
  * object store.
  *
- * It implements the published protocol: objects by kind and name, a revision
+ * It also receives usage reports, see lib/usage_reports.h. It implements the
+ * published protocol: objects by kind and name, a revision
  * counter, paged lists, watches, conditional writes, object status, and 410 for
  * a watch from before the kept history. Faults can be injected.
  *
@@ -41,6 +42,8 @@
  *	this fault was injected
  * @drop_write_responses: writes are applied, but the connection is closed
  *	without a response
+ * @drop_report_responses: the same for usage reports
+ * @report_status: respond to every usage report with this HTTP status
  */
 struct object_store_faults {
 	unsigned status;
@@ -48,9 +51,12 @@
 	bool stall_watches;
 	bool stale_lists;
 	bool drop_write_responses;
+	bool drop_report_responses;
+	unsigned report_status;
 };
 
 struct object_store;
+struct usage_reports;
 
 /**
  * object_store_new() - start the server
@@ -95,7 +101,13 @@
 json_t *object_store_status(
     struct object_store *store, const char *kind, const char *name);
 
-/** object_store_calls() - number of calls received for a kind */
+/** object_store_reports() - receiver of usage reports, owned by @store */
+struct usage_reports *object_store_reports(struct object_store *store);
+
+/**
+ * object_store_calls() - number of calls received for a kind, or of usage
+ * reports for "reports"
+ */
 unsigned object_store_calls(struct object_store *store, const char *kind);
 
 /** object_store_exact_lists() - number of lists that may not be stale */
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -194,7 +194,7 @@
 		bool ok = parse(&s, text, &problems);
 
 		assert_true(ok == (cases[i].problem == NULL));
-		if (ok) {
+		if (cases[i].problem == NULL) {
 			assert_string_equal(s.usage.addr, "10.0.0.1");
 			assert_int_equal(s.usage_window_ms, 2500);
 			assert_int_equal(s.usage_due_ms, 10000);
