Add usage_duty: fleet-wide counting and reporting of usage

The duty is divided into usage_clock (estimate of true time), usage_ledger (counts received), usage_push (own counts to send), usage_duty (messages) and usage_duty_record (record, takeover, reports).

Changes of the interface: messages and source have headers of their own, usage_message.h and usage_source.h, which usage_duty.h includes.

--- a/packages/usage/usage_duty.h
+++ b/packages/usage/usage_duty.h
@@ -29,14 +29,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "usage/usage_message.h"
+#include "usage/usage_push.h"
 #include "usage/usage_record.h"
-
-/* Longest name of a VM or a workspace in bytes. */
-#define USAGE_NAME_MAX 127
-/* Counts in one message, which keeps it below the usual packet size. */
-#define USAGE_MSG_MAX_COUNTS 24
-/* VMs that collect counts at the same time. */
-#define USAGE_MAX_COLLECTORS 4
+#include "usage/usage_source.h"
 
 /**
  * struct usage_now - the present time
@@ -48,47 +44,6 @@
 	int64_t wall_ms;
 };
 
-/** struct usage_msg_count - count of one workspace in one window */
-struct usage_msg_count {
-	int64_t window;
-	char workspace[USAGE_NAME_MAX + 1];
-	uint32_t count;
-};
-
-/**
- * struct usage_counts_msg - counts of one VM, to a collector
- * @vm: sending VM
- * @boot: number of its process; the counts are of this process alone
- * @time_ms: Unix time as the sender estimates it
- * @counts: each is the total of the process so far, so that a lost or repeated
- *	message does no harm
- * @n: number of @counts
- */
-struct usage_counts_msg {
-	char vm[USAGE_NAME_MAX + 1];
-	uint64_t boot;
-	int64_t time_ms;
-	struct usage_msg_count counts[USAGE_MSG_MAX_COUNTS];
-	uint32_t n;
-};
-
-/**
- * struct usage_status_msg - status of the holder, or of a VM that is about to
- * take over, to all VMs
- * @vm: sending VM
- * @token: its fencing token, 0 before it holds the duty
- * @reported_through: last window whose report was accepted
- * @time_ms: Unix time as the sender estimates it
- * @n_samples: VMs whose clocks @time_ms is based on
- */
-struct usage_status_msg {
-	char vm[USAGE_NAME_MAX + 1];
-	int64_t token;
-	int64_t reported_through;
-	int64_t time_ms;
-	uint32_t n_samples;
-};
-
 /** enum usage_record_event - what the store answered about the record */
 enum usage_record_event {
 	USAGE_RECORD_READ,    /* the record as it is, also when it is missing */
@@ -140,29 +95,6 @@
 	uint32_t n;
 };
 
-/**
- * struct usage_source - counts of this process
- * @ops: operations
- *
- * The first member of the calling code's own type.
- */
-struct usage_source;
-
-/**
- * struct usage_source_ops - operations of a source
- * @each: calls @fn for each workspace with requests in @window, in the order of
- *	the names
- */
-struct usage_source_ops {
-	void (*each)(struct usage_source *s, int64_t window,
-	    void (*fn)(void *arg, const char *workspace, uint32_t count),
-	    void *arg);
-};
-
-struct usage_source {
-	const struct usage_source_ops *ops;
-};
-
 /**
  * struct usage_duty_desc - settings
  * @self: this VM
--- /dev/null
+++ b/packages/usage/usage_duty_internal.h
@@ -0,0 +1,200 @@
+/*
+ * usage_duty_internal - state that the modules of usage_duty share.
+ *
+ * usage_duty.c has the entry points, the messages and the clock;
+ * usage_duty_record.c has the record in the store, the takeover and the
+ * reports.
+ */
+#ifndef USAGE_USAGE_DUTY_INTERNAL_H
+#define USAGE_USAGE_DUTY_INTERNAL_H
+
+#include <glib.h>
+
+#include "base/random.h"
+#include "usage/usage_clock.h"
+#include "usage/usage_duty.h"
+#include "usage/usage_ledger.h"
+
+/* Figures are fixed so long after the end of a window: counts may be late. */
+#define USAGE_FIX_MS 2000
+/* A window is overdue for the first VM in rank so long after that. */
+#define USAGE_OVERDUE_MS 1500
+/* Further delay of each of the next VMs in rank. */
+#define USAGE_RANK_MS 1000
+#define USAGE_RANK_STEPS 3
+/*
+ * Further delay of each VM after these, so that also a store that refuses many
+ * VMs finds one that reports in time.
+ */
+#define USAGE_FAR_RANK_MS 100
+/*
+ * A holder that announces fixed figures has so long to report them. Another VM
+ * reaches the address of the reports no better, unless the fault is the
+ * holder's alone.
+ */
+#define USAGE_REPORT_MS 6000
+/* A holder that sent no status for so long is not present. */
+#define USAGE_PRESENT_MS 2500
+/* Time between a VM's announcement and its takeover, for the counts of others.
+ */
+#define USAGE_ANNOUNCE_MS 400
+/* The former holder hears of the new one before that one's first report. */
+#define USAGE_SETTLE_MS 200
+/* Interval of the holder's status. */
+#define USAGE_STATUS_MS 1000
+/* Delay before the first and the further repeats of a report. */
+#define USAGE_FIRST_REPEAT_MS 500
+#define USAGE_REPEAT_MS 2000
+/* Delay before the record is read after a write without an answer. */
+#define USAGE_REREAD_MS 500
+/* Delay before a failed store call of the holder is repeated. */
+#define USAGE_STORE_RETRY_MS 1000
+/* The same for other VMs: at least this, and this for each VM of the fleet. */
+#define USAGE_TAKE_RETRY_MS 2000
+#define USAGE_TAKE_RETRY_PER_VM_MS 100
+/* A process that did not run for so long was paused and may have been replaced.
+ */
+#define USAGE_PAUSE_MS 1000
+/* VMs whose status is remembered, apart from the holder. */
+#define USAGE_MAX_SEEN USAGE_MAX_COLLECTORS
+
+/** enum usage_store_call - a call to the store without an answer yet */
+enum usage_store_call {
+	USAGE_STORE_NONE,
+	USAGE_STORE_READ,
+	USAGE_STORE_WRITE,
+};
+
+/** enum usage_take - steps of a takeover */
+enum usage_take {
+	USAGE_TAKE_NONE,
+	USAGE_TAKE_READ,      /* the record is being read */
+	USAGE_TAKE_ANNOUNCED, /* counts of others are awaited */
+	USAGE_TAKE_WRITE,     /* the record is being written */
+};
+
+/** struct usage_seen - a VM whose status arrived */
+struct usage_seen {
+	char vm[USAGE_NAME_MAX + 1];
+	int64_t mono_ms;
+};
+
+/**
+ * struct usage_duty - state
+ * @vms: VMs of the fleet in the order of their ranks
+ * @rank: index of this VM, the number of VMs when it is missing
+ * @present_ms: monotonic time of the last event
+ * @start_ms: monotonic time of the first event
+ *
+ * @push_at_ms: true time of the next round of pushes
+ * @push_phase: random part of the times of the rounds, in [0, 1)
+ * @seen: VMs whose status arrived last
+ *
+ * @holder: VM with the highest known token
+ * @token: that token
+ * @token_since_ms: monotonic time at which it became known
+ * @heard_ms: monotonic time of the holder's last status
+ * @announced_fixed: last window that the holder announced as fixed
+ * @reported_through: last window known to be reported
+ *
+ * @record: the record as the store confirmed it last
+ * @record_known: the store answered since the start
+ * @draft: the record that is being written
+ * @fenced_token: highest own token that must not be used any more
+ * @blocked_ms: monotonic time before which the duty is not taken again
+ * @was_holder: this VM held the duty at the last event
+ * @must_read: the record has to be read before this VM acts on it
+ * @store_at_ms: monotonic time of the next call to the store
+ * @take_at_ms: monotonic time of the next step of a takeover
+ * @status_at_ms: monotonic time of the holder's next status
+ * @report_at_ms: monotonic time of the next report
+ * @report_window: window whose report has no answer yet, -1 for none
+ * @report_token: token of that report
+ * @n_failed: reports that failed since the last accepted one
+ */
+struct usage_duty {
+	char self[USAGE_NAME_MAX + 1];
+	struct usage_duty_desc desc;
+	struct random rng;
+	struct usage_clock clock;
+	struct usage_ledger ledger;
+	struct usage_push push;
+	GPtrArray *vms;
+	uint32_t rank;
+	bool reachable;
+	int64_t present_ms;
+	int64_t start_ms;
+
+	int64_t push_at_ms;
+	double push_phase;
+	struct usage_seen seen[USAGE_MAX_SEEN];
+
+	char holder[USAGE_NAME_MAX + 1];
+	int64_t token;
+	int64_t token_since_ms;
+	int64_t heard_ms;
+	int64_t announced_fixed;
+	int64_t reported_through;
+
+	struct usage_record record;
+	bool record_known;
+	struct usage_record draft;
+	int64_t fenced_token;
+	int64_t blocked_ms;
+	bool was_holder;
+	bool must_read;
+	enum usage_store_call store_call;
+	int64_t store_at_ms;
+	enum usage_take take;
+	int64_t take_at_ms;
+	int64_t status_at_ms;
+	int64_t report_at_ms;
+	int64_t report_window;
+	int64_t report_token;
+	uint32_t n_failed;
+};
+
+/** usage_duty_effect() - append an effect and return it */
+struct usage_effect *usage_duty_effect(
+    struct usage_out *out, enum usage_effect_type type);
+
+/**
+ * usage_duty_begin() - take the time of an event
+ *
+ * Return: whether the process was paused before the event.
+ */
+bool usage_duty_begin(struct usage_duty *d, const struct usage_now *now);
+
+/** usage_duty_true_ms() - Unix time as this VM estimates it */
+int64_t usage_duty_true_ms(const struct usage_duty *d);
+
+/** usage_duty_window() - number of the present window */
+int64_t usage_duty_window(const struct usage_duty *d);
+
+/** usage_duty_send_status() - send a status, token 0 before a takeover */
+void usage_duty_send_status(
+    struct usage_duty *d, int64_t token, struct usage_out *out);
+
+/** usage_duty_refresh_own() - read the counts of this process */
+void usage_duty_refresh_own(struct usage_duty *d);
+
+/** usage_duty_note_token() - another VM or the store named a holder */
+void usage_duty_note_token(
+    struct usage_duty *d, const char *holder, int64_t token);
+
+/** usage_duty_note_reported() - the reports up to @window are accepted */
+void usage_duty_note_reported(struct usage_duty *d, int64_t window);
+
+/** usage_duty_is_holder() - whether the confirmed record lets this VM act */
+bool usage_duty_is_holder(const struct usage_duty *d);
+
+/** usage_duty_lose() - another VM holds the duty now */
+void usage_duty_lose(struct usage_duty *d);
+
+/** usage_duty_step() - do what is due with the store and the reports */
+void usage_duty_step(struct usage_duty *d, struct usage_out *out);
+
+/** usage_duty_stop_taking() - give up a takeover that is not written yet */
+void usage_duty_stop_taking(struct usage_duty *d);
+
+#endif
