Add usage_runner, a VM's part in the usage reports

The boot number no longer is the seed: with a seed in the settings, a restarted process had the number of the earlier one, and its counts looked older.

--- a/packages/camphorhollowd/main.c
+++ b/packages/camphorhollowd/main.c
@@ -90,6 +90,13 @@
 	    clk_mono_us() <= atomic_load(&shared->fresh_until_us));
 }
 
+/* Differs for each start, also when the settings fix the seed. */
+static uint64_t
+process_number(void)
+{
+	return ((uint64_t)(clk_wall_ms() ^ (int64_t)getpid() << 32));
+}
+
 static bool
 has_object_store(const struct daemon *d)
 {
@@ -102,16 +109,22 @@
 {
 	char *address = g_strdup_printf(
 	    "%s:%lld", d->set.platform.addr, (long long)d->set.platform.port);
+	char *usage_address = d->set.usage.addr == NULL
+	    ? NULL
+	    : g_strdup_printf(
+		  "%s:%lld", d->set.usage.addr, (long long)d->set.usage.port);
 	struct platform_store_desc store = {.address = address,
+	    .usage_address = usage_address,
 	    .metrics = &d->metrics,
 	    .seed = (uint64_t)d->set.seed};
 	struct fleet_control_desc desc = {.set = &d->set,
 	    .shared = &d->shared,
 	    .store = platform_store_new(&store),
-	    .boot = (uint64_t)d->set.seed};
+	    .boot = process_number()};
 	GError *error = NULL;
 
 	g_free(address);
+	g_free(usage_address);
 	d->shared.protocol = field_names_protocol();
 	d->shared.zone = d->set.zone;
 	d->fleet = fleet_control_new(&desc, &error);
@@ -336,7 +349,7 @@
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	rcu_register_thread();
 	if (d->set.seed == 0)
-		d->set.seed = clk_wall_ms() ^ (int64_t)getpid() << 32;
+		d->set.seed = (int64_t)process_number();
 	d->shared.metrics = &d->metrics;
 	d->shared.protocol = proto_own();
 	d->shared.max_keyed_body = (size_t)d->set.max_keyed_body;
--- a/packages/control/fleet_control.c
+++ b/packages/control/fleet_control.c
@@ -11,6 +11,7 @@
 
 #include "control/move_runner.h"
 #include "control/update_relay.h"
+#include "control/usage_runner.h"
 #include "front/worker_msg.h"
 #include "ops/ops_server.h"
 #include "peer/update_datagram.h"
@@ -36,6 +37,8 @@
 /**
  * struct fleet_control - control thread
  * @sink: receives the store's changes; has to be the first member
+ * @usage: valid if @has_usage
+ * @has_usage: usage reports are configured
  * @n_members: number of VMs that the limits were last divided by
  */
 struct fleet_control {
@@ -44,6 +47,8 @@
 	struct fleet_view view;
 	struct move_runner moves;
 	struct update_relay relay;
+	struct usage_runner usage;
+	bool has_usage;
 	struct message_queue queue;
 	int udp_fd;
 	pthread_t thread;
@@ -111,8 +116,28 @@
 static void
 on_reachable(struct store_sink *s, bool yes)
 {
+	struct fleet_control *c = fleet_control_of(s);
+
 	g_message("store: %s", yes ? "answers again" : "does not answer");
-	view_on_reachable(&fleet_control_of(s)->view, yes, clk_mono_us());
+	view_on_reachable(&c->view, yes, clk_mono_us());
+	if (c->has_usage)
+		usage_runner_on_reachable(&c->usage, yes);
+}
+
+static void
+on_usage_record(struct store_sink *s, enum usage_record_event event,
+    const struct usage_record *r)
+{
+	usage_runner_on_record(
+	    &fleet_control_of(s)->usage, event, r, clk_mono_ms());
+}
+
+static void
+on_usage_reported(
+    struct store_sink *s, int64_t window, enum usage_report_result result)
+{
+	usage_runner_on_reported(
+	    &fleet_control_of(s)->usage, window, result, clk_mono_ms());
 }
 
 static void
@@ -184,6 +209,8 @@
     .changes = on_changes,
     .reachable = on_reachable,
     .move_written = on_move_written,
+    .usage_record = on_usage_record,
+    .usage_reported = on_usage_reported,
 };
 
 static void
@@ -223,6 +250,30 @@
 	return (-1);
 }
 
+static void
+init_usage(struct fleet_control *c)
+{
+	const struct settings *s = c->desc.set;
+
+	c->has_usage = s->usage.addr != NULL;
+	if (!c->has_usage)
+		return;
+	usage_runner_init(&c->usage,
+	    &(struct usage_runner_desc){.self = s->id,
+		.boot = c->desc.boot,
+		.window_ms = s->usage_window_ms,
+		.due_ms = s->usage_due_ms,
+		.lease_ms = s->usage_lease_ms,
+		.seed = (uint64_t)s->seed,
+		.view = &c->view,
+		.store = c->desc.store,
+		.shared = c->desc.shared,
+		.send = send_datagram,
+		.send_all = send_all,
+		.wall_ms = wall_ms,
+		.arg = c});
+}
+
 struct fleet_control *
 fleet_control_new(const struct fleet_control_desc *desc, GError **error)
 {
@@ -256,6 +307,7 @@
 		.send_all = send_all,
 		.wall_ms = wall_ms,
 		.arg = c});
+	init_usage(c);
 	return (c);
 }
 
@@ -293,7 +345,10 @@
 static void
 handle_datagram(struct fleet_control *c, struct bstr bytes, int64_t now_ms)
 {
-	if (!update_relay_on_datagram(&c->relay, bytes, now_ms))
+	if (update_relay_on_datagram(&c->relay, bytes, now_ms))
+		return;
+	if (!c->has_usage ||
+	    !usage_runner_on_datagram(&c->usage, bytes, now_ms))
 		move_runner_on_datagram(&c->moves, bytes, now_ms);
 }
 
@@ -380,6 +435,8 @@
 		update_relay_tick(&c->relay, clk_mono_ms());
 		divide_limits(c);
 		move_runner_tick(&c->moves, clk_mono_ms());
+		if (c->has_usage)
+			usage_runner_tick(&c->usage, clk_mono_ms());
 		publish(c);
 	}
 	rcu_unregister_thread();
@@ -408,6 +465,8 @@
 		free(m);
 	msgq_finish(&c->queue);
 	c->desc.store->ops->free(c->desc.store);
+	if (c->has_usage)
+		usage_runner_finish(&c->usage);
 	move_runner_finish(&c->moves);
 	update_relay_finish(&c->relay);
 	view_finish(&c->view);
--- a/packages/front/shared_state.h
+++ b/packages/front/shared_state.h
@@ -39,6 +39,10 @@
  *	if @retry_burst is not 0
  * @retry_burst: limit on saved-up retries of a service; 0 means that the
  *	defaults of struct retry_budget_desc apply
+ * @usage_offset_ms: Unix time less the monotonic time in milliseconds, as the
+ *	control thread estimates it
+ * @usage_window_ms: length of a window of usage reports, 0 when requests are
+ *	not counted
  */
 struct shared_state {
 	struct rt_table *table;
@@ -53,6 +57,8 @@
 	const char *zone;
 	_Atomic uint32_t retry_permille;
 	_Atomic uint32_t retry_burst;
+	_Atomic int64_t usage_offset_ms;
+	_Atomic int64_t usage_window_ms;
 };
 
 /** shared_table() - current table; call it under the RCU read lock */
