--- a/packages/front/call.h
+++ b/packages/front/call.h
@@ -118,6 +118,7 @@
  *	credential and workspace fields are not forwarded
  * @workspace: name of the caller's workspace, empty for none
  * @usage: counter of that workspace, NULL for none, a reference is held
+ * @usage_window: window in which the attempt was counted, -1 for none
  * @priority: rank of the request, 0 is the most urgent: that of the workspace
  *	if it has one, else that of the route
  * @body: request body; bytes before @body_off were passed to libcurl
@@ -219,6 +220,7 @@
 	bool workspaces_required;
 	char workspace[CALL_WORKSPACE_MAX + 1];
 	struct usage_counter *usage;
+	int64_t usage_window;
 	uint32_t priority;
 
 	struct bbuf body;
--- a/packages/front/upstream_side.c
+++ b/packages/front/upstream_side.c
@@ -14,6 +14,7 @@
 #include "front/retry_policy.h"
 #include "front/upstream_choice.h"
 #include "front/upstream_request.h"
+#include "front/usage_count.h"
 #include "front/worker.h"
 #include "front/worker_service.h"
 #include "sys/clocks.h"
@@ -96,6 +97,7 @@
 	if (c->blocked != ERR_NONE)
 		return (CURL_PREREQFUNC_ABORT);
 	c->sent = CALL_MAY_BE_SENT;
+	usage_count_sent(c, now_us);
 	c->sent_on_reused_conn = c->opened_fd < 0;
 	return (CURL_PREREQFUNC_OK);
 }
@@ -202,6 +204,8 @@
 		    call_header_in(c, protocol->request_id_field);
 	protocol->ops->read(&c->head, &expect, &r);
 	c->refused = r.not_run;
+	if (c->refused)
+		usage_count_not_run(c);
 	c->head_bad = r.verdict == PROTO_MISMATCH;
 	if (r.running >= 0)
 		c->reported = r.running;
