--- a/packages/ops/metrics.c
+++ b/packages/ops/metrics.c
@@ -16,6 +16,8 @@
     [METRICS_USAGE_ACCEPTED] = "usage_reports_accepted",
     [METRICS_USAGE_FENCED] = "usage_reports_refused",
     [METRICS_USAGE_FAILED] = "usage_reports_failed",
+    [METRICS_CALLS_WITHOUT_KEY] = "calls_without_key",
+    [METRICS_CALLS_UNKNOWN_KEY] = "calls_with_unknown_key",
 };
 
 static const char *const gauge_names[METRICS_GAUGES] = {
@@ -66,6 +68,10 @@
 		    gauge_names[i], gauge_names[i],
 		    (long long)atomic_load_explicit(
 			&m->gauges[i], memory_order_relaxed));
+	bbuf_addf(out,
+	    "# TYPE camphorhollow_workspaces gauge\n"
+	    "camphorhollow_workspaces %llu\n",
+	    (unsigned long long)atomic_load(&m->workspaces));
 	bbuf_add(out, BSTR("# TYPE camphorhollow_errors_total counter\n"));
 	for (int k = 1; k < ERR_KIND_COUNT; k++) {
 		bbuf_addf(out, "camphorhollow_errors_total{kind=\"%s\"} %llu\n",
--- a/packages/ops/metrics.h
+++ b/packages/ops/metrics.h
@@ -34,6 +34,9 @@
  * @METRICS_USAGE_ACCEPTED: usage reports that were accepted
  * @METRICS_USAGE_FENCED: usage reports refused because of a higher token
  * @METRICS_USAGE_FAILED: usage reports with no or another answer
+ * @METRICS_CALLS_WITHOUT_KEY: calls whose Authorization field is missing,
+ *	repeated or malformed, counted if the configuration has workspaces
+ * @METRICS_CALLS_UNKNOWN_KEY: calls whose key belongs to no workspace
  */
 enum metrics_id {
 	METRICS_CALLS,
@@ -51,6 +54,8 @@
 	METRICS_USAGE_ACCEPTED,
 	METRICS_USAGE_FENCED,
 	METRICS_USAGE_FAILED,
+	METRICS_CALLS_WITHOUT_KEY,
+	METRICS_CALLS_UNKNOWN_KEY,
 	METRICS_COUNT
 };
 
@@ -71,6 +76,7 @@
  * struct metrics - all metrics; zero-initialized memory is valid
  * @count: counters without labels, by enum metrics_id
  * @gauges: by enum metrics_gauge
+ * @workspaces: number of workspaces in the configuration, 0 without them
  * @errors: calls that ended with an error, by enum err_kind
  * @latency: time from the request head to the end of the response of calls
  *	without an error, in microseconds
@@ -78,6 +84,7 @@
 struct metrics {
 	_Atomic uint64_t count[METRICS_COUNT];
 	_Atomic int64_t gauges[METRICS_GAUGES];
+	_Atomic uint64_t workspaces;
 	_Atomic uint64_t errors[ERR_KIND_COUNT];
 	struct histogram latency;
 };
