--- a/tests/lib/object_store.c
+++ b/tests/lib/object_store.c
@@ -411,9 +411,9 @@
 	const char *token = header_field(conn, "X-Fencing-Token");
 	unsigned status;
 
+	if (strcmp(method, "GET") == 0)
+		return (respond(conn, 200, usage_reports_json(store->reports)));
 	count_call(store->calls, "reports");
-	if (strcmp(method, "POST") != 0)
-		return (respond(conn, 405, NULL));
 	if (store->faults.report_status != 0)
 		return (respond(conn, store->faults.report_status, NULL));
 	status = usage_reports_receive(store->reports,
--- a/tests/lib/object_store.h
+++ b/tests/lib/object_store.h
@@ -2,10 +2,11 @@
  * object_store - HTTP server in the test's process that fakes the platform's
  * object store.
  *
- * It also receives usage reports, see lib/usage_reports.h. It implements the
- * published protocol: objects by kind and name, a revision
+ * It implements the published protocol: objects by kind and name, a revision
  * counter, paged lists, watches, conditional writes, object status, and 410 for
- * a watch from before the kept history. Faults can be injected.
+ * a watch from before the kept history. It also receives usage reports, see
+ * lib/usage_reports.h; GET /usage returns usage_reports_json(). Faults can be
+ * injected.
  *
  *	struct object_store_desc desc = {.page = 2};
  *	struct object_store *store = object_store_new(&desc);
--- a/tests/lib/usage_reports.c
+++ b/tests/lib/usage_reports.c
@@ -118,3 +118,12 @@
 	pthread_mutex_unlock(&u->lock);
 	return (token);
 }
+
+json_t *
+usage_reports_json(struct usage_reports *u)
+{
+	return (
+	    json_pack("{s:o,s:I,s:I}", "accepted", usage_reports_accepted(u),
+		"violations", (json_int_t)usage_reports_violations(u), "token",
+		(json_int_t)usage_reports_token(u)));
+}
--- a/tests/lib/usage_reports.h
+++ b/tests/lib/usage_reports.h
@@ -46,4 +46,10 @@
 /** usage_reports_token() - highest token so far, 0 for none */
 int64_t usage_reports_token(struct usage_reports *u);
 
+/**
+ * usage_reports_json() - {"accepted", "violations", "token"}, from the
+ * functions above; new reference
+ */
+json_t *usage_reports_json(struct usage_reports *u);
+
 #endif
