--- a/tests/script/t-usage.sh
+++ b/tests/script/t-usage.sh
@@ -164,6 +164,11 @@
 check "windows reported" "$(reports accepted.#)" -ge 4
 check "reports accepted by the metrics of the holder" \
     "$(metric "$holder" usage_reports_accepted_total)" -ge 1
+# One write takes the duty over and fixes the first windows, one each fixes a
+# further window, one is this VM's entry; one more for a repeated call.
+check "writes of the holder to the store" \
+    "$(metric "$holder" store_writes_total)" -le \
+    $(($(metric "$holder" usage_reports_accepted_total) + 3))
 check "token in the metrics of the holder" "$(metric "$holder" usage_token)" \
     -eq "$(reports token)"
 lib_finish
