--- a/packages/control/usage_runner.c
+++ b/packages/control/usage_runner.c
@@ -11,10 +11,20 @@
 /* Differs from the seeds of other duties, so that the holder is another VM. */
 #define RANK_SEED 0x7573616765
 
+/**
+ * struct workspace_count - workspace and its counter, both owned by the view
+ */
+struct workspace_count {
+	const char *name;
+	const struct usage_counter *counter;
+};
+
 static int
 compare_names(const void *x, const void *y)
 {
-	return (strcmp(*(const char *const *)x, *(const char *const *)y));
+	const struct workspace_count *left = x, *right = y;
+
+	return (strcmp(left->name, right->name));
 }
 
 /*
@@ -26,22 +36,24 @@
 {
 	GHashTable *counters = r->desc.view->usage;
 	GHashTableIter it;
-	void *name;
+	void *name, *counter;
 
 	if (r->n_counters == g_hash_table_size(counters))
 		return;
 	r->n_counters = g_hash_table_size(counters);
-	g_ptr_array_set_size(r->workspaces, 0);
+	g_array_set_size(r->workspaces, 0);
 	g_hash_table_iter_init(&it, counters);
-	while (g_hash_table_iter_next(&it, &name, NULL)) {
+	while (g_hash_table_iter_next(&it, &name, &counter)) {
+		struct workspace_count w = {name, counter};
+
 		if (strlen(name) <= USAGE_NAME_MAX)
-			g_ptr_array_add(r->workspaces, name);
+			g_array_append_val(r->workspaces, w);
 		else
 			g_warning("usage: the name of workspace %s is too "
 				  "long, its usage is not reported",
 			    (const char *)name);
 	}
-	g_ptr_array_sort(r->workspaces, compare_names);
+	g_array_sort(r->workspaces, compare_names);
 }
 
 static void
@@ -52,12 +64,12 @@
 
 	update_workspaces(r);
 	for (guint i = 0; i < r->workspaces->len; i++) {
-		const char *name = g_ptr_array_index(r->workspaces, i);
-		uint32_t count =
-		    usage_counter_get(view_usage(r->desc.view, name), window);
+		const struct workspace_count *w =
+		    &g_array_index(r->workspaces, struct workspace_count, i);
+		uint32_t count = usage_counter_get(w->counter, window);
 
 		if (count != 0)
-			fn(arg, name, count);
+			fn(arg, w->name, count);
 	}
 }
 
@@ -67,7 +79,8 @@
 usage_runner_init(struct usage_runner *r, const struct usage_runner_desc *desc)
 {
 	*r = (struct usage_runner){.source = {&source_ops}, .desc = *desc};
-	r->workspaces = g_ptr_array_new();
+	r->workspaces =
+	    g_array_new(FALSE, FALSE, sizeof(struct workspace_count));
 	r->duty = usage_duty_new(&(struct usage_duty_desc){.self = desc->self,
 	    .boot = desc->boot,
 	    .window_ms = desc->window_ms,
@@ -82,7 +95,7 @@
 {
 	atomic_store(&r->desc.shared->usage_window_ms, 0);
 	usage_duty_free(r->duty);
-	g_ptr_array_unref(r->workspaces);
+	g_array_unref(r->workspaces);
 }
 
 /**
--- a/packages/control/usage_runner.h
+++ b/packages/control/usage_runner.h
@@ -62,7 +62,7 @@
 /**
  * struct usage_runner - state on caller-owned memory
  * @source: counters of this process, for @duty; has to be the first member
- * @workspaces: names of the counters in @desc.view, in order; not owned
+ * @workspaces: counters in @desc.view with their names, in order of the names
  * @n_counters: number of counters in @desc.view when @workspaces was built
  * @duty: decisions
  * @next_ms: when the next tick is due
@@ -72,7 +72,7 @@
 struct usage_runner {
 	struct usage_source source;
 	struct usage_runner_desc desc;
-	GPtrArray *workspaces;
+	GArray *workspaces;
 	guint n_counters;
 	struct usage_duty *duty;
 	int64_t next_ms;
