--- a/tests/script/t-usage.sh
+++ b/tests/script/t-usage.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Three VMs with a store of objects count the requests of two workspaces, and
-# the VM that reports the usage is killed.
+# Three VMs with a store of objects count the requests of two workspaces. The VM
+# that reports the usage is killed, and the next one is paused.
 #
 # Guards against reports that differ from what the upstream ran, a window that
 # is reported twice with different figures, two holders under one token, and
@@ -54,10 +54,19 @@
 
 # metric I NAME: prints a metric of VM I.
 metric() {
-	curl -sf "http://127.0.0.1:${VM_OPS[$1]}/metrics" |
+	curl -sf -m 2 "http://127.0.0.1:${VM_OPS[$1]}/metrics" |
 	    sed -n "s/^camphorhollow_$2 //p"
 }
 
+# metric_sum NAME: prints the sum of a metric over the running VMs.
+metric_sum() {
+	local i total=0
+	for i in $(other_vms 0); do
+		total=$((total + $(metric "$i" "$1")))
+	done
+	echo "$total"
+}
+
 # send_requests I WORKSPACE N: sends N requests through VM I with the key of a
 # workspace.
 send_requests() {
@@ -127,29 +136,67 @@
 [ "${holder:-0}" -gt 0 ] || lib_finish
 first=$holder
 
-# The surviving VMs take requests all the time.
-senders=()
-for i in $(seq "$vms"); do
-	[ "$i" = "$first" ] && continue
-	(for _ in $(seq 2000); do
-		[ -e "$dir/stop" ] && break
-		send_requests "$i" blue 2
-		send_requests "$i" red 1
-		sleep 0.05
-	done) &
-	senders+=($!)
-done
-before=$(served blue)
-wait_until "$limit_s" eval '[ "$(served blue)" -gt $((before + 20)) ]'
+# start_senders VM...: sends requests through the VMs until stop_senders.
+start_senders() {
+	local i
+	rm -f "$dir/stop"
+	senders=()
+	for i in "$@"; do
+		(for _ in $(seq 2000); do
+			[ -e "$dir/stop" ] && break
+			send_requests "$i" blue 2
+			send_requests "$i" red 1
+			sleep 0.05
+		done) &
+		senders+=($!)
+	done
+}
+
+stop_senders() {
+	touch "$dir/stop"
+	wait "${senders[@]}"
+}
+
+# wait_served N: waits until the upstream ran N more requests of blue.
+wait_served() {
+	local before
+	before=$(served blue)
+	wait_until "$limit_s" eval "[ \"\$(served blue)\" -gt $((before + $1)) ]"
+}
+
+# other_vms I: prints the running VMs except VM I.
+other_vms() {
+	local i
+	for i in "${!VM_PID[@]}"; do
+		[ -n "${VM_PID[$i]}" ] && [ "$i" != "$1" ] && echo "$i"
+	done
+}
+
+# The other VMs take requests while the holder is lost.
+start_senders $(other_vms "$first")
+wait_served 20
 kill_vm "$first"
 wait_until "$limit_s" find_holder
-check "another VM has the duty" "${holder:-0}" -ne "$first"
-before=$(served blue)
-wait_until "$limit_s" eval '[ "$(served blue)" -gt $((before + 20)) ]'
-touch "$dir/stop"
-wait "${senders[@]}"
+check "after a kill, another VM has the duty" "$holder" -ne "$first"
+wait_served 20
+stop_senders
+wait_until "$limit_s" is_reported 100
 
+second=$holder
+start_senders $(other_vms "$second")
+wait_served 20
+freeze_vm "$second"
+wait_until "$limit_s" find_holder
+check "during a pause, another VM has the duty" "$holder" -ne "$second"
+wait_served 20
+resume_vm "$second"
+wait_served 20
+wait_until "$limit_s" eval '[ "$(metric "$second" usage_holder)" = 0 ]'
+check "the paused VM knows that it lost the duty" \
+    "$(metric "$second" usage_holder)" -eq 0
+stop_senders
 wait_until "$limit_s" is_reported 100
+
 for w in blue red; do
 	echo "$w: the upstream ran $(served $w), reported $(reported $w)"
 	check "percent of $w that was reported" \
@@ -160,15 +207,16 @@
 check "requests without workspace" "$(served none || echo 0)" -eq 0
 check "windows with different figures, tokens with two holders" \
     "$(reports violations)" -eq 0
-check "token after the takeover" "$(reports token)" -ge 2
-check "windows reported" "$(reports accepted.#)" -ge 4
-check "reports accepted by the metrics of the holder" \
-    "$(metric "$holder" usage_reports_accepted_total)" -ge 1
-# One write takes the duty over and fixes the first windows, one each fixes a
-# further window, one is this VM's entry; one more for a repeated call.
-check "writes of the holder to the store" \
-    "$(metric "$holder" store_writes_total)" -le \
-    $(($(metric "$holder" usage_reports_accepted_total) + 3))
-check "token in the metrics of the holder" "$(metric "$holder" usage_token)" \
-    -eq "$(reports token)"
+check "token after two takeovers" "$(reports token)" -ge 3
+check "windows reported" "$(reports accepted.#)" -ge 6
+check "reports accepted by the metrics of both VMs" \
+    "$(metric_sum usage_reports_accepted_total)" -ge 1
+# Each takeover and each further window costs one write; the others are the
+# entries of the VMs and repeated calls.
+check "writes of both VMs to the store" "$(metric_sum store_writes_total)" \
+    -le $(($(metric_sum usage_reports_accepted_total) + 3 * $(reports token)))
+wait_until "$limit_s" eval \
+    '[ "$(metric "$holder" usage_token)" = "$(reports token)" ]'
+check "token in the metrics" "$(metric "$holder" usage_token)" -eq \
+    "$(reports token)"
 lib_finish
