--- a/packages/usage/usage_clock.c
+++ b/packages/usage/usage_clock.c
@@ -2,7 +2,7 @@
 
 #include <stdlib.h>
 
-/** struct sample - offset of another VM and when it arrived */
+/** struct sample - best offset of another VM and when it arrived */
 struct sample {
 	int64_t offset_ms;
 	int64_t mono_ms;
@@ -29,6 +29,9 @@
 	int64_t raw = wall_ms - mono_ms;
 	int64_t change = raw - c->raw;
 
+	if (c->started && mono_ms - c->mono_ms > USAGE_CLOCK_GAP_MS)
+		c->deaf_ms = mono_ms + USAGE_CLOCK_DEAF_MS;
+	c->mono_ms = mono_ms;
 	if (!c->started)
 		c->own = raw;
 	else if (llabs(change) <= USAGE_CLOCK_JUMP_MS)
@@ -43,11 +46,16 @@
 {
 	struct sample *s = g_hash_table_lookup(c->samples, vm);
 
+	if (mono_ms < c->deaf_ms)
+		return;
 	if (s == NULL) {
 		if (g_hash_table_size(c->samples) >= USAGE_CLOCK_MAX_SAMPLES)
 			return;
 		s = g_new0(struct sample, 1);
 		g_hash_table_insert(c->samples, g_strdup(vm), s);
+	} else if (offset_ms < s->offset_ms &&
+	    mono_ms - s->mono_ms <= USAGE_CLOCK_SAMPLE_MS / 2) {
+		return;
 	}
 	s->offset_ms = offset_ms;
 	s->mono_ms = mono_ms;
@@ -90,6 +98,22 @@
 		c->shift = offset_ms - c->own;
 }
 
+void
+usage_clock_hear(struct usage_clock *c, int64_t offset_ms, int64_t mono_ms)
+{
+	bool low = offset_ms < usage_clock_offset(c) - USAGE_CLOCK_JUMP_MS;
+
+	if (mono_ms < c->deaf_ms)
+		return;
+	if (!low)
+		usage_clock_adopt(c, offset_ms);
+	else if (c->low)
+		usage_clock_adopt(
+		    c, offset_ms > c->low_ms ? offset_ms : c->low_ms);
+	c->low = low;
+	c->low_ms = offset_ms;
+}
+
 int64_t
 usage_clock_offset(const struct usage_clock *c)
 {
--- a/packages/usage/usage_clock.h
+++ b/packages/usage/usage_clock.h
@@ -5,7 +5,9 @@
  * own offset is that of the VM's clock at the start; later jumps of the clock
  * are ignored. A shift corrects it where several other clocks disagree. Other
  * VMs get the own offset without the shift, so that a correction never
- * confirms itself.
+ * confirms itself. A message that was delayed makes its sender's clock look
+ * slow; so the best sample of each sender counts, and samples that arrive just
+ * after a pause of this process are ignored.
  *
  *	usage_clock_init(&c);
  *	usage_clock_update(&c, mono_ms, wall_ms);
@@ -13,6 +15,7 @@
  *	offset_ms = usage_clock_median(&c, mono_ms, &n);
  *	if (n >= USAGE_CLOCK_MIN_SAMPLES)
  *		usage_clock_adopt(&c, offset_ms);
+ *	usage_clock_hear(&c, offset_ms, mono_ms);       (on another VM)
  *	true_ms = mono_ms + usage_clock_offset(&c);
  *	usage_clock_finish(&c);
  */
@@ -33,6 +36,10 @@
 #define USAGE_CLOCK_MIN_SAMPLES 3
 /* Samples above this age are ignored. */
 #define USAGE_CLOCK_SAMPLE_MS 10000
+/* A gap between events after which datagrams may have waited in a queue... */
+#define USAGE_CLOCK_GAP_MS 250
+/* ...and the time in which they are then not used as samples. */
+#define USAGE_CLOCK_DEAF_MS 1000
 /* Other VMs whose clocks are known. */
 #define USAGE_CLOCK_MAX_SAMPLES 1024
 
@@ -42,6 +49,10 @@
  * @own: own offset, without jumps
  * @raw: offset of the clock at the last reading, with jumps
  * @shift: correction of @own
+ * @mono_ms: monotonic time of the last reading
+ * @deaf_ms: monotonic time until which samples are ignored
+ * @low: has an offset that is lower than the estimate been heard?
+ * @low_ms: that offset
  * @samples: other VMs' offsets by VM
  */
 struct usage_clock {
@@ -49,6 +60,10 @@
 	int64_t own;
 	int64_t raw;
 	int64_t shift;
+	int64_t mono_ms;
+	int64_t deaf_ms;
+	bool low;
+	int64_t low_ms;
 	GHashTable *samples;
 };
 
@@ -78,6 +93,15 @@
  */
 void usage_clock_adopt(struct usage_clock *c, int64_t offset_ms);
 
+/**
+ * usage_clock_hear() - another VM's median, of USAGE_CLOCK_MIN_SAMPLES or more
+ *
+ * A later time is adopted at once, an earlier one when it is heard twice in
+ * succession, because a single message may have been delayed.
+ */
+void usage_clock_hear(
+    struct usage_clock *c, int64_t offset_ms, int64_t mono_ms);
+
 /** usage_clock_offset() - the estimate */
 int64_t usage_clock_offset(const struct usage_clock *c);
 
--- a/packages/usage/usage_duty.c
+++ b/packages/usage/usage_duty.c
@@ -4,12 +4,18 @@
 
 #include "usage/usage_duty_internal.h"
 
+/* Defaults of the settings. */
+#define WINDOW_MS 5000
+#define DUE_MS 10000
+#define LEASE_MS 3000
 /* Least interval of the rounds of pushes, and the interval for each VM. */
 #define PUSH_MS 500
 #define PUSH_PER_VM_MS 4
 /*
- * The last counts of a window are sent in two rounds that begin up to this
- * time after its end, so that both arrive before the figures are fixed.
+ * The last counts of a window are sent in two rounds, which begin up to this
+ * time after its end and up to this time later, so that both arrive before the
+ * figures are fixed. These rounds have a message even without counts, by which
+ * a collector knows that it can hear the VM.
  */
 #define LAST_ROUND_MS 800
 /* VMs that collect because of their rank. */
@@ -27,13 +33,15 @@
 	d->desc = *desc;
 	g_strlcpy(d->self, desc->self, sizeof(d->self));
 	d->desc.self = d->self;
+	d->desc.window_ms = desc->window_ms != 0 ? desc->window_ms : WINDOW_MS;
+	d->desc.due_ms = desc->due_ms != 0 ? desc->due_ms : DUE_MS;
+	d->desc.lease_ms = desc->lease_ms != 0 ? desc->lease_ms : LEASE_MS;
 	rng_init(&d->rng, desc->seed);
 	usage_clock_init(&d->clock);
 	usage_ledger_init(&d->ledger);
 	usage_push_init(&d->push);
 	usage_record_init(&d->record);
 	usage_record_init(&d->draft);
-	d->vms = g_ptr_array_new_with_free_func(g_free);
 	d->push_phase = rng_unit(&d->rng);
 	d->present_ms = -1;
 	d->report_window = -1;
@@ -51,7 +59,7 @@
 	usage_push_finish(&d->push);
 	usage_record_finish(&d->record);
 	usage_record_finish(&d->draft);
-	g_ptr_array_free(d->vms, TRUE);
+	g_free(d->vms);
 	g_free(d);
 }
 
@@ -76,10 +84,20 @@
 void
 usage_duty_set_vms(struct usage_duty *d, const char *const *ids, uint32_t n)
 {
-	g_ptr_array_set_size(d->vms, 0);
+	size_t size = 0;
+	char *to;
+
+	for (uint32_t i = 0; i < n; i++)
+		size += strlen(ids[i]) + 1;
+	g_free(d->vms);
+	d->vms = g_malloc(n * sizeof(*d->vms) + size);
+	d->n_vms = n;
 	d->rank = n;
+	d->choose = true;
+	to = (char *)(d->vms + n);
 	for (uint32_t i = 0; i < n; i++) {
-		g_ptr_array_add(d->vms, g_strdup(ids[i]));
+		d->vms[i] = to;
+		to = stpcpy(to, ids[i]) + 1;
 		if (strcmp(ids[i], d->self) == 0)
 			d->rank = i;
 	}
@@ -175,7 +193,10 @@
 	m->reported_through = d->reported_through;
 	m->fixed_through = d->record.fixed_through;
 	m->time_ms = d->present_ms + offset;
-	d->status_at_ms = d->present_ms + USAGE_STATUS_MS;
+	d->status_at_ms = d->present_ms +
+	    (d->present_ms - d->collect_ms < USAGE_NEW_HOLDER_MS
+		    ? USAGE_FAST_STATUS_MS
+		    : USAGE_STATUS_MS);
 }
 
 static bool
@@ -201,10 +222,11 @@
 	uint32_t n = 0;
 
 	add_collector(d, d->holder, list, &n);
-	for (uint32_t i = 0; i < RANK_COLLECTORS && i < d->vms->len; i++)
-		add_collector(d, g_ptr_array_index(d->vms, i), list, &n);
+	for (uint32_t i = 0; i < RANK_COLLECTORS && i < d->n_vms; i++)
+		add_collector(d, d->vms[i], list, &n);
 	for (uint32_t i = 0; i < USAGE_MAX_SEEN; i++) {
-		if (d->present_ms - d->seen[i].mono_ms <= SEEN_MS)
+		if (d->seen[i].vm[0] != '\0' &&
+		    d->present_ms - d->seen[i].mono_ms <= SEEN_MS)
 			add_collector(d, d->seen[i].vm, list, &n);
 	}
 	return (usage_push_set_collectors(&d->push, list, n));
@@ -255,7 +277,7 @@
 static int64_t
 next_round(const struct usage_duty *d, int64_t true_ms)
 {
-	int64_t interval = MAX(PUSH_MS, (int64_t)d->vms->len * PUSH_PER_VM_MS);
+	int64_t interval = MAX(PUSH_MS, (int64_t)d->n_vms * PUSH_PER_VM_MS);
 	int64_t start = true_ms / d->desc.window_ms * d->desc.window_ms;
 	int64_t first = start +
 	    (int64_t)(d->push_phase * (double)MIN(interval, LAST_ROUND_MS));
@@ -275,15 +297,20 @@
 {
 	struct push_out p = {d, out};
 	int64_t true_ms = usage_duty_true_ms(d);
-	bool is_new = choose_collectors(d);
 	bool due = true_ms >= d->push_at_ms ||
 	    d->push_at_ms - true_ms > d->desc.window_ms;
+	bool is_new;
 
+	if (!due && !d->choose)
+		return;
+	is_new = choose_collectors(d);
+	d->choose = is_new;
 	if (!due && !is_new)
 		return;
 	usage_duty_refresh_own(d);
-	usage_push_send(
-	    &d->push, due ? USAGE_PUSH_ALL : USAGE_PUSH_NEW, push_message, &p);
+	usage_push_send(&d->push, due ? USAGE_PUSH_ALL : USAGE_PUSH_NEW,
+	    is_new || true_ms % d->desc.window_ms <= 2 * LAST_ROUND_MS,
+	    push_message, &p);
 	if (due)
 		d->push_at_ms = next_round(d, true_ms);
 }
@@ -296,7 +323,7 @@
 	push_counts(d, out);
 	/* After a power loss of all VMs, the record may hold old windows. */
 	if (!d->record_known && d->token == 0 && d->rank < RANK_COLLECTORS &&
-	    d->rank < d->vms->len &&
+	    d->rank < d->n_vms &&
 	    d->present_ms - d->start_ms >=
 		START_READ_MS + (int64_t)d->rank * USAGE_RANK_MS)
 		d->must_read = true;
@@ -310,6 +337,7 @@
 	usage_duty_begin(d, now);
 	usage_clock_sample(
 	    &d->clock, m->vm, m->time_ms - d->present_ms, d->present_ms);
+	usage_ledger_hear(&d->ledger, m->vm, d->present_ms);
 	for (uint32_t i = 0; i < m->n && i < USAGE_MSG_MAX_COUNTS; i++) {
 		struct usage_ledger_key key = {m->vm, m->boot,
 		    m->counts[i].workspace, m->counts[i].window};
@@ -319,22 +347,36 @@
 	}
 }
 
-/* Remembers the sender in its place, or in that of the oldest. */
+/* Moves the sender to the first place; the last one is forgotten. */
 static void
 note_seen(struct usage_duty *d, const char *vm)
 {
-	struct usage_seen *s = &d->seen[0];
+	uint32_t i = 0;
+
+	while (i + 1 < USAGE_MAX_SEEN && strcmp(d->seen[i].vm, vm) != 0)
+		i++;
+	memmove(&d->seen[1], &d->seen[0], i * sizeof(d->seen[0]));
+	g_strlcpy(d->seen[0].vm, vm, sizeof(d->seen[0].vm));
+	d->seen[0].mono_ms = d->present_ms;
+	d->choose = true;
+}
 
-	for (uint32_t i = 0; i < USAGE_MAX_SEEN; i++) {
-		if (strcmp(d->seen[i].vm, vm) == 0) {
-			s = &d->seen[i];
-			break;
-		}
-		if (d->seen[i].mono_ms < s->mono_ms)
-			s = &d->seen[i];
+/*
+ * Another VM is about to take over. The holder answers it, and reads the record
+ * before it acts again. The others wait.
+ */
+static void
+on_announcement(struct usage_duty *d)
+{
+	d->status_at_ms = d->present_ms;
+	if (usage_duty_is_holder(d)) {
+		d->must_read = true;
+		d->store_at_ms =
+		    MAX(d->store_at_ms, d->present_ms + USAGE_CONFIRM_MS);
+	} else if (d->take != USAGE_TAKE_ANNOUNCED) {
+		d->take_at_ms =
+		    MAX(d->take_at_ms, d->present_ms + USAGE_YIELD_MS);
 	}
-	g_strlcpy(s->vm, vm, sizeof(s->vm));
-	s->mono_ms = d->present_ms;
 }
 
 void
@@ -346,12 +388,15 @@
 		return;
 	note_seen(d, m->vm);
 	if (m->n_samples >= USAGE_CLOCK_MIN_SAMPLES)
-		usage_clock_adopt(&d->clock, m->time_ms - d->present_ms);
+		usage_clock_hear(
+		    &d->clock, m->time_ms - d->present_ms, d->present_ms);
 	if (m->reported_through <= usage_duty_window(d))
 		usage_duty_note_reported(d, m->reported_through);
-	/* The holder answers a VM that is about to take over. */
 	if (m->token == 0)
-		d->status_at_ms = d->present_ms;
+		on_announcement(d);
+	/* The sender may lack what was sent before, also as a collector. */
+	if (m->token == 0 || m->token > d->token)
+		usage_push_repeat(&d->push, m->vm);
 	usage_duty_note_token(d, m->vm, m->token);
 	if (m->token == d->token && m->token != 0) {
 		d->heard_ms = d->present_ms;
--- a/packages/usage/usage_duty.h
+++ b/packages/usage/usage_duty.h
@@ -99,9 +99,10 @@
  * struct usage_duty_desc - settings
  * @self: this VM
  * @boot: number of this process
- * @window_ms: length of a window
- * @due_ms: a report is due so long after the end of its window
- * @lease_ms: a VM that lost the duty does not take it again for twice this time
+ * @window_ms: length of a window, 0 for 5,000
+ * @due_ms: a report is due so long after the end of its window, 0 for 10,000
+ * @lease_ms: a VM that lost the duty does not take it again for twice this
+ *time, 0 for 3,000
  * @source: counts of this process
  * @seed: seed of the random part of delays
  */
--- a/packages/usage/usage_duty_internal.h
+++ b/packages/usage/usage_duty_internal.h
@@ -17,6 +17,29 @@
 
 /* Figures are fixed so long after the end of a window: counts may be late. */
 #define USAGE_FIX_MS 2000
+/*
+ * Further time for the counts of the last VMs; more than half must have been
+ * heard. A holder that hears less waits for most of the time until the report
+ * is due, so that a VM that hears the others can take over before.
+ */
+#define USAGE_MISSING_MS 1000
+/*
+ * Share of the time until a report is due, in percent, after which a holder
+ * does not wait for counts any more, and after which it is replaced although it
+ * announced fixed figures. Another VM reaches the address of the reports no
+ * better, unless the fault is the holder's alone.
+ */
+#define USAGE_PATIENCE_PERCENT 60
+/*
+ * Time after a report was due at which a VM takes over that hears neither the
+ * holder nor most others. The next window is fixed before, if there is a
+ * holder.
+ */
+#define USAGE_UNHEARD_MS 1000
+/* Share of the VMs that may be missing without a wait, in percent. */
+#define USAGE_MISSING_PERCENT 2
+/* Time from the announcement of a VM until it stops waiting for counts. */
+#define USAGE_COLLECT_MS 1000
 /* A window is overdue for the first VM in rank so long after that. */
 #define USAGE_OVERDUE_MS 1500
 /* Further delay of each of the next VMs in rank. */
@@ -27,21 +50,25 @@
  * VMs finds one that reports in time.
  */
 #define USAGE_FAR_RANK_MS 100
-/*
- * A holder that announces fixed figures has so long to report them. Another VM
- * reaches the address of the reports no better, unless the fault is the
- * holder's alone.
- */
-#define USAGE_REPORT_MS 6000
 /* A holder that sent no status for so long is not present. */
 #define USAGE_PRESENT_MS 2500
 /* Time between a VM's announcement and its takeover, for the counts of others.
  */
 #define USAGE_ANNOUNCE_MS 400
-/* The former holder hears of the new one before that one's first report. */
-#define USAGE_SETTLE_MS 200
+/* A VM lets another one that announced itself go first for so long. */
+#define USAGE_YIELD_MS 1500
+/* A holder that hears of a takeover reads the record when it is written. */
+#define USAGE_CONFIRM_MS 800
+/*
+ * The former holder hears one of two statuses of the new one before that one's
+ * first report.
+ */
+#define USAGE_SETTLE_MS 500
 /* Interval of the holder's status. */
 #define USAGE_STATUS_MS 1000
+/* The same for a new holder, because some VMs have not heard of it yet. */
+#define USAGE_FAST_STATUS_MS 300
+#define USAGE_NEW_HOLDER_MS 1500
 /* Delay before the first and the further repeats of a report. */
 #define USAGE_FIRST_REPEAT_MS 500
 #define USAGE_REPEAT_MS 2000
@@ -49,9 +76,14 @@
 #define USAGE_REREAD_MS 500
 /* Delay before a failed store call of the holder is repeated. */
 #define USAGE_STORE_RETRY_MS 1000
-/* The same for other VMs: at least this, and this for each VM of the fleet. */
+/*
+ * The same for a takeover: at least this, and for all but the first VMs in rank
+ * this for each VM of the fleet, so that a fleet makes fewer than 15 calls
+ * a second while the store is down.
+ */
 #define USAGE_TAKE_RETRY_MS 2000
-#define USAGE_TAKE_RETRY_PER_VM_MS 100
+#define USAGE_TAKE_RETRY_PER_VM_MS 150
+#define USAGE_TAKE_FIRST_RANKS 8
 /* A process that did not run for so long was paused and may have been replaced.
  */
 #define USAGE_PAUSE_MS 1000
@@ -81,13 +113,15 @@
 
 /**
  * struct usage_duty - state
- * @vms: VMs of the fleet in the order of their ranks
+ * @vms: VMs of the fleet in the order of their ranks, with their names in the
+ *	same allocation
  * @rank: index of this VM, the number of VMs when it is missing
  * @present_ms: monotonic time of the last event
  * @start_ms: monotonic time of the first event
  *
  * @push_at_ms: true time of the next round of pushes
  * @push_phase: random part of the times of the rounds, in [0, 1)
+ * @choose: the collectors have to be chosen before the next round
  * @seen: VMs whose status arrived last
  *
  * @holder: VM with the highest known token
@@ -105,6 +139,7 @@
  * @was_holder: this VM held the duty at the last event
  * @must_read: the record has to be read before this VM acts on it
  * @store_at_ms: monotonic time of the next call to the store
+ * @collect_ms: monotonic time of this VM's last announcement as a collector
  * @take_at_ms: monotonic time of the next step of a takeover
  * @status_at_ms: monotonic time of the holder's next status
  * @report_at_ms: monotonic time of the next report
@@ -119,7 +154,8 @@
 	struct usage_clock clock;
 	struct usage_ledger ledger;
 	struct usage_push push;
-	GPtrArray *vms;
+	char **vms;
+	uint32_t n_vms;
 	uint32_t rank;
 	bool reachable;
 	int64_t present_ms;
@@ -127,6 +163,7 @@
 
 	int64_t push_at_ms;
 	double push_phase;
+	bool choose;
 	struct usage_seen seen[USAGE_MAX_SEEN];
 
 	char holder[USAGE_NAME_MAX + 1];
@@ -146,6 +183,7 @@
 	enum usage_store_call store_call;
 	int64_t store_at_ms;
 	enum usage_take take;
+	int64_t collect_ms;
 	int64_t take_at_ms;
 	int64_t status_at_ms;
 	int64_t report_at_ms;
--- a/packages/usage/usage_duty_record.c
+++ b/packages/usage/usage_duty_record.c
@@ -46,6 +46,13 @@
 	return (usage_duty_true_ms(d) - (window + 1) * d->desc.window_ms);
 }
 
+/* Time after the end of a window in which a present holder is waited for. */
+static int64_t
+patience_ms(const struct usage_duty *d)
+{
+	return (d->desc.due_ms * USAGE_PATIENCE_PERCENT / 100);
+}
+
 /* Delay of this VM after the first one that may take over. */
 static int64_t
 rank_delay(const struct usage_duty *d)
@@ -53,8 +60,8 @@
 	int64_t rank = d->rank;
 
 	/* The present holder has no turn. */
-	for (uint32_t i = 0; i < d->rank && i < d->vms->len; i++) {
-		if (strcmp(g_ptr_array_index(d->vms, i), d->holder) == 0) {
+	for (uint32_t i = 0; i < d->rank && i < d->n_vms; i++) {
+		if (strcmp(d->vms[i], d->holder) == 0) {
 			rank--;
 			break;
 		}
@@ -78,24 +85,55 @@
 	return (first);
 }
 
+/* Number of VMs of the fleet, with this one. */
+static uint32_t
+fleet_size(const struct usage_duty *d)
+{
+	return (d->n_vms + (d->rank == d->n_vms));
+}
+
+/* Number of VMs of which nothing arrived since a monotonic time. */
+static uint32_t
+n_missing(struct usage_duty *d, int64_t since_ms)
+{
+	uint32_t heard = usage_ledger_n_heard(&d->ledger, since_ms) + 1;
+
+	return (fleet_size(d) - MIN(heard, fleet_size(d)));
+}
+
+/* Whether more than half of the VMs were heard after the end of a window. */
+static bool
+hears_most(struct usage_duty *d, int64_t window)
+{
+	int64_t end_ms = d->present_ms - since_end(d, window);
+
+	return (2 * n_missing(d, end_ms) < fleet_size(d));
+}
+
 /* Whether it is this VM's turn to take the duty over. */
 static bool
-is_overdue(const struct usage_duty *d)
+is_overdue(struct usage_duty *d)
 {
+	bool present = d->present_ms - d->heard_ms < USAGE_PRESENT_MS;
 	int64_t window = first_open(d);
 	int64_t after;
 
-	if (window < 0)
+	if (window < 0 ||
+	    since_end(d, window) < USAGE_FIX_MS + USAGE_OVERDUE_MS)
 		return (false);
 	after = since_end(d, window) - rank_delay(d);
 	if (after < USAGE_FIX_MS + USAGE_OVERDUE_MS)
 		return (false);
-	if (d->present_ms - d->heard_ms >= USAGE_PRESENT_MS ||
-	    d->announced_fixed < window)
-		return (true);
-	return (after >= USAGE_REPORT_MS &&
-	    d->present_ms - d->token_since_ms >=
-		USAGE_REPORT_MS + rank_delay(d));
+	if (present && d->announced_fixed >= window)
+		return (after >= patience_ms(d) &&
+		    d->present_ms - d->token_since_ms >=
+			patience_ms(d) + rank_delay(d));
+	if (d->record.fixed_through >= window)
+		return (after >= (hears_most(d, window)
+					 ? patience_ms(d)
+					 : d->desc.due_ms + USAGE_UNHEARD_MS));
+	return (
+	    since_end(d, window) >= patience_ms(d) || hears_most(d, window));
 }
 
 static void
@@ -117,13 +155,32 @@
 	    d->present_ms >= d->store_at_ms);
 }
 
-/* First window whose figures are to be fixed now, or -1. */
+/* Whether the figures of a window are as complete as they will be. */
+static bool
+may_fix(struct usage_duty *d, int64_t window)
+{
+	int64_t since = since_end(d, window);
+	uint32_t n_vms = fleet_size(d), missing;
+
+	if (since < USAGE_FIX_MS)
+		return (false);
+	/* What a new collector got before its announcement is incomplete. */
+	missing = n_missing(d, MAX(d->present_ms - since, d->collect_ms));
+	if (100 * missing <= USAGE_MISSING_PERCENT * n_vms)
+		return (true);
+	if (d->present_ms - d->collect_ms < USAGE_COLLECT_MS)
+		return (false);
+	return (since >= patience_ms(d) ||
+	    (since >= USAGE_FIX_MS + USAGE_MISSING_MS && 2 * missing < n_vms));
+}
+
+/* First window after @after whose figures are to be fixed now, or -1. */
 static int64_t
-next_to_fix(const struct usage_duty *d, int64_t after)
+next_to_fix(struct usage_duty *d, int64_t after)
 {
 	int64_t w = usage_ledger_first(&d->ledger, after);
 
-	return (w >= 0 && since_end(d, w) >= USAGE_FIX_MS ? w : -1);
+	return (w >= 0 && may_fix(d, w) ? w : -1);
 }
 
 /** struct draft_window - arguments of add_to_draft() */
@@ -179,14 +236,30 @@
 	}
 }
 
+/*
+ * A VM may learn by reading the record that an earlier write took effect. It is
+ * no collector any more then, and announces itself again.
+ */
+static void
+begin_holding(struct usage_duty *d)
+{
+	d->was_holder = true;
+	d->n_failed = 0;
+	d->status_at_ms = d->present_ms;
+	d->report_at_ms = d->present_ms + USAGE_SETTLE_MS;
+	if (d->present_ms - d->collect_ms > USAGE_NEW_HOLDER_MS)
+		d->collect_ms = d->present_ms;
+}
+
 static void
 hold(struct usage_duty *d, struct usage_out *out)
 {
 	if (!d->was_holder)
-		d->n_failed = 0;
-	d->was_holder = true;
+		begin_holding(d);
 	if (d->present_ms >= d->status_at_ms)
 		usage_duty_send_status(d, d->record.token, out);
+	if (d->must_read)
+		return;
 	if (may_call_store(d) && next_to_fix(d, d->reported_through) >= 0)
 		write_record(d, d->record.token, out);
 	report_next(d, out);
@@ -218,11 +291,9 @@
 		usage_duty_lose(d);
 	if (d->must_read && may_call_store(d))
 		call_store(d, USAGE_READ_RECORD, out);
-	if (d->must_read)
-		return;
 	if (usage_duty_is_holder(d))
 		hold(d, out);
-	else
+	else if (!d->must_read)
 		take_over(d, out);
 }
 
@@ -248,27 +319,26 @@
     struct usage_duty *d, enum usage_record_event event, struct usage_out *out)
 {
 	enum usage_take step = d->take;
-	int64_t retry = MAX(USAGE_TAKE_RETRY_MS,
-	    (int64_t)d->vms->len * USAGE_TAKE_RETRY_PER_VM_MS);
+	int64_t retry = USAGE_TAKE_RETRY_MS;
 
 	if (step == USAGE_TAKE_NONE)
 		return;
 	d->take = USAGE_TAKE_NONE;
+	if (d->rank >= USAGE_TAKE_FIRST_RANKS)
+		retry =
+		    MAX(retry, (int64_t)d->n_vms * USAGE_TAKE_RETRY_PER_VM_MS);
 	if (event == USAGE_RECORD_CONFLICT)
 		d->take_at_ms = d->present_ms + USAGE_STORE_RETRY_MS +
 		    rng_below(&d->rng, CONFLICT_SPREAD_MS);
 	else if (event == USAGE_RECORD_FAILED || event == USAGE_RECORD_UNKNOWN)
 		d->take_at_ms =
 		    d->present_ms + retry + rng_below(&d->rng, (uint32_t)retry);
-	if (event == USAGE_RECORD_WRITTEN && usage_duty_is_holder(d)) {
-		d->status_at_ms = d->present_ms;
-		d->report_at_ms = d->present_ms + USAGE_SETTLE_MS;
-	}
 	if (step != USAGE_TAKE_READ || event != USAGE_RECORD_READ ||
 	    usage_duty_is_holder(d) || !is_overdue(d))
 		return;
 	d->take = USAGE_TAKE_ANNOUNCED;
 	d->take_at_ms = d->present_ms + USAGE_ANNOUNCE_MS;
+	d->collect_ms = d->present_ms;
 	usage_duty_send_status(d, 0, out);
 }
 
@@ -294,6 +364,11 @@
 	if (record != NULL) {
 		absorb(d, record);
 		d->must_read = paused;
+		/* The others wait for a status that covers the window. */
+		if (event == USAGE_RECORD_WRITTEN &&
+		    since_end(d, d->record.fixed_through) >=
+			USAGE_FIX_MS + USAGE_MISSING_MS / 2)
+			d->status_at_ms = d->present_ms;
 	} else if (event == USAGE_RECORD_UNKNOWN && is_write) {
 		d->must_read = true;
 		d->store_at_ms = d->present_ms + USAGE_REREAD_MS;
--- a/packages/usage/usage_ledger.c
+++ b/packages/usage/usage_ledger.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+/* A VM is forgotten so long after its last message. */
+#define FORGET_MS 60000
+
 /** struct entry - a count and its key; the texts are owned in the table */
 struct entry {
 	struct usage_ledger_key key;
@@ -42,6 +45,8 @@
 usage_ledger_init(struct usage_ledger *l)
 {
 	*l = (struct usage_ledger){.first = 0, .last = -1};
+	l->heard =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
 static void
@@ -59,6 +64,7 @@
 {
 	for (uint32_t i = 0; i < USAGE_LEDGER_WINDOWS; i++)
 		window_clear(l, &l->windows[i]);
+	g_hash_table_destroy(l->heard);
 }
 
 void
@@ -119,6 +125,38 @@
 	e->time_ms = time_ms;
 }
 
+void
+usage_ledger_hear(struct usage_ledger *l, const char *vm, int64_t mono_ms)
+{
+	int64_t *heard = g_hash_table_lookup(l->heard, vm);
+
+	if (heard == NULL) {
+		if (g_hash_table_size(l->heard) >= USAGE_LEDGER_MAX_VMS)
+			return;
+		heard = g_new(int64_t, 1);
+		g_hash_table_insert(l->heard, g_strdup(vm), heard);
+	}
+	*heard = mono_ms;
+}
+
+uint32_t
+usage_ledger_n_heard(struct usage_ledger *l, int64_t since_ms)
+{
+	GHashTableIter it;
+	uint32_t n = 0;
+	void *value;
+
+	g_hash_table_iter_init(&it, l->heard);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		int64_t heard = *(int64_t *)value;
+
+		n += heard >= since_ms;
+		if (since_ms - heard > FORGET_MS)
+			g_hash_table_iter_remove(&it);
+	}
+	return (n);
+}
+
 int64_t
 usage_ledger_first(const struct usage_ledger *l, int64_t after)
 {
--- a/packages/usage/usage_ledger.h
+++ b/packages/usage/usage_ledger.h
@@ -5,6 +5,8 @@
  *	usage_ledger_init(&l);
  *	usage_ledger_set_range(&l, first, last);
  *	usage_ledger_put(&l, &key, count, time_ms);
+ *	usage_ledger_hear(&l, "vm2", mono_ms);
+ *	n = usage_ledger_n_heard(&l, since_ms);
  *	w = usage_ledger_first(&l, after);
  *	usage_ledger_sum(&l, w, fn, arg);
  *	usage_ledger_finish(&l);
@@ -17,6 +19,8 @@
 
 /* Windows that are kept: those of usage_counter.h, the present and a next. */
 #define USAGE_LEDGER_WINDOWS 18
+/* VMs whose messages are noted. */
+#define USAGE_LEDGER_MAX_VMS 1024
 /* Counts that are kept in all windows together. */
 #define USAGE_LEDGER_MAX_COUNTS (1u << 20)
 
@@ -49,12 +53,14 @@
  * @first: counts of earlier windows are ignored
  * @last: counts of later windows are ignored
  * @n_counts: counts in all windows
+ * @heard: for each VM, monotonic time of its last message
  */
 struct usage_ledger {
 	struct usage_ledger_window windows[USAGE_LEDGER_WINDOWS];
 	int64_t first;
 	int64_t last;
 	uint32_t n_counts;
+	GHashTable *heard;
 };
 
 /** usage_ledger_init() - an empty ledger that accepts no window */
@@ -77,6 +83,12 @@
 void usage_ledger_put(struct usage_ledger *l,
     const struct usage_ledger_key *key, uint32_t count, int64_t time_ms);
 
+/** usage_ledger_hear() - a message of a VM arrived */
+void usage_ledger_hear(struct usage_ledger *l, const char *vm, int64_t mono_ms);
+
+/** usage_ledger_n_heard() - VMs with a message at or after @since_ms */
+uint32_t usage_ledger_n_heard(struct usage_ledger *l, int64_t since_ms);
+
 /** usage_ledger_first() - first window with counts after @after, or -1 */
 int64_t usage_ledger_first(const struct usage_ledger *l, int64_t after);
 
--- a/packages/usage/usage_message.h
+++ b/packages/usage/usage_message.h
@@ -29,16 +29,16 @@
  * @boot: number of its process; the counts are of this process alone
  * @time_ms: Unix time by the sender's own clock, without its jumps and without
  *	corrections by other VMs, so that the samples are independent
+ * @n: number of @counts
  * @counts: each is the total of the process so far, so that a lost or repeated
  *	message does no harm
- * @n: number of @counts
  */
 struct usage_counts_msg {
 	char vm[USAGE_NAME_MAX + 1];
 	uint64_t boot;
 	int64_t time_ms;
-	struct usage_msg_count counts[USAGE_MSG_MAX_COUNTS];
 	uint32_t n;
+	struct usage_msg_count counts[USAGE_MSG_MAX_COUNTS];
 };
 
 /**
--- a/packages/usage/usage_push.c
+++ b/packages/usage/usage_push.c
@@ -81,13 +81,22 @@
 	for (uint32_t i = 0; i < n; i++) {
 		g_strlcpy(next[i].vm, vms[i], sizeof(next[i].vm));
 		next[i].full = rounds_left(p, vms[i]);
-		is_new = is_new || next[i].full == USAGE_PUSH_TIMES;
+		is_new = is_new || next[i].full > 1;
 	}
 	memcpy(p->collectors, next, sizeof(next));
 	p->n_collectors = n;
 	return (is_new);
 }
 
+void
+usage_push_repeat(struct usage_push *p, const char *vm)
+{
+	for (uint32_t i = 0; i < p->n_collectors; i++) {
+		if (strcmp(p->collectors[i].vm, vm) == 0)
+			p->collectors[i].full = USAGE_PUSH_TIMES;
+	}
+}
+
 static void
 note_count(void *arg, const char *workspace, uint32_t count)
 {
@@ -165,11 +174,10 @@
 }
 
 static void
-send_to(const struct usage_push *p, struct usage_collector *to,
+send_to(const struct usage_push *p, struct usage_collector *to, bool even_empty,
     void (*fn)(void *arg, const char *vm, struct usage_counts_msg *m),
     void *arg)
 {
-	bool empty = p->round % USAGE_PUSH_EMPTY_ROUNDS == 0;
 	struct usage_counts_msg m;
 	GHashTableIter it;
 	void *key;
@@ -186,15 +194,15 @@
 			continue;
 		fn(arg, to->vm, &m);
 		m.n = 0;
-		empty = false;
+		even_empty = false;
 	}
-	if (m.n != 0 || empty)
+	if (m.n != 0 || even_empty)
 		fn(arg, to->vm, &m);
 	to->full -= to->full != 0;
 }
 
 void
-usage_push_send(struct usage_push *p, enum usage_push_to to,
+usage_push_send(struct usage_push *p, enum usage_push_to to, bool even_empty,
     void (*fn)(void *arg, const char *vm, struct usage_counts_msg *m),
     void *arg)
 {
@@ -202,9 +210,8 @@
 	void *key;
 
 	for (uint32_t i = 0; i < p->n_collectors; i++) {
-		if (to == USAGE_PUSH_ALL ||
-		    p->collectors[i].full == USAGE_PUSH_TIMES)
-			send_to(p, &p->collectors[i], fn, arg);
+		if (to == USAGE_PUSH_ALL || p->collectors[i].full > 1)
+			send_to(p, &p->collectors[i], even_empty, fn, arg);
 	}
 	if (to != USAGE_PUSH_ALL)
 		return;
--- a/packages/usage/usage_push.h
+++ b/packages/usage/usage_push.h
@@ -3,14 +3,13 @@
  * usage_push_).
  *
  * A changed count goes to all collectors in USAGE_PUSH_TIMES rounds, because
- * messages can be lost. A new collector gets all counts as often. Without
- *counts to send, a message without counts goes out from time to time, because
- *the collectors compare the clocks of the senders.
+ * messages can be lost. A new collector gets all counts as often, and the first
+ * times without waiting for the next round of all.
  *
  *	usage_push_init(&p);
  *	usage_push_set_collectors(&p, names, n);
  *	usage_push_refresh(&p, source, first, last);
- *	usage_push_send(&p, USAGE_PUSH_ALL, fn, arg);
+ *	usage_push_send(&p, USAGE_PUSH_ALL, false, fn, arg);
  *	usage_push_finish(&p);
  */
 #ifndef USAGE_USAGE_PUSH_H
@@ -49,13 +48,10 @@
 	uint32_t n_collectors;
 };
 
-/* Rounds after which a message is sent even if it has no counts. */
-#define USAGE_PUSH_EMPTY_ROUNDS 4
-
 /** enum usage_push_to - collectors of a round */
 enum usage_push_to {
 	USAGE_PUSH_ALL,
-	USAGE_PUSH_NEW, /* those that have got nothing yet */
+	USAGE_PUSH_NEW, /* those that have not got all counts twice */
 };
 
 /** usage_push_init() - no counts and no collectors */
@@ -68,11 +64,14 @@
  * usage_push_set_collectors() - set the collectors, @n is at most
  * USAGE_MAX_COLLECTORS
  *
- * Return: whether one of them is new.
+ * Return: whether a round for USAGE_PUSH_NEW is due.
  */
 bool usage_push_set_collectors(
     struct usage_push *p, const char *const *vms, uint32_t n);
 
+/** usage_push_repeat() - treat a VM as a new collector, if it is a collector */
+void usage_push_repeat(struct usage_push *p, const char *vm);
+
 /**
  * usage_push_refresh() - read the counts of the windows from @first to @last
  * and forget all others
@@ -88,9 +87,11 @@
 
 /**
  * usage_push_send() - do a round
+ * @even_empty: send a message also when there are no counts to send
  * @fn: called for each message, with @counts and @n set
  */
 void usage_push_send(struct usage_push *p, enum usage_push_to to,
+    bool even_empty,
     void (*fn)(void *arg, const char *vm, struct usage_counts_msg *m),
     void *arg);
 
