--- a/tests/unit/test_usage_fleet.c
+++ b/tests/unit/test_usage_fleet.c
@@ -2,8 +2,8 @@
  * Runs fleets of 3, 134 and 500 VMs in virtual time through the failures of
  * VMs, links and clocks that docs/workspaces-and-overload.md section 1.2 names.
  * Each test is named after its failure; all check the same rules, see
- * lib/usage_fleet.h. test_usage_calls.c has the failures of the store and of
- * the reports.
+ * lib/usage_fleet.h. test_usage_store.c and test_usage_reports.c have the
+ * failures of the store and of the reports.
  */
 #include <setjmp.h>
 #include <stdarg.h>
