Make a holder collect again after a pause

Datagrams to a paused VM may be lost, and a VM that missed the announcement was taken for one that had sent all its counts. A counts message now says whether it belongs to all counts of its sender (usage_counts_msg.full); a new collector waits for these. The fleet test loses the datagrams to paused VMs.

--- a/packages/peer/usage_datagram.c
+++ b/packages/peer/usage_datagram.c
@@ -8,7 +8,7 @@
  */
 #define TYPE_COUNTS 32
 #define TYPE_STATUS 33
-#define COUNTS_FIELDS 5
+#define COUNTS_FIELDS 6
 #define COUNT_FIELDS 3
 #define STATUS_FIELDS 7
 
@@ -23,6 +23,7 @@
 	mpack_put_str(&w, bstr_from(m->vm));
 	mpack_put_uint(&w, m->boot);
 	mpack_put_uint(&w, (uint64_t)m->time_ms);
+	mpack_put_bool(&w, m->full);
 	mpack_put_array(&w, m->n);
 	for (uint32_t i = 0; i < m->n; i++) {
 		mpack_put_array(&w, COUNT_FIELDS);
@@ -69,6 +70,7 @@
 	ok = get_name(&r, out->vm) && ok;
 	out->boot = mpack_uint(&r, UINT64_MAX);
 	out->time_ms = get_number(&r);
+	out->full = mpack_bool(&r);
 	out->n = mpack_enter_list(&r, USAGE_MSG_MAX_COUNTS);
 	for (uint32_t i = 0; i < out->n; i++) {
 		struct usage_msg_count *c = &out->counts[i];
--- a/packages/usage/usage_duty.c
+++ b/packages/usage/usage_duty.c
@@ -134,6 +134,19 @@
 	usage_ledger_set_range(&d->ledger, first, MAX(last, first));
 }
 
+/*
+ * Datagrams may have been lost in a pause of the holder, and another VM may
+ * have taken over.
+ */
+static void
+collect_again(struct usage_duty *d)
+{
+	d->must_read = true;
+	d->collect_again = true;
+	d->collect_ms = d->present_ms;
+	d->status_at_ms = d->present_ms;
+}
+
 /*
  * Takes the time of an event. After a pause, another VM may hold the duty, and
  * an answer of the store that arrives now may be as old as the pause.
@@ -148,7 +161,8 @@
 		d->start_ms = now->mono_ms;
 	d->present_ms = now->mono_ms;
 	if (paused) {
-		d->must_read = d->must_read || usage_duty_is_holder(d);
+		if (usage_duty_is_holder(d))
+			collect_again(d);
 		usage_duty_stop_taking(d);
 	}
 	usage_clock_update(&d->clock, now->mono_ms, now->wall_ms);
@@ -337,7 +351,7 @@
 	usage_duty_begin(d, now);
 	usage_clock_sample(
 	    &d->clock, m->vm, m->time_ms - d->present_ms, d->present_ms);
-	usage_ledger_hear(&d->ledger, m->vm, d->present_ms);
+	usage_ledger_hear(&d->ledger, m->vm, d->present_ms, m->full);
 	for (uint32_t i = 0; i < m->n && i < USAGE_MSG_MAX_COUNTS; i++) {
 		struct usage_ledger_key key = {m->vm, m->boot,
 		    m->counts[i].workspace, m->counts[i].window};
--- a/packages/usage/usage_duty_internal.h
+++ b/packages/usage/usage_duty_internal.h
@@ -140,6 +140,8 @@
  * @must_read: the record has to be read before this VM acts on it
  * @store_at_ms: monotonic time of the next call to the store
  * @collect_ms: monotonic time of this VM's last announcement as a collector
+ * @collect_again: datagrams may have been lost in a pause of the holder, so the
+ *	others have to send their counts again
  * @take_at_ms: monotonic time of the next step of a takeover
  * @status_at_ms: monotonic time of the holder's next status
  * @report_at_ms: monotonic time of the next report
@@ -184,6 +186,7 @@
 	int64_t store_at_ms;
 	enum usage_take take;
 	int64_t collect_ms;
+	bool collect_again;
 	int64_t take_at_ms;
 	int64_t status_at_ms;
 	int64_t report_at_ms;
--- a/packages/usage/usage_duty_record.c
+++ b/packages/usage/usage_duty_record.c
@@ -92,11 +92,15 @@
 	return (d->n_vms + (d->rank == d->n_vms));
 }
 
-/* Number of VMs of which nothing arrived since a monotonic time. */
+/*
+ * Number of VMs of which nothing arrived since a monotonic time, or not all
+ * counts since another.
+ */
 static uint32_t
-n_missing(struct usage_duty *d, int64_t since_ms)
+n_missing(struct usage_duty *d, int64_t since_ms, int64_t full_since_ms)
 {
-	uint32_t heard = usage_ledger_n_heard(&d->ledger, since_ms) + 1;
+	uint32_t heard =
+	    usage_ledger_n_heard(&d->ledger, since_ms, full_since_ms) + 1;
 
 	return (fleet_size(d) - MIN(heard, fleet_size(d)));
 }
@@ -107,7 +111,7 @@
 {
 	int64_t end_ms = d->present_ms - since_end(d, window);
 
-	return (2 * n_missing(d, end_ms) < fleet_size(d));
+	return (2 * n_missing(d, end_ms, INT64_MIN) < fleet_size(d));
 }
 
 /* Whether it is this VM's turn to take the duty over. */
@@ -165,7 +169,7 @@
 	if (since < USAGE_FIX_MS)
 		return (false);
 	/* What a new collector got before its announcement is incomplete. */
-	missing = n_missing(d, MAX(d->present_ms - since, d->collect_ms));
+	missing = n_missing(d, d->present_ms - since, d->collect_ms);
 	if (100 * missing <= USAGE_MISSING_PERCENT * n_vms)
 		return (true);
 	if (d->present_ms - d->collect_ms < USAGE_COLLECT_MS)
@@ -251,13 +255,26 @@
 		d->collect_ms = d->present_ms;
 }
 
+/* Whether enough VMs sent all their counts, or are not waited for any more. */
+static bool
+has_all_counts(struct usage_duty *d)
+{
+	uint32_t missing = n_missing(d, d->collect_ms, d->collect_ms);
+
+	return (100 * missing <= USAGE_MISSING_PERCENT * fleet_size(d) ||
+	    d->present_ms - d->collect_ms >= USAGE_COLLECT_MS);
+}
+
 static void
 hold(struct usage_duty *d, struct usage_out *out)
 {
 	if (!d->was_holder)
 		begin_holding(d);
+	if (d->collect_again && has_all_counts(d))
+		d->collect_again = false;
 	if (d->present_ms >= d->status_at_ms)
-		usage_duty_send_status(d, d->record.token, out);
+		usage_duty_send_status(
+		    d, d->collect_again ? 0 : d->record.token, out);
 	if (d->must_read)
 		return;
 	if (may_call_store(d) && next_to_fix(d, d->reported_through) >= 0)
--- a/packages/usage/usage_ledger.c
+++ b/packages/usage/usage_ledger.c
@@ -5,6 +5,16 @@
 /* A VM is forgotten so long after its last message. */
 #define FORGET_MS 60000
 
+/**
+ * struct heard - messages of a VM
+ * @last_ms: monotonic time of the last one
+ * @full_ms: the same of the last one with all counts
+ */
+struct heard {
+	int64_t last_ms;
+	int64_t full_ms;
+};
+
 /** struct entry - a count and its key; the texts are owned in the table */
 struct entry {
 	struct usage_ledger_key key;
@@ -126,21 +136,26 @@
 }
 
 void
-usage_ledger_hear(struct usage_ledger *l, const char *vm, int64_t mono_ms)
+usage_ledger_hear(
+    struct usage_ledger *l, const char *vm, int64_t mono_ms, bool full)
 {
-	int64_t *heard = g_hash_table_lookup(l->heard, vm);
+	struct heard *h = g_hash_table_lookup(l->heard, vm);
 
-	if (heard == NULL) {
+	if (h == NULL) {
 		if (g_hash_table_size(l->heard) >= USAGE_LEDGER_MAX_VMS)
 			return;
-		heard = g_new(int64_t, 1);
-		g_hash_table_insert(l->heard, g_strdup(vm), heard);
+		h = g_new(struct heard, 1);
+		h->full_ms = INT64_MIN;
+		g_hash_table_insert(l->heard, g_strdup(vm), h);
 	}
-	*heard = mono_ms;
+	h->last_ms = mono_ms;
+	if (full)
+		h->full_ms = mono_ms;
 }
 
 uint32_t
-usage_ledger_n_heard(struct usage_ledger *l, int64_t since_ms)
+usage_ledger_n_heard(
+    struct usage_ledger *l, int64_t since_ms, int64_t full_since_ms)
 {
 	GHashTableIter it;
 	uint32_t n = 0;
@@ -148,10 +163,10 @@
 
 	g_hash_table_iter_init(&it, l->heard);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		int64_t heard = *(int64_t *)value;
+		const struct heard *h = value;
 
-		n += heard >= since_ms;
-		if (since_ms - heard > FORGET_MS)
+		n += h->last_ms >= since_ms && h->full_ms >= full_since_ms;
+		if (since_ms - h->last_ms > FORGET_MS)
 			g_hash_table_iter_remove(&it);
 	}
 	return (n);
--- a/packages/usage/usage_ledger.h
+++ b/packages/usage/usage_ledger.h
@@ -5,8 +5,8 @@
  *	usage_ledger_init(&l);
  *	usage_ledger_set_range(&l, first, last);
  *	usage_ledger_put(&l, &key, count, time_ms);
- *	usage_ledger_hear(&l, "vm2", mono_ms);
- *	n = usage_ledger_n_heard(&l, since_ms);
+ *	usage_ledger_hear(&l, "vm2", mono_ms, full);
+ *	n = usage_ledger_n_heard(&l, since_ms, full_since_ms);
  *	w = usage_ledger_first(&l, after);
  *	usage_ledger_sum(&l, w, fn, arg);
  *	usage_ledger_finish(&l);
@@ -15,6 +15,7 @@
 #define USAGE_USAGE_LEDGER_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 /* Windows that are kept: those of usage_counter.h, the present and a next. */
@@ -53,7 +54,7 @@
  * @first: counts of earlier windows are ignored
  * @last: counts of later windows are ignored
  * @n_counts: counts in all windows
- * @heard: for each VM, monotonic time of its last message
+ * @heard: for each VM, monotonic times of its last messages
  */
 struct usage_ledger {
 	struct usage_ledger_window windows[USAGE_LEDGER_WINDOWS];
@@ -83,11 +84,19 @@
 void usage_ledger_put(struct usage_ledger *l,
     const struct usage_ledger_key *key, uint32_t count, int64_t time_ms);
 
-/** usage_ledger_hear() - a message of a VM arrived */
-void usage_ledger_hear(struct usage_ledger *l, const char *vm, int64_t mono_ms);
+/**
+ * usage_ledger_hear() - a message of a VM arrived
+ * @full: all counts of the VM arrive with it
+ */
+void usage_ledger_hear(
+    struct usage_ledger *l, const char *vm, int64_t mono_ms, bool full);
 
-/** usage_ledger_n_heard() - VMs with a message at or after @since_ms */
-uint32_t usage_ledger_n_heard(struct usage_ledger *l, int64_t since_ms);
+/**
+ * usage_ledger_n_heard() - VMs with a message at or after @since_ms, and with
+ * all their counts at or after @full_since_ms
+ */
+uint32_t usage_ledger_n_heard(
+    struct usage_ledger *l, int64_t since_ms, int64_t full_since_ms);
 
 /** usage_ledger_first() - first window with counts after @after, or -1 */
 int64_t usage_ledger_first(const struct usage_ledger *l, int64_t after);
--- a/packages/usage/usage_message.h
+++ b/packages/usage/usage_message.h
@@ -9,6 +9,7 @@
 #ifndef USAGE_USAGE_MESSAGE_H
 #define USAGE_USAGE_MESSAGE_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /* Longest name of a VM or a workspace in bytes. */
@@ -29,6 +30,7 @@
  * @boot: number of its process; the counts are of this process alone
  * @time_ms: Unix time by the sender's own clock, without its jumps and without
  *	corrections by other VMs, so that the samples are independent
+ * @full: the sender is sending all counts of windows that are not reported
  * @n: number of @counts
  * @counts: each is the total of the process so far, so that a lost or repeated
  *	message does no harm
@@ -37,6 +39,7 @@
 	char vm[USAGE_NAME_MAX + 1];
 	uint64_t boot;
 	int64_t time_ms;
+	bool full;
 	uint32_t n;
 	struct usage_msg_count counts[USAGE_MSG_MAX_COUNTS];
 };
--- a/packages/usage/usage_push.c
+++ b/packages/usage/usage_push.c
@@ -183,6 +183,7 @@
 	void *key;
 
 	m.n = 0;
+	m.full = to->full != 0;
 	g_hash_table_iter_init(&it, p->counts);
 	while (g_hash_table_iter_next(&it, &key, NULL)) {
 		const struct own_count *c = key;
--- a/packages/usage/usage_push.h
+++ b/packages/usage/usage_push.h
@@ -88,7 +88,7 @@
 /**
  * usage_push_send() - do a round
  * @even_empty: send a message also when there are no counts to send
- * @fn: called for each message, with @counts and @n set
+ * @fn: called for each message, with @full, @counts and @n set
  */
 void usage_push_send(struct usage_push *p, enum usage_push_to to,
     bool even_empty,
--- a/tests/lib/usage_fleet.c
+++ b/tests/lib/usage_fleet.c
@@ -8,6 +8,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "peer/usage_datagram.h"
+
 #define FIRST_WINDOW INT64_C(353445120)
 #define TICK_MS 100
 /* Links and calls. */
@@ -20,8 +22,7 @@
 /* Calls with a refused token that are allowed after the lease. */
 #define MAX_AFTER_REFUSAL 3
 
-static const char *const workspaces[UFLEET_WORKSPACES] = {
-    "blue", "green", "red"};
+static char workspaces[UFLEET_WORKSPACES][16];
 
 /** enum event_type - what happens at a time */
 enum event_type {
@@ -124,6 +125,22 @@
 
 static const struct usage_source_ops source_ops = {each_count};
 
+static uint64_t
+size_of(enum event_type type, const void *msg)
+{
+	struct bbuf b;
+	uint64_t n;
+
+	bbuf_init(&b);
+	if (type == EVENT_COUNTS)
+		usage_datagram_encode_counts(&b, msg);
+	else
+		usage_datagram_encode_status(&b, msg);
+	n = b.n;
+	bbuf_finish(&b);
+	return (n);
+}
+
 /* Sends a datagram, unless it is lost. */
 static void
 send_datagram(struct ufleet_vm *from, struct ufleet_vm *to,
@@ -133,6 +150,8 @@
 	struct event e = {.type = type, .vm = to, .boot = to->boot};
 
 	f->n_datagrams++;
+	if (f->measure)
+		f->n_bytes += size_of(type, msg);
 	if (to->boot == 0 || from->cut != to->cut || rng_unit(&f->rng) < LOSS)
 		return;
 	e.msg = g_memdup2(msg, size);
@@ -410,11 +429,12 @@
 		execute_store_call(f, e);
 	else if (e->type == EVENT_REPORT_CALL)
 		execute_report(f, e);
-	else if (e->vm->boot == e->boot && f->now_ms < e->vm->paused_ms) {
+	else if (e->vm->boot == e->boot && f->now_ms < e->vm->paused_ms &&
+	    (e->type > EVENT_STATUS || !f->full_queues)) {
 		post(f, e->vm->paused_ms - f->now_ms, e);
 		g_free(e);
 		return;
-	} else if (e->vm->boot == e->boot)
+	} else if (e->vm->boot == e->boot && f->now_ms >= e->vm->paused_ms)
 		deliver(e);
 	usage_record_finish(&e->record);
 	g_free(e->msg);
@@ -505,25 +525,6 @@
 	ufleet_unsure(vm, ms);
 }
 
-void
-ufleet_unsure(struct ufleet_vm *vm, int64_t ms)
-{
-	uint32_t last = window_index(vm->f) + (uint32_t)(ms / UFLEET_WINDOW_MS);
-
-	/* The counts of the window before may not be sent yet. */
-	for (uint32_t i = MAX(window_index(vm->f), 1) - 1; i <= last + 1; i++)
-		vm->unsure[i] = true;
-}
-
-void
-ufleet_late(struct ufleet *f, int64_t ms)
-{
-	uint32_t last = window_index(f) + (uint32_t)(ms / UFLEET_WINDOW_MS);
-
-	for (uint32_t i = MAX(window_index(f), 2) - 2; i <= last; i++)
-		f->late[i] = true;
-}
-
 void
 ufleet_run_to_work(struct ufleet *f)
 {
@@ -542,6 +543,8 @@
 {
 	struct ufleet *f = g_new0(struct ufleet, 1);
 
+	for (uint32_t i = 0; i < UFLEET_WORKSPACES; i++)
+		snprintf(workspaces[i], sizeof(workspaces[i]), "ws%05u", i);
 	rng_init(&f->rng, seed);
 	f->n_vms = n_vms;
 	f->vms = g_new0(struct ufleet_vm, n_vms);
--- a/tests/lib/usage_fleet.h
+++ b/tests/lib/usage_fleet.h
@@ -29,7 +29,9 @@
 #define UFLEET_LEASE_MS 3000
 /* Windows of a run and workspaces. */
 #define UFLEET_WINDOWS 32
+#ifndef UFLEET_WORKSPACES
 #define UFLEET_WORKSPACES 3
+#endif
 /* Longest delay of an event. */
 #define UFLEET_HORIZON_MS 16384
 
@@ -99,8 +101,10 @@
  * @late: windows that may be reported late or not at all
  * @n_reads: calls to the store, also @n_writes
  * @n_reports: calls to the address of the reports
- * @last_calls_ms: times of the last calls there
+ * @calls: struct report_call, in the order of time
  * @n_datagrams: datagrams sent
+ * @n_bytes: their bytes, without headers of the network, if @measure is set
+ * @full_queues: datagrams to a paused VM are lost, not delayed
  */
 struct ufleet {
 	struct random rng;
@@ -120,6 +124,9 @@
 	uint32_t n_writes;
 	uint32_t n_reports;
 	uint64_t n_datagrams;
+	uint64_t n_bytes;
+	bool measure;
+	bool full_queues;
 };
 
 /** ufleet_new() - a fleet that has just started */
--- a/tests/lib/usage_fleet_check.c
+++ b/tests/lib/usage_fleet_check.c
@@ -11,6 +11,33 @@
 #define ERROR 0.05
 #define ERROR_SLACK 3
 
+static uint32_t
+window_index(const struct ufleet *f)
+{
+	return ((uint32_t)((f->now_ms - f->start_ms) / UFLEET_WINDOW_MS));
+}
+
+void
+ufleet_unsure(struct ufleet_vm *vm, int64_t ms)
+{
+	uint32_t first = window_index(vm->f);
+	uint32_t last = first + (uint32_t)(ms / UFLEET_WINDOW_MS) + 1;
+
+	/* The counts of the window before may not be sent yet. */
+	for (uint32_t i = MAX(first, 1) - 1; i <= last; i++)
+		vm->unsure[i] = true;
+}
+
+void
+ufleet_late(struct ufleet *f, int64_t ms)
+{
+	uint32_t first = window_index(f);
+	uint32_t last = first + (uint32_t)(ms / UFLEET_WINDOW_MS);
+
+	for (uint32_t i = MAX(first, 2) - 2; i <= last; i++)
+		f->late[i] = true;
+}
+
 static void
 check_sum(struct ufleet *f, uint32_t window, uint32_t workspace)
 {
--- a/tests/unit/test_usage_datagram.c
+++ b/tests/unit/test_usage_datagram.c
@@ -42,6 +42,7 @@
 {
 	struct usage_counts_msg m = {.boot = rng_next(&rng),
 	    .time_ms = random_number(),
+	    .full = rng_below(&rng, 2) == 0,
 	    .n = rng_below(&rng, USAGE_MSG_MAX_COUNTS + 1)};
 
 	random_name(m.vm);
@@ -92,6 +93,7 @@
 		assert_string_equal(c.vm, c2.vm);
 		assert_true(c.boot == c2.boot && c.time_ms == c2.time_ms);
 		assert_int_equal(c.n, c2.n);
+		assert_int_equal(c.full, c2.full);
 		assert_memory_equal(c.counts, c2.counts, sizeof(c.counts));
 		assert_false(usage_datagram_decode_status(bbuf_str(&b), &s2));
 		bbuf_clear(&b);
@@ -221,11 +223,12 @@
 
 	bbuf_init(&b);
 	mpack_writer_init(&w, &b);
-	mpack_put_array(&w, 5);
+	mpack_put_array(&w, 6);
 	mpack_put_uint(&w, 32);
 	mpack_put_str(&w, name);
 	mpack_put_uint(&w, 1);
 	mpack_put_uint(&w, 1);
+	mpack_put_bool(&w, false);
 	mpack_put_array(&w, n);
 	for (uint32_t i = 0; i < n; i++) {
 		mpack_put_array(&w, 3);
--- a/tests/unit/test_usage_fleet.c
+++ b/tests/unit/test_usage_fleet.c
@@ -22,11 +22,16 @@
 	n_reports = f->n_reports;
 	n_writes = f->n_writes;
 	n_reads = f->n_reads;
+	f->n_datagrams = 0;
+	f->measure = true;
 	ufleet_run(f, 4 * UFLEET_WINDOW_MS);
 	/* One write and one report for each window, whatever the size. */
 	assert_int_equal(f->n_reports - n_reports, 4);
 	assert_int_equal(f->n_writes - n_writes, 4);
 	assert_int_equal(f->n_reads - n_reads, 0);
+	print_message("%.0f datagrams and %.0f bytes a second\n",
+	    (double)f->n_datagrams * 1000 / (4 * UFLEET_WINDOW_MS),
+	    (double)f->n_bytes * 1000 / (4 * UFLEET_WINDOW_MS));
 }
 
 static void
@@ -61,6 +66,7 @@
 static void
 paused_holder(struct ufleet *f)
 {
+	f->full_queues = rng_below(&f->rng, 2) == 0;
 	ufleet_run_to_work(f);
 	ufleet_pause(ufleet_holder(f), 1500 + rng_below(&f->rng, 9000));
 	ufleet_run(f, 25000);
