--- a/packages/front/upstream_side.c
+++ b/packages/front/upstream_side.c
@@ -97,7 +97,8 @@
 	if (c->blocked != ERR_NONE)
 		return (CURL_PREREQFUNC_ABORT);
 	c->sent = CALL_MAY_BE_SENT;
-	usage_count_sent(c, now_us);
+	c->usage_window =
+	    usage_count_sent(c->usage, worker_shared_state(c->w), now_us);
 	c->sent_on_reused_conn = c->opened_fd < 0;
 	return (CURL_PREREQFUNC_OK);
 }
@@ -205,7 +206,7 @@
 	protocol->ops->read(&c->head, &expect, &r);
 	c->refused = r.not_run;
 	if (c->refused)
-		usage_count_not_run(c);
+		usage_count_not_run(c->usage, &c->usage_window);
 	c->head_bad = r.verdict == PROTO_MISMATCH;
 	if (r.running >= 0)
 		c->reported = r.running;
