--- a/tests/lib/usage_fleet_check.c
+++ b/tests/lib/usage_fleet_check.c
@@ -4,9 +4,13 @@
 #include <stdint.h>
 #include <cmocka.h>
 
+#include <stdlib.h>
+
 #include "lib/usage_fleet.h"
 
 #define N_SEEDS 10
+/* The limit of usage_clock, and what clocks and links differ by. */
+#define CLOCK_ERROR_MS 330
 /* Allowed difference of the sums: a ratio, and requests of one tick. */
 #define ERROR 0.05
 #define ERROR_SLACK 3
@@ -72,9 +76,28 @@
 	return (false);
 }
 
+/* Checks that the estimates of true time are right. */
+static void
+check_clocks(struct ufleet *f)
+{
+	for (uint32_t i = 0; i < f->n_vms; i++) {
+		const struct ufleet_vm *vm = &f->vms[i];
+		int64_t error;
+
+		if (vm->boot == 0)
+			continue;
+		error = usage_duty_time_offset_ms(vm->duty) - vm->base_ms;
+		if (llabs(error) > CLOCK_ERROR_MS)
+			print_message("%s: clock %lld ms off\n", vm->name,
+			    (long long)error);
+		assert_true(llabs(error) <= CLOCK_ERROR_MS);
+	}
+}
+
 void
 ufleet_check(struct ufleet *f)
 {
+	check_clocks(f);
 	for (uint32_t i = 0; i < UFLEET_WINDOWS; i++) {
 		int64_t due = f->start_ms +
 		    (int64_t)(i + 1) * UFLEET_WINDOW_MS + UFLEET_DUE_MS;
