--- a/tests/lib/object_store.h
+++ b/tests/lib/object_store.h
@@ -4,7 +4,9 @@
  *
  * It implements the published protocol: objects by kind and name, a revision
  * counter, paged lists, watches, conditional writes, object status, and 410 for
- * a watch from before the kept history. Faults can be injected.
+ * a watch from before the kept history. It also receives usage reports, see
+ * lib/usage_reports.h; GET /usage returns usage_reports_json(). Faults can be
+ * injected.
  *
  *	struct object_store_desc desc = {.page = 2};
  *	struct object_store *store = object_store_new(&desc);
@@ -41,6 +43,8 @@
  *	this fault was injected
  * @drop_write_responses: writes are applied, but the connection is closed
  *	without a response
+ * @drop_report_responses: the same for usage reports
+ * @report_status: respond to every usage report with this HTTP status
  */
 struct object_store_faults {
 	unsigned status;
@@ -48,9 +52,12 @@
 	bool stall_watches;
 	bool stale_lists;
 	bool drop_write_responses;
+	bool drop_report_responses;
+	unsigned report_status;
 };
 
 struct object_store;
+struct usage_reports;
 
 /**
  * object_store_new() - start the server
@@ -95,7 +102,13 @@
 json_t *object_store_status(
     struct object_store *store, const char *kind, const char *name);
 
-/** object_store_calls() - number of calls received for a kind */
+/** object_store_reports() - receiver of usage reports, owned by @store */
+struct usage_reports *object_store_reports(struct object_store *store);
+
+/**
+ * object_store_calls() - number of calls received for a kind, or of usage
+ * reports for "reports"
+ */
 unsigned object_store_calls(struct object_store *store, const char *kind);
 
 /** object_store_exact_lists() - number of lists that may not be stale */
