--- a/tests/lib/usage_fleet.c
+++ b/tests/lib/usage_fleet.c
@@ -152,7 +152,7 @@
 	f->n_datagrams++;
 	if (f->measure)
 		f->n_bytes += size_of(type, msg);
-	if (to->boot == 0 || from->cut != to->cut || rng_unit(&f->rng) < LOSS)
+	if (to->boot == 0 || from->cut != to->cut || rng_unit(&f->rng) < f->loss)
 		return;
 	e.msg = g_memdup2(msg, size);
 	post(f, delay(f), &e);
@@ -546,6 +546,7 @@
 	for (uint32_t i = 0; i < UFLEET_WORKSPACES; i++)
 		snprintf(workspaces[i], sizeof(workspaces[i]), "ws%05u", i);
 	rng_init(&f->rng, seed);
+	f->loss = LOSS;
 	f->n_vms = n_vms;
 	f->vms = g_new0(struct ufleet_vm, n_vms);
 	f->start_ms = FIRST_WINDOW * UFLEET_WINDOW_MS;
--- a/tests/lib/usage_fleet.h
+++ b/tests/lib/usage_fleet.h
@@ -96,6 +96,7 @@
  * struct ufleet - the fleet
  * @now_ms: true time
  * @record: the record in the store
+ * @loss: ratio of datagrams that are lost
  * @highest: highest token of a report
  * @reports: accepted reports by window
  * @late: windows that may be reported late or not at all
@@ -114,6 +115,7 @@
 	int64_t now_ms;
 	GSList *events[UFLEET_HORIZON_MS];
 	struct usage_record record;
+	double loss;
 	struct ufleet_faults store;
 	struct ufleet_faults report;
 	int64_t highest;
--- a/tests/unit/test_usage_fleet.c
+++ b/tests/unit/test_usage_fleet.c
@@ -67,6 +67,7 @@
 paused_holder(struct ufleet *f)
 {
 	f->full_queues = rng_below(&f->rng, 2) == 0;
+	f->loss = 0.1;
 	ufleet_run_to_work(f);
 	ufleet_pause(ufleet_holder(f), 1500 + rng_below(&f->rng, 9000));
 	ufleet_run(f, 25000);
@@ -114,7 +115,7 @@
 		if (&f->vms[i] != holder && i % 5 >= alive)
 			ufleet_kill(&f->vms[i]);
 	}
-	f->store.slow_ms = 300;
+	f->store.slow_ms = 800;
 	ufleet_run(f, 30000);
 	/* When most VMs are down, another one may take over once. */
 	assert_true(f->record.token <= token + (alive == 2));
