--- a/tests/lib/usage_fleet.c
+++ b/tests/lib/usage_fleet.c
@@ -152,7 +152,8 @@
 	f->n_datagrams++;
 	if (f->measure)
 		f->n_bytes += size_of(type, msg);
-	if (to->boot == 0 || from->cut != to->cut || rng_unit(&f->rng) < f->loss)
+	if (to->boot == 0 || from->cut != to->cut ||
+	    rng_unit(&f->rng) < f->loss)
 		return;
 	e.msg = g_memdup2(msg, size);
 	post(f, delay(f), &e);
