Keep an incomplete request body incomplete after an early response

After an early response of 300 or above, the rest of the body was discarded on the assumption that libcurl stops sending. libcurl goes on when the connection closes after the response, and a chunked body was then ended by the last chunk. The rest of the body is now sent in this case.

test_incomplete_body plays 24 kinds of early responses with chunked bodies and bodies with a length, and callers that leave.

--- a/packages/front/call.h
+++ b/packages/front/call.h
@@ -115,7 +115,7 @@
  * @body: request body; bytes before @body_off were passed to libcurl
  * @body_off: position of the next byte to send
  * @body_dropped: sent bytes were freed, so the body cannot be sent again
- * @upload_stopped: libcurl stopped sending the body after an early 3xx to 5xx
+ * @upload_stopped: the rest of the body is discarded after an early 3xx to 5xx
  * @answer_complete: the complete answer was received, according to its head;
  *	always false for a chunked body or one that ends with the connection
  * @answer_bytes: bytes of the answer's body received
--- a/packages/front/response_head.c
+++ b/packages/front/response_head.c
@@ -18,6 +18,7 @@
 	h->head_request = head_request;
 	h->in_head = false;
 	h->final = false;
+	h->http10 = false;
 	h->status = 0;
 	h->bytes = 0;
 	h->len = -1;
@@ -60,6 +61,7 @@
 	response_head_reset(h, h->head_request);
 	h->bytes = bytes;
 	h->in_head = true;
+	h->http10 = bstr_has_prefix(line, BSTR("HTTP/1.0 "));
 	h->status = (unsigned)v;
 	return (RESPONSE_HEAD_MORE);
 }
@@ -159,6 +161,25 @@
 	return (!h->head_request && h->status != 204 && h->status != 304);
 }
 
+/* Whether a Connection field lists @name. */
+static bool
+connection_lists(const struct response_head *h, struct bstr name)
+{
+	for (unsigned i = 0; i < h->n; i++) {
+		if (bstr_caseeq(response_head_name(h, i), BSTR("Connection")) &&
+		    hop_connection_lists(response_head_value(h, i), name))
+			return (true);
+	}
+	return (false);
+}
+
+bool
+response_head_closes(const struct response_head *h)
+{
+	return (h->http10 || connection_lists(h, BSTR("close")) ||
+	    (response_head_has_body(h) && !h->chunked && h->len < 0));
+}
+
 struct bstr
 response_head_name(const struct response_head *h, unsigned i)
 {
@@ -197,10 +218,5 @@
 		if (bstr_caseeq(internal_names[k], name))
 			return (false);
 	}
-	for (unsigned k = 0; k < h->n; k++) {
-		if (bstr_caseeq(response_head_name(h, k), BSTR("Connection")) &&
-		    hop_connection_lists(response_head_value(h, k), name))
-			return (false);
-	}
-	return (true);
+	return (!connection_lists(h, name));
 }
--- a/packages/front/response_head.h
+++ b/packages/front/response_head.h
@@ -49,6 +49,7 @@
  * @head_request: the response answers a HEAD request
  * @in_head: a status line was read, but not yet the empty line
  * @final: the final head is complete
+ * @http10: the response is HTTP/1.0
  * @status: HTTP status of the current head
  * @bytes: bytes read, including trailers
  * @len: Content-Length, -1 when absent
@@ -64,6 +65,7 @@
 	bool head_request;
 	bool in_head;
 	bool final;
+	bool http10;
 	unsigned status;
 	size_t bytes;
 	int64_t len;
@@ -94,6 +96,12 @@
 /** response_head_has_body() - whether a body follows the final head */
 bool response_head_has_body(const struct response_head *h);
 
+/**
+ * response_head_closes() - whether the connection ends after the response: it
+ * is HTTP/1.0, says "Connection: close", or has a body without a length
+ */
+bool response_head_closes(const struct response_head *h);
+
 /** response_head_name() - name of field @i */
 struct bstr response_head_name(const struct response_head *h, unsigned i);
 
--- a/packages/front/upstream_side.c
+++ b/packages/front/upstream_side.c
@@ -100,6 +100,49 @@
 	return (CURL_PREREQFUNC_OK);
 }
 
+/*
+ * Discards the rest of the body after an early response. A body with a length
+ * then stays shorter than its length. A chunked body must not be ended, as it
+ * would look complete: on_read() aborts the transfer if libcurl asks for more.
+ */
+static void
+stop_upload(struct call *c)
+{
+	c->upload_stopped = true;
+	c->body_dropped = true;
+	c->body_off = c->body.n;
+	curl_easy_setopt(c->easy, CURLOPT_FORBID_REUSE, 1L);
+	caller_side_on_body_taken(c);
+}
+
+static bool
+is_early_error(const struct call *c)
+{
+	return (c->status >= 300 && !c->body_done && !c->refused && !c->failed);
+}
+
+/*
+ * libcurl stops sending the body after a response of 300 or above, unless the
+ * connection closes after it. It then goes on, and gets the rest of the body.
+ */
+static void
+on_early_head(struct call *c)
+{
+	if (is_early_error(c) && !response_head_closes(&c->head))
+		stop_upload(c);
+}
+
+/*
+ * The caller reads the response only after it has sent its body, and the
+ * upstream may not read the body before its response is taken.
+ */
+static void
+on_early_pause(struct call *c)
+{
+	if (is_early_error(c) && !c->upload_stopped && c->body_len >= 0)
+		stop_upload(c);
+}
+
 static size_t
 on_read(char *out, size_t size, size_t n, void *arg)
 {
@@ -108,7 +151,9 @@
 	size_t len = size * n;
 
 	if (left.n == 0) {
-		if (c->body_done)
+		if (c->upload_stopped && c->body_len < 0)
+			return (CURL_READFUNC_ABORT);
+		if (c->body_done || c->upload_stopped)
 			return (0);
 		c->body_paused = true;
 		return (CURL_READFUNC_PAUSE);
@@ -164,6 +209,7 @@
 		}
 	} else if (left != 0 && left + len > ANSWER_HIGH_WATER) {
 		c->answer_paused = true;
+		on_early_pause(c);
 		return (CURL_WRITEFUNC_PAUSE);
 	}
 	trim_answer(c);
@@ -176,18 +222,6 @@
 	return (len);
 }
 
-/* libcurl stops sending the body after an early response of 300 or above. */
-static void
-drop_upload(struct call *c)
-{
-	if (c->status < 300 || c->body_done || c->refused || c->failed)
-		return;
-	c->upload_stopped = true;
-	c->body_dropped = true;
-	c->body_off = c->body.n;
-	caller_side_on_body_taken(c);
-}
-
 /* Evaluates the status fields of the response head. */
 static void
 read_report(struct call *c)
@@ -234,7 +268,7 @@
 	c->failed = h->status >= 500 && !c->refused &&
 	    worker_shared_state(c->w)->protocol->status_means_not_run &&
 	    retry_policy_take(c, ERR_UPSTREAM_ANSWER);
-	drop_upload(c);
+	on_early_head(c);
 	if (!c->refused && !c->failed)
 		caller_side_on_head(c);
 }
--- a/tests/lib/rig.c
+++ b/tests/lib/rig.c
@@ -469,8 +469,7 @@
 	return (rig_read(fd, strcmp(method, "HEAD") == 0));
 }
 
-/* Reads a counter of @path directly from the stand-in. */
-static int
+int
 rig_read_counter(const char *counter, const char *path)
 {
 	char text[512];
@@ -502,19 +501,23 @@
 }
 
 void
-rig_wait_closed(const char *path)
+rig_wait_counter(const char *counter, const char *path)
 {
-	for (int i = 0; i < 1000 && rig_read_counter("gone", path) == 0; i++)
+	for (int i = 0; i < 1000 && rig_read_counter(counter, path) == 0; i++)
 		usleep(10000);
-	assert_int_equal(rig_read_counter("gone", path), 1);
+	assert_int_equal(rig_read_counter(counter, path), 1);
+}
+
+void
+rig_wait_closed(const char *path)
+{
+	rig_wait_counter("gone", path);
 }
 
 void
 rig_wait_received(const char *path)
 {
-	for (int i = 0; i < 1000 && rig_request_count(path) == 0; i++)
-		usleep(10000);
-	assert_int_equal(rig_request_count(path), 1);
+	rig_wait_counter("count", path);
 }
 
 int
--- a/tests/lib/rig.h
+++ b/tests/lib/rig.h
@@ -214,6 +214,19 @@
  */
 int rig_request_count(const char *path);
 
+/**
+ * rig_read_counter() - value of a counter of @path; tests/standin/rawup.c lists
+ * them
+ */
+int rig_read_counter(const char *counter, const char *path);
+
+/**
+ * rig_wait_counter() - wait until a counter of @path is 1
+ *
+ * The test fails after 10 s, or when the counter is higher.
+ */
+void rig_wait_counter(const char *counter, const char *path);
+
 /**
  * rig_wait_closed() - wait until the worker closes the connection of @path
  *
--- a/tests/standin/rawup.c
+++ b/tests/standin/rawup.c
@@ -9,17 +9,25 @@
  *	stall                     never reads the body
  *	early, earlybad           answer after the head, then read the body
  *	earlydeaf, earlybaddeaf   answer after the head, never read the body
+ *	readon-STATUS-FRAMING     begins an answer after the head, then reads
+ *the body; see answer_and_read_on()
  *
  * Behaviours that begin with "endless" send bytes until the peer closes, see
  * endless[].
  *
- * early and earlydeaf answer 200, the others 413 with a body of 1 MB.
+ * early and earlydeaf answer 200, the others 413 with a body of 1 MB. With
+ * "close" after "bad", this answer has "Connection: close".
  *
  * The counters are read with:
  *
  *	/ctl/count<path>   complete requests received for <path>
  *	/ctl/gone<path>    connections closed by the peer during stall, hang,
  *	                   hangbody, earlydeaf, earlybaddeaf or endless ones
+ *	/ctl/begun<path>   answers that readon began
+ *	/ctl/read<path>    request bodies that readon read to their end or until
+ *	                   the connection ended
+ *	/ctl/cut<path>     of these, bodies that were complete by their framing
+ *	                   and did not end with BODY_END
  *
  * Prints "port N" when it listens.
  */
@@ -42,6 +50,8 @@
 #define BIG_BODY (8 * 1024 * 1024)
 #define HUGE_BODY (64 * 1024 * 1024)
 #define HUGE_BLOCK (64 * 1024)
+/* Callers of readon end their bodies with this. */
+#define BODY_END "end"
 #define OVER_4K_BODY 5000 /* above the 4 KiB that a claim stores */
 #define MAX_HANG_MS 20000
 #define EARLY_BODY 1000000
@@ -60,11 +70,13 @@
  * struct path_count - counters of one path
  * @complete: complete requests received
  * @closed: connections on which wait_for_close() saw the peer close
+ * @begun, @read, @cut: see /ctl/begun, /ctl/read and /ctl/cut
  */
 struct path_count {
 	char path[256];
 	int complete;
 	int closed;
+	int begun, read, cut;
 };
 
 /**
@@ -285,6 +297,8 @@
 
 		memset(p, 'e', EARLY_BODY);
 		send_str(c->fd, "HTTP/1.1 413 Large\r\n");
+		if (strstr(c->path, "/earlybadclose") != NULL)
+			send_str(c->fd, "Connection: close\r\n");
 		send_str(c->fd, EARLY_LENGTH);
 		send_all(c->fd, p, EARLY_BODY);
 		free(p);
@@ -302,10 +316,81 @@
 			continue;
 }
 
+static bool
+read_body(struct conn *c)
+{
+	const char *field = strcasestr(c->head, "\r\nContent-Length:");
+
+	if (field != NULL)
+		return (read_bytes(c, strtoul(field + 17, NULL, 10)));
+	if (strcasestr(c->head, "\r\nTransfer-Encoding: chunked") != NULL)
+		return (read_chunks(c));
+	return (true);
+}
+
+static bool
+body_is_intact(const struct conn *c)
+{
+	const size_t n = strlen(BODY_END);
+
+	return (c->body_n >= n &&
+	    memcmp(c->body + c->body_n - n, BODY_END, n) == 0);
+}
+
+/**
+ * struct early_framing - parts of an early answer with the body "abcd"
+ * @name: FRAMING in the request path; with "-close" appended the answer has
+ *	"Connection: close"
+ * @start: fields and body that are sent before the request body is read
+ * @rest: sent afterwards
+ */
+struct early_framing {
+	const char *name, *start, *rest;
+};
+
+static const struct early_framing early_framings[] = {
+    {"whole", "Content-Length: 4\r\n\r\nabcd", ""},
+    {"length", "Content-Length: 4\r\n\r\nab", "cd"},
+    {"chunked", "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+	"2\r\ncd\r\n0\r\n\r\n"},
+    {"none", "\r\nab", "cd"},
+};
+
+/* Begins an answer, reads the request body, ends the answer and closes. */
+static void
+answer_and_read_on(struct conn *c)
+{
+	const struct early_framing *f = &early_framings[0];
+	const char *name = strstr(c->path, "/readon-") + strlen("/readon-NNN-");
+	bool whole;
+
+	for (size_t i = 0; i < sizeof(early_framings) / sizeof(*f); i++) {
+		if (strncmp(name, early_framings[i].name,
+			strlen(early_framings[i].name)) == 0)
+			f = &early_framings[i];
+	}
+	send_str(c->fd, "HTTP/1.1 ");
+	send_all(c->fd, name - strlen("NNN-"), 3);
+	send_str(c->fd, " Early\r\n");
+	if (strstr(name, "-close/") != NULL)
+		send_str(c->fd, "Connection: close\r\n");
+	send_str(c->fd, f->start);
+	pthread_mutex_lock(&lock);
+	find_path(c->path)->begun++;
+	pthread_mutex_unlock(&lock);
+	whole = read_body(c);
+	send_str(c->fd, f->rest);
+	pthread_mutex_lock(&lock);
+	find_path(c->path)->complete += whole;
+	find_path(c->path)->read++;
+	find_path(c->path)->cut += whole && !body_is_intact(c);
+	pthread_mutex_unlock(&lock);
+}
+
 static bool
 read_request(struct conn *c)
 {
-	char *end, *field;
+	char *end;
 
 	c->body_n = 0;
 	while ((end = strstr(c->buf, "\r\n\r\n")) == NULL) {
@@ -326,12 +411,12 @@
 		answer_early(c);
 		return (false);
 	}
-	field = strcasestr(c->head, "\r\nContent-Length:");
-	if (field != NULL)
-		return (read_bytes(c, strtoul(field + 17, NULL, 10)));
-	if (strcasestr(c->head, "\r\nTransfer-Encoding: chunked") != NULL)
-		return (read_chunks(c));
-	return (true);
+	if (strncmp(c->path, "/ctl/", 5) != 0 &&
+	    strstr(c->path, "/readon-") != NULL) {
+		answer_and_read_on(c);
+		return (false);
+	}
+	return (read_body(c));
 }
 
 /**
@@ -423,16 +508,33 @@
 	return (NULL);
 }
 
+static int
+read_counter(const struct path_count *p, const char *name, size_t n)
+{
+	const struct {
+		const char *name;
+		int value;
+	} counters[] = {{"count", p->complete}, {"gone", p->closed},
+	    {"begun", p->begun}, {"read", p->read}, {"cut", p->cut}};
+
+	for (size_t i = 0; i < sizeof(counters) / sizeof(*counters); i++) {
+		if (strlen(counters[i].name) == n &&
+		    memcmp(counters[i].name, name, n) == 0)
+			return (counters[i].value);
+	}
+	return (-1);
+}
+
 static void
 answer_ctl(struct conn *c)
 {
-	bool closed = strncmp(c->path, "/ctl/gone", 9) == 0;
-	struct path_count *p;
+	const char *name = c->path + strlen("/ctl/");
+	size_t n = strcspn(name, "/");
 	char text[16];
 
 	pthread_mutex_lock(&lock);
-	p = find_path(c->path + (closed ? 9 : 10));
-	snprintf(text, sizeof(text), "%d", closed ? p->closed : p->complete);
+	snprintf(text, sizeof(text), "%d",
+	    read_counter(find_path(name + n), name, n));
 	pthread_mutex_unlock(&lock);
 	send_body(c->fd, "", text, strlen(text));
 }
--- a/tests/unit/test_front_early.c
+++ b/tests/unit/test_front_early.c
@@ -7,6 +7,8 @@
 
 #include <poll.h>
 
+#include "platform/field_names.h"
+
 #define BODY_SIZE (32 * 1024 * 1024)
 #define ERROR_BODY_SIZE 1000000
 #define MAX_GROWTH_BYTES (12 * 1024 * 1024)
@@ -95,6 +97,129 @@
 	expect_error("/p/earlybaddeaf/1");
 }
 
+/* As above, with an answer after which the connection ends. */
+static void
+test_error_and_close(void **state)
+{
+	(void)state;
+	expect_error("/p/earlybadclose/1");
+	expect_error("/p/earlybadclosedeaf/1");
+}
+
+/* Two parts of a body; the last three bytes are the BODY_END of rawup. */
+#define PART_BYTES 20000
+#define PART_HEAD "4e20\r\n" /* PART_BYTES in hexadecimal */
+
+/**
+ * struct early_case - an early answer to a request with a body
+ * @status: status of the answer
+ * @framing: framing of the answer, as in rawup's readon
+ * @answered: the caller must receive the answer; without it, libcurl has
+ *	stopped sending and the stand-in waits for the rest of the body before
+ *	it ends the answer
+ */
+struct early_case {
+	unsigned status;
+	const char *framing;
+	bool answered;
+};
+
+static const struct early_case early_cases[] = {
+    {200, "whole", true},
+    {200, "whole-close", true},
+    {200, "length", true},
+    {200, "length-close", true},
+    {200, "chunked", true},
+    {200, "chunked-close", true},
+    {200, "none", true},
+    {200, "none-close", true},
+    {413, "whole", true},
+    {413, "whole-close", true},
+    {413, "length", false},
+    {413, "length-close", true},
+    {413, "chunked", false},
+    {413, "chunked-close", true},
+    {413, "none", true},
+    {413, "none-close", true},
+    {500, "whole", true},
+    {500, "whole-close", true},
+    {500, "length", false},
+    {500, "length-close", true},
+    {500, "chunked", false},
+    {500, "chunked-close", true},
+    {500, "none", true},
+    {500, "none-close", true},
+};
+
+static void
+send_part(int fd, bool chunked, const char *part)
+{
+	if (chunked)
+		send(fd, PART_HEAD, strlen(PART_HEAD), MSG_NOSIGNAL);
+	send(fd, part, PART_BYTES, MSG_NOSIGNAL);
+	if (chunked)
+		send(fd, "\r\n", 2, MSG_NOSIGNAL);
+}
+
+/* Sends a request whose answer begins in the middle of its body. */
+static void
+play_early(const struct early_case *e, bool chunked, bool leaves)
+{
+	char part[PART_BYTES], path[96], fields[96];
+	int fd;
+
+	memset(part, 'b', sizeof(part));
+	snprintf(path, sizeof(path), "/p/readon-%u-%s/%s%s", e->status,
+	    e->framing, chunked ? "chunked" : "length", leaves ? "-left" : "");
+	snprintf(fields, sizeof(fields), "X-Deadline-Ms: %d\r\n%s\r\n",
+	    e->answered ? 8000 : 500,
+	    chunked ? "Transfer-Encoding: chunked" : "Content-Length: 40000");
+	fd = rig_request("POST", "a", path, fields, NULL);
+	send_part(fd, chunked, part);
+	rig_wait_counter("begun", path);
+	if (leaves) {
+		close(fd);
+	} else {
+		struct reply r;
+
+		/* The head of the answer arrives before the rest is sent. */
+		usleep(5000);
+		memcpy(part + PART_BYTES - 3, "end", 3);
+		send_part(fd, chunked, part);
+		if (chunked)
+			send(fd, "0\r\n\r\n", 5, MSG_NOSIGNAL);
+		r = rig_read(fd, false);
+		if (e->answered && (r.status != e->status || !r.complete))
+			fail_msg("%s: %.300s", path, r.p);
+		rig_reply_free(&r);
+	}
+	rig_wait_counter("read", path);
+	if (leaves && rig_request_count(path) != 0)
+		fail_msg("%s: complete for the upstream", path);
+	if (rig_read_counter("cut", path) != 0)
+		fail_msg("%s: complete for the upstream and cut", path);
+}
+
+/*
+ * Guards against an incomplete request body that looks complete to the
+ * upstream, when it answers in the middle of the body or the caller leaves
+ * there.
+ */
+static void
+test_incomplete_body(void **state)
+{
+	const struct upstream_protocol *before = rig.shared.protocol;
+
+	(void)state;
+	rig.shared.protocol = field_names_protocol();
+	for (size_t i = 0; i < sizeof(early_cases) / sizeof(*early_cases);
+	     i++) {
+		for (int k = 0; k < 4; k++)
+			play_early(&early_cases[i], (k & 1) != 0, (k & 2) != 0);
+	}
+	rig.shared.protocol = before;
+}
+
 int
 main(void)
 {
@@ -103,6 +228,8 @@
 	    cmocka_unit_test(test_success_body_unread),
 	    cmocka_unit_test(test_error),
 	    cmocka_unit_test(test_error_body_unread),
+	    cmocka_unit_test(test_error_and_close),
+	    cmocka_unit_test(test_incomplete_body),
 	};
 
 	return (cmocka_run_group_tests(tests, rig_setup, rig_teardown));
