--- a/tests/standin/rawup.c
+++ b/tests/standin/rawup.c
@@ -9,8 +9,8 @@
  *	stall                     never reads the body
  *	early, earlybad           answer after the head, then read the body
  *	earlydeaf, earlybaddeaf   answer after the head, never read the body
- *	readon-STATUS-FRAMING     begins an answer after the head, then reads
- *the body; see answer_and_read_on()
+ *	readon-STATUS-FRAMING     begin an answer after the head, then read the
+ *	                          body, see answer_and_read_on()
  *
  * Behaviours that begin with "endless" send bytes until the peer closes, see
  * endless[].
--- a/tests/unit/test_front_early.c
+++ b/tests/unit/test_front_early.c
@@ -106,7 +106,10 @@
 	expect_error("/p/earlybadclosedeaf/1");
 }
 
-/* Two parts of a body; the last three bytes are the BODY_END of rawup. */
+/* The last bytes of each body, as rawup expects. */
+static const struct bstr body_end = {"end", 3};
+
+/* A body has two parts. */
 #define PART_BYTES 20000
 #define PART_HEAD "4e20\r\n" /* PART_BYTES in hexadecimal */
 
@@ -184,7 +187,7 @@
 
 		/* The head of the answer arrives before the rest is sent. */
 		usleep(5000);
-		memcpy(part + PART_BYTES - 3, "end", 3);
+		memcpy(part + PART_BYTES - body_end.n, body_end.p, body_end.n);
 		send_part(fd, chunked, part);
 		if (chunked)
 			send(fd, "0\r\n\r\n", 5, MSG_NOSIGNAL);
