--- a/packages/front/attempt_report.c
+++ b/packages/front/attempt_report.c
@@ -57,16 +57,17 @@
 }
 
 void
-attempt_report_state(struct call *c, int64_t now_us)
+attempt_report_state(struct call_attempt *a, int64_t now_us)
 {
-	struct bstr value = response_head_find(&c->head, BSTR("X-State"));
+	struct bstr value = response_head_find(&a->head, BSTR("X-State"));
+	struct call *c = a->call;
 	const struct rt_service *s;
 	enum rt_state state;
 
 	if (!parse_state(value, &state) ||
 	    worker_shared_state(c->w)->control == NULL)
 		return;
-	if (!rt_state_needs_report(c->upstream, c->upstream_state, state))
+	if (!rt_state_needs_report(a->upstream, a->upstream_state, state))
 		return;
 	rcu_read_lock();
 	s = rt_find_service(
@@ -74,7 +75,7 @@
 	for (uint32_t i = 0; s != NULL && i < s->n_upstreams; i++) {
 		const struct rt_upstream *u = &s->upstreams[i];
 
-		if (u->stat != c->upstream || u->id.n > WORKER_MSG_ID_MAX ||
+		if (u->stat != a->upstream || u->id.n > WORKER_MSG_ID_MAX ||
 		    !rt_state_needs_report(u->stat, u->state, state) ||
 		    !may_report(c->w, u->id, now_us))
 			continue;
@@ -113,15 +114,15 @@
 }
 
 void
-attempt_report_count(struct call *c, bool failed, int64_t now_us)
+attempt_report_count(struct call_attempt *a, bool failed, int64_t now_us)
 {
-	int64_t end_us = c->head_us != 0 ? c->head_us : now_us;
+	int64_t end_us = a->head_us != 0 ? a->head_us : now_us;
 
-	if (c->tally == NULL)
+	if (a->tally == NULL)
 		return;
-	atomic_fetch_add(&c->tally->calls, 1);
+	atomic_fetch_add(&a->tally->calls, 1);
 	if (failed)
-		atomic_fetch_add(&c->tally->failures, 1);
-	if (c->slow_us != 0 && end_us - c->attempt_us > c->slow_us)
-		atomic_fetch_add(&c->tally->slow, 1);
+		atomic_fetch_add(&a->tally->failures, 1);
+	if (a->slow_us != 0 && end_us - a->start_us > a->slow_us)
+		atomic_fetch_add(&a->tally->slow, 1);
 }
--- a/packages/front/call.c
+++ b/packages/front/call.c
@@ -22,10 +22,9 @@
 	c->path.p = c->target.p;
 	c->path.n = query == NULL ? c->target.n : (size_t)(query - c->target.p);
 	c->body_len = -1;
-	c->reported = -1;
-	response_head_init(&c->head, false);
-	c->head.close_ends_body =
-	    worker_shared_state(w)->protocol->close_ends_body;
+	for (unsigned i = 0; i < CALL_MAX_HELD; i++)
+		call_attempt_init(&c->held[i], c,
+		    worker_shared_state(w)->protocol->close_ends_body);
 	c->may_probe = true;
 	c->draw = rng_below(worker_rng(w), 1000);
 	return (c);
@@ -41,19 +40,14 @@
 void
 call_free(struct call *c)
 {
-	response_head_finish(&c->head);
+	for (unsigned i = 0; i < CALL_MAX_HELD; i++)
+		call_attempt_finish(&c->held[i]);
 	bbuf_finish(&c->body);
-	bbuf_finish(&c->answer);
-	bbuf_finish(&c->kept);
 	free(c->claim.replay);
 	free_str(&c->method);
 	free_str(&c->target);
 	for (uint32_t i = 0; i < c->n_excluded; i++)
 		rt_stat_unref(c->excluded[i]);
-	if (c->upstream != NULL)
-		rt_stat_unref(c->upstream);
-	if (c->tally != NULL)
-		rt_tally_unref(c->tally);
 	free(c);
 }
 
@@ -64,51 +58,61 @@
 	    MHD_lookup_connection_value(c->conn, MHD_HEADER_KIND, name)));
 }
 
-void
-call_reset_answer(struct call *c)
+struct call_attempt *
+call_current(const struct call *c)
+{
+	return ((struct call_attempt *)(uintptr_t)&c->held[c->current]);
+}
+
+struct call_attempt *
+call_other(const struct call *c)
+{
+	return ((struct call_attempt *)(uintptr_t)&c->held[1 - c->current]);
+}
+
+bool
+call_runs(const struct call *c)
 {
-	c->answer_complete = false;
-	c->answer_bytes = 0;
-	c->answer_bytes_when_late = 0;
-	response_head_reset(&c->head, c->head_request);
-	c->head_bad = false;
-	c->head_us = 0;
-	c->status = 0;
-	c->refused = false;
-	c->failed = false;
-	c->reported = -1;
-	bbuf_clear(&c->answer);
-	c->answer_off = 0;
-	c->answer_paused = false;
-	bbuf_clear(&c->kept);
-	c->kept_omitted = false;
+	return (
+	    call_attempt_runs(&c->held[0]) || call_attempt_runs(&c->held[1]));
+}
+
+size_t
+call_body_sent(const struct call *c)
+{
+	size_t n = SIZE_MAX;
+
+	for (unsigned i = 0; i < CALL_MAX_HELD; i++) {
+		const struct call_attempt *a = &c->held[i];
+
+		if (call_attempt_runs(a) && a->body_off < n)
+			n = a->body_off;
+	}
+	return (n == SIZE_MAX ? 0 : n);
 }
 
 struct bstr
 call_body_left(const struct call *c)
 {
-	if (c->body.n == c->body_off)
+	size_t sent = call_body_sent(c);
+
+	if (c->body.n == sent)
 		return ((struct bstr){0});
-	return (
-	    (struct bstr){c->body.p + c->body_off, c->body.n - c->body_off});
+	return ((struct bstr){c->body.p + sent, c->body.n - sent});
 }
 
 struct bstr
 call_answer_left(const struct call *c)
 {
-	if (c->answer.n == c->answer_off)
-		return ((struct bstr){0});
-	return ((struct bstr){
-	    c->answer.p + c->answer_off, c->answer.n - c->answer_off});
+	return (call_attempt_answer_left(call_current(c)));
 }
 
-bool
-call_answerable(const struct call *c)
+static bool
+is_answerable(const struct call *c, const struct call_attempt *a)
 {
-	if (c->err != ERR_NONE || c->claim.replay != NULL || c->answer_done)
-		return (true);
 	/* An answer without a body is passed on at the end of the transfer. */
-	if (c->status == 0 || !response_head_has_body(&c->head))
+	if (!call_attempt_runs(a) || a->refused || a->failed ||
+	    a->status == 0 || !response_head_has_body(&a->head))
 		return (false);
 	/*
 	 * A short answer is passed on only when it is complete, so that a
@@ -116,9 +120,26 @@
 	 * short until more of it than that has arrived.
 	 */
 	if (worker_shared_state(c->w)->protocol->status_means_not_run &&
-	    c->answer.n <= CALL_BUFFERED_ANSWER_MAX &&
-	    c->head.len <= CALL_BUFFERED_ANSWER_MAX)
+	    a->answer.n <= CALL_BUFFERED_ANSWER_MAX &&
+	    a->head.len <= CALL_BUFFERED_ANSWER_MAX)
 		return (false);
 	/* HTTP/1.0 cannot signal that a body of unknown length was cut off. */
-	return (!c->http10 || c->head.len >= 0);
+	return (!c->http10 || a->head.len >= 0);
+}
+
+struct call_attempt *
+call_answerable_attempt(const struct call *c)
+{
+	if (is_answerable(c, call_current(c)))
+		return (call_current(c));
+	if (is_answerable(c, call_other(c)))
+		return (call_other(c));
+	return (NULL);
+}
+
+bool
+call_answerable(const struct call *c)
+{
+	return (c->err != ERR_NONE || c->claim.replay != NULL ||
+	    c->answer_done || call_answerable_attempt(c) != NULL);
 }
--- a/packages/front/call.h
+++ b/packages/front/call.h
@@ -2,7 +2,7 @@
  * call - state of one call on its worker.
  *
  * A call is created when a caller's request line has been read. It is freed
- * when libmicrohttpd (MHD) completes the request, after its transfer has been
+ * when libmicrohttpd (MHD) completes the request, after its transfers have been
  * cancelled and its claim settled. A call stays on one worker, so its state
  * needs no lock.
  *
@@ -23,13 +23,12 @@
 
 #include "base/byte_string.h"
 #include "base/error_kind.h"
-#include "front/response_head.h"
-#include "front/transfers.h"
+#include "front/call_attempt.h"
 #include "route/load_choice.h"
 #include "route/routing.h"
 
-#define CALL_ADDR_MAX 63
-#define CALL_ID_MAX 127
+/* A late attempt and its successor. */
+#define CALL_MAX_HELD 2
 /*
  * Largest answer that is buffered whole before it is passed on. It is below the
  * size at which the transfer from the upstream is paused.
@@ -42,12 +41,6 @@
 struct claim_filter_pending;
 struct worker_msg_claim_reply;
 
-/** enum call_sent - how far the request got on its way to an upstream */
-enum call_sent {
-	CALL_NOT_SENT,
-	CALL_MAY_BE_SENT, /* connected, libcurl may have written bytes */
-};
-
 /** enum call_wait - what a call waits for before a transfer starts */
 enum call_wait {
 	CALL_WAIT_NONE,
@@ -75,27 +68,8 @@
 	struct worker_msg_claim_reply *replay;
 };
 
-/**
- * struct call_choice - load report that led to the choice of an upstream
- * @running: requests that the upstream was serving
- * @waiting: requests that waited for a slot there
- * @pace: processing time there, in percent of the usual time
- * @age_us: age of the report
- * @table_version: version of the routing table
- *
- * It is written to the log, and @pace also scales the measured service time.
- */
-struct call_choice {
-	int32_t running;
-	int32_t waiting;
-	int32_t pace;
-	int64_t age_us;
-	uint64_t table_version;
-};
-
 /**
  * struct call - one request of a caller and its attempts
- * @xfer: first member; CURLOPT_PRIVATE points to it
  * @w: worker that runs the call
  * @conn: caller's connection, NULL before the request head is complete
  * @caller_conn: the worker's state of that connection
@@ -112,16 +86,10 @@
  * @idempotent: may be retried after bytes were sent
  * @keyed: carries an idempotency key on a non-idempotent route
  * @owner_decided: the owner of the key's partition decided the claim
- * @body: request body; bytes before @body_off were passed to libcurl
- * @body_off: position of the next byte to send
+ * @body: request body, from its first byte that may still be sent
  * @body_dropped: sent bytes were freed, so the body cannot be sent again
  * @upload_stopped: the rest of the body is discarded after an early 3xx to 5xx
- * @answer_complete: the complete answer was received, according to its head;
- *	always false for a chunked body or one that ends with the connection
- * @answer_bytes: bytes of the answer's body received
- * @answer_bytes_when_late: @answer_bytes when the call was last found late
  * @body_done: the caller has sent the complete body
- * @body_paused: libcurl waits for more body
  * @body_buffered: the complete body is buffered before anything is sent
  * @has_body: the request has a body
  * @body_len: Content-Length, -1 for a chunked body
@@ -134,12 +102,6 @@
  * @wait_until_us: time at which the wait for a slot ends
  * @claim: claim of a keyed request
  * @service_state: the worker's state of the service
- * @upstream: statistics of the chosen upstream, a reference is held
- * @slots: requests that the chosen upstream can execute at a time, 0 for no
- *	limit
- * @tally: counters of the attempt or NULL, a reference is held
- * @upstream_state: state of the upstream in the table when it was chosen
- * @slow_us: attempts above this time count as slow, 0 for no limit
  * @excluded: upstreams that failed, references are held
  * @n_excluded: number of entries in @excluded
  * @draw: random number below 1000 that chooses the version
@@ -155,43 +117,16 @@
  *	ends that one of them asked for, 0 when none did
  * @accept_slow: slow upstreams are accepted, as half of the time for
  *	waiting has passed
- * @instance: id of the chosen upstream
- * @chosen: load report on which it was chosen
- * @addr: address of the chosen upstream
  * @attempts: number of attempts started
- * @sent: progress of sending the request in the current attempt
- * @blocked: reason for not sending on a connection that was ready, or ERR_NONE
  * @first_err: error kind of the first attempt that may have run
- * @resend_blocked: libcurl tried to send the request again and was stopped
- * @unclean: a reused connection had unread bytes, so nothing was sent on it
- * @sent_on_reused_conn: the request was written to a reused connection
- * @opened_fd: socket opened for the attempt, -1 for a reused connection
  * @need_new_conn: the next attempt must use a new connection
- * @easy: transfer of the current attempt
- * @out_headers: header fields for @easy
- * @attempt_us: time at which the attempt started
- * @head_us: time at which the response head arrived, 0 before
- * @reported: requests that the upstream is serving, as its response reports,
- *	-1 when not reported
- * @refused: the upstream reports that it did not run the request
- * @failed: the attempt got a 5xx response, which is discarded; its retry was
- *	already taken from the retry budget
- * @head: head of the answer
- * @head_bad: the upstream's answer must not be used
- * @status: status of the answer, 0 until its final head is complete
- * @answer: answer body; bytes before @answer_off were passed on
- * @answer_off: position of the next byte for the caller
+ * @held: attempts; both run while a late one goes on beside its successor
+ * @current: index in @held of the one that call_current() returns
  * @answer_done: the answer is complete or @err is set
- * @answer_paused: libcurl is paused because @answer is full
  * @answer_started: the answer's head was passed to MHD
- * @kept: start of the answer's body, stored with the claim
- * @kept_omitted: the body did not fit into @kept
  * @err: error kind, ERR_NONE when there is no error
- * @next_unpause: link in the worker's list, valid while @in_unpause
- * @in_unpause: the transfer is queued to be unpaused
  */
 struct call {
-	struct curl_transfer xfer;
 	struct worker *w;
 	struct MHD_Connection *conn;
 	struct caller_side_conn *caller_conn;
@@ -210,14 +145,9 @@
 	bool owner_decided;
 
 	struct bbuf body;
-	size_t body_off;
 	bool body_dropped;
 	bool upload_stopped;
-	bool answer_complete;
-	uint64_t answer_bytes;
-	uint64_t answer_bytes_when_late;
 	bool body_done;
-	bool body_paused;
 	bool body_buffered;
 	bool has_body;
 	int64_t body_len;
@@ -232,11 +162,6 @@
 	struct call_claim claim;
 
 	struct worker_service *service_state;
-	struct rt_stat *upstream;
-	uint32_t slots;
-	struct rt_tally *tally;
-	enum rt_state upstream_state;
-	int64_t slow_us;
 	struct rt_stat *excluded[RT_MAX_EXCLUDED];
 	uint32_t n_excluded;
 	uint32_t draw;
@@ -249,39 +174,15 @@
 	bool may_probe;
 	int64_t pause_left_us;
 	bool accept_slow;
-	char instance[CALL_ID_MAX + 1];
-	struct call_choice chosen;
-	char addr[CALL_ADDR_MAX + 1];
 	unsigned attempts;
-	enum call_sent sent;
-	enum err_kind blocked;
 	enum err_kind first_err;
-	bool resend_blocked;
-	bool unclean;
-	bool sent_on_reused_conn;
-	int opened_fd;
 	bool need_new_conn;
-	CURL *easy;
-	struct curl_slist *out_headers;
-	int64_t attempt_us;
-	int64_t head_us;
-	int32_t reported;
-	bool refused;
-	bool failed;
+	struct call_attempt held[CALL_MAX_HELD];
+	unsigned current;
 
-	struct response_head head;
-	bool head_bad;
-	unsigned status;
-	struct bbuf answer;
-	size_t answer_off;
 	bool answer_done;
-	bool answer_paused;
 	bool answer_started;
-	struct bbuf kept;
-	bool kept_omitted;
 	enum err_kind err;
-	struct call *next_unpause;
-	bool in_unpause;
 };
 
 /**
@@ -298,15 +199,36 @@
  */
 struct bstr call_header_in(const struct call *c, const char *name);
 
-/** call_reset_answer() - discard the head and body of an attempt's answer */
-void call_reset_answer(struct call *c);
+/**
+ * call_current() - the attempt that started last, or the one whose answer the
+ * caller gets; idle before the first start
+ */
+struct call_attempt *call_current(const struct call *c);
 
-/** call_body_left() - request body that has not been passed to libcurl */
+/** call_other() - the attempt beside the current one, mostly idle */
+struct call_attempt *call_other(const struct call *c);
+
+/** call_runs() - whether an attempt runs */
+bool call_runs(const struct call *c);
+
+/**
+ * call_body_sent() - length of the part of call->body that all running attempts
+ * have passed to libcurl
+ */
+size_t call_body_sent(const struct call *c);
+
+/** call_body_left() - request body after call_body_sent() */
 struct bstr call_body_left(const struct call *c);
 
 /** call_answer_left() - answer body that has not been passed to the caller */
 struct bstr call_answer_left(const struct call *c);
 
+/**
+ * call_answerable_attempt() - attempt whose answer can be passed on to the
+ * caller, or NULL
+ */
+struct call_attempt *call_answerable_attempt(const struct call *c);
+
 /** call_answerable() - whether the answer to the caller can be started */
 bool call_answerable(const struct call *c);
 
--- a/packages/front/call_log.c
+++ b/packages/front/call_log.c
@@ -43,7 +43,7 @@
 
 /* Writes the fields that begin every line. */
 static void
-begin(struct bbuf *b, const struct call *c, const char *event)
+begin(struct bbuf *b, const struct call *c, const char *event, unsigned attempt)
 {
 	const char *field =
 	    worker_shared_state(c->w)->protocol->request_id_field;
@@ -54,7 +54,7 @@
 		add_text(b, "id", call_header_in(c, field));
 	if (c->service_state != NULL)
 		add_text(b, "service", c->service_state->name);
-	add_number(b, "attempt", c->attempts);
+	add_number(b, "attempt", attempt);
 }
 
 static void
@@ -70,41 +70,42 @@
 
 /* Writes the load report that the choice was based on, and its age then. */
 static void
-add_choice(struct bbuf *b, const struct call *c)
+add_choice(struct bbuf *b, const struct call_attempt *a)
 {
-	add_text(b, "upstream", bstr_from(c->instance));
-	add_number(b, "running", c->chosen.running);
-	add_number(b, "waiting", c->chosen.waiting);
-	add_number(b, "pace", c->chosen.pace);
-	add_number(b, "report_age_us", c->chosen.age_us);
-	add_number(b, "table", (int64_t)c->chosen.table_version);
+	add_text(b, "upstream", bstr_from(a->instance));
+	add_number(b, "running", a->chosen.running);
+	add_number(b, "waiting", a->chosen.waiting);
+	add_number(b, "pace", a->chosen.pace);
+	add_number(b, "report_age_us", a->chosen.age_us);
+	add_number(b, "table", (int64_t)a->chosen.table_version);
 }
 
 void
-call_log_attempt(struct call *c, enum err_kind kind)
+call_log_attempt(struct call_attempt *a, enum err_kind kind)
 {
+	struct call *c = a->call;
 	struct call_log *l = worker_call_log(c->w);
 	int64_t now_us = clk_mono_us();
 	struct bbuf b;
 
-	if ((kind == ERR_NONE && c->status < 500) ||
+	if ((kind == ERR_NONE && a->status < 500) ||
 	    worker_shared_state(c->w)->protocol->request_id_field[0] == '\0' ||
 	    !may_write(l, now_us, CALL_LOG_MAX_PER_S))
 		return;
 	bbuf_init(&b);
-	begin(&b, c, "attempt-failed");
-	add_choice(&b, c);
+	begin(&b, c, "attempt-failed", a->number);
+	add_choice(&b, a);
 	add_text(&b, "kind", bstr_from(err_answer(kind)->name));
-	add_text(&b, "sent", bstr_from(sent_names[c->sent]));
-	add_number(&b, "status", c->status);
-	add_number(&b, "ms", (now_us - c->attempt_us) / 1000);
+	add_text(&b, "sent", bstr_from(sent_names[a->sent]));
+	add_number(&b, "status", a->status);
+	add_number(&b, "ms", (now_us - a->start_us) / 1000);
 	finish(&b, l);
 }
 
 static bool
 should_log_end(struct call_log *l, const struct call *c, int64_t now_us)
 {
-	if (c->err != ERR_NONE || c->status >= 500)
+	if (c->err != ERR_NONE || call_current(c)->status >= 500)
 		return (may_write(l, now_us, CALL_LOG_MAX_PER_S));
 	if (c->goal_us != 0 && now_us - c->start_us > c->goal_us)
 		return (may_write(l, now_us, CALL_LOG_GOOD_PER_S));
@@ -115,6 +116,7 @@
 void
 call_log_end(struct call *c)
 {
+	const struct call_attempt *a = call_current(c);
 	struct call_log *l = worker_call_log(c->w);
 	int64_t now_us = clk_mono_us();
 	struct bbuf b;
@@ -123,13 +125,13 @@
 	    !should_log_end(l, c, now_us))
 		return;
 	bbuf_init(&b);
-	begin(&b, c, "end");
-	if (c->instance[0] != '\0')
-		add_choice(&b, c);
+	begin(&b, c, "end", c->attempts);
+	if (a->instance[0] != '\0')
+		add_choice(&b, a);
 	add_text(&b, "kind", bstr_from(err_answer(c->err)->name));
-	add_number(&b, "status", c->status);
+	add_number(&b, "status", a->status);
 	add_number(&b, "ms", (now_us - c->start_us) / 1000);
-	add_number(&b, "answer_bytes", (int64_t)c->answer_bytes);
+	add_number(&b, "answer_bytes", (int64_t)a->answer_bytes);
 	if (worker_stopping(c->w))
 		add_number(&b, "stopping", 1);
 	if (c->deadline_us != 0)
--- a/packages/front/call_log.h
+++ b/packages/front/call_log.h
@@ -8,7 +8,7 @@
  * line contains the number of dropped lines. Nothing is logged if the protocol
  * has no field for the request id.
  *
- *	call_log_attempt(c, kind);
+ *	call_log_attempt(a, kind);
  *	call_log_end(c);
  */
 #ifndef FRONT_CALL_LOG_H
@@ -36,7 +36,7 @@
 };
 
 /** call_log_attempt() - log an attempt that ended with @kind, if it failed */
-void call_log_attempt(struct call *c, enum err_kind kind);
+void call_log_attempt(struct call_attempt *a, enum err_kind kind);
 
 /** call_log_end() - log the end of a call, subject to sample and limits */
 void call_log_end(struct call *c);
--- a/packages/front/caller_side.c
+++ b/packages/front/caller_side.c
@@ -176,16 +176,17 @@
 read_answer(void *arg, uint64_t pos, char *buf, size_t max)
 {
 	struct call *c = arg;
-	struct bstr left = call_answer_left(c);
+	struct call_attempt *a = call_current(c);
+	struct bstr left = call_attempt_answer_left(a);
 	size_t n = left.n < max ? left.n : max;
 
 	(void)pos;
 	if (n != 0) {
 		memcpy(buf, left.p, n);
-		c->answer_off += n;
-		if (c->answer_off == c->answer.n) {
-			bbuf_clear(&c->answer);
-			c->answer_off = 0;
+		a->answer_off += n;
+		if (a->answer_off == a->answer.n) {
+			bbuf_clear(&a->answer);
+			a->answer_off = 0;
 		}
 		upstream_side_answer_taken(c);
 		return ((ssize_t)n);
@@ -197,30 +198,31 @@
 	return (0);
 }
 
-/* Response with a body that is complete in memory; takes over c->answer. */
+/* Response with a body that is complete in memory; takes over a->answer. */
 static struct MHD_Response *
-buffered_response(struct call *c)
+buffered_response(struct call_attempt *a)
 {
 	struct MHD_Response *r;
 
-	if (c->answer.n == 0)
+	if (a->answer.n == 0)
 		return (MHD_create_response_from_buffer(
 		    0, (void *)(uintptr_t) "", MHD_RESPMEM_PERSISTENT));
 	r = MHD_create_response_from_buffer(
-	    c->answer.n, c->answer.p, MHD_RESPMEM_MUST_FREE);
-	bbuf_init(&c->answer);
+	    a->answer.n, a->answer.p, MHD_RESPMEM_MUST_FREE);
+	bbuf_init(&a->answer);
 	return (r);
 }
 
 static enum MHD_Result
 queue_answer(struct call *c)
 {
-	const struct response_head *h = &c->head;
+	struct call_attempt *a = call_current(c);
+	const struct response_head *h = &a->head;
 	uint64_t size = h->len >= 0 ? (uint64_t)h->len : MHD_SIZE_UNKNOWN;
 	struct MHD_Response *r;
 
 	if (c->answer_done && !c->head_request)
-		r = buffered_response(c);
+		r = buffered_response(a);
 	else
 		r = MHD_create_response_from_callback(
 		    size, ANSWER_BLOCK, read_answer, c, NULL);
@@ -229,7 +231,7 @@
 			MHD_add_response_header(r, response_head_name(h, i).p,
 			    response_head_value(h, i).p);
 	}
-	return (queue(c, c->status, r));
+	return (queue(c, a->status, r));
 }
 
 /* Queues the answer when it can be started, else suspends the connection. */
@@ -246,6 +248,8 @@
 		return (queue_error(c));
 	if (c->claim.replay != NULL)
 		return (queue_replay(c));
+	if (!c->answer_done)
+		upstream_side_choose(c, call_answerable_attempt(c));
 	return (queue_answer(c));
 }
 
@@ -253,11 +257,16 @@
 static void
 free_sent_body(struct call *c, size_t incoming)
 {
+	size_t sent = call_body_sent(c);
+
 	if (c->body_buffered || c->body.n + incoming <= BODY_REPLAY_MAX ||
-	    c->body_off * 2 < c->body.n || c->body_off == 0)
+	    sent * 2 < c->body.n || sent == 0)
 		return;
-	bbuf_drop_front(&c->body, c->body_off);
-	c->body_off = 0;
+	bbuf_drop_front(&c->body, sent);
+	for (unsigned i = 0; i < CALL_MAX_HELD; i++) {
+		if (call_attempt_runs(&c->held[i]))
+			c->held[i].body_off -= sent;
+	}
 	c->body_dropped = true;
 }
 
@@ -395,7 +404,7 @@
 	}
 }
 
-/* Removes the call from all queues and ends its transfer and its claim. */
+/* Removes the call from all queues and ends its attempts and its claim. */
 static void
 cancel_work(struct call *c)
 {
@@ -490,7 +499,8 @@
 void
 caller_side_on_body_taken(struct call *c)
 {
-	if (!c->body_done && call_body_left(c).n <= BODY_LOW_WATER)
+	if (!c->body_done &&
+	    (c->upload_stopped || call_body_left(c).n <= BODY_LOW_WATER))
 		resume(c);
 }
 
--- a/packages/front/claim_filter.c
+++ b/packages/front/claim_filter.c
@@ -128,22 +128,22 @@
 }
 
 static void
-copy_response(const struct call *c, struct worker_msg_response *r)
+copy_response(const struct call_attempt *a, struct worker_msg_response *r)
 {
-	struct bstr type = response_head_find(&c->head, BSTR("Content-Type"));
+	struct bstr type = response_head_find(&a->head, BSTR("Content-Type"));
 
-	r->status = c->status;
-	r->body_omitted = c->kept_omitted;
+	r->status = a->status;
+	r->body_omitted = a->kept_omitted;
 	if (type.n > WORKER_MSG_TYPE_TEXT_MAX) {
 		r->body_omitted = true;
 		type.n = 0;
 	}
 	if (type.n != 0)
 		memcpy(r->content_type, type.p, type.n);
-	if (r->body_omitted || c->kept.n == 0)
+	if (r->body_omitted || a->kept.n == 0)
 		return;
-	r->body_len = (uint16_t)c->kept.n;
-	memcpy(r->body, c->kept.p, c->kept.n);
+	r->body_len = (uint16_t)a->kept.n;
+	memcpy(r->body, a->kept.p, a->kept.n);
 }
 
 void
@@ -158,7 +158,7 @@
 	key = key_of(c);
 	m = new_finish(&key, c->claim.attempt, outcome);
 	if (outcome == WORKER_MSG_RUN_DONE)
-		copy_response(c, &m->response);
+		copy_response(call_current(c), &m->response);
 	msgq_push(worker_shared_state(c->w)->control, &m->m);
 }
 
@@ -256,6 +256,6 @@
 		c->claim.pending = NULL;
 	}
 	claim_filter_finish(c,
-	    c->sent == CALL_NOT_SENT ? WORKER_MSG_RUN_NOT_RUN
-				     : WORKER_MSG_RUN_UNKNOWN);
+	    call_current(c)->sent == CALL_NOT_SENT ? WORKER_MSG_RUN_NOT_RUN
+						   : WORKER_MSG_RUN_UNKNOWN);
 }
--- a/packages/front/request_head.c
+++ b/packages/front/request_head.c
@@ -83,7 +83,6 @@
 	c->method = (struct bstr){bstr_dup(bstr_from(method)), strlen(method)};
 	c->head_request = bstr_eq(c->method, BSTR("HEAD"));
 	c->http10 = !bstr_eq(bstr_from(version), BSTR("HTTP/1.1"));
-	response_head_reset(&c->head, c->head_request);
 	MHD_get_connection_values_n(c->conn, MHD_HEADER_KIND, count_field, &s);
 	if (!method_ok(c->method) || !target_ok(c->target) ||
 	    !framing_ok(c, &s))
--- a/packages/front/retry_policy.c
+++ b/packages/front/retry_policy.c
@@ -14,8 +14,10 @@
 
 bool
 retry_policy_is_allowed(
-    const struct call *c, enum err_kind kind, int64_t now_us)
+    const struct call_attempt *a, enum err_kind kind, int64_t now_us)
 {
+	const struct call *c = a->call;
+
 	if (kind == ERR_NONE || kind == ERR_DEADLINE || kind == ERR_NOT_FRESH)
 		return (false);
 	if (c->conn == NULL || c->attempts >= retry_policy_max_attempts(c) ||
@@ -23,7 +25,7 @@
 		return (false);
 	if (now_us >= c->deadline_us)
 		return (false);
-	if (c->sent == CALL_MAY_BE_SENT && !c->idempotent &&
+	if (a->sent == CALL_MAY_BE_SENT && !c->idempotent &&
 	    !(kind == ERR_REFUSED &&
 		worker_shared_state(c->w)->protocol->status_means_not_run))
 		return (false);
@@ -31,16 +33,13 @@
 }
 
 bool
-retry_policy_take(struct call *c, enum err_kind kind)
+retry_policy_take(struct call_attempt *a, enum err_kind kind)
 {
 	int64_t now_us = clk_mono_us();
 
-	if (!retry_policy_is_allowed(c, kind, now_us))
+	if (!retry_policy_is_allowed(a, kind, now_us))
 		return (false);
-	/*
-	 * Nothing was sent on an unclean connection, so its retry is free. The
-	 * retry of a failed attempt was taken from the budget earlier.
-	 */
-	return (
-	    c->unclean || c->failed || worker_service_take_retry(c, now_us));
+	/* Nothing was sent on an unclean connection, so its retry is free. */
+	return (a->unclean || a->retry_taken ||
+	    worker_service_take_retry(a->call, now_us));
 }
--- a/packages/front/upstream_choice.c
+++ b/packages/front/upstream_choice.c
@@ -32,16 +32,16 @@
 }
 
 void
-upstream_choice_apply(struct call *c, const struct upstream_pick *p)
+upstream_choice_apply(struct call_attempt *a, const struct upstream_pick *p)
 {
-	c->upstream = p->upstream;
-	c->tally = p->tally;
-	c->upstream_state = p->upstream_state;
-	c->slots = p->slots;
-	c->slow_us = p->slow_us;
-	c->chosen = p->chosen;
-	memcpy(c->instance, p->instance, sizeof(c->instance));
-	memcpy(c->addr, p->addr, sizeof(c->addr));
+	a->upstream = p->upstream;
+	a->tally = p->tally;
+	a->upstream_state = p->upstream_state;
+	a->slots = p->slots;
+	a->slow_us = p->slow_us;
+	a->chosen = p->chosen;
+	memcpy(a->instance, p->instance, sizeof(a->instance));
+	memcpy(a->addr, p->addr, sizeof(a->addr));
 }
 
 static struct rt_request
@@ -57,8 +57,12 @@
 
 	for (uint32_t k = 0; k < c->n_excluded; k++)
 		req.excluded[k] = c->excluded[k];
-	if (c->upstream != NULL && req.n_excluded < RT_MAX_EXCLUDED)
-		req.excluded[req.n_excluded++] = c->upstream;
+	for (unsigned i = 0; i < CALL_MAX_HELD; i++) {
+		struct rt_stat *held = c->held[i].upstream;
+
+		if (held != NULL && req.n_excluded < RT_MAX_EXCLUDED)
+			req.excluded[req.n_excluded++] = held;
+	}
 	return (req);
 }
 
--- a/packages/front/upstream_choice.h
+++ b/packages/front/upstream_choice.h
@@ -6,7 +6,7 @@
  * available.
  *
  *	switch (upstream_choice_pick(c, now_us, &pick)) ...
- *	upstream_choice_apply(c, &pick);
+ *	upstream_choice_apply(a, &pick);
  */
 #ifndef FRONT_UPSTREAM_CHOICE_H
 #define FRONT_UPSTREAM_CHOICE_H
@@ -19,7 +19,7 @@
 /**
  * struct upstream_pick - chosen upstream with a slot reserved on it
  *
- * The fields have the meaning of those of the same name in struct call.
+ * The fields have the meaning of those of the same name in struct call_attempt.
  */
 struct upstream_pick {
 	struct rt_stat *upstream;
@@ -34,7 +34,7 @@
 
 /**
  * upstream_choice_pick() - choose an upstream from the current routing table
- * @c: call; an upstream that it has is not chosen again
+ * @c: call; the upstreams of its running attempts are not chosen again
  * @now_us: boot-time microseconds
  * @out: set when the return value is 0
  *
@@ -45,14 +45,15 @@
     struct call *c, int64_t now_us, struct upstream_pick *out);
 
 /**
- * upstream_choice_apply() - make @p the upstream of a call that has none; moves
- * the references of @p into the call
+ * upstream_choice_apply() - make @p the upstream of an attempt that has none;
+ * moves the references of @p into the attempt
  */
-void upstream_choice_apply(struct call *c, const struct upstream_pick *p);
+void upstream_choice_apply(
+    struct call_attempt *a, const struct upstream_pick *p);
 
 /**
- * upstream_choice_has_other() - whether an upstream other than call->upstream
- * could take the call, according to the current routing table and load reports
+ * upstream_choice_has_other() - whether an upstream without an attempt of the
+ * call could take it, according to the current routing table and load reports
  */
 bool upstream_choice_has_other(const struct call *c, int64_t now_us);
 
--- a/packages/front/upstream_request.c
+++ b/packages/front/upstream_request.c
@@ -17,24 +17,25 @@
 #define DEFAULT_IDLE_LIMIT_S 60L
 
 static void
-add_field(struct call *c, struct bstr name, struct bstr value)
+add_field(struct call_attempt *a, struct bstr name, struct bstr value)
 {
-	struct bbuf *b = worker_scratch(c->w);
+	struct bbuf *b = worker_scratch(a->call->w);
 
 	bbuf_clear(b);
 	bbuf_add(b, name);
 	/* libcurl sends "name;" as a field with an empty value. */
 	bbuf_add(b, value.n == 0 ? BSTR(";") : BSTR(": "));
 	bbuf_add(b, value);
-	c->out_headers = curl_slist_append(c->out_headers, b->p);
+	a->out_headers = curl_slist_append(a->out_headers, b->p);
 }
 
 /* Prevents libcurl from adding a default field that the caller did not send. */
 static void
-suppress_default(struct call *c, const char *name, const char *line)
+suppress_default(struct call_attempt *a, const char *name, const char *line)
 {
-	if (MHD_lookup_connection_value(c->conn, MHD_HEADER_KIND, name) == NULL)
-		c->out_headers = curl_slist_append(c->out_headers, line);
+	if (MHD_lookup_connection_value(a->call->conn, MHD_HEADER_KIND, name) ==
+	    NULL)
+		a->out_headers = curl_slist_append(a->out_headers, line);
 }
 
 /**
@@ -76,7 +77,8 @@
 copy_field(
     void *arg, enum MHD_ValueKind kind, const char *key, const char *value)
 {
-	struct call *c = arg;
+	struct call_attempt *a = arg;
+	struct call *c = a->call;
 	const struct upstream_protocol *protocol =
 	    worker_shared_state(c->w)->protocol;
 	struct bstr name = bstr_from(key);
@@ -89,37 +91,39 @@
 	    bstr_caseeq(name, bstr_from(protocol->instance_field)) ||
 	    is_listed(c, name))
 		return (MHD_YES);
-	add_field(c, name, bstr_from(value));
+	add_field(a, name, bstr_from(value));
 	return (MHD_YES);
 }
 
 static void
-set_headers(struct call *c, int64_t now_us)
+set_headers(struct call_attempt *a, int64_t now_us)
 {
+	struct call *c = a->call;
 	const struct upstream_protocol *protocol =
 	    worker_shared_state(c->w)->protocol;
 	int64_t left_ms;
 	char value[32];
 
-	c->out_headers = curl_slist_append(c->out_headers, "Expect:");
-	suppress_default(c, "User-Agent", "User-Agent:");
-	suppress_default(c, "Accept", "Accept:");
-	suppress_default(c, "Content-Type", "Content-Type:");
-	MHD_get_connection_values(c->conn, MHD_HEADER_KIND, copy_field, c);
+	a->out_headers = curl_slist_append(a->out_headers, "Expect:");
+	suppress_default(a, "User-Agent", "User-Agent:");
+	suppress_default(a, "Accept", "Accept:");
+	suppress_default(a, "Content-Type", "Content-Type:");
+	MHD_get_connection_values(c->conn, MHD_HEADER_KIND, copy_field, a);
 	left_ms = (c->deadline_us - now_us) / 1000;
 	snprintf(value, sizeof(value), "%lld",
 	    (long long)(protocol->deadline_left ? left_ms
 						: clk_wall_ms() + left_ms));
-	add_field(c, bstr_from(protocol->deadline_field), bstr_from(value));
+	add_field(a, bstr_from(protocol->deadline_field), bstr_from(value));
 	if (protocol->instance_field[0] != '\0')
-		add_field(c, bstr_from(protocol->instance_field),
-		    bstr_from(c->instance));
+		add_field(a, bstr_from(protocol->instance_field),
+		    bstr_from(a->instance));
 }
 
 static void
-set_method(struct call *c)
+set_method(struct call_attempt *a)
 {
-	CURL *e = c->easy;
+	const struct call *c = a->call;
+	CURL *e = a->easy;
 
 	if (c->head_request) {
 		curl_easy_setopt(e, CURLOPT_NOBODY, 1L);
@@ -137,7 +141,7 @@
 		    e, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)c->body_len);
 		if (c->body_len < 0)
 			add_field(
-			    c, BSTR("Transfer-Encoding"), BSTR("chunked"));
+			    a, BSTR("Transfer-Encoding"), BSTR("chunked"));
 	} else if (bstr_eq(c->method, BSTR("POST")) ||
 	    bstr_eq(c->method, BSTR("PUT"))) {
 		curl_easy_setopt(e, CURLOPT_POST, 1L);
@@ -198,24 +202,25 @@
 }
 
 void
-upstream_request_setup(struct call *c, int64_t now_us)
+upstream_request_setup(struct call_attempt *a, int64_t now_us)
 {
+	struct call *c = a->call;
 	const struct upstream_protocol *protocol =
 	    worker_shared_state(c->w)->protocol;
 	char url[CALL_ADDR_MAX + 16];
-	CURL *e = c->easy;
+	CURL *e = a->easy;
 
-	snprintf(url, sizeof(url), "http://%s/", c->addr);
+	snprintf(url, sizeof(url), "http://%s/", a->addr);
 	curl_easy_setopt(e, CURLOPT_URL, url);
 	curl_easy_setopt(e, CURLOPT_REQUEST_TARGET, c->target.p);
-	upstream_request_set_connection(e, c->w, c->upstream);
+	upstream_request_set_connection(e, c->w, a->upstream);
 	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS,
 	    (long)((c->deadline_us - now_us) / 1000 + 1));
-	curl_easy_setopt(e, CURLOPT_PRIVATE, &c->xfer);
+	curl_easy_setopt(e, CURLOPT_PRIVATE, &a->xfer);
 	if (c->need_new_conn ||
 	    (!c->idempotent && protocol->new_connection_for_non_idempotent))
 		curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
-	set_headers(c, now_us);
-	set_method(c);
-	curl_easy_setopt(e, CURLOPT_HTTPHEADER, c->out_headers);
+	set_headers(a, now_us);
+	set_method(a);
+	curl_easy_setopt(e, CURLOPT_HTTPHEADER, a->out_headers);
 }
--- a/packages/front/upstream_request.h
+++ b/packages/front/upstream_request.h
@@ -2,9 +2,9 @@
  * upstream_request - libcurl options of one attempt: URL, header fields, method
  * and connection.
  *
- *	upstream_request_setup(c, now_us);
- *	curl_easy_setopt(c->easy, CURLOPT_READFUNCTION, on_read);
- *	curl_multi_add_handle(multi, c->easy);
+ *	upstream_request_setup(a, now_us);
+ *	curl_easy_setopt(a->easy, CURLOPT_READFUNCTION, on_read);
+ *	curl_multi_add_handle(multi, a->easy);
  */
 #ifndef FRONT_UPSTREAM_REQUEST_H
 #define FRONT_UPSTREAM_REQUEST_H
@@ -12,13 +12,13 @@
 #include "front/call.h"
 
 /**
- * upstream_request_setup() - fill in call->easy and call->out_headers
- * @c: call with an upstream address
+ * upstream_request_setup() - fill in attempt->easy and attempt->out_headers
+ * @a: attempt with an upstream address
  * @now_us: start of the attempt, boot-time microseconds
  *
  * The calling code sets the callbacks of the transfer.
  */
-void upstream_request_setup(struct call *c, int64_t now_us);
+void upstream_request_setup(struct call_attempt *a, int64_t now_us);
 
 /**
  * upstream_request_open_socket() - open a socket for a connection to an
--- a/packages/front/upstream_side.c
+++ b/packages/front/upstream_side.c
@@ -1,11 +1,7 @@
 #include "front/upstream_side.h"
 
-#include <stdlib.h>
-#include <sys/socket.h>
-#include <unistd.h>
-#include <urcu.h>
-
 #include "front/attempt_report.h"
+#include "front/attempt_transfer.h"
 #include "front/call_log.h"
 #include "front/caller_side.h"
 #include "front/claim_filter.h"
@@ -13,329 +9,53 @@
 #include "front/load_query.h"
 #include "front/retry_policy.h"
 #include "front/upstream_choice.h"
-#include "front/upstream_request.h"
 #include "front/worker.h"
 #include "front/worker_service.h"
 #include "sys/clocks.h"
 
-/* libcurl is paused above the high mark and resumed at the low mark. */
-#define ANSWER_HIGH_WATER (256 * 1024)
-#define ANSWER_LOW_WATER (64 * 1024)
-/* Responses of unknown length are buffered whole for HTTP/1.0 callers. */
-#define ANSWER_MAX_HTTP10 (256 * 1024)
 /* A late attempt that could not be retried is checked again after this. */
 #define LATE_RECHECK_MS 150
 
 /* Releases the upstream and records the attempt in its statistics. */
 static void
-release_upstream(struct call *c, bool failed, bool exclude)
+release_upstream(struct call_attempt *a, bool failed, bool exclude)
 {
+	struct call *c = a->call;
 	int64_t now_us = clk_mono_us();
 	struct rt_result result = {
-	    .latency_us =
-		(c->head_us != 0 ? c->head_us : now_us) - c->attempt_us,
+	    .latency_us = (a->head_us != 0 ? a->head_us : now_us) - a->start_us,
 	    .failed = failed,
-	    .reported = c->reported,
+	    .reported = a->reported,
 	};
 
-	result.slow = c->slow_us != 0 && result.latency_us > c->slow_us;
+	result.slow = a->slow_us != 0 && result.latency_us > a->slow_us;
 	/* Not a latency sample: the attempt ended before its response head. */
-	if (!failed && c->head_us == 0)
+	if (!failed && a->head_us == 0)
 		result.latency_us = RT_NO_SAMPLE;
 
-	rt_on_finish(c->upstream, c->slots, &result, now_us);
-	worker_count_transfer(c->w, c->upstream, -1);
+	rt_on_finish(a->upstream, a->slots, &result, now_us);
+	worker_count_transfer(c->w, a->upstream, -1);
 	if (exclude && c->n_excluded < RT_MAX_EXCLUDED)
-		c->excluded[c->n_excluded++] = c->upstream;
+		c->excluded[c->n_excluded++] = a->upstream;
 	else
-		rt_stat_unref(c->upstream);
-	c->upstream = NULL;
-	if (c->tally != NULL)
-		rt_tally_unref(c->tally);
-	c->tally = NULL;
-}
-
-static curl_socket_t
-on_open(void *arg, curlsocktype purpose, struct curl_sockaddr *a)
-{
-	struct call *c = arg;
-
-	(void)purpose;
-	c->opened_fd = upstream_request_open_socket(a);
-	return (c->opened_fd);
-}
-
-/*
- * libcurl calls this when the connection is established, before it writes the
- * request. It calls it again to resend the request on a new connection after a
- * reused one was closed without a response. Such a resend is always aborted,
- * because a retry has to pass retry_policy_take() and the retry budget.
- */
-static int
-on_prereq(
-    void *arg, char *remote_ip, char *local_ip, int remote_port, int local_port)
-{
-	struct call *c = arg;
-	int64_t now_us = clk_mono_us();
-
-	(void)local_ip;
-	if (c->sent == CALL_MAY_BE_SENT) {
-		c->resend_blocked = true;
-		return (CURL_PREREQFUNC_ABORT);
-	}
-	if (!upstream_socket_is_clean(worker_sockets(c->w), c->opened_fd,
-		remote_ip, remote_port, local_port)) {
-		c->unclean = c->opened_fd < 0;
-		/* After an abort, libcurl would reuse the connection. */
-		curl_easy_setopt(c->easy, CURLOPT_FORBID_REUSE, 1L);
-		return (CURL_PREREQFUNC_ABORT);
-	}
-	c->blocked = filter_check_fresh(worker_shared_state(c->w), now_us);
-	if (now_us >= c->deadline_us || !claim_filter_may_send(c, now_us))
-		c->blocked = ERR_DEADLINE;
-	if (c->blocked != ERR_NONE)
-		return (CURL_PREREQFUNC_ABORT);
-	c->sent = CALL_MAY_BE_SENT;
-	c->sent_on_reused_conn = c->opened_fd < 0;
-	return (CURL_PREREQFUNC_OK);
-}
-
-/*
- * Discards the rest of the body after an early response. A body with a length
- * then stays shorter than its length. A chunked body must not be ended, as it
- * would look complete: on_read() aborts the transfer if libcurl asks for more.
- */
-static void
-stop_upload(struct call *c)
-{
-	c->upload_stopped = true;
-	c->body_dropped = true;
-	c->body_off = c->body.n;
-	curl_easy_setopt(c->easy, CURLOPT_FORBID_REUSE, 1L);
-	caller_side_on_body_taken(c);
-}
-
-static bool
-is_early_error(const struct call *c)
-{
-	return (c->status >= 300 && !c->body_done && !c->refused && !c->failed);
-}
-
-/*
- * libcurl stops sending the body after a response of 300 or above, unless the
- * connection closes after it. It then goes on, and gets the rest of the body.
- */
-static void
-on_early_head(struct call *c)
-{
-	if (is_early_error(c) && !response_head_closes(&c->head))
-		stop_upload(c);
-}
-
-/*
- * The caller reads the response only after it has sent its body, and the
- * upstream may not read the body before its response is taken.
- */
-static void
-on_early_pause(struct call *c)
-{
-	if (is_early_error(c) && !c->upload_stopped && c->body_len >= 0)
-		stop_upload(c);
-}
-
-static size_t
-on_read(char *out, size_t size, size_t n, void *arg)
-{
-	struct call *c = arg;
-	struct bstr left = call_body_left(c);
-	size_t len = size * n;
-
-	if (left.n == 0) {
-		if (c->upload_stopped && c->body_len < 0)
-			return (CURL_READFUNC_ABORT);
-		if (c->body_done || c->upload_stopped)
-			return (0);
-		c->body_paused = true;
-		return (CURL_READFUNC_PAUSE);
-	}
-	if (len > left.n)
-		len = left.n;
-	memcpy(out, left.p, len);
-	c->body_off += len;
-	caller_side_on_body_taken(c);
-	return (len);
-}
-
-/* Copies data of the answer's body that is stored with the claim. */
-static void
-keep_for_claim(struct call *c, struct bstr data)
-{
-	if (!c->claim.granted || c->kept_omitted)
-		return;
-	if (c->kept.n + data.n > WORKER_MSG_BODY_MAX) {
-		c->kept_omitted = true;
-		return;
-	}
-	bbuf_add(&c->kept, data);
-}
-
-/* Frees the part of the answer's body that was passed to the caller. */
-static void
-trim_answer(struct call *c)
-{
-	if (c->answer_off < ANSWER_LOW_WATER)
-		return;
-	bbuf_drop_front(&c->answer, c->answer_off);
-	c->answer_off = 0;
-}
-
-static size_t
-on_write(char *data, size_t size, size_t n, void *arg)
-{
-	struct call *c = arg;
-	size_t len = size * n;
-	size_t left = call_answer_left(c).n;
-
-	if (c->refused || c->failed)
-		return (len);
-	if (c->status == 0 || !response_head_has_body(&c->head)) {
-		c->head_bad = true;
-		return (0);
-	}
-	if (c->http10 && c->head.len < 0) {
-		if (left + len > ANSWER_MAX_HTTP10) {
-			c->head_bad = true;
-			return (0);
-		}
-	} else if (left != 0 && left + len > ANSWER_HIGH_WATER) {
-		c->answer_paused = true;
-		on_early_pause(c);
-		return (CURL_WRITEFUNC_PAUSE);
-	}
-	trim_answer(c);
-	c->answer_bytes += len;
-	c->answer_complete = c->head.len >= 0 && !c->head.chunked &&
-	    c->answer_bytes >= (uint64_t)c->head.len;
-	bbuf_add(&c->answer, (struct bstr){data, len});
-	keep_for_claim(c, (struct bstr){data, len});
-	caller_side_on_data(c);
-	return (len);
-}
-
-/* Evaluates the status fields of the response head. */
-static void
-read_report(struct call *c)
-{
-	const struct upstream_protocol *protocol =
-	    worker_shared_state(c->w)->protocol;
-	struct proto_expect expect = {.instance = bstr_from(c->instance)};
-	struct proto_report r;
-
-	if (protocol->request_id_field[0] != '\0')
-		expect.request_id =
-		    call_header_in(c, protocol->request_id_field);
-	protocol->ops->read(&c->head, &expect, &r);
-	c->refused = r.not_run;
-	c->head_bad = r.verdict == PROTO_MISMATCH;
-	if (r.running >= 0)
-		c->reported = r.running;
-	if (r.verdict == PROTO_MOVED || r.leaving)
-		load_choice_on_report(c->upstream,
-		    &(struct load_choice_report){.refusing = true}, c->head_us);
-	if (r.idle_limit_ms > 0)
-		atomic_store(
-		    &c->upstream->idle_limit_us, r.idle_limit_ms * 1000);
-	if (r.verdict == PROTO_MATCH)
-		attempt_report_terms(
-		    c->upstream, bstr_from(c->instance), &r.terms, c->head_us);
-}
-
-static void
-on_final_head(struct call *c)
-{
-	const struct response_head *h = &c->head;
-
-	c->head_us = clk_mono_us();
-	read_report(c);
-	if (c->head_bad)
-		return;
-	attempt_report_state(c, c->head_us);
-	/* The next call must not read a body that follows such a head. */
-	if (!response_head_has_body(h) && (h->len > 0 || h->chunked))
-		curl_easy_setopt(c->easy, CURLOPT_FORBID_REUSE, 1L);
-	c->status = h->status;
-	c->answer_complete = !response_head_has_body(h) || h->len == 0;
-	c->failed = h->status >= 500 && !c->refused &&
-	    worker_shared_state(c->w)->protocol->status_means_not_run &&
-	    retry_policy_take(c, ERR_UPSTREAM_ANSWER);
-	on_early_head(c);
-	if (!c->refused && !c->failed)
-		caller_side_on_head(c);
-}
-
-static size_t
-on_header(char *data, size_t size, size_t n, void *arg)
-{
-	struct call *c = arg;
-	struct bstr line = {data, size * n};
-
-	switch (response_head_line(&c->head, line)) {
-	case RESPONSE_HEAD_MORE:
-	case RESPONSE_HEAD_INTERIM:
-		break;
-	case RESPONSE_HEAD_FINAL:
-		on_final_head(c);
-		if (c->head_bad)
-			return (0);
-		break;
-	case RESPONSE_HEAD_BAD:
-		c->head_bad = true;
-		return (0);
-	}
-	return (line.n);
-}
-
-static void
-set_callbacks(struct call *c)
-{
-	CURL *e = c->easy;
-
-	curl_easy_setopt(e, CURLOPT_OPENSOCKETFUNCTION, on_open);
-	curl_easy_setopt(e, CURLOPT_OPENSOCKETDATA, c);
-	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_prereq);
-	curl_easy_setopt(e, CURLOPT_PREREQDATA, c);
-	curl_easy_setopt(e, CURLOPT_READFUNCTION, on_read);
-	curl_easy_setopt(e, CURLOPT_READDATA, c);
-	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_write);
-	curl_easy_setopt(e, CURLOPT_WRITEDATA, c);
-	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
-	curl_easy_setopt(e, CURLOPT_HEADERDATA, c);
+		rt_stat_unref(a->upstream);
+	a->upstream = NULL;
+	if (a->tally != NULL)
+		rt_tally_unref(a->tally);
+	a->tally = NULL;
 }
 
 static void on_done(struct curl_transfer *x, CURL *easy, CURLcode result);
 
-/* Sends the request to the upstream of the call. */
 static void
-start_transfer(struct call *c, int64_t now_us)
+start_attempt(struct call_attempt *a, int64_t now_us)
 {
+	struct call *c = a->call;
+
 	c->may_probe = true;
-	c->xfer.done = on_done;
-	call_reset_answer(c);
-	c->easy = worker_easy_get(c->w);
-	c->sent = CALL_NOT_SENT;
-	c->blocked = ERR_NONE;
-	c->resend_blocked = false;
-	c->unclean = false;
-	c->sent_on_reused_conn = false;
-	c->opened_fd = -1;
-	c->body_off = 0;
-	c->body_paused = false;
-	c->attempt_us = now_us;
-	c->attempts++;
-	worker_count_transfer(c->w, c->upstream, 1);
-	upstream_request_setup(c, now_us);
-	set_callbacks(c);
-	curl_multi_add_handle(worker_multi(c->w), c->easy);
+	a->xfer.done = on_done;
+	attempt_transfer_start(a, now_us);
+	c->need_new_conn = false;
 	if (c->idempotent && c->goal_us != 0)
 		worker_timer_set(c->w, c, now_us + c->goal_us);
 }
@@ -363,17 +83,19 @@
 	case UPSTREAM_CHOICE_WAIT:
 		return (ERR_NONE);
 	}
-	upstream_choice_apply(c, &pick);
-	start_transfer(c, now_us);
+	upstream_choice_apply(call_current(c), &pick);
+	start_attempt(call_current(c), now_us);
 	return (ERR_NONE);
 }
 
 static enum worker_msg_outcome
 outcome_of(const struct call *c, enum err_kind kind)
 {
+	const struct call_attempt *a = call_current(c);
+
 	if (kind == ERR_NONE)
 		return (WORKER_MSG_RUN_DONE);
-	if (c->sent == CALL_NOT_SENT || c->refused)
+	if (a->sent == CALL_NOT_SENT || a->refused)
 		return (WORKER_MSG_RUN_NOT_RUN);
 	return (WORKER_MSG_RUN_UNKNOWN);
 }
@@ -393,39 +115,85 @@
 void
 upstream_side_body_ready(struct call *c)
 {
-	if (!c->body_paused || c->easy == NULL)
-		return;
-	c->body_paused = false;
-	worker_unpause(c->w, c);
+	for (unsigned i = 0; i < CALL_MAX_HELD; i++) {
+		struct call_attempt *a = &c->held[i];
+
+		if (!call_attempt_runs(a) || !a->body_paused)
+			continue;
+		a->body_paused = false;
+		worker_unpause(c->w, a);
+	}
 }
 
 void
 upstream_side_answer_taken(struct call *c)
 {
-	if (!c->answer_paused || call_answer_left(c).n > ANSWER_LOW_WATER)
+	struct call_attempt *a = call_current(c);
+
+	if (!a->answer_paused ||
+	    call_attempt_answer_left(a).n > ATTEMPT_ANSWER_LOW_WATER)
 		return;
-	c->answer_paused = false;
-	worker_unpause(c->w, c);
+	a->answer_paused = false;
+	worker_unpause(c->w, a);
+}
+
+/* Ends a running attempt that is not needed any more. */
+static void
+cancel_attempt(struct call_attempt *a)
+{
+	attempt_transfer_end(a);
+	release_upstream(a, false, false);
+}
+
+/* Ends a running attempt that failed, or that was late, with @kind. */
+static void
+abandon_attempt(struct call_attempt *a, enum err_kind kind)
+{
+	call_log_attempt(a, kind);
+	attempt_report_count(a, true, clk_mono_us());
+	attempt_transfer_end(a);
+	release_upstream(a, true, true);
 }
 
+/*
+ * Ends an attempt whose companion answers. An older one was late, which counts
+ * as a failure; a younger one had no time to show anything.
+ */
 static void
-end_transfer(struct call *c)
+end_companion(struct call_attempt *a, const struct call_attempt *chosen)
+{
+	if (a->refused)
+		abandon_attempt(a, ERR_REFUSED);
+	else if (a->failed)
+		abandon_attempt(a, ERR_UPSTREAM_ANSWER);
+	else if (a->number < chosen->number)
+		abandon_attempt(a, ERR_UPSTREAM_TIMEOUT);
+	else
+		cancel_attempt(a);
+}
+
+void
+upstream_side_choose(struct call *c, struct call_attempt *a)
 {
-	curl_multi_remove_handle(worker_multi(c->w), c->easy);
-	worker_easy_put(c->w, c->easy);
-	curl_slist_free_all(c->out_headers);
-	c->out_headers = NULL;
-	c->easy = NULL;
+	c->current = a == &c->held[0] ? 0 : 1;
+	load_query_leave(c);
+	worker_timer_clear(c->w, c);
+	if (!call_attempt_runs(call_other(c)))
+		return;
+	end_companion(call_other(c), a);
+	worker_wake_waiting(c->w, c->service_state);
 }
 
 void
 upstream_side_cancel(struct call *c)
 {
-	if (c->easy == NULL)
+	if (!call_runs(c))
 		return;
 	worker_timer_clear(c->w, c);
-	end_transfer(c);
-	release_upstream(c, false, false);
+	for (unsigned i = 0; i < CALL_MAX_HELD; i++) {
+		if (call_attempt_runs(&c->held[i]))
+			cancel_attempt(&c->held[i]);
+	}
 	worker_wake_waiting(c->w, c->service_state);
 }
 
@@ -435,138 +203,186 @@
 	bool waits = c->wait == CALL_WAIT_SLOT || c->wait == CALL_WAIT_PROBE;
 	enum err_kind kind = ERR_LEAVING;
 
-	if (c->answer_started || c->answer_done || (c->easy == NULL && !waits))
+	if (c->answer_started || c->answer_done || (!call_runs(c) && !waits))
 		return;
-	if (c->easy != NULL && c->sent == CALL_MAY_BE_SENT)
-		kind = ERR_UPSTREAM_TIMEOUT;
-	if (c->easy != NULL)
-		call_log_attempt(c, kind);
+	for (unsigned i = 0; i < CALL_MAX_HELD; i++) {
+		const struct call_attempt *a = &c->held[i];
+
+		if (call_attempt_runs(a) && a->sent == CALL_MAY_BE_SENT)
+			kind = ERR_UPSTREAM_TIMEOUT;
+	}
+	for (unsigned i = 0; i < CALL_MAX_HELD; i++) {
+		if (call_attempt_runs(&c->held[i]))
+			call_log_attempt(&c->held[i], kind);
+	}
 	worker_service_leave(c);
 	load_query_leave(c);
 	upstream_side_cancel(c);
 	upstream_side_end(c, kind);
 }
 
-static enum err_kind
-error_kind_of(const struct call *c, CURLcode result)
+/* The upstream may have closed a reused connection before the request. */
+static bool
+is_stale_connection(const struct call_attempt *a, enum err_kind kind)
 {
-	if (c->refused)
-		return (ERR_REFUSED);
-	if (c->failed)
-		return (ERR_UPSTREAM_ANSWER);
-	if (result == CURLE_OK && c->status != 0 && !c->head_bad)
-		return (ERR_NONE);
-	/* The upstream responded without reading the rest of the body. */
-	if (c->answer_complete && !c->head_bad)
-		return (ERR_NONE);
-	if (c->sent == CALL_NOT_SENT) {
-		if (c->blocked != ERR_NONE)
-			return (c->blocked);
-		if (clk_mono_us() >= c->deadline_us)
-			return (ERR_DEADLINE);
-		return (ERR_CONNECT);
-	}
-	if (c->resend_blocked)
-		return (ERR_UPSTREAM_CLOSED);
-	if (result == CURLE_OPERATION_TIMEDOUT)
-		return (ERR_UPSTREAM_TIMEOUT);
-	if (c->head_bad || c->head.bytes != 0 || result == CURLE_OK ||
-	    result == CURLE_WEIRD_SERVER_REPLY ||
-	    result == CURLE_UNSUPPORTED_PROTOCOL)
-		return (ERR_UPSTREAM_ANSWER);
-	return (ERR_UPSTREAM_CLOSED);
+	return (kind == ERR_UPSTREAM_CLOSED && a->sent_on_reused_conn);
 }
 
-/* The upstream may have closed a reused connection before the request. */
-static bool
-is_stale_connection(const struct call *c, enum err_kind kind)
+/* Records that an attempt that ended with @kind may have run. */
+static void
+record_error(struct call *c, enum err_kind kind)
 {
-	return (kind == ERR_UPSTREAM_CLOSED && c->sent_on_reused_conn);
+	if (c->first_err == ERR_NONE &&
+	    err_answer(kind)->outcome == ERR_UNKNOWN)
+		c->first_err = kind;
 }
 
 /* Starts another attempt or makes it wait; returns false if neither is done. */
 static bool
-retry(struct call *c, enum err_kind kind)
+retry(struct call_attempt *a, enum err_kind kind)
 {
-	if (!retry_policy_take(c, kind))
+	struct call *c = a->call;
+
+	if (!retry_policy_take(a, kind))
 		return (false);
-	if (c->first_err == ERR_NONE &&
-	    err_answer(kind)->outcome == ERR_UNKNOWN)
-		c->first_err = kind;
-	c->need_new_conn = c->unclean || is_stale_connection(c, kind);
-	call_reset_answer(c);
+	record_error(c, kind);
+	c->need_new_conn = a->unclean || is_stale_connection(a, kind);
+	/* Until the next start, no part of the body counts as sent. */
+	call_attempt_reset(a, c->head_request);
 	if (upstream_side_start(c) != ERR_NONE)
 		return (false);
 	metrics_add(worker_shared_state(c->w)->metrics, METRICS_RETRIES, 1);
 	return (true);
 }
 
-/* Ends the attempt with @kind, then retries or ends the call. */
+static void look_for_other(struct call *c, int64_t now_us);
+
+/*
+ * Goes on with the other attempt after @a ended with @kind. If @a was to take
+ * the place of a late one, that one is still late and may get another
+ * successor.
+ */
+static void
+go_on_with_other(
+    struct call_attempt *a, struct call_attempt *other, enum err_kind kind)
+{
+	struct call *c = a->call;
+
+	record_error(c, kind);
+	c->need_new_conn = a->unclean || is_stale_connection(a, kind);
+	c->current = other == &c->held[0] ? 0 : 1;
+	if (other->number < a->number && c->wait == CALL_WAIT_NONE)
+		look_for_other(c, clk_mono_us());
+}
+
+/* Ends the attempt with @kind, then goes on, retries or ends the call. */
 static void
-finish_attempt(struct call *c, enum err_kind kind)
+finish_attempt(struct call_attempt *a, enum err_kind kind)
 {
-	bool failed = kind != ERR_NONE || c->status >= 500;
+	struct call *c = a->call;
+	struct call_attempt *other = &c->held[a == &c->held[0] ? 1 : 0];
+	bool failed = kind != ERR_NONE || a->status >= 500;
 
-	call_log_attempt(c, kind);
-	if (!c->unclean)
-		attempt_report_count(c, failed, clk_mono_us());
-	end_transfer(c);
+	call_log_attempt(a, kind);
+	if (!a->unclean)
+		attempt_report_count(a, failed, clk_mono_us());
+	attempt_transfer_end(a);
 	if (!failed) {
 		retry_budget_on_success(&c->service_state->budget);
-		worker_service_record_time(c->service_state,
-		    c->head_us - c->attempt_us, c->chosen.pace);
+		worker_service_record_time(
+		    c->service_state, a->head_us - a->start_us, a->chosen.pace);
 	}
 	/* A stale reused connection is no reason to exclude the upstream. */
-	release_upstream(c, failed && !c->unclean,
-	    kind != ERR_NONE && !c->unclean && !is_stale_connection(c, kind));
-	if (!retry(c, kind))
+	release_upstream(a, failed && !a->unclean,
+	    kind != ERR_NONE && !a->unclean && !is_stale_connection(a, kind));
+	if (kind == ERR_NONE) {
+		upstream_side_choose(c, a);
 		upstream_side_end(c, kind);
+	} else if (call_attempt_runs(other)) {
+		go_on_with_other(a, other, kind);
+	} else if (!retry(a, kind)) {
+		upstream_side_end(c, kind);
+	}
 	worker_wake_waiting(c->w, c->service_state);
 }
 
 static void
 on_done(struct curl_transfer *x, CURL *easy, CURLcode result)
 {
-	struct call *c = (struct call *)x;
+	struct call_attempt *a = (struct call_attempt *)x;
+	struct call *c = a->call;
+	enum err_kind kind = attempt_transfer_error(a, result);
+	bool two = call_attempt_runs(call_current(c)) &&
+	    call_attempt_runs(call_other(c));
 
 	(void)easy;
-	load_query_leave(c);
-	worker_timer_clear(c->w, c);
-	finish_attempt(c, error_kind_of(c, result));
+	if (!two) {
+		load_query_leave(c);
+		worker_timer_clear(c->w, c);
+	}
+	/* The second attempt may have started after the head of a 5xx. */
+	if (two && kind == ERR_NONE && a->status >= 500 &&
+	    worker_shared_state(c->w)->protocol->status_means_not_run)
+		kind = ERR_UPSTREAM_ANSWER;
+	finish_attempt(a, kind);
 }
 
-/* Whether the attempt of @c should be replaced by one at another upstream. */
+/* Whether an attempt received nothing since the call was last found late. */
+static bool
+is_stalled(const struct call_attempt *a)
+{
+	return (!call_attempt_runs(a) ||
+	    (!a->refused && !a->failed &&
+		(a->status == 0 ||
+		    a->answer_bytes == a->answer_bytes_when_late)));
+}
+
+/*
+ * Whether the call should get an attempt beside the one that runs. If two run,
+ * the older one is given up for a third: two upstreams may be lost. The younger
+ * one must have been sent then, and was not refused within the latency goal, so
+ * it probably runs.
+ */
 static bool
 is_late(struct call *c, int64_t now_us)
 {
-	return (c->easy != NULL && !c->answer_started && !c->failed &&
-	    (c->status == 0 || c->answer_bytes == c->answer_bytes_when_late) &&
-	    retry_policy_is_allowed(c, ERR_UPSTREAM_TIMEOUT, now_us) &&
+	const struct call_attempt *a = call_current(c);
+
+	return (c->idempotent && call_attempt_runs(a) && !c->answer_started &&
+	    call_answerable_attempt(c) == NULL && is_stalled(a) &&
+	    is_stalled(call_other(c)) &&
+	    (!call_attempt_runs(call_other(c)) ||
+		a->sent == CALL_MAY_BE_SENT) &&
+	    retry_policy_is_allowed(a, ERR_UPSTREAM_TIMEOUT, now_us) &&
 	    worker_service_has_retry(c, now_us) &&
 	    !worker_service_must_wait(c->service_state));
 }
 
-/* Ends the late attempt and starts one at the upstream of @pick. */
+/* Starts an attempt at the upstream of @pick beside the late one. */
 static void
-move_to(struct call *c, const struct upstream_pick *pick, int64_t now_us)
+add_attempt(struct call *c, const struct upstream_pick *pick, int64_t now_us)
 {
 	worker_service_take_retry(c, now_us);
-	call_log_attempt(c, ERR_UPSTREAM_TIMEOUT);
-	attempt_report_count(c, true, now_us);
-	end_transfer(c);
-	release_upstream(c, true, true);
-	if (c->first_err == ERR_NONE)
-		c->first_err = ERR_UPSTREAM_TIMEOUT;
-	c->need_new_conn = false;
-	upstream_choice_apply(c, pick);
-	start_transfer(c, now_us);
+	if (call_attempt_runs(call_other(c))) {
+		abandon_attempt(call_other(c), ERR_UPSTREAM_TIMEOUT);
+		record_error(c, ERR_UPSTREAM_TIMEOUT);
+	}
+	c->current = 1 - c->current;
+	upstream_choice_apply(call_current(c), pick);
+	start_attempt(call_current(c), now_us);
 	metrics_add(worker_shared_state(c->w)->metrics, METRICS_RETRIES, 1);
 	worker_wake_waiting(c->w, c->service_state);
 }
 
+static void
+recheck_later(struct call *c, int64_t now_us)
+{
+	worker_timer_set(c->w, c, now_us + LATE_RECHECK_MS * 1000);
+}
+
 /*
- * The present attempt ends only when its successor has a slot: the upstream is
- * still at work on it, and without a successor its answer is the only one.
+ * The late attempt goes on beside its successor: the upstream is still at work
+ * on it, and its answer is the only one if the successor is refused.
  */
 static void
 try_other(struct call *c, int64_t now_us)
@@ -575,29 +391,34 @@
 
 	switch (upstream_choice_pick(c, now_us, &pick)) {
 	case 0:
-		move_to(c, &pick, now_us);
+		add_attempt(c, &pick, now_us);
 		break;
 	case UPSTREAM_CHOICE_WAIT:
 		break;
 	default:
-		worker_timer_set(c->w, c, now_us + LATE_RECHECK_MS * 1000);
+		recheck_later(c, now_us);
 		break;
 	}
 }
 
-void
-upstream_side_on_late(struct call *c, int64_t now_us)
+static void
+look_for_other(struct call *c, int64_t now_us)
 {
-	bool late = is_late(c, now_us);
-
-	if (c->easy == NULL || c->answer_started)
-		return;
-	c->answer_bytes_when_late = c->answer_bytes;
 	c->may_probe = true;
-	if (late && upstream_choice_has_other(c, now_us))
+	if (is_late(c, now_us) && upstream_choice_has_other(c, now_us))
 		try_other(c, now_us);
 	else if (c->attempts < retry_policy_max_attempts(c))
-		worker_timer_set(c->w, c, now_us + LATE_RECHECK_MS * 1000);
+		recheck_later(c, now_us);
+}
+
+void
+upstream_side_on_late(struct call *c, int64_t now_us)
+{
+	if (!call_runs(c) || c->answer_started)
+		return;
+	look_for_other(c, now_us);
+	for (unsigned i = 0; i < CALL_MAX_HELD; i++)
+		c->held[i].answer_bytes_when_late = c->held[i].answer_bytes;
 }
 
 void
@@ -606,13 +427,13 @@
 	int64_t now_us = clk_mono_us();
 	enum err_kind kind;
 
-	if (c->easy == NULL) {
+	if (!call_runs(c)) {
 		kind = upstream_side_start(c);
 		if (kind != ERR_NONE)
 			upstream_side_end(c, kind);
 	} else if (is_late(c, now_us)) {
 		try_other(c, now_us);
 	} else if (!c->answer_started) {
-		worker_timer_set(c->w, c, now_us + LATE_RECHECK_MS * 1000);
+		recheck_later(c, now_us);
 	}
 }
--- a/packages/front/upstream_side.h
+++ b/packages/front/upstream_side.h
@@ -1,13 +1,11 @@
 /*
- * upstream_side - upstream side of a call, based on libcurl.
+ * upstream_side - upstream side of a call: its attempts at upstreams.
  *
- * upstream_side_start() chooses an upstream and starts one transfer. Events of
- * the transfer reach the caller side through caller_side_on_head(),
- * caller_side_on_data() and caller_side_on_end().
- *
- * libcurl calls the pre-request callback before it writes the first byte. From
- * then on, a request that is not idempotent is retried only when the protocol
- * guarantees that the upstream did not run it.
+ * upstream_side_start() chooses an upstream and starts one attempt. When it
+ * fails, the call is retried or ends. A late attempt of an idempotent request
+ * goes on beside a second one at another upstream; the first usable answer is
+ * the answer of the call, and the other attempt is cancelled. The end reaches
+ * the caller side through caller_side_on_end().
  *
  *	kind = upstream_side_start(c);
  *	if (kind != ERR_NONE)
@@ -30,7 +28,7 @@
 /**
  * upstream_side_resume() - continue after load reports have arrived
  *
- * Starts the request, or moves a late request to another upstream.
+ * Starts the request, or a second attempt of a late request.
  */
 void upstream_side_resume(struct call *c);
 
@@ -55,13 +53,20 @@
  */
 void upstream_side_answer_taken(struct call *c);
 
+/**
+ * upstream_side_choose() - make the answer of @a the answer of the call
+ *
+ * Ends the other attempt. No byte of its answer may have been passed on.
+ */
+void upstream_side_choose(struct call *c, struct call_attempt *a);
+
 /**
  * upstream_side_on_late() - handle an idempotent request that exceeded its
  * latency goal
  *
  * The response may be lost. If it makes no progress and the retry budget allows
- * it, the request moves to another upstream once a slot is reserved there.
- * Until then, its present attempt goes on.
+ * it, a second attempt starts once a slot is reserved for it at another
+ * upstream. The late attempt goes on.
  */
 void upstream_side_on_late(struct call *c, int64_t now_us);
 
@@ -69,12 +74,12 @@
  * upstream_side_give_up() - fail a call that still waits for an upstream
  *
  * Does nothing when the response to the caller has begun, or when the call has
- * no transfer and does not wait for an upstream.
+ * no attempt and does not wait for an upstream.
  */
 void upstream_side_give_up(struct call *c);
 
 /**
- * upstream_side_cancel() - cancel the transfer and close its connection
+ * upstream_side_cancel() - cancel all attempts and close their connections
  */
 void upstream_side_cancel(struct call *c);
 
--- a/packages/front/worker.c
+++ b/packages/front/worker.c
@@ -57,7 +57,7 @@
 	int64_t stage_start_us;
 	int64_t linger_us;
 	_Atomic bool stop;
-	struct call *unpause_list;
+	struct call_attempt *unpause_list;
 	struct worker_source mhd_source;
 	struct worker_source wake_source;
 	struct worker_source replies_source;
@@ -112,13 +112,13 @@
 }
 
 void
-worker_unpause(struct worker *w, struct call *c)
+worker_unpause(struct worker *w, struct call_attempt *a)
 {
-	if (c->in_unpause)
+	if (a->in_unpause)
 		return;
-	c->in_unpause = true;
-	c->next_unpause = w->unpause_list;
-	w->unpause_list = c;
+	a->in_unpause = true;
+	a->next_unpause = w->unpause_list;
+	w->unpause_list = a;
 }
 
 void
@@ -274,18 +274,25 @@
 	return (&w->callers);
 }
 
-void
-worker_remove_call(struct worker *w, struct call *c)
+static void
+remove_attempt(struct worker *w, struct call_attempt *a)
 {
-	struct call **p = &w->unpause_list;
+	struct call_attempt **p = &w->unpause_list;
 
-	worker_timer_clear(w, c);
-	if (!c->in_unpause)
+	if (!a->in_unpause)
 		return;
-	while (*p != c)
+	while (*p != a)
 		p = &(*p)->next_unpause;
-	*p = c->next_unpause;
-	c->in_unpause = false;
+	*p = a->next_unpause;
+	a->in_unpause = false;
+}
+
+void
+worker_remove_call(struct worker *w, struct call *c)
+{
+	worker_timer_clear(w, c);
+	for (unsigned i = 0; i < CALL_MAX_HELD; i++)
+		remove_attempt(w, &c->held[i]);
 }
 
 static void
@@ -406,12 +413,12 @@
 unpause_transfers(struct worker *w)
 {
 	while (w->unpause_list != NULL) {
-		struct call *c = w->unpause_list;
+		struct call_attempt *a = w->unpause_list;
 
-		w->unpause_list = c->next_unpause;
-		c->in_unpause = false;
-		if (c->easy != NULL)
-			curl_easy_pause(c->easy, CURLPAUSE_CONT);
+		w->unpause_list = a->next_unpause;
+		a->in_unpause = false;
+		if (call_attempt_runs(a))
+			curl_easy_pause(a->easy, CURLPAUSE_CONT);
 	}
 }
 
--- a/packages/front/worker.h
+++ b/packages/front/worker.h
@@ -122,10 +122,10 @@
 void worker_easy_put(struct worker *w, CURL *easy);
 
 /**
- * worker_unpause() - queue the transfer of @c to be unpaused outside of MHD's
+ * worker_unpause() - queue the transfer of @a to be unpaused outside of MHD's
  * callbacks
  */
-void worker_unpause(struct worker *w, struct call *c);
+void worker_unpause(struct worker *w, struct call_attempt *a);
 
 /** enum worker_source_kind - origin of an epoll event */
 enum worker_source_kind {
--- a/tests/standin/rawup.c
+++ b/tests/standin/rawup.c
@@ -13,7 +13,8 @@
  *	                          body, see answer_and_read_on()
  *
  * Behaviours that begin with "endless" send bytes until the peer closes, see
- * endless[].
+ * endless[]. "seq-A-B" behaves as A for the first complete request of the path
+ * and as B for the others; there may be more parts.
  *
  * early and earlydeaf answer 200, the others 413 with a body of 1 MB. With
  * "close" after "bad", this answer has "Connection: close".
@@ -63,6 +64,7 @@
 #define SECOND_SEND_DELAY_US 30000
 #define SLOW_DELAY_US 30000
 #define SLOW_BYTE_US 10000
+#define SLOWER_DELAY_US 200000
 /* Far more than a client may read before it gives up. */
 #define MAX_ENDLESS_BYTES (256 * 1024 * 1024)
 
@@ -473,6 +475,7 @@
     {"pause", false,
 	"HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nRetry-After: 0.6\r\n"
 	"Content-Length: 0\r\n\r\n"},
+    {"shed", false, REFUSAL},
     {"refusetwice", false, REFUSAL REFUSAL},
     {"cuthead", true, OK "Content-Len"},
     {"cutfields", true, OK "Content-Length: 2\r\n"},
@@ -626,6 +629,12 @@
 	} else if (strcmp(name, "slow") == 0) {
 		usleep(SLOW_DELAY_US);
 		send_str(c->fd, CANNED_OK);
+	} else if (strcmp(name, "slower") == 0) {
+		usleep(SLOWER_DELAY_US);
+		send_str(c->fd, CANNED_OK);
+	} else if (strcmp(name, "slowclose") == 0) {
+		usleep(SLOWER_DELAY_US / 2);
+		keep_alive = false;
 	} else if (strcmp(name, "refuselate") == 0) {
 		send_str(c->fd, REFUSAL);
 		usleep(SECOND_SEND_DELAY_US);
@@ -657,6 +666,19 @@
 	return (keep_alive);
 }
 
+/* Replaces the name of a sequence by that of its part @n, from 1. */
+static void
+choose_part(char *name, int n)
+{
+	char *part = name + strlen("seq-");
+	char *next;
+
+	while (--n > 0 && (next = strchr(part, '-')) != NULL)
+		part = next + 1;
+	part[strcspn(part, "-")] = '\0';
+	memmove(name, part, strlen(part) + 1);
+}
+
 static void *
 serve(void *arg)
 {
@@ -665,6 +687,7 @@
 
 	while (keep_alive && read_request(c)) {
 		char name[64] = "";
+		int n;
 
 		c->requests++;
 		if (strncmp(c->path, "/ctl/", 5) == 0) {
@@ -672,9 +695,11 @@
 			continue;
 		}
 		pthread_mutex_lock(&lock);
-		find_path(c->path)->complete++;
+		n = ++find_path(c->path)->complete;
 		pthread_mutex_unlock(&lock);
 		sscanf(c->path, "/%*[^/]/%63[^/]", name);
+		if (strncmp(name, "seq-", strlen("seq-")) == 0)
+			choose_part(name, n);
 		keep_alive = respond(c, name);
 	}
 	close(c->fd);
