Test an upload whose retry waits while more of the body arrives

With the former rule, by which the body that an ended attempt had sent could be freed, the next upstream got 30,000 of 90,000 bytes as a complete chunked body.

--- a/tests/standin/rawup.c
+++ b/tests/standin/rawup.c
@@ -9,6 +9,8 @@
  *	stall                     never reads the body
  *	early, earlybad           answer after the head, then read the body
  *	earlydeaf, earlybaddeaf   answer after the head, never read the body
+ *	cutonce                   ends the connection of the first request after
+ *	                          CUT_BYTES of its body; echoes the others
  *	readon-STATUS-FRAMING     begin an answer after the head, then read the
  *	                          body, see answer_and_read_on()
  *
@@ -24,7 +26,8 @@
  *	/ctl/count<path>   complete requests received for <path>
  *	/ctl/gone<path>    connections closed by the peer during stall, hang,
  *	                   hangbody, earlydeaf, earlybaddeaf or endless ones
- *	/ctl/begun<path>   answers that readon began
+ *	/ctl/begun<path>   answers that readon began, connections that cutonce
+ *	                   ended
  *	/ctl/read<path>    request bodies that readon read to their end or until
  *	                   the connection ended
  *	/ctl/cut<path>     of these, bodies that were complete by their framing
@@ -53,6 +56,7 @@
 #define HUGE_BLOCK (64 * 1024)
 /* Callers of readon end their bodies with this. */
 #define BODY_END "end"
+#define CUT_BYTES 20000
 #define OVER_4K_BODY 5000 /* above the 4 KiB that a claim stores */
 #define MAX_HANG_MS 20000
 #define EARLY_BODY 1000000
@@ -389,6 +393,24 @@
 	pthread_mutex_unlock(&lock);
 }
 
+/* Reads a part of the body of the path's first request; false for others. */
+static bool
+cut_first(struct conn *c)
+{
+	bool first;
+
+	pthread_mutex_lock(&lock);
+	first = find_path(c->path)->begun == 0;
+	pthread_mutex_unlock(&lock);
+	if (!first)
+		return (false);
+	read_bytes(c, CUT_BYTES);
+	pthread_mutex_lock(&lock);
+	find_path(c->path)->begun++;
+	pthread_mutex_unlock(&lock);
+	return (true);
+}
+
 static bool
 read_request(struct conn *c)
 {
@@ -418,6 +440,9 @@
 		answer_and_read_on(c);
 		return (false);
 	}
+	if (strncmp(c->path, "/ctl/", 5) != 0 &&
+	    strstr(c->path, "/cutonce/") != NULL && cut_first(c))
+		return (false);
 	return (read_body(c));
 }
 
@@ -610,7 +635,7 @@
 		send_str(c->fd, k->text);
 		return (!k->close);
 	}
-	if (strcmp(name, "echo") == 0) {
+	if (strcmp(name, "echo") == 0 || strcmp(name, "cutonce") == 0) {
 		send_body(c->fd, "", c->body, c->body_n);
 	} else if (strcmp(name, "echohead") == 0) {
 		send_body(c->fd, "", c->head, strlen(c->head));
--- a/tests/unit/test_front_late.c
+++ b/tests/unit/test_front_late.c
@@ -15,7 +15,8 @@
 /*
  * Hosts "pair" and "trio" with two and three upstreams, all of them the
  * stand-in. Routes: /l is idempotent and has a goal; /s has a short timeout in
- * addition. / has a goal and is not idempotent.
+ * addition, and /w a goal that is not exceeded. / has a goal and is not
+ * idempotent.
  */
 static struct rt_table *
 late_table(void)
@@ -33,6 +34,10 @@
 		.idempotent = true,
 		.timeout_ms = SHORT_TIMEOUT_MS,
 		.goal_ms = LATENCY_GOAL_MS},
+	    {.prefix = BSTR("/w"),
+		.idempotent = true,
+		.timeout_ms = LONG_TIMEOUT_MS,
+		.goal_ms = LONG_TIMEOUT_MS},
 	};
 	struct bstr hosts[] = {BSTR("pair"), BSTR("trio")};
 	struct rt_version version = {BSTR("v1"), 1000};
@@ -45,7 +50,7 @@
 		    .hosts = &hosts[i],
 		    .n_hosts = 1,
 		    .routes = routes,
-		    .n_routes = 3,
+		    .n_routes = 4,
 		    .versions = &version,
 		    .n_versions = 1,
 		    .upstreams = ups[i],
@@ -234,6 +239,17 @@
 #define PART_HEAD "7530\r\n" /* PART_BYTES in hexadecimal */
 #define N_PARTS 8
 
+static void
+send_part(int fd, char fill)
+{
+	char part[PART_BYTES];
+
+	memset(part, fill, sizeof(part));
+	send(fd, PART_HEAD, strlen(PART_HEAD), MSG_NOSIGNAL);
+	send(fd, part, sizeof(part), MSG_NOSIGNAL);
+	send(fd, "\r\n", 2, MSG_NOSIGNAL);
+}
+
 /*
  * Guards against a second attempt that starts in the middle of an upload and
  * gets only a part of the body.
@@ -242,7 +258,6 @@
 test_upload(void **state)
 {
 	const char *path = "/l/seq-hang-echo/upload";
-	char part[PART_BYTES];
 	struct reply r;
 	int fd;
 
@@ -250,10 +265,7 @@
 	fd = rig_request(
 	    "POST", "pair", path, "Transfer-Encoding: chunked\r\n", NULL);
 	for (int i = 0; i < N_PARTS; i++) {
-		memset(part, 'a' + i, sizeof(part));
-		send(fd, PART_HEAD, strlen(PART_HEAD), MSG_NOSIGNAL);
-		send(fd, part, sizeof(part), MSG_NOSIGNAL);
-		send(fd, "\r\n", 2, MSG_NOSIGNAL);
+		send_part(fd, (char)('a' + i));
 		/* The second attempt starts after the first part. */
 		if (i == 0)
 			usleep(IN_BETWEEN_US);
@@ -299,37 +311,114 @@
 	wait_idle();
 }
 
-/* Guards against a planned stop that leaves one of two attempts running. */
+/** struct second_worker - worker beside that of the rig, on rig.port */
+struct second_worker {
+	struct worker *w;
+	pthread_t thread;
+	uint16_t rig_port;
+};
+
 static void
-test_stop(void **state)
+start_second_worker(struct second_worker *s, worker_pick_fn pick)
 {
-	const char *path = "/l/seq-hang-hang/stop";
 	struct worker_desc d = {.shared = &rig.shared,
 	    .addr = "127.0.0.1",
 	    .seed = 1,
-	    .pick = rig_pick};
-	uint16_t rig_port = rig.port;
-	pthread_t thread;
-	struct worker *w;
-	int fd;
+	    .pick = pick};
 
-	(void)state;
+	s->rig_port = rig.port;
 	rig_bind(-1, &rig.port, SO_REUSEPORT);
 	d.port = rig.port;
-	w = worker_new(&d, NULL);
-	assert_non_null(w);
-	pthread_create(&thread, NULL, rig_run_worker, w);
+	s->w = worker_new(&d, NULL);
+	assert_non_null(s->w);
+	pthread_create(&s->thread, NULL, rig_run_worker, s->w);
+}
+
+/* Waits for the end of a worker that was stopped. */
+static void
+finish_second_worker(struct second_worker *s)
+{
+	pthread_join(s->thread, NULL);
+	worker_free(s->w);
+	rig.port = s->rig_port;
+}
+
+/* Guards against a planned stop that leaves one of two attempts running. */
+static void
+test_stop(void **state)
+{
+	const char *path = "/l/seq-hang-hang/stop";
+	struct second_worker s;
+	int fd;
+
+	(void)state;
+	start_second_worker(&s, rig_pick);
 	fd = rig_request("GET", "pair", path, "", NULL);
 	wait_counter("count", path, 2);
-	worker_give_up_at(w, clk_mono_us());
-	worker_stop(w);
+	worker_give_up_at(s.w, clk_mono_us());
+	worker_stop(s.w);
 	rig_expect_error(
 	    rig_read(fd, false), 504, "upstream-timeout", "unknown");
 	wait_counter("gone", path, 2);
-	pthread_join(thread, NULL);
-	worker_free(w);
+	finish_second_worker(&s);
+	wait_idle();
+}
+
+static _Atomic bool hold_retry;
+static _Atomic bool retry_waits;
+
+/* Lets a call wait before its second attempt. */
+static int
+pick_held(const struct rt_service *s, const struct rt_request *req,
+    int64_t now_us, struct random *rng)
+{
+	if (req->n_excluded != 0 && atomic_load(&hold_retry)) {
+		atomic_store(&retry_waits, true);
+		return (RT_FULL);
+	}
+	return (rt_pick(s, req, now_us, rng));
+}
+
+/*
+ * Guards against an upload whose first attempt broke off and which loses what
+ * that attempt had sent, when more of it arrives before the next attempt: the
+ * chunked body was complete for the next upstream and began in its middle.
+ */
+static void
+test_retry_waits(void **state)
+{
+	const char *path = "/w/cutonce/1";
+	struct second_worker s;
+	struct reply r;
+	int fd;
+
+	(void)state;
+	atomic_store(&hold_retry, true);
+	start_second_worker(&s, pick_held);
+	fd = rig_request(
+	    "POST", "pair", path, "Transfer-Encoding: chunked\r\n", NULL);
+	/* Two parts are below the size up to which a body can be sent again. */
+	send_part(fd, 'a');
+	wait_counter("begun", path, 1);
+	/* libcurl may notice the end of the connection when it sends more. */
+	send_part(fd, 'b');
+	for (int i = 0; i < 1000 && !atomic_load(&retry_waits); i++)
+		usleep(10000);
+	assert_true(atomic_load(&retry_waits));
+	send_part(fd, 'c');
+	/* The worker reads this part before the retry starts. */
+	usleep(IN_BETWEEN_US);
+	atomic_store(&hold_retry, false);
+	send(fd, "0\r\n\r\n", 5, MSG_NOSIGNAL);
+	r = rig_read(fd, false);
+	assert_int_equal(r.status, 200);
+	assert_int_equal(r.body_n, 3 * PART_BYTES);
+	for (size_t i = 0; i < r.body_n; i++)
+		assert_int_equal(r.body[i], 'a' + (int)(i / PART_BYTES));
+	rig_reply_free(&r);
+	worker_stop(s.w);
+	finish_second_worker(&s);
 	wait_idle();
-	rig.port = rig_port;
 }
 
 static int
@@ -354,6 +443,7 @@
 	    LATE_TEST(test_caller_leaves),
 	    LATE_TEST(test_deadline),
 	    LATE_TEST(test_stop),
+	    LATE_TEST(test_retry_waits),
 	};
 
 	return (cmocka_run_group_tests(tests, setup, rig_teardown));
