--- a/tests/standin/rawup.c
+++ b/tests/standin/rawup.c
@@ -68,7 +68,7 @@
 #define SECOND_SEND_DELAY_US 30000
 #define SLOW_DELAY_US 30000
 #define SLOW_BYTE_US 10000
-#define SLOWER_DELAY_US 200000
+#define SLOWER_DELAY_US 500000
 /* Far more than a client may read before it gives up. */
 #define MAX_ENDLESS_BYTES (256 * 1024 * 1024)
 
--- a/tests/unit/test_front_late.c
+++ b/tests/unit/test_front_late.c
@@ -132,14 +132,27 @@
  *	connection was reused
  * @closed: connections of attempts that were cancelled, or that broke off
  * @retries: attempts after the first, if @requests is set
+ * @failed: attempts that count as failures of their upstreams, if @requests is
+ *	set
  */
 struct late_case {
 	const char *method, *host, *path, *body;
 	int requests;
 	int closed;
 	uint64_t retries;
+	uint64_t failed;
 };
 
+static uint64_t
+count_failed(void)
+{
+	uint64_t n = 0;
+
+	for (size_t k = 0; k < 2 * MAX_UPSTREAMS; k++)
+		n += stats[k] == NULL ? 0 : atomic_load(&stats[k]->failed);
+	return (n);
+}
+
 static void
 play_case(const struct late_case *c)
 {
@@ -155,6 +168,7 @@
 	assert_int_equal(rig_request_count(c->path), c->requests);
 	assert_int_equal(
 	    metrics_get(&rig.metrics, METRICS_RETRIES), before + c->retries);
+	assert_int_equal(count_failed(), c->failed);
 }
 
 /*
@@ -168,25 +182,25 @@
 {
 	static const struct late_case cases[] = {
 	    /* The second attempt fails, the first answers. */
-	    {"GET", "pair", "/l/seq-slower-shed/1", "ok", 2, 0, 1},
-	    {"GET", "pair", "/l/seq-slower-close/1", "ok", 0, 0, 0},
-	    {"GET", "pair", "/l/seq-slower-s500/1", "ok", 2, 0, 1},
-	    {"GET", "pair", "/l/seq-slower-garbage/1", "ok", 2, 0, 1},
-	    {"GET", "pair", "/l/seq-slower-cutlen/1", "ok", 2, 0, 1},
-	    {"GET", "trio", "/l/seq-slower-shed-shed/1", "ok", 3, 0, 2},
+	    {"GET", "pair", "/l/seq-slower-shed/1", "ok", 2, 0, 1, 1},
+	    {"GET", "pair", "/l/seq-slower-close/1", "ok", 0, 0, 0, 0},
+	    {"GET", "pair", "/l/seq-slower-s500/1", "ok", 2, 0, 1, 1},
+	    {"GET", "pair", "/l/seq-slower-garbage/1", "ok", 2, 0, 1, 1},
+	    {"GET", "pair", "/l/seq-slower-cutlen/1", "ok", 2, 0, 1, 1},
+	    {"GET", "trio", "/l/seq-slower-shed-shed/1", "ok", 3, 0, 2, 2},
 	    /* The first attempt fails, the second answers. */
-	    {"GET", "pair", "/l/seq-slowclose-slower/1", "ok", 0, 0, 0},
+	    {"GET", "pair", "/l/seq-slowclose-slower/1", "ok", 0, 0, 0, 0},
 	    /* One of them does not answer and is cancelled. */
-	    {"GET", "pair", "/l/seq-hang-ok/1", "ok", 2, 1, 1},
-	    {"GET", "pair", "/l/seq-slower-hang/1", "ok", 2, 1, 1},
-	    {"GET", "pair", "/l/seq-hangbody-ok/1", "ok", 2, 1, 1},
-	    {"GET", "pair", "/l/seq-hangbody-chunked/1", "abcd", 2, 1, 1},
-	    {"GET", "pair", "/l/seq-slower-hangbody/1", "ok", 2, 1, 1},
-	    {"GET", "trio", "/l/seq-hang-hang-ok/1", "ok", 3, 2, 2},
+	    {"GET", "pair", "/l/seq-hang-ok/1", "ok", 2, 1, 1, 1},
+	    {"GET", "pair", "/l/seq-slower-hang/1", "ok", 2, 1, 1, 0},
+	    {"GET", "pair", "/l/seq-hangbody-ok/1", "ok", 2, 1, 1, 1},
+	    {"GET", "pair", "/l/seq-hangbody-chunked/1", "abcd", 2, 1, 1, 1},
+	    {"GET", "pair", "/l/seq-slower-hangbody/1", "ok", 2, 1, 1, 0},
+	    {"GET", "trio", "/l/seq-hang-hang-ok/1", "ok", 3, 2, 2, 2},
 	    /* Each attempt gets the body. */
-	    {"POST", "pair", "/l/seq-hang-echo/1", "body", 2, 1, 1},
+	    {"POST", "pair", "/l/seq-hang-echo/1", "body", 2, 1, 1, 1},
 	    /* A request that is not idempotent has one attempt. */
-	    {"POST", "pair", "/p/seq-slower-ok/1", "ok", 1, 0, 0},
+	    {"POST", "pair", "/p/seq-slower-ok/1", "ok", 1, 0, 0, 0},
 	};
 
 	(void)state;
