--- a/packages/control/fleet_control.c
+++ b/packages/control/fleet_control.c
@@ -239,7 +239,9 @@
 		g_free(c);
 		return (NULL);
 	}
-	view_init(&c->view, &(struct view_desc){.self = desc->set->id});
+	view_init(&c->view,
+	    &(struct view_desc){
+		.self = desc->set->id, .zone = desc->set->zone});
 	update_relay_init(&c->relay,
 	    &(struct update_relay_desc){.self = desc->set->id,
 		.link_mbps = (uint32_t)desc->set->link_mbps,
@@ -341,6 +343,8 @@
 	if (!view_take_dirty(&c->view, now_us))
 		return;
 	shared_publish(c->desc.shared, view_table(&c->view, now_us));
+	atomic_store(
+	    &c->desc.shared->metrics->workspaces, c->view.config->n_workspaces);
 	if (atomic_load(&c->desc.shared->fresh_until_us) == 0)
 		g_message("main: ready to route");
 	atomic_store(&c->desc.shared->fresh_until_us, INT64_MAX);
--- a/packages/fleet/fleet_view_table.c
+++ b/packages/fleet/fleet_view_table.c
@@ -16,7 +16,7 @@
 #define DEFAULT_GOAL_MS 1000
 /*
  * Number of upstreams per version that a VM prefers; enough to find one with a
- * free slot.
+ * free slot. They are in its own zone, if that has as many.
  */
 #define NEAR_UPSTREAMS 16
 
@@ -62,6 +62,94 @@
 	}
 }
 
+_Static_assert(WSTAB_NO_PRIORITY == OBJ_NO_PRIORITY,
+    "a workspace without a priority is marked alike in both types");
+
+/* Builds the table of the workspaces that all routing tables of @f share. */
+static void
+update_workspaces(struct fleet_view *f)
+{
+	const struct obj_config *c = f->config;
+	struct wstab_entry *list;
+
+	if (!c->has_workspaces || f->workspaces != NULL)
+		return;
+	list = g_new0(struct wstab_entry, c->n_workspaces);
+	for (uint32_t i = 0; i < c->n_workspaces; i++) {
+		const struct obj_workspace *w = &c->workspaces[i];
+
+		list[i] = (struct wstab_entry){
+		    .workspace = {.name = bstr_from(w->name),
+			.priority = w->priority,
+			.usage = view_usage(f, w->name)},
+		    .keys = w->keys,
+		    .n_keys = w->n_keys};
+	}
+	f->workspaces = wstab_new(list, c->n_workspaces);
+	g_free(list);
+}
+
+/** struct priority_range - least and greatest priority of some requests */
+struct priority_range {
+	uint32_t min;
+	uint32_t max;
+};
+
+static const struct priority_range empty_range = {.min = UINT32_MAX};
+
+static void
+add_priority(struct priority_range *r, uint32_t priority)
+{
+	r->min = MIN(r->min, priority);
+	r->max = MAX(r->max, priority);
+}
+
+/* As rt_draw_split() chooses: the first split if no split has a weight. */
+static bool
+is_routed_to(const struct obj_route *r, const char *service)
+{
+	uint32_t total = 0;
+
+	for (uint32_t k = 0; k < r->n_splits; k++) {
+		total += r->splits[k].weight;
+		if (r->splits[k].weight != 0 &&
+		    strcmp(r->splits[k].service, service) == 0)
+			return (true);
+	}
+	return (total == 0 && r->n_splits != 0 &&
+	    strcmp(r->splits[0].service, service) == 0);
+}
+
+/* Adds the priorities of the requests that a route lets through. */
+static void
+add_route_priorities(struct priority_range *out, const struct obj_config *c,
+    const struct obj_route *r)
+{
+	if (!c->has_workspaces || r->is_public)
+		add_priority(out, r->priority);
+	for (uint32_t i = 0; i < c->n_workspaces; i++) {
+		const struct obj_workspace *w = &c->workspaces[i];
+
+		if (w->n_keys != 0)
+			add_priority(out,
+			    w->priority == OBJ_NO_PRIORITY ? r->priority
+							   : w->priority);
+	}
+}
+
+/* Whether requests of different priorities reach a service. */
+static bool
+is_ranked(const struct obj_config *c, const char *service)
+{
+	struct priority_range range = empty_range;
+
+	for (uint32_t i = 0; i < c->n_routes; i++) {
+		if (is_routed_to(&c->routes[i], service))
+			add_route_priorities(&range, c, &c->routes[i]);
+	}
+	return (range.min < range.max);
+}
+
 static bool
 is_host_added(const struct obj_config *c, uint32_t at)
 {
@@ -179,7 +267,7 @@
 	}
 }
 
-/** struct ranked - an upstream and its rank for this VM */
+/** struct ranked - an upstream and its place in the order of a service */
 struct ranked {
 	uint32_t i;
 	uint64_t rank;
@@ -193,28 +281,107 @@
 	return ((x->rank > y->rank) - (x->rank < y->rank));
 }
 
+/**
+ * struct primaries - choice of the primary upstreams of a service
+ * @s: service
+ * @order: its upstreams, ordered by a hash
+ * @n: number of primary upstreams of each version so far
+ */
+struct primaries {
+	struct rt_service *s;
+	struct ranked *order;
+	uint32_t *n;
+};
+
+static bool
+is_in_zone(const struct rt_upstream *u, struct bstr zone)
+{
+	return (zone.n == 0 || bstr_eq(u->zone, zone));
+}
+
+/* Orders the upstreams by a hash that begins with @seed. */
+static void
+order_upstreams(struct primaries *p, uint64_t seed)
+{
+	for (uint32_t i = 0; i < p->s->n_upstreams; i++)
+		p->order[i] =
+		    (struct ranked){i, bstr_hash(p->s->upstreams[i].id, seed)};
+	qsort(p->order, p->s->n_upstreams, sizeof(*p->order), by_rank);
+}
+
+/*
+ * Makes ready upstreams primary in their order, first those after the first
+ * @skip, until each version has @max of them; only those in @zone, unless that
+ * is empty.
+ */
+static void
+add_primaries(
+    struct primaries *p, struct bstr zone, uint32_t skip, uint32_t max)
+{
+	uint32_t n = p->s->n_upstreams;
+
+	for (uint32_t k = 0, seen = 0; k < 2 * n; k++) {
+		struct rt_upstream *u = &p->s->upstreams[p->order[k % n].i];
+
+		if (u->state != RT_READY || !is_in_zone(u, zone))
+			continue;
+		if (seen++ < skip || !u->secondary || p->n[u->version] >= max)
+			continue;
+		u->secondary = false;
+		p->n[u->version]++;
+	}
+}
+
+/*
+ * Number of upstreams of this VM's zone that come before the primary ones. The
+ * VMs of a zone begin at equal distances, so that each upstream of the zone is
+ * primary for about the same number of VMs.
+ */
+static uint32_t
+n_before(const struct fleet_view *f, const struct rt_service *s)
+{
+	uint64_t self = bstr_hash(bstr_from(f->self), 0);
+	uint64_t n_vms = 1, rank = 0, n_upstreams = 0;
+	GHashTableIter it;
+	void *id, *v;
+
+	for (uint32_t i = 0; i < s->n_upstreams; i++)
+		n_upstreams += s->upstreams[i].state == RT_READY &&
+		    is_in_zone(&s->upstreams[i], bstr_from(f->zone));
+	g_hash_table_iter_init(&it, f->members);
+	while (g_hash_table_iter_next(&it, &id, &v)) {
+		const struct view_member *m = v;
+
+		if (strcmp(id, f->self) == 0 ||
+		    strcmp(m->member.zone, f->zone) != 0)
+			continue;
+		n_vms++;
+		rank += bstr_hash(bstr_from(id), 0) < self;
+	}
+	return ((uint32_t)(rank * n_upstreams / n_vms));
+}
+
 /*
  * Marks all but NEAR_UPSTREAMS ready upstreams of each version as secondary.
- * The hash that ranks them includes the id of this VM, so that the connections
- * of all VMs spread over all upstreams.
+ * The order of those in other zones depends on this VM's id, so that the
+ * connections of all VMs spread over all upstreams.
  */
 static void
 mark_secondary(struct table_builder *b, struct rt_service *s)
 {
-	uint64_t seed = bstr_hash(bstr_from(b->f->self), 0);
-	struct ranked *list = alloc_array(b, s->n_upstreams, sizeof(*list));
-	uint32_t *near = alloc_array(b, s->n_versions, sizeof(*near));
+	struct primaries p = {.s = s,
+	    .order = alloc_array(b, s->n_upstreams, sizeof(*p.order)),
+	    .n = alloc_array(b, s->n_versions, sizeof(*p.n))};
 
 	for (uint32_t i = 0; i < s->n_upstreams; i++)
-		list[i] =
-		    (struct ranked){i, bstr_hash(s->upstreams[i].id, seed)};
-	qsort(list, s->n_upstreams, sizeof(*list), by_rank);
-	for (uint32_t k = 0; k < s->n_upstreams; k++) {
-		struct rt_upstream *u = &s->upstreams[list[k].i];
-
-		if (u->state == RT_READY)
-			u->secondary = near[u->version]++ >= NEAR_UPSTREAMS;
+		s->upstreams[i].secondary = s->upstreams[i].state == RT_READY;
+	if (b->f->zone[0] != '\0') {
+		order_upstreams(&p, 0);
+		add_primaries(&p, bstr_from(b->f->zone), n_before(b->f, s),
+		    NEAR_UPSTREAMS);
 	}
+	order_upstreams(&p, bstr_hash(bstr_from(b->f->self), 0));
+	add_primaries(&p, (struct bstr){0}, 0, NEAR_UPSTREAMS);
 }
 
 static uint32_t
@@ -417,6 +584,7 @@
 	mark_secondary(b, &s);
 	fill_shares(b, &s, d->name);
 	fill_tallies(b, &s, d->name);
+	s.ranked = is_ranked(b->f->config, d->name);
 	s.slow_us =
 	    (int64_t)(SLOW_GOAL_FACTOR * goal_ms(b->f->config, d->name)) * 1000;
 	g_array_append_val(b->services, s);
@@ -430,6 +598,7 @@
 	struct rt_table *t;
 
 	update_cold_owners(f);
+	update_workspaces(f);
 	b.services = g_array_new(FALSE, TRUE, sizeof(struct rt_service));
 	b.allocations = g_ptr_array_new_with_free_func(free);
 	for (uint32_t i = 0; i < c->n_routes; i++) {
@@ -440,7 +609,8 @@
 		add_service(&b, &c->services[i]);
 	t = rt_table_new(&(struct rt_desc){
 	    .services = (struct rt_service *)(void *)b.services->data,
-	    .n_services = b.services->len});
+	    .n_services = b.services->len,
+	    .workspaces = f->workspaces});
 	f->table_built = true;
 	g_array_unref(b.services);
 	g_ptr_array_unref(b.allocations);
--- a/packages/front/call.c
+++ b/packages/front/call.c
@@ -48,6 +48,8 @@
 	free_str(&c->target);
 	for (uint32_t i = 0; i < c->n_excluded; i++)
 		rt_stat_unref(c->excluded[i]);
+	if (c->usage != NULL)
+		usage_counter_unref(c->usage);
 	free(c);
 }
 
--- a/packages/front/call.h
+++ b/packages/front/call.h
@@ -26,9 +26,11 @@
 #include "front/call_attempt.h"
 #include "route/load_choice.h"
 #include "route/routing.h"
+#include "usage/usage_counter.h"
 
 /* A late attempt and its successor. */
 #define CALL_MAX_HELD 2
+#define CALL_WORKSPACE_MAX 255
 /*
  * Largest answer that is buffered whole before it is passed on. It is below the
  * size at which the transfer from the upstream is paused.
@@ -86,6 +88,13 @@
  * @idempotent: may be retried after bytes were sent
  * @keyed: carries an idempotency key on a non-idempotent route
  * @owner_decided: the owner of the key's partition decided the claim
+ * @workspaces_required: the configuration has workspaces, so the caller's
+ *	credential and workspace fields are not forwarded
+ * @unauthorized: the route needs a key and the request has no valid one
+ * @workspace: name of the caller's workspace, empty for none
+ * @usage: counter of that workspace, NULL for none, a reference is held
+ * @priority: rank of the request, 0 is the most urgent: that of the workspace
+ *	if it has one, else that of the route
  * @body: request body, from its first byte that may still be sent
  * @body_dropped: sent bytes were freed, so the body cannot be sent again
  * @upload_stopped: the rest of the body is discarded after an early 3xx to 5xx
@@ -113,6 +122,8 @@
  * @n_probe_answers: number of those probes that have ended, with a response or
  *	by a failure
  * @may_probe: upstreams may be probed before the next choice
+ * @other_zones: this VM's own zone had no room, so upstreams of other zones are
+ *	queried too
  * @pause_left_us: when no upstream could be used: time until the first pause
  *	ends that one of them asked for, 0 when none did
  * @accept_slow: slow upstreams are accepted, as half of the time for
@@ -143,6 +154,11 @@
 	bool idempotent;
 	bool keyed;
 	bool owner_decided;
+	bool workspaces_required;
+	bool unauthorized;
+	char workspace[CALL_WORKSPACE_MAX + 1];
+	struct usage_counter *usage;
+	uint32_t priority;
 
 	struct bbuf body;
 	bool body_dropped;
@@ -172,6 +188,7 @@
 	unsigned n_probed;
 	unsigned n_probe_answers;
 	bool may_probe;
+	bool other_zones;
 	int64_t pause_left_us;
 	bool accept_slow;
 	unsigned attempts;
--- a/packages/route/routing.h
+++ b/packages/route/routing.h
@@ -27,6 +27,7 @@
 #include "base/byte_string.h"
 #include "base/random.h"
 #include "route/upstream_terms.h"
+#include "workspace/workspace_table.h"
 
 #define RT_NONE (-1) /* no upstream is eligible for the call */
 #define RT_FULL (-2) /* all eligible upstreams are at their limit */
@@ -135,7 +136,8 @@
  * @cold_allowed: this process may send requests to it while it is cold, see
  *	rt_stat.cold_until_us
  * @secondary: queried for its load only after the other upstreams of the
- *	service, which keeps the number of connections small
+ *	service, which keeps the number of connections small; those in other
+ *	zones are secondary if this VM's zone has enough
  * @stat: load statistics
  */
 struct rt_upstream {
@@ -226,10 +228,17 @@
 
 struct rt_table;
 
-/** struct rt_desc - input of rt_table_new(), which copies it */
+/**
+ * struct rt_desc - input of rt_table_new(), which copies it
+ * @services: services
+ * @n_services: number of services
+ * @workspaces: workspaces and their keys, NULL when requests need no keys; the
+ *	table takes a reference of its own
+ */
 struct rt_desc {
 	const struct rt_service *services;
 	uint32_t n_services;
+	struct workspace_table *workspaces;
 };
 
 /**
@@ -254,8 +263,8 @@
  * @draw: random number below 1000, drawn once per request to choose its version
  * @accept_slow: it has waited so long that a persistently slow upstream is
  *	accepted
- * @include_secondary: include upstreams with rt_upstream.secondary, because the
- *	others were full
+ * @include_secondary: include upstreams with rt_upstream.secondary and of other
+ *	zones, because the others were full
  * @use_all_slots: it may take the slots above the share at which upstreams get
  *	slower; admission decides for which requests
  * @work_us: usual service time of a request, 0 when not known
@@ -317,6 +326,11 @@
 /** rt_services() - all services of the table; sets @n to their number */
 const struct rt_service *rt_services(const struct rt_table *t, uint32_t *n);
 
+/**
+ * rt_workspaces() - workspaces and their keys, NULL when requests need no keys
+ */
+const struct workspace_table *rt_workspaces(const struct rt_table *t);
+
 /** rt_find_host() - service of a Host value without its port, or NULL */
 const struct rt_service *rt_find_host(
     const struct rt_table *t, struct bstr host);
--- a/tests/standin/rawup.c
+++ b/tests/standin/rawup.c
@@ -660,6 +660,9 @@
 	} else if (strcmp(name, "slowclose") == 0) {
 		usleep(SLOWER_DELAY_US / 2);
 		keep_alive = false;
+	} else if (strcmp(name, "slowhead") == 0) {
+		usleep(SLOW_DELAY_US);
+		send_body(c->fd, "", c->head, strlen(c->head));
 	} else if (strcmp(name, "refuselate") == 0) {
 		send_str(c->fd, REFUSAL);
 		usleep(SECOND_SEND_DELAY_US);
