--- a/packages/front/attempt_transfer.c
+++ b/packages/front/attempt_transfer.c
@@ -8,6 +8,7 @@
 #include "front/filter.h"
 #include "front/retry_policy.h"
 #include "front/upstream_request.h"
+#include "front/usage_count.h"
 #include "front/worker.h"
 #include "front/worker_msg.h"
 #include "sys/clocks.h"
@@ -59,6 +60,8 @@
 	if (a->blocked != ERR_NONE)
 		return (CURL_PREREQFUNC_ABORT);
 	a->sent = CALL_MAY_BE_SENT;
+	a->usage_window =
+	    usage_count_sent(c->usage, worker_shared_state(c->w), now_us);
 	a->sent_on_reused_conn = a->opened_fd < 0;
 	return (CURL_PREREQFUNC_OK);
 }
@@ -225,6 +228,8 @@
 		    call_header_in(c, protocol->request_id_field);
 	protocol->ops->read(&a->head, &expect, &r);
 	a->refused = r.not_run;
+	if (a->refused)
+		usage_count_not_run(c->usage, &a->usage_window);
 	a->head_bad = r.verdict == PROTO_MISMATCH;
 	if (r.running >= 0)
 		a->reported = r.running;
--- a/packages/front/call_attempt.c
+++ b/packages/front/call_attempt.c
@@ -12,6 +12,7 @@
 call_attempt_reset(struct call_attempt *a, bool head_request)
 {
 	a->sent = CALL_NOT_SENT;
+	a->usage_window = -1;
 	a->blocked = ERR_NONE;
 	a->resend_blocked = false;
 	a->unclean = false;
--- a/packages/front/call_attempt.h
+++ b/packages/front/call_attempt.h
@@ -72,6 +72,7 @@
  * @addr: address of the chosen upstream
  * @start_us: time at which the attempt started
  * @sent: progress of sending the request
+ * @usage_window: window in which the attempt was counted, -1 for none
  * @blocked: reason for not sending on a connection that was ready, or ERR_NONE
  * @resend_blocked: libcurl tried to send the request again and was stopped
  * @unclean: a reused connection had unread bytes, so nothing was sent on it
@@ -118,6 +119,7 @@
 	int64_t start_us;
 
 	enum call_sent sent;
+	int64_t usage_window;
 	enum err_kind blocked;
 	bool resend_blocked;
 	bool unclean;
