--- a/tests/standin/rawup.c
+++ b/tests/standin/rawup.c
@@ -9,17 +9,29 @@
  *	stall                     never reads the body
  *	early, earlybad           answer after the head, then read the body
  *	earlydeaf, earlybaddeaf   answer after the head, never read the body
+ *	cutonce                   ends the connection of the first request after
+ *	                          CUT_BYTES of its body; echoes the others
+ *	readon-STATUS-FRAMING     begin an answer after the head, then read the
+ *	                          body, see answer_and_read_on()
  *
  * Behaviours that begin with "endless" send bytes until the peer closes, see
- * endless[].
+ * endless[]. "seq-A-B" behaves as A for the first complete request of the path
+ * and as B for the others; there may be more parts.
  *
- * early and earlydeaf answer 200, the others 413 with a body of 1 MB.
+ * early and earlydeaf answer 200, the others 413 with a body of 1 MB. With
+ * "close" after "bad", this answer has "Connection: close".
  *
  * The counters are read with:
  *
  *	/ctl/count<path>   complete requests received for <path>
  *	/ctl/gone<path>    connections closed by the peer during stall, hang,
  *	                   hangbody, earlydeaf, earlybaddeaf or endless ones
+ *	/ctl/begun<path>   answers that readon began, connections that cutonce
+ *	                   ended
+ *	/ctl/read<path>    request bodies that readon read to their end or until
+ *	                   the connection ended
+ *	/ctl/cut<path>     of these, bodies that were complete by their framing
+ *	                   and did not end with BODY_END
  *
  * Prints "port N" when it listens.
  */
@@ -42,6 +54,9 @@
 #define BIG_BODY (8 * 1024 * 1024)
 #define HUGE_BODY (64 * 1024 * 1024)
 #define HUGE_BLOCK (64 * 1024)
+/* Callers of readon end their bodies with this. */
+#define BODY_END "end"
+#define CUT_BYTES 20000
 #define OVER_4K_BODY 5000 /* above the 4 KiB that a claim stores */
 #define MAX_HANG_MS 20000
 #define EARLY_BODY 1000000
@@ -53,6 +68,7 @@
 #define SECOND_SEND_DELAY_US 30000
 #define SLOW_DELAY_US 30000
 #define SLOW_BYTE_US 10000
+#define SLOWER_DELAY_US 500000
 /* Far more than a client may read before it gives up. */
 #define MAX_ENDLESS_BYTES (256 * 1024 * 1024)
 
@@ -60,11 +76,13 @@
  * struct path_count - counters of one path
  * @complete: complete requests received
  * @closed: connections on which wait_for_close() saw the peer close
+ * @begun, @read, @cut: see /ctl/begun, /ctl/read and /ctl/cut
  */
 struct path_count {
 	char path[256];
 	int complete;
 	int closed;
+	int begun, read, cut;
 };
 
 /**
@@ -285,6 +303,8 @@
 
 		memset(p, 'e', EARLY_BODY);
 		send_str(c->fd, "HTTP/1.1 413 Large\r\n");
+		if (strstr(c->path, "/earlybadclose") != NULL)
+			send_str(c->fd, "Connection: close\r\n");
 		send_str(c->fd, EARLY_LENGTH);
 		send_all(c->fd, p, EARLY_BODY);
 		free(p);
@@ -302,10 +322,99 @@
 			continue;
 }
 
+static bool
+read_body(struct conn *c)
+{
+	const char *field = strcasestr(c->head, "\r\nContent-Length:");
+
+	if (field != NULL)
+		return (read_bytes(c, strtoul(field + 17, NULL, 10)));
+	if (strcasestr(c->head, "\r\nTransfer-Encoding: chunked") != NULL)
+		return (read_chunks(c));
+	return (true);
+}
+
+static bool
+body_is_intact(const struct conn *c)
+{
+	const size_t n = strlen(BODY_END);
+
+	return (c->body_n >= n &&
+	    memcmp(c->body + c->body_n - n, BODY_END, n) == 0);
+}
+
+/**
+ * struct early_framing - parts of an early answer with the body "abcd"
+ * @name: FRAMING in the request path; with "-close" appended the answer has
+ *	"Connection: close"
+ * @start: fields and body that are sent before the request body is read
+ * @rest: sent afterwards
+ */
+struct early_framing {
+	const char *name, *start, *rest;
+};
+
+static const struct early_framing early_framings[] = {
+    {"whole", "Content-Length: 4\r\n\r\nabcd", ""},
+    {"length", "Content-Length: 4\r\n\r\nab", "cd"},
+    {"chunked", "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+	"2\r\ncd\r\n0\r\n\r\n"},
+    {"none", "\r\nab", "cd"},
+};
+
+/* Begins an answer, reads the request body, ends the answer and closes. */
+static void
+answer_and_read_on(struct conn *c)
+{
+	const struct early_framing *f = &early_framings[0];
+	const char *name = strstr(c->path, "/readon-") + strlen("/readon-NNN-");
+	bool whole;
+
+	for (size_t i = 0; i < sizeof(early_framings) / sizeof(*f); i++) {
+		if (strncmp(name, early_framings[i].name,
+			strlen(early_framings[i].name)) == 0)
+			f = &early_framings[i];
+	}
+	send_str(c->fd, "HTTP/1.1 ");
+	send_all(c->fd, name - strlen("NNN-"), 3);
+	send_str(c->fd, " Early\r\n");
+	if (strstr(name, "-close/") != NULL)
+		send_str(c->fd, "Connection: close\r\n");
+	send_str(c->fd, f->start);
+	pthread_mutex_lock(&lock);
+	find_path(c->path)->begun++;
+	pthread_mutex_unlock(&lock);
+	whole = read_body(c);
+	send_str(c->fd, f->rest);
+	pthread_mutex_lock(&lock);
+	find_path(c->path)->complete += whole;
+	find_path(c->path)->read++;
+	find_path(c->path)->cut += whole && !body_is_intact(c);
+	pthread_mutex_unlock(&lock);
+}
+
+/* Reads a part of the body of the path's first request; false for others. */
+static bool
+cut_first(struct conn *c)
+{
+	bool first;
+
+	pthread_mutex_lock(&lock);
+	first = find_path(c->path)->begun == 0;
+	pthread_mutex_unlock(&lock);
+	if (!first)
+		return (false);
+	read_bytes(c, CUT_BYTES);
+	pthread_mutex_lock(&lock);
+	find_path(c->path)->begun++;
+	pthread_mutex_unlock(&lock);
+	return (true);
+}
+
 static bool
 read_request(struct conn *c)
 {
-	char *end, *field;
+	char *end;
 
 	c->body_n = 0;
 	while ((end = strstr(c->buf, "\r\n\r\n")) == NULL) {
@@ -326,12 +435,15 @@
 		answer_early(c);
 		return (false);
 	}
-	field = strcasestr(c->head, "\r\nContent-Length:");
-	if (field != NULL)
-		return (read_bytes(c, strtoul(field + 17, NULL, 10)));
-	if (strcasestr(c->head, "\r\nTransfer-Encoding: chunked") != NULL)
-		return (read_chunks(c));
-	return (true);
+	if (strncmp(c->path, "/ctl/", 5) != 0 &&
+	    strstr(c->path, "/readon-") != NULL) {
+		answer_and_read_on(c);
+		return (false);
+	}
+	if (strncmp(c->path, "/ctl/", 5) != 0 &&
+	    strstr(c->path, "/cutonce/") != NULL && cut_first(c))
+		return (false);
+	return (read_body(c));
 }
 
 /**
@@ -388,6 +500,7 @@
     {"pause", false,
 	"HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nRetry-After: 0.6\r\n"
 	"Content-Length: 0\r\n\r\n"},
+    {"shed", false, REFUSAL},
     {"refusetwice", false, REFUSAL REFUSAL},
     {"cuthead", true, OK "Content-Len"},
     {"cutfields", true, OK "Content-Length: 2\r\n"},
@@ -423,16 +536,33 @@
 	return (NULL);
 }
 
+static int
+read_counter(const struct path_count *p, const char *name, size_t n)
+{
+	const struct {
+		const char *name;
+		int value;
+	} counters[] = {{"count", p->complete}, {"gone", p->closed},
+	    {"begun", p->begun}, {"read", p->read}, {"cut", p->cut}};
+
+	for (size_t i = 0; i < sizeof(counters) / sizeof(*counters); i++) {
+		if (strlen(counters[i].name) == n &&
+		    memcmp(counters[i].name, name, n) == 0)
+			return (counters[i].value);
+	}
+	return (-1);
+}
+
 static void
 answer_ctl(struct conn *c)
 {
-	bool closed = strncmp(c->path, "/ctl/gone", 9) == 0;
-	struct path_count *p;
+	const char *name = c->path + strlen("/ctl/");
+	size_t n = strcspn(name, "/");
 	char text[16];
 
 	pthread_mutex_lock(&lock);
-	p = find_path(c->path + (closed ? 9 : 10));
-	snprintf(text, sizeof(text), "%d", closed ? p->closed : p->complete);
+	snprintf(text, sizeof(text), "%d",
+	    read_counter(find_path(name + n), name, n));
 	pthread_mutex_unlock(&lock);
 	send_body(c->fd, "", text, strlen(text));
 }
@@ -505,7 +635,7 @@
 		send_str(c->fd, k->text);
 		return (!k->close);
 	}
-	if (strcmp(name, "echo") == 0) {
+	if (strcmp(name, "echo") == 0 || strcmp(name, "cutonce") == 0) {
 		send_body(c->fd, "", c->body, c->body_n);
 	} else if (strcmp(name, "echohead") == 0) {
 		send_body(c->fd, "", c->head, strlen(c->head));
@@ -524,6 +654,12 @@
 	} else if (strcmp(name, "slow") == 0) {
 		usleep(SLOW_DELAY_US);
 		send_str(c->fd, CANNED_OK);
+	} else if (strcmp(name, "slower") == 0) {
+		usleep(SLOWER_DELAY_US);
+		send_str(c->fd, CANNED_OK);
+	} else if (strcmp(name, "slowclose") == 0) {
+		usleep(SLOWER_DELAY_US / 2);
+		keep_alive = false;
 	} else if (strcmp(name, "slowhead") == 0) {
 		usleep(SLOW_DELAY_US);
 		send_body(c->fd, "", c->head, strlen(c->head));
@@ -558,6 +694,19 @@
 	return (keep_alive);
 }
 
+/* Replaces the name of a sequence by that of its part @n, from 1. */
+static void
+choose_part(char *name, int n)
+{
+	char *part = name + strlen("seq-");
+	char *next;
+
+	while (--n > 0 && (next = strchr(part, '-')) != NULL)
+		part = next + 1;
+	part[strcspn(part, "-")] = '\0';
+	memmove(name, part, strlen(part) + 1);
+}
+
 static void *
 serve(void *arg)
 {
@@ -566,6 +715,7 @@
 
 	while (keep_alive && read_request(c)) {
 		char name[64] = "";
+		int n;
 
 		c->requests++;
 		if (strncmp(c->path, "/ctl/", 5) == 0) {
@@ -573,9 +723,11 @@
 			continue;
 		}
 		pthread_mutex_lock(&lock);
-		find_path(c->path)->complete++;
+		n = ++find_path(c->path)->complete;
 		pthread_mutex_unlock(&lock);
 		sscanf(c->path, "/%*[^/]/%63[^/]", name);
+		if (strncmp(name, "seq-", strlen("seq-")) == 0)
+			choose_part(name, n);
 		keep_alive = respond(c, name);
 	}
 	close(c->fd);
