Rank waiting calls of services with priorities

Calls of a service whose rt_service.ranked is set wait in a queue by priority and latest start instead of a list by arrival. Those for which no room is expected are rejected with the time at which it is.

--- a/packages/admission/admission.h
+++ b/packages/admission/admission.h
@@ -5,18 +5,23 @@
  * One object for each service and worker. It ranks the calls that wait, says
  * for how long each may wait, and rejects the calls that cost callers least. It
  * knows no network, thread or clock: the time is an argument, and the choice of
- * an upstream tells it what it found.
+ * an upstream tells it what it found. docs/design/admission.md has the reasons.
  *
- *	adm_init(&a, &(struct adm_desc){.ranked = true, .seed = seed});
+ *	adm_init(&a, &(struct adm_desc){.seed = seed});
  *	d = adm_on_arrival(&a, &call, now_us);
  *	if (d.verdict == ADM_START) {
+ *		(choose an upstream under adm_terms(), with adm_on_load())
  *		if (no upstream has room)
  *			d = adm_on_full(&a, &call, now_us);
  *		else
  *			adm_on_start(&a, &call, now_us);
  *	}
- *	next = adm_first(&a, now_us);           (when room may be free again)
- *	adm_leave(&a, &call);
+ *	...                                     (at adm_next_us())
+ *	while ((call = adm_take_expired(&a, now_us, &d)) != NULL)
+ *		(reject it)
+ *	call = adm_take_next(&a, now_us);       (as after ADM_START)
+ *	adm_on_room(&a);                        (a request has ended)
+ *	adm_leave(&a, &call);                   (the call has ended)
  *	adm_finish(&a);
  */
 #ifndef ADMISSION_ADMISSION_H
@@ -25,12 +30,26 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "base/histogram.h"
 #include "base/random.h"
 
+/* Ranks that are told apart; less urgent ones count as the last of them. */
+#define ADM_PRIORITIES 8
+/* Routes with a work time of their own; others share one by their hash. */
+#define ADM_ROUTES 64
+/* Groups of workspaces of which the waiting calls are counted. */
+#define ADM_SHARES 64
+#define ADM_MAX_WAITING 1024
+/*
+ * Time between two attempts of a queue that finds no room: the life of a load
+ * report, so that no upstream is asked twice for the same report.
+ */
+#define ADM_ATTEMPT_US 25000
+
 /** enum adm_verdict - what happens to a call */
 enum adm_verdict {
 	ADM_START, /* look for an upstream now */
-	ADM_WAIT,  /* it is in the queue; see adm_first() and adm_expired() */
+	ADM_WAIT,  /* it is in the queue; see adm_take_next() */
 	ADM_REJECT,
 };
 
@@ -52,9 +71,9 @@
  * struct adm_decision - decision on a call
  * @verdict: what happens
  * @reason: why it is rejected
- * @until_us: with ADM_WAIT, when the decision has to be made again
- * @retry_after_us: with ADM_REJECT, when the caller may return; room is
- *	expected then, and the calls that are rejected together are spread
+ * @until_us: with ADM_WAIT, its latest start
+ * @retry_after_us: with ADM_REJECT, time after which the caller may return;
+ *	room is expected then, and calls that are rejected together are spread
  */
 struct adm_decision {
 	enum adm_verdict verdict;
@@ -66,25 +85,50 @@
 /**
  * struct adm_call - what admission knows of a call; embedded in the call
  * @priority: rank, 0 is the most urgent
+ * @route: hash of the route, for its work time
  * @arrived_us: when the call arrived
  * @goal_us: until when its answer is worth most, 0 when not known
  * @deadline_us: until when its answer is worth anything
- * @work_us: expected time of the call at an upstream, 0 when not known
+ * @work_us: expected time of the call at an upstream, 0 when not known; set on
+ *	arrival
  * @share: hash of the workspace, so that one workspace does not fill the queue;
  *	0 for none
  * @returned: the caller was rejected before and came back when it was told to
- * @position: place in the queue plus 1, 0 when it does not wait
+ * @late: it can no longer meet its goal
+ * @over_share: its workspace already had half of the places in the queue
+ * @checked: the expectation of room was checked again after its arrival
+ * @attempting: the queue's attempt is made for it
+ * @arrived: its arrival was counted
+ * @started: its start was counted
+ * @all_slots: its last attempt was made with adm_terms.use_all_slots
+ * @displaced: it lost its place to a call that goes before it
+ * @position: place in the queue of its rank plus 1, 0 when it does not wait
+ * @due_position: the same in the queue by @due_us
+ * @latest_us: latest start: before its goal, or its deadline if it is late
+ * @due_us: when the decision on it has to be made again
  * @sequence: order of arrival in the queue
  */
 struct adm_call {
 	uint32_t priority;
+	uint32_t route;
 	int64_t arrived_us;
 	int64_t goal_us;
 	int64_t deadline_us;
 	int64_t work_us;
 	uint64_t share;
 	bool returned;
+	bool late;
+	bool over_share;
+	bool checked;
+	bool attempting;
+	bool arrived;
+	bool started;
+	bool all_slots;
+	bool displaced;
 	uint32_t position;
+	uint32_t due_position;
+	int64_t latest_us;
+	int64_t due_us;
 	uint64_t sequence;
 };
 
@@ -92,9 +136,181 @@
  * struct adm_terms - under which terms a call may look for an upstream
  * @use_all_slots: it may take the last slots of an upstream, which are kept
  *	free for the most urgent calls
+ * @keep_slots: slots that it leaves free in addition
  */
 struct adm_terms {
 	bool use_all_slots;
+	uint32_t keep_slots;
+};
+
+/**
+ * struct adm_load - what a choice found at the upstreams it asked
+ * @asked: upstreams with a recent report
+ * @room: those that could take a request of the least urgent calls
+ * @above_share: those that work on more requests than their saturation share
+ * @age_us: age of the oldest report
+ */
+struct adm_load {
+	uint32_t asked;
+	uint32_t room;
+	uint32_t above_share;
+	int64_t age_us;
+};
+
+/**
+ * struct adm_class - figures of one priority
+ * @arrived: calls, halved every 2 s
+ * @started: calls that got an upstream, likewise
+ * @busy_starts: starts of its calls and of less urgent ones while calls of it
+ *	waited, likewise
+ * @busy_us: time in which calls of it waited, likewise
+ * @n_waiting: calls in the queue
+ * @last_us: last arrival, 0 before the first
+ */
+struct adm_class {
+	double arrived;
+	double started;
+	double busy_starts;
+	double busy_us;
+	uint32_t n_waiting;
+	int64_t last_us;
+};
+
+/**
+ * struct adm_figures - totals of one priority, for metrics
+ * @started: calls that got an upstream
+ * @rejected: rejected calls by reason
+ * @waits: time from arrival to start, in microseconds
+ *
+ * Several objects may share them, and any thread may read them.
+ */
+struct adm_figures {
+	_Atomic uint64_t started;
+	_Atomic uint64_t rejected[ADM_REASONS];
+	struct histogram waits;
+};
+
+/** struct adm_heap - calls, the first one to be served at index 0 */
+struct adm_heap {
+	struct adm_call **at;
+	uint32_t n;
+	uint32_t room;
+	bool by_due;
+};
+
+/**
+ * struct adm_desc - settings; zero fields mean the defaults
+ * @seed: seed of the randomness
+ * @max_waiting: most calls in the queue, default ADM_MAX_WAITING
+ * @figures: ADM_PRIORITIES entries that are counted in, NULL for none
+ */
+struct adm_desc {
+	uint64_t seed;
+	uint32_t max_waiting;
+	struct adm_figures *figures;
+};
+
+/**
+ * struct admission - state of one service and worker on caller-owned memory
+ * @max_waiting: most calls in the queue
+ * @figures: totals, NULL for none
+ * @rng: randomness of Retry-After and of @hold
+ * @queue: waiting calls, by whether they are late and by priority
+ * @due: the same calls by adm_call.due_us
+ * @sequence: number of the next call in the queue
+ * @attempting: the queue's attempt is under way
+ * @full_us: last attempt that found no room: without the last slots, and with
+ *	them; 0 when there may be room
+ * @updated_us: when the decaying figures were last updated
+ * @hold: share of the slots that less urgent calls leave free below the
+ *	saturation share, learned from the load of the upstreams
+ * @load: what the last choice found
+ * @shares: waiting calls by group of workspaces
+ * @work_us: work time of routes, at the usual pace
+ * @class: figures by priority
+ */
+struct admission {
+	uint32_t max_waiting;
+	struct adm_figures *figures;
+	struct random rng;
+	struct adm_heap queue[2][ADM_PRIORITIES];
+	struct adm_heap due;
+	uint64_t sequence;
+	bool attempting;
+	int64_t full_us[2];
+	int64_t updated_us;
+	double hold;
+	struct adm_load load;
+	uint32_t shares[ADM_SHARES];
+	int64_t work_us[ADM_ROUTES];
+	struct adm_class class[ADM_PRIORITIES];
 };
 
+/** adm_init() - set up without waiting calls */
+void adm_init(struct admission *a, const struct adm_desc *desc);
+
+/** adm_finish() - release the memory; no call may be waiting */
+void adm_finish(struct admission *a);
+
+/**
+ * adm_on_arrival() - decide on a new call
+ *
+ * Return: ADM_START, ADM_WAIT, or ADM_REJECT.
+ */
+struct adm_decision adm_on_arrival(
+    struct admission *a, struct adm_call *c, int64_t now_us);
+
+/**
+ * adm_on_full() - decide on a call for which no upstream had room
+ *
+ * A call that waited before goes back to its place.
+ */
+struct adm_decision adm_on_full(
+    struct admission *a, struct adm_call *c, int64_t now_us);
+
+/** adm_on_start() - the call got an upstream */
+void adm_on_start(struct admission *a, struct adm_call *c, int64_t now_us);
+
+/** adm_on_work() - a request of a route took @us, at the usual pace */
+void adm_on_work(struct admission *a, uint32_t route, int64_t us);
+
+/** adm_on_load() - what a choice found */
+void adm_on_load(struct admission *a, const struct adm_load *l);
+
+/** adm_on_room() - a request of the service ended, so there may be room */
+void adm_on_room(struct admission *a);
+
+/** adm_leave() - the call ended; does nothing when it does not wait */
+void adm_leave(struct admission *a, struct adm_call *c, int64_t now_us);
+
+/** adm_terms() - terms of a call at upstreams with @slots */
+struct adm_terms adm_terms(
+    struct admission *a, struct adm_call *c, uint32_t slots, int64_t now_us);
+
+/**
+ * adm_take_next() - remove the call that may look for an upstream now; NULL for
+ * none. adm_on_full(), adm_on_start() or adm_leave() must follow.
+ */
+struct adm_call *adm_take_next(struct admission *a, int64_t now_us);
+
+/** adm_take_expired() - remove a call to reject, or NULL; sets @d */
+struct adm_call *adm_take_expired(
+    struct admission *a, int64_t now_us, struct adm_decision *d);
+
+/** adm_next_us() - when to call the two functions above, INT64_MAX for never */
+int64_t adm_next_us(struct admission *a, int64_t now_us);
+
+/** adm_first_due() - the waiting call with the next decision, or NULL */
+struct adm_call *adm_first_due(const struct admission *a);
+
+/** adm_waiting() - number of calls in the queue */
+uint32_t adm_waiting(const struct admission *a);
+
+/**
+ * adm_is_most_urgent() - whether no more urgent call arrived in the last
+ * seconds
+ */
+bool adm_is_most_urgent(
+    const struct admission *a, uint32_t priority, int64_t now_us);
+
 #endif
--- a/packages/front/call.h
+++ b/packages/front/call.h
@@ -21,6 +21,7 @@
 #include <stdint.h>
 #include <urcu/list.h>
 
+#include "admission/admission.h"
 #include "base/byte_string.h"
 #include "base/error_kind.h"
 #include "front/response_head.h"
@@ -141,6 +142,11 @@
  * @timer_on: the timer is set
  * @wait_link: link in the service's queue while @wait is CALL_WAIT_SLOT
  * @wait_until_us: time at which the wait for a slot ends
+ * @ranked: admission decides on the call, as its service is ranked
+ * @admission: the call as admission knows it, valid if @ranked
+ * @may_start: admission has let the call look for an upstream
+ * @rejected: why admission rejected it
+ * @retry_after_us: time after which the caller may return, 0 for the default
  * @claim: claim of a keyed request
  * @service_state: the worker's state of the service
  * @upstream: statistics of the chosen upstream, a reference is held
@@ -245,6 +251,11 @@
 	bool timer_on;
 	struct cds_list_head wait_link;
 	int64_t wait_until_us;
+	bool ranked;
+	struct adm_call admission;
+	bool may_start;
+	enum adm_reason rejected;
+	int64_t retry_after_us;
 	struct call_claim claim;
 
 	struct worker_service *service_state;
--- a/packages/front/caller_side.c
+++ b/packages/front/caller_side.c
@@ -116,6 +116,9 @@
 	struct retry_after range = retry_after_range(c->err);
 	char text[32];
 
+	if (c->retry_after_us != 0)
+		range = (struct retry_after){
+		    (uint32_t)(c->retry_after_us / 1000), 1};
 	if (c->pause_left_us > (int64_t)range.min_ms * 1000)
 		range.min_ms = (uint32_t)(c->pause_left_us / 1000);
 
--- a/packages/front/filter.c
+++ b/packages/front/filter.c
@@ -78,6 +78,16 @@
 	return (r);
 }
 
+/* Whether the service that gets the requests of a route ranks them. */
+static bool
+is_ranked(const struct rt_table *t, const struct rt_service *s,
+    const struct worker_service *chosen)
+{
+	if (!bstr_eq(s->name, chosen->name))
+		s = rt_find_service(t, chosen->name);
+	return (s != NULL && s->ranked);
+}
+
 /* Finds the service and the route, and sets the fields that depend on them. */
 static enum filter_verdict
 match_route(struct filter *f, struct call *c)
@@ -102,6 +112,11 @@
 		c->goal_us = (int64_t)r->goal_ms * 1000;
 		c->max_attempts = r->attempts;
 		c->idempotent = r->idempotent;
+		c->priority = r->priority;
+		c->ranked = is_ranked(shared_table(worker_shared_state(c->w)),
+		    s, c->service_state);
+		if (c->ranked)
+			c->admission.route = (uint32_t)bstr_hash(r->prefix, 0);
 		c->keyed = !r->idempotent &&
 		    MHD_lookup_connection_value(
 			c->conn, MHD_HEADER_KIND, "Idempotency-Key") != NULL;
--- a/packages/front/upstream_choice.c
+++ b/packages/front/upstream_choice.c
@@ -45,7 +45,7 @@
 }
 
 static struct rt_request
-make_request(const struct call *c)
+make_request(struct call *c, const struct rt_service *s)
 {
 	struct rt_request req = {.n_excluded = c->n_excluded,
 	    .zone = bstr_from(worker_shared_state(c->w)->zone),
@@ -55,6 +55,9 @@
 	    .work_us = c->service_state->work_us,
 	    .remaining_us = c->deadline_us - clk_mono_us()};
 
+	if (c->ranked)
+		worker_service_set_terms(
+		    c, s->n_upstreams == 0 ? 0 : s->upstreams[0].slots, &req);
 	for (uint32_t k = 0; k < c->n_excluded; k++)
 		req.excluded[k] = c->excluded[k];
 	if (c->upstream != NULL && req.n_excluded < RT_MAX_EXCLUDED)
@@ -77,10 +80,12 @@
 static int
 pick_free(struct call *c, const struct rt_service *s, int64_t now_us)
 {
-	struct rt_request req = make_request(c);
+	struct rt_request req = make_request(c, s);
 	bool full = false;
 	int i;
 
+	if (c->ranked)
+		worker_service_on_load(c, s, &req, now_us);
 	for (;;) {
 		i = pick_fn(c->w, s)(s, &req, now_us, worker_rng(c->w));
 		if (i < 0)
@@ -104,7 +109,7 @@
 static bool
 query_load(struct call *c, const struct rt_service *s, int64_t now_us)
 {
-	struct rt_request req = make_request(c);
+	struct rt_request req = make_request(c, s);
 
 	return (load_query_start(c, s, &req, now_us));
 }
@@ -141,15 +146,17 @@
 }
 
 bool
-upstream_choice_has_other(const struct call *c, int64_t now_us)
+upstream_choice_has_other(struct call *c, int64_t now_us)
 {
-	const struct rt_request req = make_request(c);
+	struct rt_request req = {0};
 	const struct rt_service *s;
 	bool found = false;
 
 	rcu_read_lock();
 	s = rt_find_service(
 	    shared_table(worker_shared_state(c->w)), c->service_state->name);
+	if (s != NULL)
+		req = make_request(c, s);
 	for (uint32_t i = 0; s != NULL && i < s->n_upstreams && !found; i++) {
 		const struct rt_upstream *u = &s->upstreams[i];
 
--- a/packages/front/upstream_choice.h
+++ b/packages/front/upstream_choice.h
@@ -54,6 +54,6 @@
  * upstream_choice_has_other() - whether an upstream other than call->upstream
  * could take the call, according to the current routing table and load reports
  */
-bool upstream_choice_has_other(const struct call *c, int64_t now_us);
+bool upstream_choice_has_other(struct call *c, int64_t now_us);
 
 #endif
--- a/packages/front/upstream_side.c
+++ b/packages/front/upstream_side.c
@@ -306,10 +306,10 @@
 		worker_timer_set(c->w, c, now_us + c->goal_us);
 }
 
-enum err_kind
-upstream_side_start(struct call *c)
+/* Chooses an upstream and starts the transfer, or makes the call wait. */
+static enum err_kind
+choose_and_start(struct call *c, int64_t now_us)
 {
-	int64_t now_us = clk_mono_us();
 	enum err_kind kind =
 	    filter_check_fresh(worker_shared_state(c->w), now_us);
 	struct upstream_pick pick;
@@ -318,8 +318,8 @@
 		return (kind);
 	if (now_us >= c->deadline_us)
 		return (ERR_DEADLINE);
-	if (worker_service_must_wait(c->service_state))
-		return (worker_service_wait(c, now_us));
+	if (!worker_service_may_start(c, now_us, &kind))
+		return (kind);
 	switch (upstream_choice_pick(c, now_us, &pick)) {
 	case RT_NONE:
 		return (ERR_NO_UPSTREAM);
@@ -330,10 +330,21 @@
 		return (ERR_NONE);
 	}
 	upstream_choice_apply(c, &pick);
+	worker_service_on_start(c, now_us);
 	start_transfer(c, now_us);
 	return (ERR_NONE);
 }
 
+enum err_kind
+upstream_side_start(struct call *c)
+{
+	enum err_kind kind = choose_and_start(c, clk_mono_us());
+
+	if (kind != ERR_NONE)
+		worker_service_leave(c);
+	return (kind);
+}
+
 static enum worker_msg_outcome
 outcome_of(const struct call *c, enum err_kind kind)
 {
@@ -479,8 +490,8 @@
 	end_transfer(c);
 	if (!failed) {
 		retry_budget_on_success(&c->service_state->budget);
-		worker_service_record_time(c->service_state,
-		    c->head_us - c->attempt_us, c->chosen.pace);
+		worker_service_record_time(
+		    c, c->head_us - c->attempt_us, c->chosen.pace);
 	}
 	/* A stale reused connection is no reason to exclude the upstream. */
 	release_upstream(c, failed && !c->unclean,
--- a/packages/front/worker.c
+++ b/packages/front/worker.c
@@ -164,7 +164,7 @@
 void
 worker_wake_waiting(struct worker *w, struct worker_service *s)
 {
-	if (s->n_waiting != 0 &&
+	if (worker_service_has_waiting(s) &&
 	    !g_ptr_array_find(w->services_to_wake, s, NULL))
 		g_ptr_array_add(w->services_to_wake, s);
 }
--- a/packages/front/worker_service.h
+++ b/packages/front/worker_service.h
@@ -7,6 +7,9 @@
  * worker and when its timer fires. It is rejected as overloaded when the queue
  * is full or its time for waiting has passed.
  *
+ * Calls of ranked services wait in the queue of admission/admission.h instead,
+ * which decides on them.
+ *
  *	c->service_state = worker_service_get(worker_services(w), name, now_us);
  *	...
  *	if (worker_service_wait(c, now_us) != ERR_NONE)
@@ -17,6 +20,7 @@
 
 #include <glib.h>
 
+#include "admission/admission.h"
 #include "front/call.h"
 #include "route/retry_budget.h"
 
@@ -41,6 +45,9 @@
  * @work_us: moving average of the processing time of successful requests at the
  *	usual pace, 0 before the first
  * @waking: worker_service_wake() is running
+ * @admission: decides on calls of a ranked service, NULL before the first
+ * @timer_call: the call of @admission that carries the timer of the queue, NULL
+ *	for none
  *
  * It is freed together with the worker.
  */
@@ -51,6 +58,8 @@
 	unsigned n_waiting;
 	int64_t work_us;
 	bool waking;
+	struct admission *admission;
+	struct call *timer_call;
 };
 
 /**
@@ -78,19 +87,40 @@
 
 /**
  * worker_service_record_time() - add a successful request to the average time
- * @s: service
+ * @c: call
  * @us: time until the response head, in microseconds
  * @pace: service time of the upstream in percent of its usual service time, 0
  *	or below if not reported
  */
-void worker_service_record_time(
-    struct worker_service *s, int64_t us, int32_t pace);
+void worker_service_record_time(struct call *c, int64_t us, int32_t pace);
+
+/** worker_service_has_waiting() - whether calls wait for a slot */
+bool worker_service_has_waiting(const struct worker_service *s);
 
 /**
  * worker_service_must_wait() - whether a new call has to wait behind others
  */
 bool worker_service_must_wait(const struct worker_service *s);
 
+/**
+ * worker_service_may_start() - whether a call may look for an upstream now
+ *
+ * If not, it waits, or is rejected with the error in @kind.
+ */
+bool worker_service_may_start(
+    struct call *c, int64_t now_us, enum err_kind *kind);
+
+/** worker_service_on_start() - the call got an upstream */
+void worker_service_on_start(struct call *c, int64_t now_us);
+
+/** worker_service_on_load() - what the choice for a ranked call finds */
+void worker_service_on_load(struct call *c, const struct rt_service *s,
+    const struct rt_request *req, int64_t now_us);
+
+/** worker_service_set_terms() - set what admission allows a ranked call */
+void worker_service_set_terms(
+    struct call *c, uint32_t slots, struct rt_request *req);
+
 /**
  * worker_service_wait() - queue a call for a free slot
  *
@@ -100,7 +130,8 @@
 enum err_kind worker_service_wait(struct call *c, int64_t now_us);
 
 /**
- * worker_service_leave() - remove a call from the queue if it is in it
+ * worker_service_leave() - remove a call from the queue if it is in it, and end
+ * its attempt to find an upstream
  */
 void worker_service_leave(struct call *c);
 
--- a/packages/route/load_choice.c
+++ b/packages/route/load_choice.c
@@ -312,6 +312,7 @@
 
 	if (u->slots >= SATURATION_MIN_SLOTS && !req->use_all_slots)
 		limit *= SATURATION_SHARE;
+	limit -= req->keep_slots;
 	return (u->slots != 0 && load_of(u->stat, now_us) + 1 > limit);
 }
 
@@ -411,6 +412,31 @@
 	return (i);
 }
 
+void
+load_choice_room(const struct rt_service *s, const struct rt_request *req,
+    int64_t now_us, struct load_choice_room *out)
+{
+	const struct rt_request plain = {0};
+
+	*out = (struct load_choice_room){0};
+	for (uint32_t i = 0; i < s->n_upstreams; i++) {
+		const struct rt_upstream *u = &s->upstreams[i];
+		int64_t at = atomic_load(&u->stat->full_report_us);
+
+		if (u->slots == 0 || atomic_load(&u->stat->no_report) ||
+		    !load_choice_is_fresh(u->stat, now_us))
+			continue;
+		out->asked++;
+		out->room += !is_full(u, &plain, now_us) &&
+		    usable(u, req, now_us) &&
+		    !should_wait(u->stat, req, now_us);
+		out->above_share +=
+		    load_of(u->stat, now_us) > u->slots * SATURATION_SHARE;
+		if (now_us - at > out->age_us)
+			out->age_us = now_us - at;
+	}
+}
+
 bool
 load_choice_may_take(const struct rt_service *s, const struct rt_upstream *u,
     const struct rt_request *req, int64_t now_us)
--- a/packages/route/load_choice.h
+++ b/packages/route/load_choice.h
@@ -59,6 +59,21 @@
 	bool none;
 };
 
+/**
+ * struct load_choice_room - room at the upstreams with a fresh report
+ * @asked: number of these upstreams
+ * @room: those that could take a request up to the share of slots above which
+ *	they get slower
+ * @above_share: those with more requests than that share
+ * @age_us: age of the oldest report
+ */
+struct load_choice_room {
+	uint32_t asked;
+	uint32_t room;
+	uint32_t above_share;
+	int64_t age_us;
+};
+
 /** load_choice_on_report() - record the answer to a probe */
 void load_choice_on_report(
     struct rt_stat *s, const struct load_choice_report *r, int64_t now_us);
@@ -98,6 +113,10 @@
 int load_choice_pick(const struct rt_service *s, const struct rt_request *req,
     int64_t now_us, struct random *rng);
 
+/** load_choice_room() - count the upstreams that have room, for admission */
+void load_choice_room(const struct rt_service *s, const struct rt_request *req,
+    int64_t now_us, struct load_choice_room *out);
+
 /**
  * load_choice_may_take() - whether an upstream of @s could accept a request
  * that is late at another one
--- a/packages/route/retry_budget.c
+++ b/packages/route/retry_budget.c
@@ -71,6 +71,13 @@
 	return (b->level >= ONE_RETRY);
 }
 
+bool
+retry_budget_has_spare(struct retry_budget *b, int64_t now_us)
+{
+	return (retry_budget_has(b, now_us) &&
+	    b->level - ONE_RETRY >= (int64_t)b->desc.burst * ONE_RETRY / 2);
+}
+
 bool
 retry_budget_take(struct retry_budget *b, int64_t now_us)
 {
--- a/packages/route/retry_budget.h
+++ b/packages/route/retry_budget.h
@@ -67,6 +67,9 @@
 /** retry_budget_has() - whether retry_budget_take() would succeed now */
 bool retry_budget_has(struct retry_budget *b, int64_t now_us);
 
+/** retry_budget_has_spare() - whether more than the last half is left */
+bool retry_budget_has_spare(struct retry_budget *b, int64_t now_us);
+
 /** retry_budget_take() - consume one retry; Return: false when none is left */
 bool retry_budget_take(struct retry_budget *b, int64_t now_us);
 
--- a/packages/route/routing.h
+++ b/packages/route/routing.h
@@ -267,6 +267,8 @@
  *	zones, because the others were full
  * @use_all_slots: it may take the slots above the share at which upstreams get
  *	slower; admission decides for which requests
+ * @keep_slots: slots that it leaves free below that share, for more urgent
+ *	requests
  * @work_us: usual service time of a request, 0 when not known
  * @remaining_us: time until the request's deadline
  */
@@ -278,6 +280,7 @@
 	bool accept_slow;
 	bool include_secondary;
 	bool use_all_slots;
+	uint32_t keep_slots;
 	int64_t work_us;
 	int64_t remaining_us;
 };
