--- a/packages/admission/admission.c
+++ b/packages/admission/admission.c
@@ -12,38 +12,52 @@
 #define PRESENT_US 5000000
 /*
  * A call waits if it expects room within this part of its slack. The time until
- * room varies by its own mean, so that fewer would rely on luck.
+ * room varies by about its own mean. A quarter of the slack is then exceeded by
+ * one call in fifty. The most urgent calls wait already if half would do: to
+ * reject one costs its goal for certain, and no others can delay it.
  */
-#define SLACK_SHARE 2
-/* A caller is told early, by this part of its goal, that there is no room. */
-#define EARLY_SHARE 8
+#define SLACK_SHARE 4
+#define SLACK_SHARE_URGENT 2
 /*
- * Work times are the 0.9 quantile: one start in ten would miss its goal if it
- * were made at the latest time.
+ * A caller is told that there is no room within an eighth of its goal, also if
+ * an attempt was under way when it was time to decide.
  */
-#define WORK_QUANTILE 0.9
-/* One sample moves the quantile by at most this part. */
+#define EARLY_SHARE 9
+/*
+ * The goal is planned with the usual work, as half of the calls that start at
+ * the latest time still meet it and the others are only late. Beyond the
+ * deadline an answer is worth nothing, so that it is planned with the time that
+ * nine in ten calls keep.
+ */
+#define WORK_USUAL 0.5
+#define WORK_LONG 0.9
+/* One sample moves a quantile by at most this part. */
 #define WORK_STEP 0.05
 /* Shortest and longest time that a caller is asked to stay away. */
 #define MIN_RETRY_US 100000
 #define MAX_RETRY_US 2000000
 /*
- * Less urgent calls leave more slots free while more than half of the upstreams
- * asked work above their saturation share: then the most urgent calls need more
- * than the last slots. The share rises faster than it falls, since an urgent
- * call that finds no room loses more than a less urgent one that waits.
+ * The last slots are open to the most urgent calls while fewer than this share
+ * of the upstreams asked work above their saturation share. Each call in the
+ * last slots takes longer, which is a good trade while most of the work is less
+ * urgent, so that the share decreases with the part of the work that is most
+ * urgent. Above half of it, less urgent calls leave more slots free, so that
+ * the last ones stay open; below a quarter, they leave fewer free. That is
+ * slower, since an urgent call that finds no room loses more than a less urgent
+ * one that waits.
  */
-#define HOLD_ABOVE 0.5
-#define HOLD_BELOW 0.25
-#define HOLD_UP 0.05
+#define LAST_SLOTS_SHARE 0.6
+#define HOLD_UP 0.1
 #define HOLD_DOWN 0.01
 #define HOLD_MAX 0.8
+/* One choice asks about four upstreams; a few of them make an estimate. */
+#define LOAD_WEIGHT 0.25
 /*
  * The least urgent calls are served at least a quarter as often as all; below
  * this share they no longer leave room. It is above a quarter, since the
  * figures of one VM are uncertain.
  */
-#define STARVED_SHARE 0.3
+#define STARVED_SHARE 0.25
 /* Fewer calls say nothing about the share that is served. */
 #define STARVED_MIN_CALLS 4
 /* A workspace has too many places when it has half of at least this many. */
@@ -62,10 +76,8 @@
 {
 	if (x->over_share != y->over_share)
 		return (y->over_share);
-	if (x->returned != y->returned)
-		return (x->returned);
-	if (x->latest_us != y->latest_us)
-		return (x->latest_us < y->latest_us);
+	if (x->rank_us != y->rank_us)
+		return (x->rank_us < y->rank_us);
 	return (x->sequence < y->sequence);
 }
 
@@ -158,6 +170,18 @@
 	return (a->due.n);
 }
 
+static void
+decay(struct adm_class *k, double keep, bool waiting, int64_t us)
+{
+	k->started *= keep;
+	k->rejected *= keep;
+	k->work_us *= keep;
+	k->busy_starts *= keep;
+	k->busy_us *= keep;
+	if (waiting)
+		k->busy_us += (double)us;
+}
+
 /* Brings the decaying figures up to date. */
 static void
 update(struct admission *a, int64_t now_us)
@@ -169,44 +193,50 @@
 		return;
 	keep = exp2(-(double)us / HALF_LIFE_US);
 	a->updated_us = now_us;
-	for (uint32_t p = 0; p < ADM_PRIORITIES; p++) {
-		struct adm_class *k = &a->class[p];
-
-		k->arrived *= keep;
-		k->started *= keep;
-		k->busy_starts *= keep;
-		k->busy_us *= keep;
-		if (k->n_waiting != 0)
-			k->busy_us += (double)us;
-	}
+	for (uint32_t p = 0; p < ADM_PRIORITIES; p++)
+		decay(&a->class[p], keep, a -> class[p].n_waiting != 0, us);
+	/* While others wait, there is no room for calls that are late. */
+	decay(&a->late, keep, a->due.n != 0, us);
 }
 
 /*
- * Expected time until a call of @p gets an upstream behind @ahead others of its
- * priority and all that are more urgent. Without figures, one start in each
- * attempt is expected.
+ * Expected time until a call gets an upstream behind @ahead others, by the
+ * starts while calls like it waited. Without figures, one start in each attempt
+ * is expected.
  */
 static double
-expected_us(const struct admission *a, uint32_t p, uint32_t ahead)
+expected_us(const struct adm_class *k, uint32_t ahead)
+{
+	return (
+	    (k->busy_us + ADM_ATTEMPT_US) / (k->busy_starts + 1) * (ahead + 1));
+}
+
+/*
+ * The same for a call of @p that can meet its goal, behind all others, or if it
+ * was @checked, behind those that came before it.
+ */
+static double
+expected_of_us(const struct admission *a, uint32_t p, bool checked)
 {
 	const struct adm_class *k = &a->class[p];
+	uint32_t ahead = checked ? k->n_checked : k->n_waiting;
 
 	for (uint32_t q = 0; q < p; q++)
 		ahead += a->class[q].n_waiting;
-	return (
-	    (k->busy_us + ADM_ATTEMPT_US) / (k->busy_starts + 1) * (ahead + 1));
+	return (expected_us(k, ahead));
 }
 
 static struct adm_decision
 reject(struct admission *a, const struct adm_call *c, enum adm_reason reason)
 {
 	uint32_t p = class_of(c);
-	double us = expected_us(a, p, a->class[p].n_waiting);
+	double us = expected_of_us(a, p, false);
 
 	if (us < MIN_RETRY_US)
 		us = MIN_RETRY_US;
 	if (us > MAX_RETRY_US)
 		us = MAX_RETRY_US;
+	a->class[p].rejected++;
 	if (a->figures != NULL)
 		a->figures[p].rejected[reason]++;
 	return ((struct adm_decision){.verdict = ADM_REJECT,
@@ -220,16 +250,30 @@
 	return (&a->queue[c->late][class_of(c)]);
 }
 
+/* The goal, or the deadline if that is earlier or there is no goal. */
+static int64_t
+goal_of(const struct adm_call *c)
+{
+	return (c->goal_us != 0 && c->goal_us < c->deadline_us
+		? c->goal_us
+		: c->deadline_us);
+}
+
 /* Sets the latest start and the time of the next decision. */
 static void
 set_times(struct adm_call *c, int64_t now_us)
 {
-	int64_t goal_us = c->goal_us != 0 ? c->goal_us : c->deadline_us;
+	int64_t last_us = c->deadline_us - c->long_us;
 	int64_t early_us =
-	    c->arrived_us + (goal_us - c->arrived_us) / EARLY_SHARE;
-
-	c->late = now_us >= goal_us - c->work_us;
-	c->latest_us = (c->late ? c->deadline_us : goal_us) - c->work_us;
+	    c->arrived_us + (goal_of(c) - c->arrived_us) / EARLY_SHARE;
+
+	c->latest_us = goal_of(c) - c->work_us;
+	c->late = now_us >= c->latest_us;
+	c->rank_us = c->late  ? last_us
+	    : c->goal_us != 0 ? c->goal_us - c->work_us
+			      : c->latest_us;
+	if (c->late || last_us < c->latest_us)
+		c->latest_us = last_us;
 	c->due_us = c->latest_us;
 	if (!c->checked && early_us < c->due_us)
 		c->due_us = early_us;
@@ -239,6 +283,7 @@
 enqueue(struct admission *a, struct adm_call *c, int64_t now_us)
 {
 	uint32_t *share = &a->shares[c->share % ADM_SHARES];
+	struct adm_class *class;
 
 	if (c->sequence == 0) {
 		c->sequence = ++a->sequence;
@@ -248,7 +293,9 @@
 	update(a, now_us);
 	set_times(c, now_us);
 	(*share)++;
-	a->class[class_of(c)].n_waiting++;
+	class = c->late ? &a->late : &a->class[class_of(c)];
+	class->n_waiting++;
+	class->n_checked += c->checked;
 	heap_add(queue_of(a, c), c);
 	heap_add(&a->due, c);
 }
@@ -256,11 +303,14 @@
 static void
 dequeue(struct admission *a, struct adm_call *c, int64_t now_us)
 {
+	struct adm_class *class = c->late ? &a->late : &a->class[class_of(c)];
+
 	update(a, now_us);
 	heap_remove(queue_of(a, c), c);
 	heap_remove(&a->due, c);
 	a->shares[c->share % ADM_SHARES]--;
-	a->class[class_of(c)].n_waiting--;
+	class->n_waiting--;
+	class->n_checked -= c->checked;
 }
 
 static void
@@ -283,15 +333,17 @@
 static bool
 is_starved(const struct admission *a, uint32_t p)
 {
-	double arrived = 0, started = 0;
+	const struct adm_class *k = &a->class[p];
+	double started = 0, rejected = 0;
 
+	if (k->started + k->rejected < STARVED_MIN_CALLS)
+		return (false);
 	for (uint32_t q = 0; q < ADM_PRIORITIES; q++) {
-		arrived += a->class[q].arrived;
 		started += a->class[q].started;
+		rejected += a->class[q].rejected;
 	}
-	return (a->class[p].arrived >= STARVED_MIN_CALLS &&
-	    a->class[p].started * arrived <
-		STARVED_SHARE * started * a->class[p].arrived);
+	return (k->started * (started + rejected) <
+	    STARVED_SHARE * started * (k->started + k->rejected));
 }
 
 static bool
@@ -322,11 +374,28 @@
 	return (false);
 }
 
+/* Share of the upstreams of which the last slots may be in use. */
+static double
+last_slots_share(const struct admission *a)
+{
+	double all = 0, urgent = 0;
+
+	for (uint32_t p = ADM_PRIORITIES; p-- > 0;) {
+		all += a->class[p].work_us;
+		if (a->class[p].work_us > 0)
+			urgent = a->class[p].work_us;
+	}
+	return (all == 0 ? LAST_SLOTS_SHARE
+			 : LAST_SLOTS_SHARE * (1 - urgent / all));
+}
+
 /* Whether @c may take the last slots of an upstream. */
 static bool
 may_use_all(const struct admission *a, const struct adm_call *c, int64_t now_us)
 {
-	return (!c->late && adm_is_most_urgent(a, class_of(c), now_us) &&
+	return (!c->late && c->sequence != 0 &&
+	    a->above_share < last_slots_share(a) &&
+	    adm_is_most_urgent(a, class_of(c), now_us) &&
 	    has_less_urgent(a, class_of(c), now_us));
 }
 
@@ -347,12 +416,16 @@
 void
 adm_on_load(struct admission *a, const struct adm_load *l)
 {
+	double share = last_slots_share(a);
+
 	if (l->asked == 0)
 		return;
 	a->load = *l;
-	if (l->above_share > HOLD_ABOVE * l->asked)
+	a->above_share +=
+	    LOAD_WEIGHT * ((double)l->above_share / l->asked - a->above_share);
+	if (a->above_share > share / 2)
 		a->hold += HOLD_UP;
-	else if (l->above_share < HOLD_BELOW * l->asked)
+	else if (a->above_share < share / 4)
 		a->hold -= HOLD_DOWN;
 	a->hold = a->hold > HOLD_MAX ? HOLD_MAX : a->hold < 0 ? 0 : a->hold;
 }
@@ -371,7 +444,7 @@
 {
 	int64_t full_us = a->full_us[may_use_all(a, c, now_us)];
 
-	return (full_us != 0 && now_us - full_us < ADM_ATTEMPT_US);
+	return (full_us != 0 && now_us - full_us < a->interval_us);
 }
 
 /* Whether a waiting call goes before a new call of @p that is on time. */
@@ -385,21 +458,25 @@
 	return (false);
 }
 
-/* Whether room can be expected in a part, 1 / @share, of the slack of @c. */
+/*
+ * Whether room can be expected in a part of the slack of @c. A call that can
+ * only be late waits for what the others leave.
+ */
 static bool
-expects_room(const struct admission *a, const struct adm_call *c, int share,
-    int64_t now_us)
+expects_room(
+    const struct admission *a, const struct adm_call *c, int64_t now_us)
 {
-	uint32_t p = class_of(c);
-	double us = expected_us(a, p, a->queue[0][p].n);
-	int64_t goal_us = c->goal_us != 0 ? c->goal_us : c->deadline_us;
-	int64_t slack_us = goal_us - c->work_us - now_us;
+	bool urgent = adm_is_most_urgent(a, class_of(c), now_us);
+	int share = c->returned ? 1 : urgent ? SLACK_SHARE_URGENT : SLACK_SHARE;
+	double us = expected_of_us(a, class_of(c), c->checked) * share;
+	int64_t latest_us = goal_of(c) - c->work_us;
 
-	if (us * share <= (double)slack_us)
+	if (latest_us > c->deadline_us - c->long_us)
+		latest_us = c->deadline_us - c->long_us;
+	if (us <= (double)(latest_us - now_us))
 		return (true);
-	/* Late is better than never, but only where nobody else waits. */
-	slack_us = c->deadline_us - c->work_us - now_us;
-	return (a->due.n == 0 && us * share <= (double)slack_us);
+	us = expected_us(&a->late, a->late.n_waiting) * share;
+	return (us <= (double)(c->deadline_us - c->long_us - now_us));
 }
 
 /* Takes the place of a call that goes after @c; it is rejected next. */
@@ -438,7 +515,7 @@
 static struct adm_decision
 admit(struct admission *a, struct adm_call *c, int64_t now_us)
 {
-	if (!expects_room(a, c, SLACK_SHARE, now_us))
+	if (!expects_room(a, c, now_us))
 		return (reject(a, c, ADM_NO_ROOM));
 	if (a->due.n >= a->max_waiting && !displace(a, c, now_us))
 		return (reject(a, c, ADM_DISPLACED));
@@ -451,9 +528,9 @@
 	struct adm_class *k = &a->class[class_of(c)];
 
 	c->arrived = true;
-	c->work_us = a->work_us[c->route % ADM_ROUTES];
+	c->work_us = a->work[c->route % ADM_ROUTES][0];
+	c->long_us = a->work[c->route % ADM_ROUTES][1];
 	k->last_us = now_us;
-	k->arrived++;
 }
 
 struct adm_decision
@@ -462,7 +539,7 @@
 	update(a, now_us);
 	if (!c->arrived)
 		count_arrival(a, c, now_us);
-	if (now_us > c->deadline_us - c->work_us)
+	if (now_us > c->deadline_us - c->long_us)
 		return (reject(a, c, ADM_TOO_LATE));
 	if (!has_waiting_before(a, class_of(c)) && !is_known_full(a, c, now_us))
 		return ((struct adm_decision){.verdict = ADM_START});
@@ -470,15 +547,31 @@
 	return (c->started ? wait(a, c, now_us) : admit(a, c, now_us));
 }
 
+/* The next attempt is made while a quarter of the slack of @c is over. */
+static void
+set_interval(struct admission *a, const struct adm_call *c, int64_t now_us)
+{
+	int64_t max_us = (c->latest_us - now_us) / 4;
+
+	a->interval_us *= a->full_us[0] != 0 ? 2 : 0;
+	if (max_us > ADM_ATTEMPT_MAX_US)
+		max_us = ADM_ATTEMPT_MAX_US;
+	if (a->interval_us > max_us)
+		a->interval_us = max_us;
+	if (a->interval_us < ADM_ATTEMPT_US)
+		a->interval_us = ADM_ATTEMPT_US;
+}
+
 struct adm_decision
 adm_on_full(struct admission *a, struct adm_call *c, int64_t now_us)
 {
 	update(a, now_us);
 	end_attempt(a, c);
+	set_interval(a, c, now_us);
 	a->full_us[0] = now_us;
 	if (c->all_slots)
 		a->full_us[1] = now_us;
-	if (now_us > c->deadline_us - c->work_us)
+	if (now_us > c->deadline_us - c->long_us)
 		return (reject(a, c, ADM_TOO_LATE));
 	if (c->sequence == 0 && !c->started)
 		return (admit(a, c, now_us));
@@ -492,10 +585,12 @@
 
 	c->started = true;
 	a->class[p].started++;
+	a->class[p].work_us += (double)c->work_us;
 	for (uint32_t q = 0; q <= p; q++) {
 		if (a->class[q].n_waiting != 0 || (q == p && c->sequence != 0))
 			a->class[q].busy_starts++;
 	}
+	a->late.busy_starts += c->late;
 	if (a->figures == NULL)
 		return;
 	a->figures[p].started++;
@@ -507,23 +602,32 @@
 {
 	update(a, now_us);
 	end_attempt(a, c);
-	adm_on_room(a);
+	if (a->load.room > 1)
+		adm_on_room(a);
 	if (!c->started)
 		count_start(a, c, now_us);
 }
 
-void
-adm_on_work(struct admission *a, uint32_t route, int64_t us)
+static void
+move_quantile(int64_t *q, double quantile, int64_t us)
 {
-	int64_t *q = &a->work_us[route % ADM_ROUTES];
 	double step = (double)*q * WORK_STEP;
 
 	if (*q == 0)
 		*q = us;
 	else if (us > *q)
-		*q += (int64_t)(step * WORK_QUANTILE);
+		*q += (int64_t)(step * quantile);
 	else
-		*q -= (int64_t)(step * (1 - WORK_QUANTILE));
+		*q -= (int64_t)(step * (1 - quantile));
+}
+
+void
+adm_on_work(struct admission *a, uint32_t route, int64_t us)
+{
+	int64_t *work = a->work[route % ADM_ROUTES];
+
+	move_quantile(&work[0], WORK_USUAL, us);
+	move_quantile(&work[1], WORK_LONG, us);
 }
 
 /* The first call in the order of service, NULL when none waits. */
@@ -575,17 +679,6 @@
 	return (c);
 }
 
-/* Whether a call that has missed its goal may wait for what nobody wants. */
-static bool
-may_wait_late(const struct admission *a)
-{
-	for (uint32_t p = 0; p < ADM_PRIORITIES; p++) {
-		if (a->queue[0][p].n != 0)
-			return (false);
-	}
-	return (true);
-}
-
 struct adm_call *
 adm_take_expired(struct admission *a, int64_t now_us, struct adm_decision *d)
 {
@@ -598,14 +691,13 @@
 			*d = reject(a, c, ADM_DISPLACED);
 			return (c);
 		}
-		if (now_us >= c->deadline_us - c->work_us) {
+		if (now_us >= c->deadline_us - c->long_us) {
 			*d = reject(a, c, ADM_TOO_LATE);
 			return (c);
 		}
 		c->checked = true;
 		set_times(c, now_us);
-		if (c->late ? !was_late && !may_wait_late(a)
-			    : !expects_room(a, c, 1, now_us)) {
+		if (!was_late && !expects_room(a, c, now_us)) {
 			*d = reject(a, c, ADM_NO_ROOM);
 			return (c);
 		}
@@ -625,7 +717,8 @@
 	if (next(a, now_us) != NULL)
 		return (now_us);
 	full_us = a->full_us[may_use_all(a, first(a), now_us)];
-	return (full_us + ADM_ATTEMPT_US < at ? full_us + ADM_ATTEMPT_US : at);
+	full_us += a->interval_us;
+	return (full_us < at ? full_us : at);
 }
 
 struct adm_call *
--- a/packages/admission/admission.h
+++ b/packages/admission/admission.h
@@ -42,9 +42,12 @@
 #define ADM_MAX_WAITING 1024
 /*
  * Time between two attempts of a queue that finds no room: the life of a load
- * report, so that no upstream is asked twice for the same report.
+ * report, so that no upstream is asked twice for the same report. It doubles
+ * with each attempt without success up to the maximum: when all VMs look for
+ * room, two of them often find the same slot.
  */
 #define ADM_ATTEMPT_US 25000
+#define ADM_ATTEMPT_MAX_US 100000
 
 /** enum adm_verdict - what happens to a call */
 enum adm_verdict {
@@ -89,11 +92,13 @@
  * @arrived_us: when the call arrived
  * @goal_us: until when its answer is worth most, 0 when not known
  * @deadline_us: until when its answer is worth anything
- * @work_us: expected time of the call at an upstream, 0 when not known; set on
+ * @work_us: usual time of the call at an upstream, 0 when not known; set on
  *	arrival
+ * @long_us: time that nine in ten calls take at most, likewise
  * @share: hash of the workspace, so that one workspace does not fill the queue;
  *	0 for none
- * @returned: the caller was rejected before and came back when it was told to
+ * @returned: the caller was rejected before and came back when it was told to;
+ *	such a call is admitted before new ones
  * @late: it can no longer meet its goal
  * @over_share: its workspace already had half of the places in the queue
  * @checked: the expectation of room was checked again after its arrival
@@ -104,6 +109,10 @@
  * @displaced: it lost its place to a call that goes before it
  * @position: place in the queue of its rank plus 1, 0 when it does not wait
  * @due_position: the same in the queue by @due_us
+ * @rank_us: place among the calls of its priority: the latest start by the goal
+ *	of its route, so that the order is that of arrival for equal goals; a
+ *	call with a shorter deadline does not overtake those that were promised
+ *	room
  * @latest_us: latest start: before its goal, or its deadline if it is late
  * @due_us: when the decision on it has to be made again
  * @sequence: order of arrival in the queue
@@ -115,6 +124,7 @@
 	int64_t goal_us;
 	int64_t deadline_us;
 	int64_t work_us;
+	int64_t long_us;
 	uint64_t share;
 	bool returned;
 	bool late;
@@ -127,6 +137,7 @@
 	bool displaced;
 	uint32_t position;
 	uint32_t due_position;
+	int64_t rank_us;
 	int64_t latest_us;
 	int64_t due_us;
 	uint64_t sequence;
@@ -159,20 +170,25 @@
 
 /**
  * struct adm_class - figures of one priority
- * @arrived: calls, halved every 2 s
- * @started: calls that got an upstream, likewise
+ * @started: calls that got an upstream, halved every 2 s
+ * @rejected: rejected calls, likewise
+ * @work_us: expected work of the calls that got an upstream, likewise
  * @busy_starts: starts of its calls and of less urgent ones while calls of it
  *	waited, likewise
  * @busy_us: time in which calls of it waited, likewise
  * @n_waiting: calls in the queue
+ * @n_checked: those whose expectation of room was checked again, which are
+ *	before the others
  * @last_us: last arrival, 0 before the first
  */
 struct adm_class {
-	double arrived;
 	double started;
+	double rejected;
+	double work_us;
 	double busy_starts;
 	double busy_us;
 	uint32_t n_waiting;
+	uint32_t n_checked;
 	int64_t last_us;
 };
 
@@ -221,13 +237,18 @@
  * @attempting: the queue's attempt is under way
  * @full_us: last attempt that found no room: without the last slots, and with
  *	them; 0 when there may be room
+ * @interval_us: time until the next attempt after it
  * @updated_us: when the decaying figures were last updated
  * @hold: share of the slots that less urgent calls leave free below the
  *	saturation share, learned from the load of the upstreams
+ * @above_share: average share of the upstreams asked that work on more requests
+ *	than their saturation share
  * @load: what the last choice found
  * @shares: waiting calls by group of workspaces
- * @work_us: work time of routes, at the usual pace
+ * @work: work time of routes at the usual pace: usual, and of long calls
  * @class: figures by priority
+ * @late: figures of calls that can no longer meet their goal; only those about
+ *	waiting are used
  */
 struct admission {
 	uint32_t max_waiting;
@@ -238,12 +259,15 @@
 	uint64_t sequence;
 	bool attempting;
 	int64_t full_us[2];
+	int64_t interval_us;
 	int64_t updated_us;
 	double hold;
+	double above_share;
 	struct adm_load load;
 	uint32_t shares[ADM_SHARES];
-	int64_t work_us[ADM_ROUTES];
+	int64_t work[ADM_ROUTES][2];
 	struct adm_class class[ADM_PRIORITIES];
+	struct adm_class late;
 };
 
 /** adm_init() - set up without waiting calls */
--- a/packages/route/load_choice.c
+++ b/packages/route/load_choice.c
@@ -248,6 +248,21 @@
 	return (req->include_secondary ? max / 2 : max);
 }
 
+/* Finds the upstream that was freed, if it can be used. */
+static uint32_t
+freed_candidate(const struct search *q, uint32_t *out)
+{
+	for (uint32_t i = 0; i < q->s->n_upstreams; i++) {
+		const struct rt_upstream *u = &q->s->upstreams[i];
+
+		if (u->stat != q->req->freed)
+			continue;
+		out[0] = i;
+		return (matches(q, u));
+	}
+	return (0);
+}
+
 uint32_t
 load_choice_candidates(const struct rt_service *s, const struct rt_request *req,
     int64_t now_us, struct random *rng, uint32_t *out, uint32_t max)
@@ -258,6 +273,9 @@
 	if (s->n_upstreams == 0 || s->n_versions == 0)
 		return (0);
 	q.version = choose_version(s, req, now_us);
+	q.include_secondary = true;
+	if (req->freed != NULL && max != 0 && freed_candidate(&q, out) != 0)
+		return (1);
 	q.include_secondary = req->include_secondary;
 	q.own_zone_only = true;
 	n = add_candidates(&q, rng, own_zone_share(req, max), n, out);
--- a/packages/route/routing.h
+++ b/packages/route/routing.h
@@ -269,6 +269,8 @@
  *	slower; admission decides for which requests
  * @keep_slots: slots that it leaves free below that share, for more urgent
  *	requests
+ * @freed: upstream where a request of this process has just ended, so that it
+ *	has room; it alone is asked for its load; NULL for none
  * @work_us: usual service time of a request, 0 when not known
  * @remaining_us: time until the request's deadline
  */
@@ -281,6 +283,7 @@
 	bool include_secondary;
 	bool use_all_slots;
 	uint32_t keep_slots;
+	const struct rt_stat *freed;
 	int64_t work_us;
 	int64_t remaining_us;
 };
