--- a/packages/admission/admission.c
+++ b/packages/admission/admission.c
@@ -11,13 +11,16 @@
 /* A priority counts as present for this long after its last arrival. */
 #define PRESENT_US 5000000
 /*
- * A call waits if it expects room within this part of its slack. The time until
- * room varies by about its own mean. A quarter of the slack is then exceeded by
- * one call in fifty. The most urgent calls wait already if half would do: to
- * reject one costs its goal for certain, and no others can delay it.
+ * A call waits if it expects room within this part of its slack. The load
+ * changes while it waits, and the time until room varies by about its own mean,
+ * so that a longer wait often ends without room and was better a rejection at
+ * once. Callers that returned on time get the benefit of a larger part. The
+ * most urgent calls wait if their whole slack would do: to reject one costs its
+ * goal for certain, and no others can delay it.
  */
-#define SLACK_SHARE 4
-#define SLACK_SHARE_URGENT 2
+#define SLACK_SHARE 8
+#define SLACK_SHARE_RETURNED 6
+#define SLACK_SHARE_URGENT 1
 /*
  * A caller is told that there is no room within an eighth of its goal, also if
  * an attempt was under way when it was time to decide.
@@ -41,14 +44,12 @@
  * of the upstreams asked work above their saturation share. Each call in the
  * last slots takes longer, which is a good trade while most of the work is less
  * urgent, so that the share decreases with the part of the work that is most
- * urgent. Above half of it, less urgent calls leave more slots free, so that
- * the last ones stay open; below a quarter, they leave fewer free. That is
- * slower, since an urgent call that finds no room loses more than a less urgent
- * one that waits.
+ * urgent. Less urgent calls leave as many slots free as it takes to keep the
+ * last ones half of that share in use, so that they stay open.
  */
-#define LAST_SLOTS_SHARE 0.6
-#define HOLD_UP 0.1
-#define HOLD_DOWN 0.01
+#define LAST_SLOTS_SHARE 0.9
+/* Ten choices that find all of the last slots in use close most others. */
+#define HOLD_GAIN 0.1
 #define HOLD_MAX 0.8
 /* One choice asks about four upstreams; a few of them make an estimate. */
 #define LOAD_WEIGHT 0.25
@@ -236,7 +237,8 @@
 		us = MIN_RETRY_US;
 	if (us > MAX_RETRY_US)
 		us = MAX_RETRY_US;
-	a->class[p].rejected++;
+	/* A caller that comes back counts once. */
+	a->class[p].rejected += !c->returned;
 	if (a->figures != NULL)
 		a->figures[p].rejected[reason]++;
 	return ((struct adm_decision){.verdict = ADM_REJECT,
@@ -416,17 +418,14 @@
 void
 adm_on_load(struct admission *a, const struct adm_load *l)
 {
-	double share = last_slots_share(a);
+	double above;
 
 	if (l->asked == 0)
 		return;
 	a->load = *l;
-	a->above_share +=
-	    LOAD_WEIGHT * ((double)l->above_share / l->asked - a->above_share);
-	if (a->above_share > share / 2)
-		a->hold += HOLD_UP;
-	else if (a->above_share < share / 4)
-		a->hold -= HOLD_DOWN;
+	above = (double)l->above_share / l->asked;
+	a->above_share += LOAD_WEIGHT * (above - a->above_share);
+	a->hold += HOLD_GAIN * (above - last_slots_share(a) / 6);
 	a->hold = a->hold > HOLD_MAX ? HOLD_MAX : a->hold < 0 ? 0 : a->hold;
 }
 
@@ -467,14 +466,16 @@
     const struct admission *a, const struct adm_call *c, int64_t now_us)
 {
 	bool urgent = adm_is_most_urgent(a, class_of(c), now_us);
-	int share = c->returned ? 1 : urgent ? SLACK_SHARE_URGENT : SLACK_SHARE;
+	double share = urgent ? SLACK_SHARE_URGENT
+	    : c->returned     ? SLACK_SHARE_RETURNED
+			      : SLACK_SHARE;
 	double us = expected_of_us(a, class_of(c), c->checked) * share;
 	int64_t latest_us = goal_of(c) - c->work_us;
 
 	if (latest_us > c->deadline_us - c->long_us)
 		latest_us = c->deadline_us - c->long_us;
-	if (us <= (double)(latest_us - now_us))
-		return (true);
+	if (now_us < latest_us)
+		return (us <= (double)(latest_us - now_us));
 	us = expected_us(&a->late, a->late.n_waiting) * share;
 	return (us <= (double)(c->deadline_us - c->long_us - now_us));
 }
--- a/tests/lib/overload_sim.c
+++ b/tests/lib/overload_sim.c
@@ -291,7 +291,8 @@
 	for (uint32_t i = 0; i < n; i++) {
 		if (!is_near(v, out[i]))
 			us = 2 * FAR_US;
-		if (!load_choice_is_fresh(v->table[out[i]].stat, m.now_us))
+		if (v->table[out[i]].stat == r.freed ||
+		    !load_choice_is_fresh(v->table[out[i]].stat, m.now_us))
 			probe(v, out[i]);
 	}
 	after(us, PICK, q);
