--- a/packages/front/load_query.c
+++ b/packages/front/load_query.c
@@ -278,7 +278,8 @@
 		const struct rt_upstream *u = &s->upstreams[found[i]];
 
 		if (u->id.n > MAX_ID || u->addr.n > CALL_ADDR_MAX ||
-		    load_choice_is_fresh(u->stat, now_us))
+		    (u->stat != req->freed &&
+			load_choice_is_fresh(u->stat, now_us)))
 			continue;
 		if (find_probe(q, u->stat) == NULL)
 			send_probe(c->w, s, u);
--- a/packages/front/upstream_side.c
+++ b/packages/front/upstream_side.c
@@ -44,6 +44,7 @@
 		result.latency_us = RT_NO_SAMPLE;
 
 	rt_on_finish(c->upstream, c->slots, &result, now_us);
+	worker_service_on_end(c);
 	worker_count_transfer(c->w, c->upstream, -1);
 	if (exclude && c->n_excluded < RT_MAX_EXCLUDED)
 		c->excluded[c->n_excluded++] = c->upstream;
--- a/packages/front/worker_service.c
+++ b/packages/front/worker_service.c
@@ -16,6 +16,8 @@
 	struct worker_service *s = arg;
 
 	free((char *)(uintptr_t)s->name.p);
+	if (s->freed != NULL)
+		rt_stat_unref(s->freed);
 	if (s->admission != NULL)
 		adm_finish(s->admission);
 	free(s->admission);
@@ -199,12 +201,39 @@
 	arm(c->service_state, now_us);
 }
 
+static void
+set_freed(struct worker_service *s, struct rt_stat *stat)
+{
+	if (s->freed != NULL)
+		rt_stat_unref(s->freed);
+	s->freed = stat == NULL ? NULL : rt_stat_ref(stat);
+}
+
+void
+worker_service_on_end(struct call *c)
+{
+	if (c->ranked && worker_service_has_waiting(c->service_state))
+		set_freed(c->service_state, c->upstream);
+}
+
+/* Whether the choice for @c is limited to the upstream that was freed. */
+static bool
+uses_freed(const struct call *c)
+{
+	return (c->admission.attempting && c->service_state->freed != NULL);
+}
+
 void
 worker_service_on_load(struct call *c, const struct rt_service *s,
     const struct rt_request *req, int64_t now_us)
 {
 	struct load_choice_room r;
 
+	/* An upstream that was just freed says little about the others. */
+	if (uses_freed(c)) {
+		set_freed(c->service_state, NULL);
+		return;
+	}
 	load_choice_room(s, req, now_us, &r);
 	adm_on_load(c->service_state->admission,
 	    &(struct adm_load){r.asked, r.room, r.above_share, r.age_us});
@@ -220,6 +249,7 @@
 
 	req->use_all_slots = t.use_all_slots;
 	req->keep_slots = t.keep_slots;
+	req->freed = uses_freed(c) ? c->service_state->freed : NULL;
 	req->work_us = a->work_us;
 	req->include_secondary = a->sequence != 0;
 	/* As for other calls: after half of the time for waiting. */
--- a/packages/front/worker_service.h
+++ b/packages/front/worker_service.h
@@ -46,6 +46,8 @@
  *	usual pace, 0 before the first
  * @waking: worker_service_wake() is running
  * @admission: decides on calls of a ranked service, NULL before the first
+ * @freed: upstream where a request of a ranked call has just ended, NULL for
+ *	none, a reference is held
  * @timer_call: the call of @admission that carries the timer of the queue, NULL
  *	for none
  *
@@ -59,6 +61,7 @@
 	int64_t work_us;
 	bool waking;
 	struct admission *admission;
+	struct rt_stat *freed;
 	struct call *timer_call;
 };
 
@@ -113,6 +116,9 @@
 /** worker_service_on_start() - the call got an upstream */
 void worker_service_on_start(struct call *c, int64_t now_us);
 
+/** worker_service_on_end() - the request of a call has ended at its upstream */
+void worker_service_on_end(struct call *c);
+
 /** worker_service_on_load() - what the choice for a ranked call finds */
 void worker_service_on_load(struct call *c, const struct rt_service *s,
     const struct rt_request *req, int64_t now_us);
