--- a/packages/admission/admission.c
+++ b/packages/admission/admission.c
@@ -64,6 +64,19 @@
 /* A workspace has too many places when it has half of at least this many. */
 #define SHARE_MIN_WAITING 8
 
+const char *
+adm_reason_name(enum adm_reason reason)
+{
+	static const char *const names[ADM_REASONS] = {
+	    [ADM_NO_REASON] = "none",
+	    [ADM_TOO_LATE] = "too-late",
+	    [ADM_NO_ROOM] = "no-room",
+	    [ADM_DISPLACED] = "displaced",
+	};
+
+	return (names[reason]);
+}
+
 static uint32_t
 class_of(const struct adm_call *c)
 {
--- a/packages/admission/admission.h
+++ b/packages/admission/admission.h
@@ -270,6 +270,9 @@
 	struct adm_class late;
 };
 
+/** adm_reason_name() - name of a reason in logs and metrics */
+const char *adm_reason_name(enum adm_reason reason);
+
 /** adm_init() - set up without waiting calls */
 void adm_init(struct admission *a, const struct adm_desc *desc);
 
--- a/packages/bench/main.c
+++ b/packages/bench/main.c
@@ -4,13 +4,15 @@
  *	bench --seed 1 --calls 200000 --json
  *
  * Prints one row for each load, fault and policy, as a table or JSON lines.
- * With --routing it measures the duration of the routing decision instead.
+ * With --routing it measures the duration of the routing decision instead, with
+ * --admission that of the decisions of admission.
  */
 #include <getopt.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "bench/admission_bench.h"
 #include "bench/routing_bench.h"
 #include "model/fleet_model.h"
 
@@ -48,12 +50,14 @@
 	    {"upstreams", required_argument, NULL, 'u'},
 	    {"json", no_argument, NULL, 'j'},
 	    {"routing", no_argument, NULL, 'r'},
+	    {"admission", no_argument, NULL, 'a'},
 	    {"help", no_argument, NULL, 'h'},
 	    {0},
 	};
 	struct model_desc d = {.seed = 1, .calls = 200000};
 	static struct model_result r;
-	bool json = false, routing = false, calls_given = false;
+	bool json = false, routing = false, admission = false;
+	bool calls_given = false;
 	int opt;
 
 	while ((opt = getopt_long(argc, argv, "", options, NULL)) != -1) {
@@ -77,9 +81,13 @@
 		case 'r':
 			routing = true;
 			break;
+		case 'a':
+			admission = true;
+			break;
 		default:
 			printf("usage: bench [--seed N] [--calls N] [--vms N] "
-			       "[--upstreams N] [--routing] [--json]\n");
+			       "[--upstreams N] [--routing] [--admission] "
+			       "[--json]\n");
 			return (opt == 'h' ? 0 : 2);
 		}
 	}
@@ -89,6 +97,13 @@
 		    .json = json});
 		return (0);
 	}
+	if (admission) {
+		admission_bench_run(
+		    &(struct admission_bench_desc){.seed = d.seed,
+			.calls = calls_given ? d.calls : 0,
+			.json = json});
+		return (0);
+	}
 	if (!json)
 		printf("load fault      policy         p50_us   p99_us  "
 		       "p999_us  goodput  failed    late refused  faulty    "
--- a/packages/camphorhollowd/main.c
+++ b/packages/camphorhollowd/main.c
@@ -415,6 +415,7 @@
 	d.path = path;
 	if (ok && !check)
 		rc = run(&d);
+	admission_metrics_finish(&d.metrics.admission);
 	settings_finish(&d.set);
 	return (rc);
 }
--- a/packages/front/call_log.c
+++ b/packages/front/call_log.c
@@ -80,6 +80,26 @@
 	add_number(b, "table", (int64_t)c->chosen.table_version);
 }
 
+/* Writes why admission rejected the call, and what it knew. */
+static void
+add_rejection(struct bbuf *b, const struct call *c, int64_t now_us)
+{
+	const struct admission *a = c->service_state->admission;
+
+	add_text(b, "reason", bstr_from(adm_reason_name(c->rejected)));
+	add_number(b, "asked", a->load.asked);
+	add_number(b, "room", a->load.room);
+	add_number(b, "room_age_us", a->load.age_us);
+	add_number(b, "queued", adm_waiting(a));
+	add_number(b, "work_ms", c->admission.work_us / 1000);
+	add_number(b, "long_work_ms", c->admission.long_us / 1000);
+	if (c->goal_us != 0)
+		add_number(b, "latest_start_ms",
+		    (c->start_us + c->goal_us - c->admission.work_us - now_us) /
+			1000);
+	add_number(b, "retry_after_ms", c->retry_after_us / 1000);
+}
+
 void
 call_log_attempt(struct call *c, enum err_kind kind)
 {
@@ -133,6 +153,8 @@
 	if (c->workspace[0] != '\0')
 		add_text(&b, "workspace", bstr_from(c->workspace));
 	add_number(&b, "priority", c->priority);
+	if (c->ranked && c->rejected != ADM_NO_REASON)
+		add_rejection(&b, c, now_us);
 	if (worker_stopping(c->w))
 		add_number(&b, "stopping", 1);
 	if (c->deadline_us != 0)
--- a/packages/front/worker_service.c
+++ b/packages/front/worker_service.c
@@ -158,7 +158,9 @@
 	if (s->admission == NULL)
 		abort();
 	adm_init(s->admission,
-	    &(struct adm_desc){.seed = rng_next(worker_rng(c->w))});
+	    &(struct adm_desc){.seed = rng_next(worker_rng(c->w)),
+		.figures = admission_metrics_get(
+		    &worker_shared_state(c->w)->metrics->admission, s->name)});
 	return (s->admission);
 }
 
--- a/packages/ops/metrics.c
+++ b/packages/ops/metrics.c
@@ -38,7 +38,7 @@
 }
 
 void
-metrics_write(const struct metrics *m, struct bbuf *out)
+metrics_write(struct metrics *m, struct bbuf *out)
 {
 	for (int i = 0; i < METRICS_COUNT; i++) {
 		bbuf_addf(out,
@@ -68,4 +68,5 @@
 	}
 	bbuf_addf(out, "camphorhollow_call_duration_seconds_count %llu\n",
 	    (unsigned long long)hist_count(&m->latency));
+	admission_metrics_write(&m->admission, out);
 }
--- a/packages/ops/metrics.h
+++ b/packages/ops/metrics.h
@@ -16,6 +16,7 @@
 #include "base/byte_string.h"
 #include "base/error_kind.h"
 #include "base/histogram.h"
+#include "ops/admission_metrics.h"
 
 /**
  * enum metrics_id - counters without labels
@@ -58,6 +59,7 @@
  * @count: counters without labels, by enum metrics_id
  * @workspaces: number of workspaces in the configuration, 0 without them
  * @errors: calls that ended with an error, by enum err_kind
+ * @admission: figures of ranked services
  * @latency: time from the request head to the end of the response of calls
  *	without an error, in microseconds
  */
@@ -65,6 +67,7 @@
 	_Atomic uint64_t count[METRICS_COUNT];
 	_Atomic uint64_t workspaces;
 	_Atomic uint64_t errors[ERR_KIND_COUNT];
+	struct admission_metrics admission;
 	struct histogram latency;
 };
 
@@ -78,6 +81,6 @@
 void metrics_error(struct metrics *m, enum err_kind kind);
 
 /** metrics_write() - append all metrics in the Prometheus text format */
-void metrics_write(const struct metrics *m, struct bbuf *out);
+void metrics_write(struct metrics *m, struct bbuf *out);
 
 #endif
--- a/packages/ops/ops_server.h
+++ b/packages/ops/ops_server.h
@@ -47,7 +47,7 @@
 	const char *token;
 	char *const *allow;
 	const char *health_path;
-	const struct metrics *metrics;
+	struct metrics *metrics;
 	bool (*routable)(void *arg);
 	void *routable_arg;
 	struct message_queue *control;
