Use the workspace of a call in admission, and recognise calls that return

A workspace may fill only half of the queue of a service, so admission gets its hash. A call whose caller has 100 ms less time left than its route allows was probably rejected before; it is admitted before new calls.

--- a/packages/admission/admission.c
+++ b/packages/admission/admission.c
@@ -38,8 +38,7 @@
 #define WORK_LONG 0.9
 /* One sample moves a quantile by at most this part. */
 #define WORK_STEP 0.05
-/* Shortest and longest time that a caller is asked to stay away. */
-#define MIN_RETRY_US 100000
+/* Longest time that a caller is asked to stay away. */
 #define MAX_RETRY_US 2000000
 /*
  * The last slots are open to the most urgent calls while fewer than this share
@@ -182,8 +181,8 @@
 	uint32_t p = class_of(c);
 	double us = expected_of_us(a, p, false);
 
-	if (us < MIN_RETRY_US)
-		us = MIN_RETRY_US;
+	if (us < ADM_MIN_RETRY_US)
+		us = ADM_MIN_RETRY_US;
 	if (us > MAX_RETRY_US)
 		us = MAX_RETRY_US;
 	/* A caller that comes back counts once. */
--- a/packages/admission/admission.h
+++ b/packages/admission/admission.h
@@ -49,6 +49,9 @@
 #define ADM_ATTEMPT_US 25000
 #define ADM_ATTEMPT_MAX_US 100000
 
+/* Shortest time that a caller is asked to stay away. */
+#define ADM_MIN_RETRY_US 100000
+
 /** enum adm_verdict - what happens to a call */
 enum adm_verdict {
 	ADM_START, /* look for an upstream now */
--- a/packages/front/filter.c
+++ b/packages/front/filter.c
@@ -112,9 +112,7 @@
 		c->goal_us = (int64_t)r->goal_ms * 1000;
 		c->max_attempts = r->attempts;
 		c->idempotent = r->idempotent;
-		c->priority = r->priority;
-		c->ranked = is_ranked(shared_table(worker_shared_state(c->w)),
-		    s, c->service_state);
+		c->ranked = is_ranked(t, s, c->service_state);
 		if (c->ranked)
 			c->admission.route = (uint32_t)bstr_hash(r->prefix, 0);
 		c->keyed = !r->idempotent &&
@@ -144,6 +142,8 @@
 	if (!bstr_to_u64(value, &ms) || ms == 0 || ms > MAX_TIMEOUT_MS)
 		return (stop(c, ERR_BAD_REQUEST));
 	limit = c->start_us + (int64_t)ms * 1000;
+	/* A caller that comes back has less time left than for a new call. */
+	c->admission.returned = limit + ADM_MIN_RETRY_US <= c->deadline_us;
 	if (limit < c->deadline_us)
 		c->deadline_us = limit;
 	return (FILTER_NEXT);
--- a/packages/front/worker_service.c
+++ b/packages/front/worker_service.c
@@ -172,6 +172,8 @@
 	if (c->may_start)
 		return (true);
 	c->admission.priority = c->priority;
+	if (c->workspace[0] != '\0')
+		c->admission.share = bstr_hash(bstr_from(c->workspace), 0);
 	c->admission.arrived_us = c->start_us;
 	c->admission.deadline_us = c->deadline_us;
 	c->admission.goal_us = c->goal_us == 0 ? 0 : c->start_us + c->goal_us;
