--- a/packages/front/upstream_choice.h
+++ b/packages/front/upstream_choice.h
@@ -55,6 +55,6 @@
  * upstream_choice_has_other() - whether an upstream without an attempt of the
  * call could take it, according to the current routing table and load reports
  */
-bool upstream_choice_has_other(const struct call *c, int64_t now_us);
+bool upstream_choice_has_other(struct call *c, int64_t now_us);
 
 #endif
--- a/packages/front/upstream_side.c
+++ b/packages/front/upstream_side.c
@@ -34,6 +34,7 @@
 		result.latency_us = RT_NO_SAMPLE;
 
 	rt_on_finish(a->upstream, a->slots, &result, now_us);
+	worker_service_on_end(c, a->upstream);
 	worker_count_transfer(c->w, a->upstream, -1);
 	if (exclude && c->n_excluded < RT_MAX_EXCLUDED)
 		c->excluded[c->n_excluded++] = a->upstream;
@@ -60,10 +61,10 @@
 		worker_timer_set(c->w, c, now_us + c->goal_us);
 }
 
-enum err_kind
-upstream_side_start(struct call *c)
+/* Chooses an upstream and starts the transfer, or makes the call wait. */
+static enum err_kind
+choose_and_start(struct call *c, int64_t now_us)
 {
-	int64_t now_us = clk_mono_us();
 	enum err_kind kind =
 	    filter_check_fresh(worker_shared_state(c->w), now_us);
 	struct upstream_pick pick;
@@ -72,8 +73,8 @@
 		return (kind);
 	if (now_us >= c->deadline_us)
 		return (ERR_DEADLINE);
-	if (worker_service_must_wait(c->service_state))
-		return (worker_service_wait(c, now_us));
+	if (!worker_service_may_start(c, now_us, &kind))
+		return (kind);
 	switch (upstream_choice_pick(c, now_us, &pick)) {
 	case RT_NONE:
 		return (ERR_NO_UPSTREAM);
@@ -84,10 +85,21 @@
 		return (ERR_NONE);
 	}
 	upstream_choice_apply(call_current(c), &pick);
+	worker_service_on_start(c, now_us);
 	start_attempt(call_current(c), now_us);
 	return (ERR_NONE);
 }
 
+enum err_kind
+upstream_side_start(struct call *c)
+{
+	enum err_kind kind = choose_and_start(c, clk_mono_us());
+
+	if (kind != ERR_NONE)
+		worker_service_leave(c);
+	return (kind);
+}
+
 static enum worker_msg_outcome
 outcome_of(const struct call *c, enum err_kind kind)
 {
@@ -290,7 +302,7 @@
 	if (!failed) {
 		retry_budget_on_success(&c->service_state->budget);
 		worker_service_record_time(
-		    c->service_state, a->head_us - a->start_us, a->chosen.pace);
+		    c, a->head_us - a->start_us, a->chosen.pace);
 	}
 	/* A stale reused connection is no reason to exclude the upstream. */
 	release_upstream(a, failed && !a->unclean,
--- a/packages/route/load_choice.c
+++ b/packages/route/load_choice.c
@@ -248,6 +248,21 @@
 	return (req->include_secondary ? max / 2 : max);
 }
 
+/* Finds the upstream that was freed, if it can be used. */
+static uint32_t
+freed_candidate(const struct search *q, uint32_t *out)
+{
+	for (uint32_t i = 0; i < q->s->n_upstreams; i++) {
+		const struct rt_upstream *u = &q->s->upstreams[i];
+
+		if (u->stat != q->req->freed)
+			continue;
+		out[0] = i;
+		return (matches(q, u));
+	}
+	return (0);
+}
+
 uint32_t
 load_choice_candidates(const struct rt_service *s, const struct rt_request *req,
     int64_t now_us, struct random *rng, uint32_t *out, uint32_t max)
@@ -258,6 +273,9 @@
 	if (s->n_upstreams == 0 || s->n_versions == 0)
 		return (0);
 	q.version = choose_version(s, req, now_us);
+	q.include_secondary = true;
+	if (req->freed != NULL && max != 0 && freed_candidate(&q, out) != 0)
+		return (1);
 	q.include_secondary = req->include_secondary;
 	q.own_zone_only = true;
 	n = add_candidates(&q, rng, own_zone_share(req, max), n, out);
@@ -312,6 +330,7 @@
 
 	if (u->slots >= SATURATION_MIN_SLOTS && !req->use_all_slots)
 		limit *= SATURATION_SHARE;
+	limit -= req->keep_slots;
 	return (u->slots != 0 && load_of(u->stat, now_us) + 1 > limit);
 }
 
@@ -411,6 +430,31 @@
 	return (i);
 }
 
+void
+load_choice_room(const struct rt_service *s, const struct rt_request *req,
+    int64_t now_us, struct load_choice_room *out)
+{
+	const struct rt_request plain = {0};
+
+	*out = (struct load_choice_room){0};
+	for (uint32_t i = 0; i < s->n_upstreams; i++) {
+		const struct rt_upstream *u = &s->upstreams[i];
+		int64_t at = atomic_load(&u->stat->full_report_us);
+
+		if (u->slots == 0 || atomic_load(&u->stat->no_report) ||
+		    !load_choice_is_fresh(u->stat, now_us))
+			continue;
+		out->asked++;
+		out->room += !is_full(u, &plain, now_us) &&
+		    usable(u, req, now_us) &&
+		    !should_wait(u->stat, req, now_us);
+		out->above_share +=
+		    load_of(u->stat, now_us) > u->slots * SATURATION_SHARE;
+		if (now_us - at > out->age_us)
+			out->age_us = now_us - at;
+	}
+}
+
 bool
 load_choice_may_take(const struct rt_service *s, const struct rt_upstream *u,
     const struct rt_request *req, int64_t now_us)
