Earn the fleet's retry budget by requests, not by successes

Cause: a VM's share of the fleet-wide retry budget grew with successful calls only. When upstreams refused half of the attempts, the budget halved just when retries were needed; on fleets whose share is a bucket of one retry, less urgent calls of ranked services never got one.

Change: after retry_budget_limit(), the first attempt of each call adds to the bucket; a bucket of one retry is for any call.

--- a/packages/front/upstream_side.c
+++ b/packages/front/upstream_side.c
@@ -56,6 +56,8 @@
 	c->may_probe = true;
 	a->xfer.done = on_done;
 	attempt_transfer_start(a, now_us);
+	if (a->number == 1)
+		worker_service_on_request(c);
 	c->need_new_conn = false;
 	if (c->idempotent && c->goal_us != 0)
 		worker_timer_set(c->w, c, now_us + c->goal_us);
--- a/packages/front/worker_service.c
+++ b/packages/front/worker_service.c
@@ -88,6 +88,12 @@
 	    retry_budget_take(current_budget(c), now_us));
 }
 
+void
+worker_service_on_request(struct call *c)
+{
+	retry_budget_on_request(current_budget(c));
+}
+
 void
 worker_service_record_time(struct call *c, int64_t us, int32_t pace)
 {
--- a/packages/front/worker_service.h
+++ b/packages/front/worker_service.h
@@ -88,6 +88,12 @@
  */
 bool worker_service_take_retry(struct call *c, int64_t now_us);
 
+/**
+ * worker_service_on_request() - the first attempt of a call begins, which adds
+ * to the retry budget
+ */
+void worker_service_on_request(struct call *c);
+
 /**
  * worker_service_record_time() - add a successful request to the average time
  * @c: call
--- a/packages/route/retry_budget.c
+++ b/packages/route/retry_budget.c
@@ -58,10 +58,24 @@
 	b->limited = true;
 }
 
+static void
+add_share(struct retry_budget *b)
+{
+	add(b, (int64_t)b->desc.permille * (ONE_RETRY / 1000));
+}
+
 void
 retry_budget_on_success(struct retry_budget *b)
 {
-	add(b, (int64_t)b->desc.permille * (ONE_RETRY / 1000));
+	if (!b->limited)
+		add_share(b);
+}
+
+void
+retry_budget_on_request(struct retry_budget *b)
+{
+	if (b->limited)
+		add_share(b);
 }
 
 bool
@@ -75,7 +89,8 @@
 retry_budget_has_spare(struct retry_budget *b, int64_t now_us)
 {
 	return (retry_budget_has(b, now_us) &&
-	    b->level - ONE_RETRY >= (int64_t)b->desc.burst * ONE_RETRY / 2);
+	    b->level - ONE_RETRY >=
+		(int64_t)(b->desc.burst - 1) * ONE_RETRY / 2);
 }
 
 bool
--- a/packages/route/retry_budget.h
+++ b/packages/route/retry_budget.h
@@ -2,7 +2,10 @@
  * retry_budget - limits retries by a token bucket that successful calls fill.
  *
  * Retries are limited to a share of the successful calls plus a small minimum
- * rate, so that they cannot multiply the load on failing upstreams.
+ * rate, so that they cannot multiply the load on failing upstreams. A VM's
+ *share of a fleet-wide budget is a share of the requests, successful or not:
+ *that bounds the load as well, and leaves retries when most attempts are
+ *refused.
  *
  *	retry_budget_init(&b, &(struct retry_budget_desc){0}, now_us);
  *	retry_budget_on_success(&b);
@@ -52,7 +55,7 @@
 
 /**
  * retry_budget_limit() - apply this VM's share of a fleet-wide retry budget
- * @permille: retries per 1,000 successful calls
+ * @permille: retries per 1,000 requests
  * @burst: capacity of the bucket in retries
  *
  * The first use of this function on a bucket fills it. The bucket no longer has
@@ -61,13 +64,26 @@
 void retry_budget_limit(
     struct retry_budget *b, uint32_t permille, uint32_t burst);
 
-/** retry_budget_on_success() - add the share of one successful call */
+/**
+ * retry_budget_on_success() - add the share of one successful call; does
+ * nothing after retry_budget_limit()
+ */
 void retry_budget_on_success(struct retry_budget *b);
 
+/**
+ * retry_budget_on_request() - add the share of one request, when its first
+ * attempt begins; does nothing before retry_budget_limit()
+ */
+void retry_budget_on_request(struct retry_budget *b);
+
 /** retry_budget_has() - whether retry_budget_take() would succeed now */
 bool retry_budget_has(struct retry_budget *b, int64_t now_us);
 
-/** retry_budget_has_spare() - whether more than the last half is left */
+/**
+ * retry_budget_has_spare() - whether a retry would leave half of the others
+ *
+ * A bucket for a single retry has no others, so that its retry is for any call.
+ */
 bool retry_budget_has_spare(struct retry_budget *b, int64_t now_us);
 
 /** retry_budget_take() - consume one retry; Return: false when none is left */
--- a/tests/lib/overload_sim.c
+++ b/tests/lib/overload_sim.c
@@ -483,7 +483,8 @@
 	v->full_us = 0;
 	q->up = (uint32_t)i;
 	q->sent_us = m.now_us;
-	q->attempts++;
+	if (q->attempts++ == 0)
+		retry_budget_on_request(&v->budget);
 	rt_try_start(v->table[i].stat, false, m.now_us);
 	load_choice_on_start(&v->table[i], m.now_us);
 	after(is_near(v, q->up) ? NEAR_US : FAR_US, DELIVER, q);
@@ -551,7 +552,6 @@
 	}
 	rt_on_finish(v->table[q->up].stat, SLOTS,
 	    &(struct rt_result){us, false, false, -1}, m.now_us);
-	retry_budget_on_success(&v->budget);
 	adm_on_work(&v->adm, q->adm.route, us / q->pace);
 	adm_on_room(&v->adm);
 	v->freed = v->table[q->up].stat;
