Deliver the last response of a connection with unread requests

A socket that is closed with unread input, or gets input later, is reset by the kernel, and what its caller has not received yet is dropped. A planned stop cut off a response of 8 MB in this way when another request was pipelined behind it (test_stop_unread). The socket is now read for up to a second after its last response.

--- a/packages/front/caller_side.c
+++ b/packages/front/caller_side.c
@@ -1,8 +1,11 @@
 #include "front/caller_side.h"
 
+#include <errno.h>
+#include <fcntl.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "front/call_log.h"
 #include "front/claim_filter.h"
@@ -30,6 +33,11 @@
 #define CONNECTION_MEMORY (32 * 1024)
 #define CONNECTION_LIMIT 4096
 #define IDLE_TIMEOUT_S 60u
+/* Time for the caller to read the last response before the socket is closed. */
+#define LINGER_MS 1000
+#define LINGER_BLOCK 4096
+/* Limit on reads from one such connection in each sweep. */
+#define LINGER_READS 16
 
 /**
  * struct caller_side_conn - connection of a caller
@@ -39,6 +47,8 @@
  * @read_by_us: deadline for reading the current head or body
  * @hung_up: the caller closed its side
  * @closing: this side closes the connection because no request was received
+ * @last_answer: this side closes the connection after an answer, and the caller
+ *	may have sent further requests
  */
 struct caller_side_conn {
 	struct worker_source source;
@@ -47,6 +57,7 @@
 	int64_t read_by_us;
 	bool hung_up;
 	bool closing;
+	bool last_answer;
 };
 
 static void
@@ -74,8 +85,10 @@
 	enum MHD_Result rc;
 
 	if (c->must_close || worker_stopping(c->w) ||
-	    atomic_load(&worker_shared_state(c->w)->unhealthy))
+	    atomic_load(&worker_shared_state(c->w)->unhealthy)) {
 		MHD_add_response_header(r, "Connection", "close");
+		c->caller_conn->last_answer = true;
+	}
 	c->answer_started = true;
 	rc = MHD_queue_response(c->conn, status, r);
 	MHD_destroy_response(r);
@@ -441,6 +454,63 @@
 	call_free(c);
 }
 
+/*
+ * Keeps the socket open after MHD has closed its descriptor. If a socket is
+ * closed with unread requests, or receives more of them later, the kernel
+ * resets the connection and drops what the caller has not received yet.
+ */
+static bool
+linger(struct worker *w, struct caller_side_conn *p)
+{
+	int fd = p->last_answer ? fcntl(p->source.fd, F_DUPFD_CLOEXEC, 0) : -1;
+
+	if (fd < 0)
+		return (false);
+	shutdown(fd, SHUT_WR);
+	p->source.fd = fd;
+	p->read_by_us = clk_mono_us() + LINGER_MS * 1000;
+	cds_list_move(&p->link, worker_lingering(w));
+	return (true);
+}
+
+/* Discards input; returns whether the caller may still send or receive. */
+static bool
+lingers(const struct caller_side_conn *p, int64_t now_us)
+{
+	char block[LINGER_BLOCK];
+	ssize_t n = 1;
+
+	for (int i = 0; i < LINGER_READS && n > 0; i++)
+		n = recv(p->source.fd, block, sizeof(block), MSG_DONTWAIT);
+	if (n < 0 && errno != EAGAIN && errno != EINTR)
+		return (false);
+	return (n != 0 && now_us < p->read_by_us);
+}
+
+static void
+free_connection(struct caller_side_conn *p)
+{
+	cds_list_del(&p->link);
+	free(p);
+}
+
+void
+caller_side_sweep_lingering(struct worker *w, int64_t now_us)
+{
+	struct cds_list_head *node, *next;
+
+	cds_list_for_each_safe(node, next, worker_lingering(w))
+	{
+		struct caller_side_conn *p =
+		    cds_list_entry(node, struct caller_side_conn, link);
+
+		if (lingers(p, now_us))
+			continue;
+		close(p->source.fd);
+		free_connection(p);
+	}
+}
+
 static void
 on_connection(void *arg, struct MHD_Connection *conn, void **ctx,
     enum MHD_ConnectionNotificationCode code)
@@ -450,8 +520,8 @@
 
 	if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
 		worker_unwatch(w, &p->source);
-		cds_list_del(&p->link);
-		free(p);
+		if (!linger(w, p))
+			free_connection(p);
 		*ctx = NULL;
 		return;
 	}
--- a/packages/front/caller_side.h
+++ b/packages/front/caller_side.h
@@ -51,4 +51,10 @@
  */
 void caller_side_sweep(struct worker *w, int64_t now_us, bool idle_too);
 
+/**
+ * caller_side_sweep_lingering() - read on connections that were closed after
+ * an answer, and free those whose caller has closed too or whose time is over
+ */
+void caller_side_sweep_lingering(struct worker *w, int64_t now_us);
+
 #endif
--- a/packages/front/worker.c
+++ b/packages/front/worker.c
@@ -63,6 +63,7 @@
 	struct worker_source replies_source;
 	struct cds_list_head timers;
 	struct cds_list_head callers;
+	struct cds_list_head lingering;
 	struct message_queue replies;
 	uint64_t last_ref;
 	GHashTable *claims;
@@ -274,6 +275,12 @@
 	return (&w->callers);
 }
 
+struct cds_list_head *
+worker_lingering(struct worker *w)
+{
+	return (&w->lingering);
+}
+
 static void
 remove_attempt(struct worker *w, struct call_attempt *a)
 {
@@ -334,6 +341,7 @@
 	w->timer_due_us = INT64_MAX;
 	CDS_INIT_LIST_HEAD(&w->timers);
 	CDS_INIT_LIST_HEAD(&w->callers);
+	CDS_INIT_LIST_HEAD(&w->lingering);
 	w->claims = claim_filter_table_new();
 	w->services = worker_service_table_new();
 	w->reported_states =
@@ -530,6 +538,7 @@
 		return;
 	w->last_sweep_us = now_us;
 	w->mhd_pending = true;
+	caller_side_sweep_lingering(w, now_us);
 	caller_side_sweep(w, now_us,
 	    w->stage == STAGE_DRAIN &&
 		now_us - w->stage_start_us >= DRAIN_IDLE_MS * 1000);
@@ -565,7 +574,7 @@
 		ms = limit_wait_ms(ms, w->curl.due_us, now_us);
 	if (w->timer_due_us != INT64_MAX)
 		ms = limit_wait_ms(ms, w->timer_due_us, now_us);
-	if (!cds_list_empty(&w->callers))
+	if (!cds_list_empty(&w->callers) || !cds_list_empty(&w->lingering))
 		ms = limit_wait_ms(
 		    ms, w->last_sweep_us + SWEEP_MS * 1000, now_us);
 	return ((int)ms);
@@ -581,6 +590,8 @@
 		return (false);
 	if (info != NULL && info->num_connections != 0)
 		return (false);
+	if (!cds_list_empty(&w->lingering))
+		return (false);
 	return (g_hash_table_size(w->claims) == 0 ||
 	    clk_mono_us() - w->stage_start_us > DRAIN_CLAIMS_MS * 1000);
 }
--- a/packages/front/worker.h
+++ b/packages/front/worker.h
@@ -218,6 +218,9 @@
 /** worker_callers() - list of the callers' connections */
 struct cds_list_head *worker_callers(struct worker *w);
 
+/** worker_lingering() - list of connections that are closed but still read */
+struct cds_list_head *worker_lingering(struct worker *w);
+
 /**
  * worker_set_mhd_pending() - make the event loop run MHD, which has work that
  * no descriptor signals
--- a/tests/unit/test_front_pipeline.c
+++ b/tests/unit/test_front_pipeline.c
@@ -523,6 +523,47 @@
 	}
 }
 
+#define N_UNREAD_STOPS 5
+
+/*
+ * Guards against a response whose end is lost because the connection is closed
+ * with unread requests: the kernel then resets it and drops what its caller has
+ * not received yet.
+ */
+static void
+test_stop_unread(void **state)
+{
+	char *buf = malloc(BIG_BODY + 4096);
+
+	(void)state;
+	for (int i = 0; i < N_UNREAD_STOPS; i++) {
+		static const char first[] =
+		    "GET /i/big/unread HTTP/1.1\r\nHost: a\r\n\r\n";
+		static const char second[] =
+		    "GET /i/ok/behind HTTP/1.1\r\nHost: a\r\n\r\n";
+		struct stopping s;
+		ssize_t n;
+		int fd;
+
+		start_stopping(&s);
+		worker_stop(s.w);
+		fd = rig_open(first, sizeof(first) - 1);
+		n = read_until(fd, buf, 4096);
+		assert_true(n == 4096);
+		send(fd, second, sizeof(second) - 1, MSG_NOSIGNAL);
+		usleep(50000);
+		/* The last part is taken late, after the worker's last send. */
+		n += read_until(fd, buf + n, BIG_BODY - 3 * 1024 * 1024);
+		usleep(200000);
+		n += read_until(fd, buf + n, BIG_BODY + 4096 - (size_t)n);
+		assert_true(n > BIG_BODY);
+		close(fd);
+		finish_stopping(&s);
+	}
+	assert_int_equal(rig_request_count("/i/ok/behind"), 0);
+	free(buf);
+}
+
 static int
 setup(void **state)
 {
@@ -539,6 +580,7 @@
 	    cmocka_unit_test(test_caller_leaves),
 	    cmocka_unit_test(test_deep),
 	    cmocka_unit_test(test_stop_moments),
+	    cmocka_unit_test(test_stop_unread),
 	};
 	const char *text = getenv("SEED");
 	uint64_t seed = text == NULL ? 1 : strtoull(text, NULL, 10);
