Limit the memory that a VM holds for callers and upstreams

The optional setting memory_mb turns it on. A request that does not fit gets 503 before it runs, the least urgent and new callers first. While memory is short, buffers stay small, and callers that acknowledge nothing are disconnected.

--- a/packages/camphorhollowd/main.c
+++ b/packages/camphorhollowd/main.c
@@ -26,6 +26,8 @@
 #define EXIT_USAGE 2
 #define EXIT_SETTINGS 3
 #define MAX_WORKERS 64
+/* Part of the memory that buffers for callers and upstreams may use. */
+#define BUDGET_DIVISOR 4
 #define HANDOVER_TIMEOUT_MS 5000
 /* Unfinished calls end with an error this long before the drain timeout. */
 #define GIVE_UP_MARGIN_MS 300
@@ -353,6 +355,8 @@
 	d->shared.metrics = &d->metrics;
 	d->shared.protocol = proto_own();
 	d->shared.max_keyed_body = (size_t)d->set.max_keyed_body;
+	budget_init(&d->shared.budget,
+	    ((uint64_t)d->set.memory_mb << 20) / BUDGET_DIVISOR);
 	d->shared.table = rt_table_new(&empty);
 	if (!start_control(d) || !start_workers(d) || !start_ops(d))
 		return (EXIT_FAILURE);
--- a/packages/front/attempt_transfer.c
+++ b/packages/front/attempt_transfer.c
@@ -15,6 +15,8 @@
 
 /* libcurl is paused above this mark, see ATTEMPT_ANSWER_LOW_WATER. */
 #define ANSWER_HIGH_WATER (256 * 1024)
+/* The same while memory is short; two parts of the size that libcurl passes. */
+#define ANSWER_TIGHT_WATER (32 * 1024)
 /* Responses of unknown length are buffered whole for HTTP/1.0 callers. */
 #define ANSWER_MAX_HTTP10 (256 * 1024)
 
@@ -179,6 +181,28 @@
 	a->answer_off = 0;
 }
 
+/*
+ * Whether libcurl is paused instead of adding @len bytes to the answer. While
+ * memory is short, the answer is passed on as it arrives: buffers stay small,
+ * and a failed attempt cannot be retried any more.
+ */
+static bool
+is_full(struct call_attempt *a, size_t len)
+{
+	size_t left = call_attempt_answer_left(a).n;
+
+	if (left == 0)
+		return (false);
+	if (left + len > ANSWER_HIGH_WATER)
+		return (true);
+	if (left + len <= ANSWER_TIGHT_WATER ||
+	    !budget_is_tight(&worker_shared_state(a->call->w)->budget))
+		return (false);
+	a->call->eager = true;
+	caller_side_on_data(a->call);
+	return (true);
+}
+
 static size_t
 on_write(char *data, size_t size, size_t n, void *arg)
 {
@@ -198,7 +222,7 @@
 			a->head_bad = true;
 			return (0);
 		}
-	} else if (left != 0 && left + len > ANSWER_HIGH_WATER) {
+	} else if (is_full(a, len)) {
 		a->answer_paused = true;
 		on_early_pause(a);
 		return (CURL_WRITEFUNC_PAUSE);
@@ -209,6 +233,7 @@
 	    a->answer_bytes >= (uint64_t)a->head.len;
 	bbuf_add(&a->answer, (struct bstr){data, len});
 	keep_for_claim(a, (struct bstr){data, len});
+	call_count_bytes(c);
 	caller_side_on_data(c);
 	return (len);
 }
--- a/packages/front/call.c
+++ b/packages/front/call.c
@@ -30,6 +30,18 @@
 	return (c);
 }
 
+void
+call_count_bytes(struct call *c)
+{
+	size_t n = CALL_BASE_BYTES + c->body.cap + c->queued_bytes;
+
+	if (c->budget_share == 0)
+		return;
+	for (unsigned i = 0; i < CALL_MAX_HELD; i++)
+		n += c->held[i].answer.cap + c->held[i].kept.cap;
+	budget_set(&worker_shared_state(c->w)->budget, &c->budget_share, n);
+}
+
 static void
 free_str(struct bstr *s)
 {
@@ -50,6 +62,7 @@
 		rt_stat_unref(c->excluded[i]);
 	if (c->usage != NULL)
 		usage_counter_unref(c->usage);
+	budget_set(&worker_shared_state(c->w)->budget, &c->budget_share, 0);
 	free(c);
 }
 
@@ -121,7 +134,8 @@
 	 * failed attempt can still be retried. One without a length counts as
 	 * short until more of it than that has arrived.
 	 */
-	if (worker_shared_state(c->w)->protocol->status_means_not_run &&
+	if (!c->eager &&
+	    worker_shared_state(c->w)->protocol->status_means_not_run &&
 	    a->answer.n <= CALL_BUFFERED_ANSWER_MAX &&
 	    a->head.len <= CALL_BUFFERED_ANSWER_MAX)
 		return (false);
--- a/packages/front/call.h
+++ b/packages/front/call.h
@@ -38,6 +38,9 @@
  */
 #define CALL_BUFFERED_ANSWER_MAX (192 * 1024)
 
+/* Memory of a call apart from its buffers: state, head, transfer. */
+#define CALL_BASE_BYTES (32 * 1024)
+
 struct worker;
 struct worker_service;
 struct caller_side_conn;
@@ -139,6 +142,9 @@
  * @need_new_conn: the next attempt must use a new connection
  * @held: attempts; both run while a late one goes on beside its successor
  * @current: index in @held of the one that call_current() returns
+ * @budget_share: bytes counted in the budget of the process
+ * @queued_bytes: memory of an answer that was handed to MHD as a whole
+ * @eager: the answer is passed on as it arrives, as memory was short
  * @answer_done: the answer is complete or @err is set
  * @answer_started: the answer's head was passed to MHD
  * @err: error kind, ERR_NONE when there is no error
@@ -208,6 +214,9 @@
 	struct call_attempt held[CALL_MAX_HELD];
 	unsigned current;
 
+	size_t budget_share;
+	size_t queued_bytes;
+	bool eager;
 	bool answer_done;
 	bool answer_started;
 	enum err_kind err;
@@ -257,6 +266,12 @@
  */
 struct call_attempt *call_answerable_attempt(const struct call *c);
 
+/**
+ * call_count_bytes() - update the call's share of the memory budget; call it
+ * when a buffer of the call has changed
+ */
+void call_count_bytes(struct call *c);
+
 /** call_answerable() - whether the answer to the caller can be started */
 bool call_answerable(const struct call *c);
 
--- a/packages/front/caller_side.c
+++ b/packages/front/caller_side.c
@@ -2,6 +2,8 @@
 
 #include <errno.h>
 #include <fcntl.h>
+#include <linux/tcp.h>
+#include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/socket.h>
@@ -22,6 +24,8 @@
  */
 #define BODY_HIGH_WATER (64 * 1024)
 #define BODY_LOW_WATER (32 * 1024)
+/* High mark, and size of the part that is kept, while memory is short. */
+#define BODY_TIGHT_WATER (16 * 1024)
 /* Up to this size, a body stays in memory so that it can be sent again. */
 #define BODY_REPLAY_MAX (64 * 1024)
 /* Limit on body bytes that are read and discarded before an error answer. */
@@ -35,6 +39,18 @@
 #define IDLE_TIMEOUT_S 60u
 /* Time for the caller to read the last response before the socket is closed. */
 #define LINGER_MS 1000
+/*
+ * With a memory limit: time without progress after which a caller that does not
+ * read is disconnected, also while memory is short; interval of the check.
+ */
+#define STALL_MS 5000
+#define STALL_TIGHT_MS 1000
+#define STALL_CHECK_MS 500
+/*
+ * With a memory limit: send buffer of a caller's socket, which the kernel would
+ * otherwise let grow to some megabytes.
+ */
+#define SEND_BUFFER (64 * 1024)
 #define LINGER_BLOCK 4096
 /* Limit on reads from one such connection in each sweep. */
 #define LINGER_READS 16
@@ -49,6 +65,10 @@
  * @closing: this side closes the connection because no request was received
  * @last_answer: this side closes the connection after an answer, and the caller
  *	may have sent further requests
+ * @has_read: the caller has taken an answer
+ * @acked: bytes that the caller's kernel has acknowledged
+ * @acked_us: time at which @acked last changed or nothing waited for the caller
+ * @check_us: time of the next check of @acked
  */
 struct caller_side_conn {
 	struct worker_source source;
@@ -58,6 +78,10 @@
 	bool hung_up;
 	bool closing;
 	bool last_answer;
+	bool has_read;
+	uint64_t acked;
+	int64_t acked_us;
+	int64_t check_us;
 };
 
 static void
@@ -203,8 +227,11 @@
 		memcpy(buf, left.p, n);
 		a->answer_off += n;
 		if (a->answer_off == a->answer.n) {
+			if (c->eager)
+				bbuf_finish(&a->answer);
 			bbuf_clear(&a->answer);
 			a->answer_off = 0;
+			call_count_bytes(c);
 		}
 		upstream_side_answer_taken(c);
 		return ((ssize_t)n);
@@ -239,11 +266,13 @@
 	uint64_t size = h->len >= 0 ? (uint64_t)h->len : MHD_SIZE_UNKNOWN;
 	struct MHD_Response *r;
 
-	if (c->answer_done && !c->head_request)
+	if (c->answer_done && !c->head_request) {
+		c->queued_bytes = a->answer.cap;
 		r = buffered_response(a);
-	else
+	} else {
 		r = MHD_create_response_from_callback(
 		    size, ANSWER_BLOCK, read_answer, c, NULL);
+	}
 	for (unsigned i = 0; i < h->n; i++) {
 		if (response_head_forwards(h, i))
 			MHD_add_response_header(r, response_head_name(h, i).p,
@@ -271,13 +300,21 @@
 	return (queue_answer(c));
 }
 
+static bool
+has_short_memory(const struct worker *w)
+{
+	return (budget_is_tight(&worker_shared_state(w)->budget));
+}
+
 /* Frees the sent part of the body, unless it may have to be sent again. */
 static void
 free_sent_body(struct call *c, size_t incoming)
 {
 	size_t sent = call_body_sent(c);
+	size_t max =
+	    has_short_memory(c->w) ? BODY_TIGHT_WATER : BODY_REPLAY_MAX;
 
-	if (c->body_buffered || c->body.n + incoming <= BODY_REPLAY_MAX ||
+	if (c->body_buffered || c->body.n + incoming <= max ||
 	    sent * 2 < c->body.n || sent == 0)
 		return;
 	bbuf_drop_front(&c->body, sent);
@@ -308,12 +345,15 @@
 			return (MHD_NO);
 		return (MHD_YES);
 	}
-	if (!c->body_buffered && call_body_left(c).n >= BODY_HIGH_WATER) {
+	if (!c->body_buffered &&
+	    call_body_left(c).n >=
+		(has_short_memory(c->w) ? BODY_TIGHT_WATER : BODY_HIGH_WATER)) {
 		suspend(c);
 		return (MHD_YES);
 	}
 	free_sent_body(c, *n);
 	bbuf_add(&c->body, (struct bstr){data, *n});
+	call_count_bytes(c);
 	*n = 0;
 	upstream_side_body_ready(c);
 	return (MHD_YES);
@@ -414,6 +454,7 @@
 
 	if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK && c->err == ERR_NONE) {
 		metrics_add(metrics, METRICS_CALLS_OK, 1);
+		c->caller_conn->has_read = true;
 		hist_add(
 		    &metrics->latency, (uint64_t)(clk_mono_us() - c->start_us));
 	} else {
@@ -533,6 +574,9 @@
 	    MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD)
 		->connect_fd;
 	p->read_by_us = clk_mono_us() + IDLE_TIMEOUT_S * 1000000LL;
+	if (budget_is_limited(&worker_shared_state(w)->budget))
+		setsockopt(p->source.fd, SOL_SOCKET, SO_SNDBUF,
+		    &(int){SEND_BUFFER}, sizeof(int));
 	cds_list_add(&p->link, worker_callers(w));
 	worker_watch_hangup(w, &p->source);
 	*ctx = p;
@@ -551,6 +595,12 @@
 	    MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END));
 }
 
+bool
+caller_side_has_read(const struct call *c)
+{
+	return (c->caller_conn->has_read);
+}
+
 void
 caller_side_on_head(struct call *c)
 {
@@ -640,11 +690,76 @@
 	}
 }
 
+/* Disconnects at once, and drops what the kernel holds for the caller. */
+static void
+disconnect(struct worker *w, struct caller_side_conn *p)
+{
+	const struct linger reset = {.l_onoff = 1};
+
+	metrics_add(
+	    worker_shared_state(w)->metrics, METRICS_CALLERS_NOT_READING, 1);
+	setsockopt(p->source.fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	shutdown(p->source.fd, SHUT_RDWR);
+	p->check_us = INT64_MAX;
+}
+
+/*
+ * Disconnects a caller that does not read. A caller reads as long as its kernel
+ * acknowledges bytes; one that reads a few bytes a second does not open its
+ * window again for minutes.
+ */
+static void
+check_progress(
+    struct worker *w, struct caller_side_conn *p, int64_t now_us, bool tight)
+{
+	struct tcp_info info = {0};
+	socklen_t len = sizeof(info);
+
+	if (now_us < p->check_us)
+		return;
+	p->check_us = now_us + STALL_CHECK_MS * 1000;
+	if (getsockopt(p->source.fd, IPPROTO_TCP, TCP_INFO, &info, &len) != 0)
+		return;
+	if (info.tcpi_bytes_acked != p->acked || info.tcpi_notsent_bytes == 0 ||
+	    p->acked_us == 0) {
+		p->acked = info.tcpi_bytes_acked;
+		p->acked_us = now_us;
+		return;
+	}
+	if (now_us - p->acked_us >= (tight ? STALL_TIGHT_MS : STALL_MS) * 1000)
+		disconnect(w, p);
+}
+
+/* Checks the callers to which an answer is being sent. */
+static void
+sweep_stalled(struct worker *w, int64_t now_us)
+{
+	struct byte_budget *b = &worker_shared_state(w)->budget;
+	bool tight = budget_is_tight(b);
+	struct cds_list_head *node;
+
+	if (!budget_is_limited(b))
+		return;
+	atomic_store(
+	    &worker_shared_state(w)->metrics->held_bytes, budget_held(b));
+	cds_list_for_each(node, worker_callers(w))
+	{
+		struct caller_side_conn *p =
+		    cds_list_entry(node, struct caller_side_conn, link);
+
+		if (p->call != NULL && p->call->answer_started)
+			check_progress(w, p, now_us, tight);
+		else
+			p->acked_us = 0;
+	}
+}
+
 void
 caller_side_sweep(struct worker *w, int64_t now_us, bool idle_too)
 {
 	struct cds_list_head *node;
 
+	sweep_stalled(w, now_us);
 	cds_list_for_each(node, worker_callers(w))
 	{
 		struct caller_side_conn *p =
--- a/packages/front/caller_side.h
+++ b/packages/front/caller_side.h
@@ -18,6 +18,9 @@
 /** caller_side_start() - start MHD on a listening socket; NULL on failure */
 struct MHD_Daemon *caller_side_start(struct worker *w, int listen_fd);
 
+/** caller_side_has_read() - whether the caller has taken an answer before */
+bool caller_side_has_read(const struct call *c);
+
 /** caller_side_on_head() - the answer's head is complete */
 void caller_side_on_head(struct call *c);
 
--- a/packages/front/filter.c
+++ b/packages/front/filter.c
@@ -45,6 +45,21 @@
 	return (kind == ERR_NONE ? FILTER_NEXT : stop(c, kind));
 }
 
+/*
+ * Refuses the call when the memory of this VM has no room for it. An idle
+ * connection costs memory too (32 KiB after a request), so it is closed.
+ */
+static enum filter_verdict
+take_memory(struct filter *f, struct call *c)
+{
+	(void)f;
+	if (budget_take(&worker_shared_state(c->w)->budget, &c->budget_share,
+		CALL_BASE_BYTES, c->priority, caller_side_has_read(c)))
+		return (FILTER_NEXT);
+	c->must_close = true;
+	return (stop(c, ERR_OVERLOADED));
+}
+
 static struct bstr
 host_without_port(struct bstr host)
 {
@@ -169,12 +184,14 @@
     "authenticate", authenticate_request};
 static const struct filter_ops deadline_ops = {"deadline", set_deadline};
 static const struct filter_ops claim_ops = {"claim", claim_filter_request};
+static const struct filter_ops memory_ops = {"memory", take_memory};
 static const struct filter_ops send_ops = {"send", send_request};
 
 static struct filter chain[] = {
     {&freshness_ops},
     {&match_ops},
     {&authenticate_ops},
+    {&memory_ops},
     {&deadline_ops},
     {&claim_ops},
     {&send_ops},
--- a/packages/front/shared_state.h
+++ b/packages/front/shared_state.h
@@ -18,6 +18,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "front/byte_budget.h"
 #include "front/upstream_protocol.h"
 #include "ops/metrics.h"
 #include "route/routing.h"
@@ -43,6 +44,7 @@
  *	control thread estimates it
  * @usage_window_ms: length of a window of usage reports, 0 when requests are
  *	not counted
+ * @budget: memory that is held for callers and upstreams
  */
 struct shared_state {
 	struct rt_table *table;
@@ -59,6 +61,7 @@
 	_Atomic uint32_t retry_burst;
 	_Atomic int64_t usage_offset_ms;
 	_Atomic int64_t usage_window_ms;
+	struct byte_budget budget;
 };
 
 /** shared_table() - current table; call it under the RCU read lock */
--- a/packages/ops/metrics.c
+++ b/packages/ops/metrics.c
@@ -18,6 +18,7 @@
     [METRICS_USAGE_FAILED] = "usage_reports_failed",
     [METRICS_CALLS_WITHOUT_KEY] = "calls_without_key",
     [METRICS_CALLS_UNKNOWN_KEY] = "calls_with_unknown_key",
+    [METRICS_CALLERS_NOT_READING] = "callers_not_reading",
 };
 
 static const char *const gauge_names[METRICS_GAUGES] = {
@@ -72,6 +73,10 @@
 	    "# TYPE camphorhollow_workspaces gauge\n"
 	    "camphorhollow_workspaces %llu\n",
 	    (unsigned long long)atomic_load(&m->workspaces));
+	bbuf_addf(out,
+	    "# TYPE camphorhollow_held_bytes gauge\n"
+	    "camphorhollow_held_bytes %llu\n",
+	    (unsigned long long)atomic_load(&m->held_bytes));
 	bbuf_add(out, BSTR("# TYPE camphorhollow_errors_total counter\n"));
 	for (int k = 1; k < ERR_KIND_COUNT; k++) {
 		bbuf_addf(out, "camphorhollow_errors_total{kind=\"%s\"} %llu\n",
--- a/packages/ops/metrics.h
+++ b/packages/ops/metrics.h
@@ -38,6 +38,8 @@
  * @METRICS_CALLS_WITHOUT_KEY: calls whose Authorization field is missing,
  *	repeated or malformed, counted if the configuration has workspaces
  * @METRICS_CALLS_UNKNOWN_KEY: calls whose key belongs to no workspace
+ * @METRICS_CALLERS_NOT_READING: callers disconnected because they did not read
+ *	their answer, counted if there is a memory limit
  */
 enum metrics_id {
 	METRICS_CALLS,
@@ -57,6 +59,7 @@
 	METRICS_USAGE_FAILED,
 	METRICS_CALLS_WITHOUT_KEY,
 	METRICS_CALLS_UNKNOWN_KEY,
+	METRICS_CALLERS_NOT_READING,
 	METRICS_COUNT
 };
 
@@ -78,6 +81,7 @@
  * @count: counters without labels, by enum metrics_id
  * @gauges: by enum metrics_gauge
  * @workspaces: number of workspaces in the configuration, 0 without them
+ * @held_bytes: memory held for callers and upstreams, 0 without a memory limit
  * @errors: calls that ended with an error, by enum err_kind
  * @admission: figures of ranked services
  * @latency: time from the request head to the end of the response of calls
@@ -87,6 +91,7 @@
 	_Atomic uint64_t count[METRICS_COUNT];
 	_Atomic int64_t gauges[METRICS_GAUGES];
 	_Atomic uint64_t workspaces;
+	_Atomic uint64_t held_bytes;
 	_Atomic uint64_t errors[ERR_KIND_COUNT];
 	struct admission_metrics admission;
 	struct histogram latency;
--- a/packages/ops/settings.c
+++ b/packages/ops/settings.c
@@ -68,6 +68,7 @@
     {"ops.health_path", IT_STRING, AT(health_path), false, 1, 127, 0},
     {"retry.ratio", IT_REAL, AT(retry_ratio), false, 0, 1, 0},
     {"retry.burst", IT_INT, AT(retry_burst), false, 0, 1000000, 0},
+    {"memory_mb", IT_INT, AT(memory_mb), false, 0, 1048576, 0},
     {"max_connections", IT_INT, AT(max_connections), false, 1, 1000, 6},
     {"usage.addr", IT_STRING, AT(usage.addr), false, 7, 15, 0},
     {"usage.port", IT_INT, AT(usage.port), false, 1, 65535, 0},
--- a/packages/ops/settings.h
+++ b/packages/ops/settings.h
@@ -56,6 +56,8 @@
  * @health_path: path of the health endpoint
  * @retry_ratio: retries per request that the whole fleet may send
  * @retry_burst: retries that the whole fleet may send in excess of the ratio
+ * @memory_mb: memory of this VM in MiB, 0 for no limit on the memory that is
+ *	held for callers and upstreams
  * @max_connections: maximum connections from one worker to one upstream
  * @usage: address for usage reports; @usage.addr is NULL when usage is not
  *	reported
@@ -87,6 +89,7 @@
 	double link_mbps;
 	double retry_ratio;
 	int64_t retry_burst;
+	int64_t memory_mb;
 	int64_t max_connections;
 	struct settings_addr usage;
 	int64_t usage_window_ms;
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -39,6 +39,7 @@
 	assert_int_equal(s.ops.port, 7300);
 	assert_string_equal(s.store_api, "objects");
 	assert_string_equal(s.health_path, "/health");
+	assert_int_equal(s.memory_mb, 0);
 	settings_finish(&s);
 	bbuf_finish(&problems);
 	assert_false(parse(
@@ -92,9 +93,10 @@
 	(void)state;
 	assert_true(parse(&s,
 	    "{" BASE ",\"listen\":{\"address\":\"10.0.0.1:80\"},"
-	    "\"retry\":{\"ratio\":0.2,\"burst\":null}}",
+	    "\"retry\":{\"ratio\":0.2,\"burst\":null},\"memory_mb\":160}",
 	    &problems));
 	assert_int_equal(s.retry_burst, 0);
+	assert_int_equal(s.memory_mb, 160);
 	assert_true(s.retry_ratio > 0.19 && s.retry_ratio < 0.21);
 	settings_finish(&s);
 	bbuf_finish(&problems);
