--- a/tests/standin/rawup.c
+++ b/tests/standin/rawup.c
@@ -57,7 +57,8 @@
 /* Callers of readon end their bodies with this. */
 #define BODY_END "end"
 #define CUT_BYTES 20000
-#define OVER_4K_BODY 5000 /* above the 4 KiB that a claim stores */
+#define MEDIUM_BODY 150000 /* below CALL_BUFFERED_ANSWER_MAX */
+#define OVER_4K_BODY 5000  /* above the 4 KiB that a claim stores */
 #define MAX_HANG_MS 20000
 #define EARLY_BODY 1000000
 #define EARLY_LENGTH "Content-Length: 1000000\r\n\r\n"
@@ -645,6 +646,8 @@
 		send_filled(c, BIG_BODY, true);
 	} else if (strcmp(name, "huge") == 0) {
 		send_huge(c);
+	} else if (strcmp(name, "medium") == 0) {
+		send_filled(c, MEDIUM_BODY, false);
 	} else if (strcmp(name, "over4k") == 0) {
 		send_filled(c, OVER_4K_BODY, false);
 	} else if (strcmp(name, "largehead") == 0) {
