Do not count rare priorities as present, and reword what a newcomer stumbled over

Cause: a service counts as ranked when its routes have different priorities.

Change: a priority counts as present from one call in twenty on. It keeps its place in the queue. Besides: messages about failed reports name their cause, constants and functions of the usage duty and of admission got the usual names, comments that the formatter broke or that were unclear are reworded.

--- a/packages/admission/admission.c
+++ b/packages/admission/admission.c
@@ -13,21 +13,28 @@
 /* A priority counts as present for this long after its last arrival. */
 #define PRESENT_US 5000000
 /*
- * A call waits if it expects room within this part of its slack. The load
- * changes while it waits, and the time until room varies by about its own mean,
- * so that a longer wait often ends without room and was better a rejection at
- * once. Callers that returned on time get the benefit of a larger part. The
- * most urgent calls wait if their whole slack would do: to reject one costs its
- * goal for certain, and no others can delay it.
+ * A priority with a smaller share of the calls does not count as present: slots
+ * kept for a few rare calls would cost all others more than the rare calls gain
+ * beyond their place in the queue.
  */
-#define SLACK_SHARE 8
-#define SLACK_SHARE_RETURNED 6
-#define SLACK_SHARE_URGENT 1
+#define PRESENT_SHARE 0.05
 /*
- * A caller is told that there is no room within an eighth of its goal, also if
- * an attempt was under way when it was time to decide.
+ * A call waits if the expected wait is at most its slack divided by this. The
+ * load changes while it waits, and waits vary by about their own mean, so that
+ * a longer one often ends without a slot; an early rejection is better then.
+ * Callers that returned on time may wait longer. The most urgent calls may use
+ * their whole slack: a rejection costs their goal for certain, and no others
+ * can delay them.
  */
-#define EARLY_SHARE 9
+#define SLACK_DIVISOR 8
+#define SLACK_DIVISOR_RETURNED 6
+#define SLACK_DIVISOR_URGENT 1
+/*
+ * The decision on a waiting call is made again after this part of its goal, so
+ * that a rejection is sent within an eighth of the goal even if an attempt is
+ * in progress then.
+ */
+#define RECHECK_GOAL_DIVISOR 9
 /*
  * The goal is planned with the usual work, as half of the calls that start at
  * the latest time still meet it and the others are only late. Beyond the
@@ -46,10 +53,12 @@
  * last slots takes longer, which is a good trade while most of the work is less
  * urgent, so that the share decreases with the part of the work that is most
  * urgent. Less urgent calls leave as many slots free as it takes to keep the
- * last ones half of that share in use, so that they stay open.
+ * last ones of only a part of that share in use, so that a burst of urgent
+ * calls finds the others free.
  */
 #define LAST_SLOTS_SHARE 0.9
-/* Ten choices that find all of the last slots in use close most others. */
+#define HOLD_TARGET_DIVISOR 6
+/* Gain of the control loop of the slots that less urgent calls leave free. */
 #define HOLD_GAIN 0.1
 #define HOLD_MAX 0.8
 /*
@@ -132,6 +141,14 @@
 }
 
 /* Brings the decaying figures up to date. */
+static void
+decay_class(struct admission *a, uint32_t p, double keep, int64_t us)
+{
+	struct adm_class *k = &a->class[p];
+
+	decay(k, keep, k->n_waiting != 0, us);
+}
+
 static void
 update(struct admission *a, int64_t now_us)
 {
@@ -143,7 +160,7 @@
 	keep = exp2(-(double)us / HALF_LIFE_US);
 	a->updated_us = now_us;
 	for (uint32_t p = 0; p < ADM_PRIORITIES; p++)
-		decay(&a->class[p], keep, a -> class[p].n_waiting != 0, us);
+		decay_class(a, p, keep, us);
 	/* While others wait, there is no room for calls that are late. */
 	decay(&a->late, keep, a->due.n != 0, us);
 }
@@ -215,7 +232,7 @@
 {
 	int64_t last_us = c->deadline_us - c->long_us;
 	int64_t early_us =
-	    c->arrived_us + (goal_of(c) - c->arrived_us) / EARLY_SHARE;
+	    c->arrived_us + (goal_of(c) - c->arrived_us) / RECHECK_GOAL_DIVISOR;
 
 	c->latest_us = goal_of(c) - c->work_us;
 	c->late = now_us >= c->latest_us;
@@ -296,11 +313,24 @@
 	    STARVED_SHARE * started * (k->started + k->rejected));
 }
 
+/* Calls of a priority that were decided on, halved every HALF_LIFE_US. */
+static double
+decided(const struct adm_class *k)
+{
+	return (k->started + k->rejected);
+}
+
 static bool
 is_present(const struct admission *a, uint32_t p, int64_t now_us)
 {
-	return (a->class[p].last_us != 0 &&
-	    now_us - a->class[p].last_us < PRESENT_US);
+	double all = 0;
+
+	if (a->class[p].last_us == 0 ||
+	    now_us - a->class[p].last_us >= PRESENT_US)
+		return (false);
+	for (uint32_t q = 0; q < ADM_PRIORITIES; q++)
+		all += decided(&a->class[q]);
+	return (decided(&a->class[p]) >= PRESENT_SHARE * all);
 }
 
 bool
@@ -373,14 +403,15 @@
 	a->load = *l;
 	above = (double)l->above_share / l->asked;
 	a->above_share += LOAD_WEIGHT * (above - a->above_share);
-	a->hold += HOLD_GAIN * (above - last_slots_share(a) / 6);
+	a->hold +=
+	    HOLD_GAIN * (above - last_slots_share(a) / HOLD_TARGET_DIVISOR);
 	a->hold = a->hold > HOLD_MAX ? HOLD_MAX
 	    : a->hold < HOLD_MIN     ? HOLD_MIN
 				     : a->hold;
 }
 
 void
-adm_on_room(struct admission *a)
+adm_on_slot_freed(struct admission *a)
 {
 	a->full_us[0] = 0;
 	a->full_us[1] = 0;
@@ -416,9 +447,9 @@
     const struct admission *a, const struct adm_call *c, int64_t now_us)
 {
 	bool urgent = adm_is_most_urgent(a, class_of(c), now_us);
-	double share = urgent ? SLACK_SHARE_URGENT
-	    : c->returned     ? SLACK_SHARE_RETURNED
-			      : SLACK_SHARE;
+	double share = urgent ? SLACK_DIVISOR_URGENT
+	    : c->returned     ? SLACK_DIVISOR_RETURNED
+			      : SLACK_DIVISOR;
 	double us = expected_of_us(a, class_of(c), c->checked) * share;
 	int64_t latest_us = goal_of(c) - c->work_us;
 
@@ -554,7 +585,7 @@
 	update(a, now_us);
 	end_attempt(a, c);
 	if (a->load.room > 1)
-		adm_on_room(a);
+		adm_on_slot_freed(a);
 	if (!c->started)
 		count_start(a, c, now_us);
 }
--- a/packages/admission/admission.h
+++ b/packages/admission/admission.h
@@ -20,8 +20,8 @@
  *	while ((call = adm_take_expired(&a, now_us, &d)) != NULL)
  *		(reject it)
  *	call = adm_take_next(&a, now_us);       (as after ADM_START)
- *	adm_on_room(&a);                        (a request has ended)
- *	adm_leave(&a, &call);                   (the call has ended)
+ *	adm_on_slot_freed(&a);                        (a request has ended)
+ *	adm_leave(&a, &call, now_us);                   (the call has ended)
  *	adm_finish(&a);
  */
 #ifndef ADMISSION_ADMISSION_H
@@ -307,8 +307,9 @@
 /** adm_on_load() - what a choice found */
 void adm_on_load(struct admission *a, const struct adm_load *l);
 
-/** adm_on_room() - a request of the service ended, so there may be room */
-void adm_on_room(struct admission *a);
+/** adm_on_slot_freed() - a request of the service ended, so a slot may be free
+ */
+void adm_on_slot_freed(struct admission *a);
 
 /** adm_leave() - the call ended; does nothing when it does not wait */
 void adm_leave(struct admission *a, struct adm_call *c, int64_t now_us);
--- a/packages/bench/admission_bench.c
+++ b/packages/bench/admission_bench.c
@@ -90,7 +90,7 @@
 		queue_call(&a, c, now_us);
 		ns[0] += now_ns() - t;
 		t = now_ns();
-		adm_on_room(&a);
+		adm_on_slot_freed(&a);
 		c = adm_take_next(&a, now_us);
 		adm_on_start(&a, c, now_us);
 		ns[1] += now_ns() - t;
--- a/packages/control/controller_upstream.c
+++ b/packages/control/controller_upstream.c
@@ -451,7 +451,7 @@
 {
 	struct bstr id = bstr_from(u->id);
 	uint32_t partition = partition_of(id);
-	uint32_t n_before = c->cold.n_upstreams;
+	uint32_t first_preferred_index = c->cold.n_upstreams;
 
 	if (!cold_add(&c->cold, id, u->slots, partition) ||
 	    !probe_add(&c->probes, id, partition)) {
@@ -461,7 +461,7 @@
 		return;
 	}
 	/* cold_add() only updates an upstream that it already has. */
-	if (c->cold.n_upstreams != n_before)
+	if (c->cold.n_upstreams != first_preferred_index)
 		g_ptr_array_add(c->upstream_list, u);
 }
 
--- a/packages/fleet/fleet_view_table.c
+++ b/packages/fleet/fleet_view_table.c
@@ -18,7 +18,7 @@
  * Number of upstreams per version that a VM prefers; enough to find one with a
  * free slot. They are in its own zone, if that has as many.
  */
-#define NEAR_UPSTREAMS 16
+#define PREFERRED_UPSTREAMS 16
 
 /**
  * struct table_builder - state while a table is built; strings are borrowed
@@ -282,12 +282,12 @@
 }
 
 /**
- * struct primaries - choice of the primary upstreams of a service
+ * struct preferred_choice - choice of the preferred upstreams of a service
  * @s: service
  * @order: its upstreams, ordered by a hash
- * @n: number of primary upstreams of each version so far
+ * @n: number of preferred upstreams of each version so far
  */
-struct primaries {
+struct preferred_choice {
 	struct rt_service *s;
 	struct ranked *order;
 	uint32_t *n;
@@ -301,7 +301,7 @@
 
 /* Orders the upstreams by a hash that begins with @seed. */
 static void
-order_upstreams(struct primaries *p, uint64_t seed)
+order_upstreams(struct preferred_choice *p, uint64_t seed)
 {
 	for (uint32_t i = 0; i < p->s->n_upstreams; i++)
 		p->order[i] =
@@ -310,13 +310,13 @@
 }
 
 /*
- * Makes ready upstreams primary in their order, first those after the first
+ * Makes ready upstreams preferred in their order, first those after the first
  * @skip, until each version has @max of them; only those in @zone, unless that
  * is empty.
  */
 static void
-add_primaries(
-    struct primaries *p, struct bstr zone, uint32_t skip, uint32_t max)
+add_preferred(
+    struct preferred_choice *p, struct bstr zone, uint32_t skip, uint32_t max)
 {
 	uint32_t n = p->s->n_upstreams;
 
@@ -333,12 +333,12 @@
 }
 
 /*
- * Number of upstreams of this VM's zone that come before the primary ones. The
- * VMs of a zone begin at equal distances, so that each upstream of the zone is
- * primary for about the same number of VMs.
+ * Number of upstreams of this VM's zone that come before the preferred ones.
+ * The VMs of a zone begin at equal distances, so that each upstream of the zone
+ * is primary for about the same number of VMs.
  */
 static uint32_t
-n_before(const struct fleet_view *f, const struct rt_service *s)
+first_preferred_index(const struct fleet_view *f, const struct rt_service *s)
 {
 	uint64_t self = bstr_hash(bstr_from(f->self), 0);
 	uint64_t n_vms = 1, rank = 0, n_upstreams = 0;
@@ -362,14 +362,14 @@
 }
 
 /*
- * Marks all but NEAR_UPSTREAMS ready upstreams of each version as secondary.
- * The order of those in other zones depends on this VM's id, so that the
- * connections of all VMs spread over all upstreams.
+ * Marks all but PREFERRED_UPSTREAMS ready upstreams of each version as
+ * secondary. Those of this VM's zone come first; the rest is filled from all,
+ * in an order that depends on this VM's id, so that the connections spread.
  */
 static void
 mark_secondary(struct table_builder *b, struct rt_service *s)
 {
-	struct primaries p = {.s = s,
+	struct preferred_choice p = {.s = s,
 	    .order = alloc_array(b, s->n_upstreams, sizeof(*p.order)),
 	    .n = alloc_array(b, s->n_versions, sizeof(*p.n))};
 
@@ -377,11 +377,11 @@
 		s->upstreams[i].secondary = s->upstreams[i].state == RT_READY;
 	if (b->f->zone[0] != '\0') {
 		order_upstreams(&p, 0);
-		add_primaries(&p, bstr_from(b->f->zone), n_before(b->f, s),
-		    NEAR_UPSTREAMS);
+		add_preferred(&p, bstr_from(b->f->zone),
+		    first_preferred_index(b->f, s), PREFERRED_UPSTREAMS);
 	}
 	order_upstreams(&p, bstr_hash(bstr_from(b->f->self), 0));
-	add_primaries(&p, (struct bstr){0}, 0, NEAR_UPSTREAMS);
+	add_preferred(&p, (struct bstr){0}, 0, PREFERRED_UPSTREAMS);
 }
 
 static uint32_t
--- a/packages/front/attempt_transfer.c
+++ b/packages/front/attempt_transfer.c
@@ -70,7 +70,7 @@
 
 /* Whether the call has another attempt that may still answer. */
 static bool
-has_companion(const struct call_attempt *a)
+has_other_running(const struct call_attempt *a)
 {
 	const struct call *c = a->call;
 
@@ -116,7 +116,7 @@
 on_early_head(struct call_attempt *a)
 {
 	if (is_early_error(a) && !response_head_closes(&a->head) &&
-	    !has_companion(a))
+	    !has_other_running(a))
 		stop_upload(a);
 }
 
@@ -289,7 +289,7 @@
 {
 	if (!worker_shared_state(a->call->w)->protocol->status_means_not_run)
 		return (false);
-	if (has_companion(a))
+	if (has_other_running(a))
 		return (true);
 	a->retry_taken = retry_policy_take(a, ERR_UPSTREAM_ANSWER);
 	return (a->retry_taken);
--- a/packages/front/call_attempt.h
+++ b/packages/front/call_attempt.h
@@ -159,15 +159,13 @@
  */
 void call_attempt_reset(struct call_attempt *a, bool head_request);
 
-/** call_attempt_finish() - free the storage and references of an idle attempt
- */
+/** call_attempt_finish() - free the storage and references when idle */
 void call_attempt_finish(struct call_attempt *a);
 
 /** call_attempt_runs() - whether the attempt has a transfer */
 bool call_attempt_runs(const struct call_attempt *a);
 
-/** call_attempt_answer_left() - answer body that was not passed to the caller
- */
+/** call_attempt_answer_left() - answer body that is not passed on yet */
 struct bstr call_attempt_answer_left(const struct call_attempt *a);
 
 #endif
--- a/packages/front/upstream_choice.c
+++ b/packages/front/upstream_choice.c
@@ -188,8 +188,10 @@
 		i = pick_other_zones(c, s, now_us);
 	if (i == RT_NONE && s != NULL && query_remaining(c, s, now_us))
 		i = UPSTREAM_CHOICE_WAIT;
-	/* Without reports, the room is unknown; only the choice of a ranked call
-	 * has time to wait for them. */
+	/*
+	 * Without load reports it is unknown whether a slot is free. A ranked
+	 * call waits for reports.
+	 */
 	if (i == RT_NONE && c->ranked && s != NULL &&
 	    s->n_upstreams > c->n_excluded)
 		i = RT_FULL;
--- a/packages/front/upstream_side.c
+++ b/packages/front/upstream_side.c
@@ -170,11 +170,12 @@
 }
 
 /*
- * Ends an attempt whose companion answers. An older one was late, which counts
- * as a failure; a younger one had no time to show anything.
+ * Ends the attempt that is not needed, as the other one answers. An older one
+ * was late, which counts as a failure; a younger one is cancelled without
+ * counting, since it started too recently.
  */
 static void
-end_companion(struct call_attempt *a, const struct call_attempt *chosen)
+end_other_attempt(struct call_attempt *a, const struct call_attempt *chosen)
 {
 	if (a->refused)
 		abandon_attempt(a, ERR_REFUSED);
@@ -194,7 +195,7 @@
 	worker_timer_clear(c->w, c);
 	if (!call_attempt_runs(call_other(c)))
 		return;
-	end_companion(call_other(c), a);
+	end_other_attempt(call_other(c), a);
 	worker_wake_waiting(c->w, c->service_state);
 }
 
--- a/packages/front/worker_service.c
+++ b/packages/front/worker_service.c
@@ -399,7 +399,7 @@
 		return;
 	s->waking = true;
 	if (s->admission != NULL && adm_waiting(s->admission) != 0) {
-		adm_on_room(s->admission);
+		adm_on_slot_freed(s->admission);
 		run_admission(s, clk_mono_us());
 	}
 	while (s->n_waiting != 0 && try_first(s))
--- a/packages/ops/metrics.h
+++ b/packages/ops/metrics.h
@@ -33,7 +33,7 @@
  * @METRICS_TAKEOVERS: partitions that this VM took over
  * @METRICS_PERMITS: calls to cold upstreams that this VM was granted
  * @METRICS_USAGE_ACCEPTED: usage reports that were accepted
- * @METRICS_USAGE_FENCED: usage reports refused because of a higher token
+ * @METRICS_USAGE_REFUSED: usage reports refused because of a higher token
  * @METRICS_USAGE_FAILED: usage reports with no or another answer
  * @METRICS_CALLS_WITHOUT_KEY: calls whose Authorization field is missing,
  *	repeated or malformed, counted if the configuration has workspaces
@@ -55,7 +55,7 @@
 	METRICS_TAKEOVERS,
 	METRICS_PERMITS,
 	METRICS_USAGE_ACCEPTED,
-	METRICS_USAGE_FENCED,
+	METRICS_USAGE_REFUSED,
 	METRICS_USAGE_FAILED,
 	METRICS_CALLS_WITHOUT_KEY,
 	METRICS_CALLS_UNKNOWN_KEY,
--- a/packages/route/load_choice.c
+++ b/packages/route/load_choice.c
@@ -243,7 +243,7 @@
  * no room in its own.
  */
 static uint32_t
-own_zone_share(const struct rt_request *req, uint32_t max)
+own_zone_candidates(const struct rt_request *req, uint32_t max)
 {
 	return (req->include_secondary ? max / 2 : max);
 }
@@ -278,7 +278,7 @@
 		return (1);
 	q.include_secondary = req->include_secondary;
 	q.own_zone_only = true;
-	n = add_candidates(&q, rng, own_zone_share(req, max), n, out);
+	n = add_candidates(&q, rng, own_zone_candidates(req, max), n, out);
 	q.own_zone_only = false;
 	n = add_candidates(&q, rng, max, n, out);
 	q.include_secondary = true;
--- a/packages/route/retry_budget.h
+++ b/packages/route/retry_budget.h
@@ -3,9 +3,9 @@
  *
  * Retries are limited to a share of the successful calls plus a small minimum
  * rate, so that they cannot multiply the load on failing upstreams. A VM's
- *share of a fleet-wide budget is a share of the requests, successful or not:
- *that bounds the load as well, and leaves retries when most attempts are
- *refused.
+ * share of a fleet-wide budget is a share of the requests instead, successful
+ * or not. That bounds the load as well, and leaves retries when most attempts
+ * are refused.
  *
  *	retry_budget_init(&b, &(struct retry_budget_desc){0}, now_us);
  *	retry_budget_on_success(&b);
--- a/packages/usage/usage_clock.c
+++ b/packages/usage/usage_clock.c
@@ -30,7 +30,7 @@
 	int64_t change = raw - c->raw;
 
 	if (c->started && mono_ms - c->mono_ms > USAGE_CLOCK_GAP_MS)
-		c->deaf_ms = mono_ms + USAGE_CLOCK_DEAF_MS;
+		c->ignore_until_ms = mono_ms + USAGE_CLOCK_IGNORE_MS;
 	c->mono_ms = mono_ms;
 	if (!c->started)
 		c->own = raw;
@@ -46,7 +46,7 @@
 {
 	struct sample *s = g_hash_table_lookup(c->samples, vm);
 
-	if (mono_ms < c->deaf_ms)
+	if (mono_ms < c->ignore_until_ms)
 		return;
 	if (s == NULL) {
 		if (g_hash_table_size(c->samples) >= USAGE_CLOCK_MAX_SAMPLES)
@@ -103,7 +103,7 @@
 {
 	bool low = offset_ms < usage_clock_offset(c) - USAGE_CLOCK_JUMP_MS;
 
-	if (mono_ms < c->deaf_ms)
+	if (mono_ms < c->ignore_until_ms)
 		return;
 	if (!low)
 		usage_clock_adopt(c, offset_ms);
--- a/packages/usage/usage_clock.h
+++ b/packages/usage/usage_clock.h
@@ -39,7 +39,7 @@
 /* A gap between events after which datagrams may have waited in a queue... */
 #define USAGE_CLOCK_GAP_MS 250
 /* ...and the time in which they are then not used as samples. */
-#define USAGE_CLOCK_DEAF_MS 1000
+#define USAGE_CLOCK_IGNORE_MS 1000
 /* Other VMs whose clocks are known. */
 #define USAGE_CLOCK_MAX_SAMPLES 1024
 
@@ -50,7 +50,7 @@
  * @raw: offset of the clock at the last reading, with jumps
  * @shift: correction of @own
  * @mono_ms: monotonic time of the last reading
- * @deaf_ms: monotonic time until which samples are ignored
+ * @ignore_until_ms: monotonic time until which samples are ignored
  * @low: has an offset that is lower than the estimate been heard?
  * @low_ms: that offset
  * @samples: other VMs' offsets by VM
@@ -61,7 +61,7 @@
 	int64_t raw;
 	int64_t shift;
 	int64_t mono_ms;
-	int64_t deaf_ms;
+	int64_t ignore_until_ms;
 	bool low;
 	int64_t low_ms;
 	GHashTable *samples;
--- a/packages/usage/usage_duty.c
+++ b/packages/usage/usage_duty.c
@@ -388,8 +388,8 @@
 		d->store_at_ms =
 		    MAX(d->store_at_ms, d->present_ms + USAGE_CONFIRM_MS);
 	} else if (d->take != USAGE_TAKE_ANNOUNCED) {
-		d->take_at_ms =
-		    MAX(d->take_at_ms, d->present_ms + USAGE_YIELD_MS);
+		d->take_at_ms = MAX(
+		    d->take_at_ms, d->present_ms + USAGE_TAKEOVER_BACKOFF_MS);
 	}
 }
 
--- a/packages/usage/usage_duty.h
+++ b/packages/usage/usage_duty.h
@@ -50,16 +50,15 @@
 	USAGE_RECORD_READ,    /* the record as it is, also when it is missing */
 	USAGE_RECORD_WRITTEN, /* the write succeeded; the record as written */
 	USAGE_RECORD_CONFLICT, /* nothing written; the record as it is */
-	USAGE_RECORD_UNKNOWN,  /* no answer: the write may still take effect */
+	USAGE_RECORD_UNKNOWN,  /* the write may or may not take effect */
 	USAGE_RECORD_FAILED,   /* nothing was read or written */
 };
 
 /** enum usage_report_result - result of a report */
 enum usage_report_result {
 	USAGE_REPORT_ACCEPTED,
-	USAGE_REPORT_FENCED, /* a higher token was seen: another VM took over */
-	USAGE_REPORT_FAILED, /* no or another answer: it may still take effect
-			      */
+	USAGE_REPORT_FENCED, /* a higher token exists: another VM took over */
+	USAGE_REPORT_FAILED, /* any other end; it may still take effect */
 };
 
 /** enum usage_effect_type - what the calling code has to do */
@@ -102,8 +101,8 @@
  * @boot: number of this process
  * @window_ms: length of a window, 0 for 5,000
  * @due_ms: a report is due so long after the end of its window, 0 for 10,000
- * @lease_ms: a VM that lost the duty does not take it again for twice this
- *time, 0 for 3,000
+ * @lease_ms: a VM that lost the duty does not take it again for twice this, 0
+ *	for 3,000
  * @source: counts of this process
  * @seed: seed of the random part of delays
  */
--- a/packages/usage/usage_duty_internal.h
+++ b/packages/usage/usage_duty_internal.h
@@ -26,21 +26,21 @@
 /*
  * Share of the time until a report is due, in percent, after which a holder
  * does not wait for counts any more, and after which it is replaced although it
- * announced fixed figures. Another VM reaches the address of the reports no
- * better, unless the fault is the holder's alone.
+ * announced fixed figures. An earlier takeover helps only if the fault is local
+ * to the holder.
  */
-#define USAGE_PATIENCE_PERCENT 60
+#define USAGE_MAX_WAIT_PERCENT 60
 /*
  * Time after a report was due at which a VM takes over that hears neither the
- * holder nor most others. The next window is fixed before, if there is a
- * holder.
+ * holder nor most others. By then a live holder has fixed the next window,
+ * which the record shows.
  */
-#define USAGE_UNHEARD_MS 1000
+#define USAGE_ISOLATED_TAKEOVER_MS 1000
 /* Share of the VMs that may be missing without a wait, in percent. */
 #define USAGE_MISSING_PERCENT 2
 /* Time from the announcement of a VM until it stops waiting for counts. */
 #define USAGE_COLLECT_MS 1000
-/* A window is overdue for the first VM in rank so long after that. */
+/* Delay after USAGE_FIX_MS at which the first VM in rank takes over. */
 #define USAGE_OVERDUE_MS 1500
 /* Further delay of each of the next VMs in rank. */
 #define USAGE_RANK_MS 1000
@@ -49,21 +49,20 @@
  * Further delay of each VM after these, so that also a store that refuses many
  * VMs finds one that reports in time.
  */
-#define USAGE_FAR_RANK_MS 100
+#define USAGE_HIGH_RANK_DELAY_MS 100
 /* A holder that sent no status for so long is not present. */
 #define USAGE_PRESENT_MS 2500
-/* Time between a VM's announcement and its takeover, for the counts of others.
- */
+/* Time between a VM's announcement and its takeover; others send counts. */
 #define USAGE_ANNOUNCE_MS 400
 /* A VM lets another one that announced itself go first for so long. */
-#define USAGE_YIELD_MS 1500
+#define USAGE_TAKEOVER_BACKOFF_MS 1500
 /* A holder that hears of a takeover reads the record when it is written. */
 #define USAGE_CONFIRM_MS 800
 /*
- * The former holder hears one of two statuses of the new one before that one's
- * first report.
+ * A new holder waits this long before its first report, so that its status
+ * reaches the former holder.
  */
-#define USAGE_SETTLE_MS 500
+#define USAGE_FIRST_REPORT_DELAY_MS 500
 /* Interval of the holder's status. */
 #define USAGE_STATUS_MS 1000
 /* The same for a new holder, because some VMs have not heard of it yet. */
@@ -72,20 +71,19 @@
 /* Delay before the first and the further repeats of a report. */
 #define USAGE_FIRST_REPEAT_MS 500
 #define USAGE_REPEAT_MS 2000
-/* Delay before the record is read after a write without an answer. */
+/* Delay before the record is read after a write of unknown outcome. */
 #define USAGE_REREAD_MS 500
 /* Delay before a failed store call of the holder is repeated. */
 #define USAGE_STORE_RETRY_MS 1000
 /*
- * The same for a takeover: at least this, and for all but the first VMs in rank
- * this for each VM of the fleet, so that a fleet makes fewer than 15 calls
- * a second while the store is down.
+ * Least delay before a failed takeover is repeated. All but the first VMs in
+ * rank wait at least the second time for each VM of the fleet, so that a fleet
+ * makes fewer than 15 calls a second while the store is down.
  */
 #define USAGE_TAKE_RETRY_MS 2000
 #define USAGE_TAKE_RETRY_PER_VM_MS 150
 #define USAGE_TAKE_FIRST_RANKS 8
-/* A process that did not run for so long was paused and may have been replaced.
- */
+/* A longer gap between two events counts as a pause of the process. */
 #define USAGE_PAUSE_MS 1000
 /* VMs whose status is remembered, apart from the holder. */
 #define USAGE_MAX_SEEN USAGE_MAX_COLLECTORS
@@ -229,8 +227,8 @@
 /** usage_duty_is_holder() - whether the confirmed record lets this VM act */
 bool usage_duty_is_holder(const struct usage_duty *d);
 
-/** usage_duty_lose() - another VM holds the duty now */
-void usage_duty_lose(struct usage_duty *d);
+/** usage_duty_step_down() - another VM holds the duty now */
+void usage_duty_step_down(struct usage_duty *d);
 
 /** usage_duty_step() - do what is due with the store and the reports */
 void usage_duty_step(struct usage_duty *d, struct usage_out *out);
--- a/packages/usage/usage_duty_record.c
+++ b/packages/usage/usage_duty_record.c
@@ -22,7 +22,7 @@
 }
 
 void
-usage_duty_lose(struct usage_duty *d)
+usage_duty_step_down(struct usage_duty *d)
 {
 	if (is_named(d))
 		d->fenced_token = MAX(d->fenced_token, d->record.token);
@@ -50,7 +50,7 @@
 static int64_t
 patience_ms(const struct usage_duty *d)
 {
-	return (d->desc.due_ms * USAGE_PATIENCE_PERCENT / 100);
+	return (d->desc.due_ms * USAGE_MAX_WAIT_PERCENT / 100);
 }
 
 /* Delay of this VM after the first one that may take over. */
@@ -67,7 +67,7 @@
 		}
 	}
 	return (MIN(rank, USAGE_RANK_STEPS) * USAGE_RANK_MS +
-	    MAX(rank - USAGE_RANK_STEPS, 0) * USAGE_FAR_RANK_MS);
+	    MAX(rank - USAGE_RANK_STEPS, 0) * USAGE_HIGH_RANK_DELAY_MS);
 }
 
 /* First window with counts that is not known to be reported, or -1. */
@@ -133,9 +133,9 @@
 		    d->present_ms - d->token_since_ms >=
 			patience_ms(d) + rank_delay(d));
 	if (d->record.fixed_through >= window)
-		return (after >= (hears_most(d, window)
-					 ? patience_ms(d)
-					 : d->desc.due_ms + USAGE_UNHEARD_MS));
+		return (after >= (hears_most(d, window) ? patience_ms(d)
+							: d->desc.due_ms +
+					     USAGE_ISOLATED_TAKEOVER_MS));
 	/* The holder may be waiting for the counts of VMs that are down. */
 	if (present &&
 	    after < USAGE_FIX_MS + USAGE_OVERDUE_MS + USAGE_MISSING_MS)
@@ -254,7 +254,7 @@
 	d->was_holder = true;
 	d->n_failed = 0;
 	d->status_at_ms = d->present_ms;
-	d->report_at_ms = d->present_ms + USAGE_SETTLE_MS;
+	d->report_at_ms = d->present_ms + USAGE_FIRST_REPORT_DELAY_MS;
 	if (d->present_ms - d->collect_ms > USAGE_NEW_HOLDER_MS)
 		d->collect_ms = d->present_ms;
 }
@@ -270,7 +270,7 @@
 }
 
 static void
-hold(struct usage_duty *d, struct usage_out *out)
+step_as_holder(struct usage_duty *d, struct usage_out *out)
 {
 	if (!d->was_holder)
 		begin_holding(d);
@@ -287,7 +287,7 @@
 }
 
 static void
-take_over(struct usage_duty *d, struct usage_out *out)
+step_takeover(struct usage_duty *d, struct usage_out *out)
 {
 	if (!is_overdue(d)) {
 		usage_duty_stop_taking(d);
@@ -309,18 +309,18 @@
 usage_duty_step(struct usage_duty *d, struct usage_out *out)
 {
 	if (usage_duty_is_holder(d) && d->token > d->record.token)
-		usage_duty_lose(d);
+		usage_duty_step_down(d);
 	if (d->must_read && may_call_store(d))
 		call_store(d, USAGE_READ_RECORD, out);
 	if (usage_duty_is_holder(d))
-		hold(d, out);
+		step_as_holder(d, out);
 	else if (!d->must_read)
-		take_over(d, out);
+		step_takeover(d, out);
 }
 
 /* Takes over a record that the store confirmed. */
 static void
-absorb(struct usage_duty *d, const struct usage_record *record)
+adopt_record(struct usage_duty *d, const struct usage_record *record)
 {
 	int64_t through = record->n_windows != 0 ? record->windows[0].window - 1
 						 : record->fixed_through;
@@ -331,7 +331,7 @@
 	/* A window leaves the record only after its report was accepted. */
 	usage_duty_note_reported(d, through);
 	if (d->was_holder && !is_named(d))
-		usage_duty_lose(d);
+		usage_duty_step_down(d);
 }
 
 /* The next step of a takeover after an answer of the store. */
@@ -383,7 +383,7 @@
 
 	d->store_call = USAGE_STORE_NONE;
 	if (record != NULL) {
-		absorb(d, record);
+		adopt_record(d, record);
 		d->must_read = paused;
 		/* The others wait for a status that covers the window. */
 		if (event == USAGE_RECORD_WRITTEN &&
@@ -421,7 +421,7 @@
 	case USAGE_REPORT_FENCED:
 		d->fenced_token = MAX(d->fenced_token, d->report_token);
 		if (is_named(d) && d->record.token == d->report_token)
-			usage_duty_lose(d);
+			usage_duty_step_down(d);
 		break;
 	case USAGE_REPORT_FAILED:
 		d->n_failed++;
--- a/tests/lib/overload_sim.c
+++ b/tests/lib/overload_sim.c
@@ -553,7 +553,7 @@
 	rt_on_finish(v->table[q->up].stat, SLOTS,
 	    &(struct rt_result){us, false, false, -1}, m.now_us);
 	adm_on_work(&v->adm, q->adm.route, us / q->pace);
-	adm_on_room(&v->adm);
+	adm_on_slot_freed(&v->adm);
 	v->freed = v->table[q->up].stat;
 	v->full_us = 0;
 	end(q, true);
--- a/tests/lib/usage_fleet.h
+++ b/tests/lib/usage_fleet.h
@@ -1,7 +1,6 @@
 /*
- * usage_fleet - a fleet of VMs in virtual time that report usage, with
- *stand-ins for their clocks, links, the store and the address of the reports
- *(prefix ufleet_).
+ * usage_fleet - a fleet of VMs in virtual time that report usage (prefix
+ * ufleet_), with stand-ins for clocks, links, the store and the reports.
  *
  * The rules of docs/workspaces-and-overload.md section 1.2 about tokens and
  * repeated reports are checked while the fleet runs, those about figures and
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -127,7 +127,7 @@
 	assert_int_equal(d.reason, ADM_DISPLACED);
 	assert_null(adm_take_expired(&a, 1000, &d));
 	assert_int_equal(adm_waiting(&a), 4);
-	adm_on_room(&a);
+	adm_on_slot_freed(&a);
 	assert_ptr_equal(adm_take_next(&a, 1000), &calls[5]);
 	/* One attempt at a time. */
 	assert_null(adm_take_next(&a, 1000));
--- a/tests/unit/test_load_choice.c
+++ b/tests/unit/test_load_choice.c
@@ -264,7 +264,7 @@
 static void
 test_even_candidates(void **state)
 {
-	enum { ROUNDS = 20000, USED = 3 };
+	enum { ROUNDS = 21000, USED = 3, EACH = ROUNDS / USED };
 	struct rt_request req = {0};
 	uint32_t drawn[N_UP] = {0};
 	uint32_t out[1];
@@ -281,8 +281,8 @@
 	}
 	for (int i = 0; i < N_UP; i++)
 		assert_in_range(drawn[i],
-		    upstreams[i].state == RT_READY ? ROUNDS / USED * 0.95 : 0,
-		    upstreams[i].state == RT_READY ? ROUNDS / USED * 1.05 : 0);
+		    upstreams[i].state == RT_READY ? EACH - EACH / 20 : 0,
+		    upstreams[i].state == RT_READY ? EACH + EACH / 20 : 0);
 }
 
 /* Guards against load reports from other zones that nobody needs. */
--- a/tests/unit/test_usage_calls.c
+++ b/tests/unit/test_usage_calls.c
@@ -422,7 +422,7 @@
 	assert_int_equal(usage_reports_violations(reports), 0);
 	assert_int_equal(usage_reports_token(reports), 5);
 	assert_int_equal(metric(f, METRICS_USAGE_ACCEPTED), 2);
-	assert_int_equal(metric(f, METRICS_USAGE_FENCED), 0);
+	assert_int_equal(metric(f, METRICS_USAGE_REFUSED), 0);
 	assert_int_equal(metric(f, METRICS_USAGE_FAILED), 2);
 	json_decref(accepted);
 	json_decref(expected);
@@ -443,7 +443,7 @@
 			     object_store_reports(f->store), "vm2", 6, body),
 	    200);
 	expect_report(f, 5, &r.windows[0], USAGE_REPORT_FENCED);
-	assert_int_equal(metric(f, METRICS_USAGE_FENCED), 1);
+	assert_int_equal(metric(f, METRICS_USAGE_REFUSED), 1);
 	expect_report(f, 7, &r.windows[0], USAGE_REPORT_ACCEPTED);
 	json_decref(body);
 	usage_record_finish(&r);
