--- a/review/lib-2/kit.c
+++ b/review/lib-2/kit.c
@@ -25,6 +25,7 @@
 #define MAX_RUNS 400000
 #define READY_TIMEOUT_MS 1000
 #define CONNECT_TIMEOUT_MS 1000
+#define BODY_BLOCK 65536
 
 static FILE *record;
 static bool trouble = true;
@@ -33,6 +34,8 @@
 static pthread_mutex_t runs_lock = PTHREAD_MUTEX_INITIALIZER;
 static char (*runs)[17];
 static unsigned n_runs;
+static char (*sheds)[17];
+static unsigned n_sheds;
 static char scratch[64];
 static struct kit_vm *vms[MAX_VMS];
 static unsigned n_vms;
@@ -94,8 +97,9 @@
 	record = fopen(path, "w");
 	strcpy(scratch, "/tmp/review-XXXXXX");
 	runs = calloc(MAX_RUNS, sizeof(*runs));
-	if (record == NULL || runs == NULL || mkdtemp(scratch) == NULL ||
-	    access(BINARY, X_OK) != 0) {
+	sheds = calloc(MAX_RUNS, sizeof(*sheds));
+	if (record == NULL || runs == NULL || sheds == NULL ||
+	    mkdtemp(scratch) == NULL || access(BINARY, X_OK) != 0) {
 		fprintf(
 		    stderr, "cannot run: no record, folder or %s\n", BINARY);
 		exit(KIT_CANNOT_RUN);
@@ -149,6 +153,27 @@
 	return (n);
 }
 
+static void
+add_shed(const char *id)
+{
+	pthread_mutex_lock(&runs_lock);
+	if (n_sheds < MAX_RUNS)
+		snprintf(sheds[n_sheds++], sizeof(*sheds), "%.16s", id);
+	pthread_mutex_unlock(&runs_lock);
+}
+
+unsigned
+kit_shed_count(const char *id)
+{
+	unsigned n = 0;
+
+	pthread_mutex_lock(&runs_lock);
+	for (unsigned i = 0; i < n_sheds; i++)
+		n += strcmp(sheds[i], id) == 0;
+	pthread_mutex_unlock(&runs_lock);
+	return (n);
+}
+
 unsigned
 kit_total_runs(void)
 {
@@ -270,6 +295,18 @@
 	int fd;
 };
 
+/* Draws whether a request is turned away; the draws are the same each time. */
+static bool
+is_shed(struct kit_target *t)
+{
+	unsigned permille = atomic_load(&t->shed_permille);
+	uint32_t x = t->port * 2654435761u + atomic_fetch_add(&t->draws, 1);
+
+	x = (x ^ x >> 16) * 0x85ebca6bu;
+	x = (x ^ x >> 13) * 0xc2b2ae35u;
+	return ((x ^ x >> 16) % 1000 < permille);
+}
+
 static bool
 answer_request(struct kit_target *t, struct stream *s, const char *head)
 {
@@ -279,6 +316,16 @@
 	field(head, "X-Request-Id", id, sizeof(id));
 	field(head, "X-Expect-Instance", expect, sizeof(expect));
 	field(head, "Content-Length", length, sizeof(length));
+	if (is_shed(t)) {
+		add_shed(id);
+		n = snprintf(text, sizeof(text),
+		    "HTTP/1.1 503 Full\r\nX-Request-Id: %s\r\n"
+		    "X-Not-Executed: 1\r\nX-Server-Load: %d,0,%d,100\r\n"
+		    "Content-Length: 0\r\n\r\n",
+		    id, atomic_load(&t->running), t->slots);
+		return (send_all(s->fd, text, (size_t)n) &&
+		    skip_body(s, strtoul(length, NULL, 10)));
+	}
 	if (!skip_body(s, strtoul(length, NULL, 10)))
 		return (false);
 	if (expect[0] != '\0' && strcmp(expect, t->id) != 0) {
@@ -686,11 +733,30 @@
 	free(head);
 }
 
+/*
+ * Sends a body in blocks. Stops when an answer arrives or the connection fails;
+ * what has arrived by then can still be read.
+ */
+static void
+send_body(int fd, const char *body, size_t n)
+{
+	while (n != 0) {
+		struct pollfd p = {.fd = fd, .events = POLLIN};
+		size_t block = n < BODY_BLOCK ? n : BODY_BLOCK;
+
+		if (poll(&p, 1, 0) != 0 || !send_all(fd, body, block))
+			return;
+		body += block;
+		n -= block;
+	}
+}
+
 struct kit_answer
 kit_request(int fd, const char *method, const char *target, const char *host,
     const char *fields, const char *body, int deadline_ms)
 {
 	struct kit_answer a = {.end = KIT_NO_CONN};
+	size_t body_n = body == NULL ? 0 : strlen(body);
 	struct stream *s;
 	char *text = malloc(HEAD_MAX);
 	char length[48] = "";
@@ -698,13 +764,12 @@
 
 	kit_id(a.id);
 	if (body != NULL)
-		snprintf(length, sizeof(length), "Content-Length: %zu\r\n",
-		    strlen(body));
+		snprintf(
+		    length, sizeof(length), "Content-Length: %zu\r\n", body_n);
 	n = snprintf(text, HEAD_MAX,
 	    "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\n"
-	    "X-Deadline-Ms: %d\r\n%s%s\r\n%s",
-	    method, target, host, a.id, deadline_ms, fields, length,
-	    body == NULL ? "" : body);
+	    "X-Deadline-Ms: %d\r\n%s%s\r\n",
+	    method, target, host, a.id, deadline_ms, fields, length);
 	if (fd < 0 || n >= HEAD_MAX) {
 		free(text);
 		return (a);
@@ -712,10 +777,12 @@
 	s = calloc(1, sizeof(*s));
 	s->fd = fd;
 	s->until_ms = mono_ms() + deadline_ms;
-	if (send_all(fd, text, (size_t)n))
+	if (send_all(fd, text, (size_t)n)) {
+		send_body(fd, body, body_n);
 		read_answer(s, &a);
-	else
+	} else {
 		a.end = KIT_CLOSED;
+	}
 	free(s);
 	free(text);
 	return (a);
--- a/review/lib-2/kit.h
+++ b/review/lib-2/kit.h
@@ -43,9 +43,12 @@
 /** kit_id() - new request id of 16 hexadecimal digits */
 void kit_id(char out[17]);
 
-/** struct kit_runs - requests that targets ran, by id */
+/** kit_run_count() - how often targets ran the request with this id */
 unsigned kit_run_count(const char *id);
 
+/** kit_shed_count() - how often targets turned it away as not executed */
+unsigned kit_shed_count(const char *id);
+
 /** kit_total_runs() - all requests that targets ran */
 unsigned kit_total_runs(void);
 
@@ -53,6 +56,8 @@
  * struct kit_target - a target
  * @work_ms: how long it works on a request
  * @extra_head: further complete header lines of its answers, NULL for none
+ * @shed_permille: how many of 1,000 requests it turns away as not executed,
+ *	before it reads their bodies; it reads on afterwards
  */
 struct kit_target {
 	char id[32];
@@ -61,8 +66,10 @@
 	int slots;
 	int work_ms;
 	const char *extra_head;
+	_Atomic unsigned shed_permille;
 	uint16_t port;
 	_Atomic int running;
+	_Atomic unsigned draws;
 };
 
 /** kit_target_start() - listen, and register in the store */
