--- a/review/6/case.c
+++ b/review/6/case.c
@@ -6,6 +6,7 @@
  */
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <unistd.h>
 
 #include "lib-2/kit.h"
@@ -13,8 +14,9 @@
 #define N_VMS 3
 #define N_TARGETS 27
 #define N_FOREIGN 40
-/* As "page" under [discovery] in the site file. */
-#define PAGE 50
+/* A page ends at about 1 MB: 27 targets and 33 foreign entries of 30 KB. */
+#define FOREIGN_BYTES (30 * 1024)
+#define PAGE 60
 #define DOWN_MS 1000
 #define RECOVERY_MS 15000
 #define JUDGED_MS 10000
@@ -73,13 +75,19 @@
 static void
 put_foreign(struct object_store *store)
 {
+	static char spec[FOREIGN_BYTES + 64];
+	char log[FOREIGN_BYTES + 1];
+
+	memset(log, 'x', FOREIGN_BYTES);
+	log[FOREIGN_BYTES] = '\0';
+	snprintf(
+	    spec, sizeof(spec), "{\"owner\":\"backup\",\"log\":\"%s\"}", log);
 	for (unsigned i = 0; i < N_FOREIGN; i++) {
 		char name[32];
 
 		snprintf(name, sizeof(name),
 		    kit_trouble() ? "old job %02u" : "old-job-%02u", i);
-		object_store_put(
-		    store, "servers", name, "{\"owner\":\"backup\"}");
+		object_store_put(store, "servers", name, spec);
 	}
 	kit_log("another writer put %u entries, such as \"%s\"", N_FOREIGN,
 	    kit_trouble() ? "old job 00" : "old-job-00");
