--- a/review/lib-2/kit.c
+++ b/review/lib-2/kit.c
@@ -174,17 +174,6 @@
 	return (n);
 }
 
-unsigned
-kit_total_runs(void)
-{
-	unsigned n;
-
-	pthread_mutex_lock(&runs_lock);
-	n = n_runs;
-	pthread_mutex_unlock(&runs_lock);
-	return (n);
-}
-
 static bool
 send_all(int fd, const char *p, size_t n)
 {
@@ -791,7 +780,7 @@
 void
 kit_finish(int code, const char *fmt, ...)
 {
-	char text[512], command[128];
+	char text[512];
 	va_list ap;
 
 	va_start(ap, fmt);
@@ -811,7 +800,6 @@
 	    text);
 	fflush(stdout);
 	if (getenv("KEEP") == NULL) {
-		snprintf(command, sizeof(command), "%s", scratch);
 		for (unsigned i = 0; i < n_vms; i++) {
 			char path[300];
 
@@ -820,7 +808,7 @@
 			    vms[i]->index);
 			unlink(path);
 		}
-		rmdir(command);
+		rmdir(scratch);
 	}
 	_exit(code);
 }
--- a/review/lib-2/kit.h
+++ b/review/lib-2/kit.h
@@ -49,9 +49,6 @@
 /** kit_shed_count() - how often targets turned it away as not executed */
 unsigned kit_shed_count(const char *id);
 
-/** kit_total_runs() - all requests that targets ran */
-unsigned kit_total_runs(void);
-
 /**
  * struct kit_target - a target
  * @work_ms: how long it works on a request
@@ -78,14 +75,17 @@
 /**
  * struct kit_vm - a machine of the system
  * @ip: its loopback address
- * @exits: how often its process ended without a signal of the case
+ * @front: port for requesters
+ * @ready: port of the readiness check
+ * @peer: port for the other machines
+ * @settings: path of its settings file
+ * @pid: its process, 0 for none
  */
 struct kit_vm {
 	unsigned index;
 	char zone[16];
 	char ip[16];
 	uint16_t front, ready, peer, store_port;
-	unsigned memory_mb;
 	char settings[256];
 	pid_t pid;
 };
