Percent-encode the names of objects in calls to the store

An entry of another writer with a space in its name ended a page of the list of upstreams.

Cause: the next page of a list is requested with the last name of the page, and that name was put into the query as it was. libcurl refused the URL, or the store understood another name. The failed call counted as a store that does not answer, so the list began again, for ever.

Evidence: test_odd_names on the former code logs "reading servers failed: URL using bad/illegal format or missing URL" at each attempt.

The name to continue after is read from the text of the response, since a page whose last entry has no readable name ended the list without its other pages; a list that cannot go on is logged.

The stand-in of the store reads names with spaces.

--- a/tests/lib/object_store.c
+++ b/tests/lib/object_store.c
@@ -431,7 +431,7 @@
 	char kind[MAX_NAME_LEN], name[MAX_NAME_LEN] = "";
 
 	if (strncmp(url, PREFIX, strlen(PREFIX)) != 0 ||
-	    sscanf(url + strlen(PREFIX), "%199[^/]/%199s", kind, name) < 1)
+	    sscanf(url + strlen(PREFIX), "%199[^/]/%199[^\n]", kind, name) < 1)
 		return (respond(conn, 404, NULL));
 	count_call(store->calls, kind);
 	if (store->faults.no_response)
--- a/tests/unit/test_kind_reader.c
+++ b/tests/unit/test_kind_reader.c
@@ -7,6 +7,7 @@
 
 #include <glib.h>
 
+#include "base/byte_string.h"
 #include "platform/kind_reader.h"
 
 #define WATCH_MS 500
@@ -59,10 +60,39 @@
 	expect_path(r, "servers?watch=7&waitMs=500");
 	kind_reader_schedule_stale_list(r, 0, 9);
 	expect_path(r, "servers?staleOk=1");
-	r->after = g_strdup("u4");
+	assert_true(kind_reader_continue(r, BSTR("u4")));
 	expect_path(r, "servers?staleOk=1&after=u4");
 }
 
+/*
+ * Guards against a list that cannot go on: a name that other writers chose,
+ * with characters that have a meaning in a query or must not stand in one, was
+ * sent as it is. The call failed, or continued at another name.
+ */
+static void
+test_name_in_query(void **state)
+{
+	struct kind_reader *r = *state;
+
+	assert_true(kind_reader_continue(r, BSTR("old job%41&b=c#d+e/f?")));
+	expect_path(r, "servers?after=old%20job%2541%26b%3Dc%23d%2Be%2Ff%3F");
+	assert_true(kind_reader_continue(r, BSTR("\xc3\xa4\x01\r\n")));
+	expect_path(r, "servers?after=%C3%A4%01%0D%0A");
+	assert_true(kind_reader_continue(r, BSTR("a\0b")));
+	expect_path(r, "servers?after=a%00b");
+}
+
+/* A page that ends at the name it was to continue after makes no progress. */
+static void
+test_no_progress(void **state)
+{
+	struct kind_reader *r = *state;
+
+	assert_true(kind_reader_continue(r, BSTR("u 4")));
+	assert_false(kind_reader_continue(r, BSTR("u 4")));
+	assert_true(kind_reader_continue(r, BSTR("u 5")));
+}
+
 /*
  * Pages can come from different states. The list counts as old as its oldest
  * page, so that the watch after it misses nothing.
@@ -75,7 +105,7 @@
 	list_at(r, 7);
 	kind_reader_schedule_stale_list(r, 0, 9);
 	assert_true(kind_reader_accept_page(r, 12));
-	r->after = g_strdup("u4");
+	assert_true(kind_reader_continue(r, BSTR("u4")));
 	/* Changes before the first page must not replace what is in it. */
 	assert_int_equal(kind_reader_revision(r), 12);
 	assert_true(kind_reader_accept_page(r, 10));
@@ -123,6 +153,8 @@
 {
 	const struct CMUnitTest tests[] = {
 	    TEST(test_paths),
+	    TEST(test_name_in_query),
+	    TEST(test_no_progress),
 	    TEST(test_pages_of_different_age),
 	    TEST(test_too_old),
 	    TEST(test_never_back),
--- a/tests/unit/test_platform_store.c
+++ b/tests/unit/test_platform_store.c
@@ -24,6 +24,7 @@
 /**
  * struct fixture - client, fake store, and what the client reported
  * @last_write: result of the last write of a move's status, -1 for none
+ * @move_name: move whose status is written
  * @changes: last changes that were reported for other VMs
  * @changes_base: revision before @changes
  */
@@ -36,6 +37,7 @@
 	bool reachable;
 	unsigned outages;
 	int last_write;
+	const char *move_name;
 	GBytes *changes;
 	int64_t changes_base;
 };
@@ -122,7 +124,7 @@
 on_move_written(
     struct store_sink *s, const char *name, enum store_result result)
 {
-	assert_string_equal(name, "s");
+	assert_string_equal(name, fixture_of(s)->move_name);
 	fixture_of(s)->last_write = (int)result;
 }
 
@@ -176,6 +178,7 @@
 	f->sink.ops = &sink_ops;
 	f->reachable = true;
 	f->last_write = -1;
+	f->move_name = "s";
 	f->store = object_store_new(&(struct object_store_desc){.page = 2});
 	assert_non_null(f->store);
 	put_config(f->store, 3);
@@ -243,6 +246,64 @@
 	assert_int_equal(config_version(f), 3);
 }
 
+/* Names that other writers chose; half of them end a page of two. */
+static const char *const odd_names[] = {"a b", "a%41", "b&after=z", "c#d",
+    "e+f", "g?h", "i/j", "k\xc3\xa4", "l%", "m=\"n\""};
+
+static void
+put_odd_entries(struct object_store *o, const char *kind)
+{
+	for (size_t i = 0; i < sizeof(odd_names) / sizeof(*odd_names); i++)
+		object_store_put(o, kind, odd_names[i], "{\"log\":\"x\"}");
+}
+
+/*
+ * Guards against VMs that never become ready: an entry of another writer whose
+ * name cannot stand in a query as it is ends a page, and the next page was
+ * never read. No entry may be lost and the store must not count as unreachable.
+ */
+static void
+test_odd_names(void **state)
+{
+	struct fixture *f = *state;
+
+	put_odd_entries(f->store, "servers");
+	put_odd_entries(f->store, "rollouts");
+	put_odd_entries(f->store, "lbmembers");
+	put_upstream(f->store, "a0", "ready");
+	put_upstream(f->store, "h", "ready");
+	put_upstream(f->store, "z", "ready");
+	RUN_UNTIL(f, view_is_ready(&f->view));
+	assert_int_equal(n_upstreams(f), 3);
+	assert_int_equal(f->outages, 0);
+}
+
+/*
+ * The same for a VM that runs: after the store has dropped its history, the
+ * list is read again and changes are followed.
+ */
+static void
+test_odd_names_listed_again(void **state)
+{
+	struct fixture *f = *state;
+
+	put_upstream(f->store, "a0", "ready");
+	RUN_UNTIL(f, view_is_ready(&f->view));
+	put_odd_entries(f->store, "servers");
+	/* The first page of two ends at "a b". */
+	put_upstream(f->store, "A", "ready");
+	RUN_UNTIL(f, n_upstreams(f) == 2);
+	object_store_set_faults(
+	    f->store, &(struct object_store_faults){.stall_watches = true});
+	put_upstream(f->store, "z1", "ready");
+	object_store_remove(f->store, "servers", "a0");
+	object_store_drop_history(f->store);
+	RUN_UNTIL(f, g_hash_table_contains(f->view.upstreams, "z1"));
+	RUN_UNTIL(f, !g_hash_table_contains(f->view.upstreams, "a0"));
+	RUN_UNTIL(f, n_upstreams(f) == 2);
+	assert_int_equal(f->outages, 0);
+}
+
 static void
 test_watch(void **state)
 {
@@ -634,6 +695,23 @@
 	assert_string_equal(m->order.executor, "vm1");
 }
 
+/* The status of a move is written to its object, whatever its name. */
+static void
+test_move_with_odd_name(void **state)
+{
+	struct fixture *f = *state;
+	const struct view_move *m;
+
+	f->move_name = "s %41#";
+	object_store_put(f->store, "rollouts", f->move_name,
+	    "{\"service\":\"s\",\"toVersion\":\"v3\",\"duration\":\"12s\"}");
+	RUN_UNTIL(f, (m = g_hash_table_lookup(f->view.moves, "s")) != NULL);
+	f->client->ops->write_move(
+	    f->client, &m->order, OBJ_MOVE_RUNNING, 5, "vm1");
+	RUN_UNTIL(f, f->last_write >= 0);
+	assert_int_equal(f->last_write, STORE_WRITTEN);
+}
+
 /* A write without a response has an unknown result; it may have succeeded. */
 static void
 test_lost_response(void **state)
@@ -773,6 +851,8 @@
 {
 	const struct CMUnitTest tests[] = {
 	    TEST(test_list),
+	    TEST(test_odd_names),
+	    TEST(test_odd_names_listed_again),
 	    TEST(test_watch),
 	    TEST(test_dropped_history),
 	    TEST(test_list_now),
@@ -787,6 +867,7 @@
 	    TEST(test_recovery),
 	    TEST(test_expired),
 	    TEST(test_conditional_write),
+	    TEST(test_move_with_odd_name),
 	    TEST(test_lost_response),
 	    TEST(test_member),
 	    TEST(test_stale_start),
--- a/tests/unit/test_response_parse.c
+++ b/tests/unit/test_response_parse.c
@@ -151,6 +151,67 @@
 	json_decref(r);
 }
 
+/** struct last_name - items of a page and the name of the last one */
+struct last_name {
+	const char *items;
+	struct bstr name;
+};
+
+/*
+ * Guards against a list that ends early because the last entry of a page cannot
+ * be read: the entries of all further pages were missing.
+ */
+static void
+test_last_name(void **state)
+{
+	static const struct last_name cases[] = {
+	    {"", BSTR("good")},
+	    {",{\"metadata\":{\"name\":\"z y\"},\"spec\":1e999}", BSTR("z y")},
+	    {",{\"spec\":[1e999],\"metadata\":{\"name\":\"z\\u0000\"}}",
+		BSTR("z\0")},
+	    {",{\"metadata\":{\"name\":\"z\\\"\\u00e4\"},\"spec\":{}}",
+		BSTR("z\"\xc3\xa4")},
+	    {",{\"metadata\":{\"name\":\"z\xff\"},\"spec\":{}}", BSTR("z\xff")},
+	    {",{\"metadata\":{\"name\":\"\\ud800\"},\"spec\":{}}",
+		BSTR("good")},
+	    {",{\"metadata\":{\"name\":7},\"spec\":{}}", BSTR("good")},
+	    {",{\"metadata\":{\"name\":\"\"}}", BSTR("good")},
+	    {",7", BSTR("good")},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		char *text =
+		    g_strdup_printf("{\"hasMore\":true, \"items\" : [%s%s ] }",
+			good, cases[i].items);
+		struct bbuf name;
+
+		bbuf_init(&name);
+		assert_true(respparse_last_name(bstr_from(text), &name));
+		assert_true(
+		    bstr_eq((struct bstr){name.p, name.n}, cases[i].name));
+		bbuf_finish(&name);
+		g_free(text);
+	}
+}
+
+/* A page without any readable name has no last name. */
+static void
+test_no_last_name(void **state)
+{
+	static const char *const texts[] = {"", "{}", "{\"items\":7}",
+	    "{\"items\":[]}", "{\"items\":[{\"metadata\":{}},7]}",
+	    "{\"items\":[{\"metadata\":{\"name\":\"\\ud800\"}}]}",
+	    "{\"items\":[{\"metadata\":{\"name\":\"x"};
+	struct bbuf name;
+
+	(void)state;
+	bbuf_init(&name);
+	for (size_t i = 0; i < sizeof(texts) / sizeof(*texts); i++)
+		assert_false(respparse_last_name(bstr_from(texts[i]), &name));
+	bbuf_finish(&name);
+}
+
 static void
 test_not_a_response(void **state)
 {
@@ -194,6 +255,8 @@
 	    cmocka_unit_test(test_one_bad_entry),
 	    cmocka_unit_test(test_deep_entry),
 	    cmocka_unit_test(test_no_name),
+	    cmocka_unit_test(test_last_name),
+	    cmocka_unit_test(test_no_last_name),
 	    cmocka_unit_test(test_not_a_response),
 	    cmocka_unit_test(test_random_bytes),
 	};
