Free the calls of requests whose head the HTTP library drops

Cause: a call is allocated when the request line has been read and freed when libmicrohttpd reports the end of the request. It reports none if the head does not fit into the connection's memory and its own error answer does not either.

Evidence: of ten kinds of heads, 40 each, only "too many arguments" and "too many cookies" left their calls behind.

Change: a call that its connection still has when it ends is freed. New on the metrics address: calls_in_progress and request_heads_unused_total.

Before: test_front_unused_heads fails, 40 calls are left.

--- a/packages/front/call.c
+++ b/packages/front/call.c
@@ -27,6 +27,8 @@
 		    worker_shared_state(w)->protocol->close_ends_body);
 	c->may_probe = true;
 	c->draw = rng_below(worker_rng(w), 1000);
+	metrics_change(
+	    worker_shared_state(w)->metrics, METRICS_CALLS_IN_PROGRESS, 1);
 	return (c);
 }
 
@@ -65,6 +67,8 @@
 	if (c->usage != NULL)
 		usage_counter_unref(c->usage);
 	budget_set(&worker_shared_state(c->w)->budget, &c->budget_share, 0);
+	metrics_change(
+	    worker_shared_state(c->w)->metrics, METRICS_CALLS_IN_PROGRESS, -1);
 	free(c);
 }
 
--- a/packages/front/caller_side.c
+++ b/packages/front/caller_side.c
@@ -552,6 +552,24 @@
 	}
 }
 
+/*
+ * Frees the call of a request that MHD ends without calling on_completed(): its
+ * head has too many parts for the memory of the connection, so that not even an
+ * error can be answered.
+ */
+static void
+free_unused_call(struct worker *w, struct caller_side_conn *p)
+{
+	struct call *c = p->call;
+
+	if (c == NULL)
+		return;
+	p->call = NULL;
+	metrics_add(worker_shared_state(w)->metrics, METRICS_HEADS_UNUSED, 1);
+	worker_remove_call(w, c);
+	call_free(c);
+}
+
 static void
 on_connection(void *arg, struct MHD_Connection *conn, void **ctx,
     enum MHD_ConnectionNotificationCode code)
@@ -561,6 +579,7 @@
 
 	if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
 		worker_unwatch(w, &p->source);
+		free_unused_call(w, p);
 		if (!linger(w, p))
 			free_connection(p);
 		*ctx = NULL;
--- a/packages/ops/metrics.c
+++ b/packages/ops/metrics.c
@@ -18,6 +18,7 @@
     [METRICS_USAGE_FAILED] = "usage_reports_failed",
     [METRICS_CALLS_WITHOUT_KEY] = "calls_without_key",
     [METRICS_CALLS_UNKNOWN_KEY] = "calls_with_unknown_key",
+    [METRICS_HEADS_UNUSED] = "request_heads_unused",
     [METRICS_CALLERS_NOT_READING] = "callers_not_reading",
 };
 
@@ -25,6 +26,7 @@
     [METRICS_USAGE_WINDOW] = "usage_reported_window",
     [METRICS_USAGE_HOLDER] = "usage_holder",
     [METRICS_USAGE_TOKEN] = "usage_token",
+    [METRICS_CALLS_IN_PROGRESS] = "calls_in_progress",
 };
 
 static const double quantiles[] = {0.5, 0.99, 0.999};
@@ -47,6 +49,18 @@
 	atomic_store_explicit(&m->gauges[id], value, memory_order_relaxed);
 }
 
+void
+metrics_change(struct metrics *m, enum metrics_gauge id, int64_t delta)
+{
+	atomic_fetch_add_explicit(&m->gauges[id], delta, memory_order_relaxed);
+}
+
+int64_t
+metrics_gauge(const struct metrics *m, enum metrics_gauge id)
+{
+	return (atomic_load_explicit(&m->gauges[id], memory_order_relaxed));
+}
+
 void
 metrics_error(struct metrics *m, enum err_kind kind)
 {
@@ -67,8 +81,7 @@
 		bbuf_addf(out,
 		    "# TYPE camphorhollow_%s gauge\ncamphorhollow_%s %lld\n",
 		    gauge_names[i], gauge_names[i],
-		    (long long)atomic_load_explicit(
-			&m->gauges[i], memory_order_relaxed));
+		    (long long)metrics_gauge(m, (enum metrics_gauge)i));
 	bbuf_addf(out,
 	    "# TYPE camphorhollow_workspaces gauge\n"
 	    "camphorhollow_workspaces %llu\n",
--- a/packages/ops/metrics.h
+++ b/packages/ops/metrics.h
@@ -38,6 +38,8 @@
  * @METRICS_CALLS_WITHOUT_KEY: calls whose Authorization field is missing,
  *	repeated or malformed, counted if the configuration has workspaces
  * @METRICS_CALLS_UNKNOWN_KEY: calls whose key belongs to no workspace
+ * @METRICS_HEADS_UNUSED: requests whose connection was closed without an
+ *	answer, as their head did not fit into the memory of the HTTP library
  * @METRICS_CALLERS_NOT_READING: callers disconnected because they did not read
  *	their answer, counted if there is a memory limit
  */
@@ -59,6 +61,7 @@
 	METRICS_USAGE_FAILED,
 	METRICS_CALLS_WITHOUT_KEY,
 	METRICS_CALLS_UNKNOWN_KEY,
+	METRICS_HEADS_UNUSED,
 	METRICS_CALLERS_NOT_READING,
 	METRICS_COUNT
 };
@@ -68,11 +71,13 @@
  * @METRICS_USAGE_WINDOW: last window known to be reported
  * @METRICS_USAGE_HOLDER: 1 while this VM has the duty of reporting usage
  * @METRICS_USAGE_TOKEN: fencing token of the holder
+ * @METRICS_CALLS_IN_PROGRESS: calls from their request line to their end
  */
 enum metrics_gauge {
 	METRICS_USAGE_WINDOW,
 	METRICS_USAGE_HOLDER,
 	METRICS_USAGE_TOKEN,
+	METRICS_CALLS_IN_PROGRESS,
 	METRICS_GAUGES
 };
 
@@ -106,6 +111,12 @@
 /** metrics_set() - set a gauge */
 void metrics_set(struct metrics *m, enum metrics_gauge id, int64_t value);
 
+/** metrics_change() - add @delta, which may be negative, to a gauge */
+void metrics_change(struct metrics *m, enum metrics_gauge id, int64_t delta);
+
+/** metrics_gauge() - read a gauge */
+int64_t metrics_gauge(const struct metrics *m, enum metrics_gauge id);
+
 /** metrics_error() - count a call that ended with @kind */
 void metrics_error(struct metrics *m, enum err_kind kind);
 
