Notice an upstream that closes its connection during a paused upload

Callers saw: a request whose body pauses, to an upstream that closes its connection meanwhile, waited until the caller sent more or until its timeout.

Cause: libcurl reads the end of the connection while its upload is paused and stops watching the socket. It notices the end when it sends the next part. A reset was noticed at once, and with body parts of 16 KiB the tests always met a reset.

Evidence: trace of system calls of test_retry_waits: recv returns 0, the socket leaves epoll, nothing follows for 10 s.

Change: a transfer is told that its socket is not watched any more. An attempt whose upload is paused and which has no answer ends then.

--- a/packages/front/attempt_transfer.c
+++ b/packages/front/attempt_transfer.c
@@ -134,6 +134,23 @@
 		stop_upload(a);
 }
 
+/*
+ * Ends the attempt if its upstream closed the connection before its answer,
+ * while libcurl waits for more of the request body. libcurl itself notices that
+ * only when it sends the next part.
+ */
+static void
+on_unwatched(struct curl_transfer *x)
+{
+	struct call_attempt *a = (struct call_attempt *)x;
+
+	if (!a->body_paused || a->status != 0)
+		return;
+	a->upstream_ended = true;
+	a->body_paused = false;
+	worker_unpause(a->call->w, a);
+}
+
 static size_t
 on_read(char *out, size_t size, size_t n, void *arg)
 {
@@ -142,6 +159,8 @@
 	size_t left = c->body.n - a->body_off;
 	size_t len = size * n;
 
+	if (a->upstream_ended)
+		return (CURL_READFUNC_ABORT);
 	if (left == 0) {
 		if (c->upload_stopped && c->body_len < 0)
 			return (CURL_READFUNC_ABORT);
@@ -361,6 +380,7 @@
 	struct call *c = a->call;
 
 	call_attempt_reset(a, c->head_request);
+	a->xfer.unwatched = on_unwatched;
 	a->easy = worker_easy_get(c->w);
 	a->start_us = now_us;
 	a->number = ++c->attempts;
@@ -375,6 +395,7 @@
 {
 	struct worker *w = a->call->w;
 
+	a->xfer.unwatched = NULL;
 	curl_multi_remove_handle(worker_multi(w), a->easy);
 	worker_easy_put(w, a->easy);
 	curl_slist_free_all(a->out_headers);
--- a/packages/front/call_attempt.c
+++ b/packages/front/call_attempt.c
@@ -20,6 +20,7 @@
 	a->opened_fd = -1;
 	a->body_off = 0;
 	a->body_paused = false;
+	a->upstream_ended = false;
 	a->head_us = 0;
 	a->reported = -1;
 	a->refused = false;
--- a/packages/front/call_attempt.h
+++ b/packages/front/call_attempt.h
@@ -80,6 +80,7 @@
  * @opened_fd: socket opened for the attempt, -1 for a reused connection
  * @body_off: position in call->body of the next byte to send
  * @body_paused: libcurl waits for more body
+ * @upstream_ended: the upstream closed the connection before its answer
  * @head_us: time at which the response head arrived, 0 before
  * @reported: requests that the upstream is serving, as its response reports,
  *	-1 when not reported
@@ -127,6 +128,7 @@
 	int opened_fd;
 	size_t body_off;
 	bool body_paused;
+	bool upstream_ended;
 
 	int64_t head_us;
 	int32_t reported;
--- a/packages/front/transfers.c
+++ b/packages/front/transfers.c
@@ -35,6 +35,16 @@
 	m->retired = s;
 }
 
+static void
+notify_unwatched(CURL *easy)
+{
+	struct curl_transfer *x = NULL;
+
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&x);
+	if (x != NULL && x->unwatched != NULL)
+		x->unwatched(x);
+}
+
 static int
 on_socket(CURL *easy, curl_socket_t fd, int what, void *arg, void *ptr)
 {
@@ -42,12 +52,12 @@
 	struct transfers_source *s = ptr;
 	struct epoll_event ev = {0};
 
-	(void)easy;
 	if (what == CURL_POLL_REMOVE) {
 		epoll_ctl(m->epfd, EPOLL_CTL_DEL, fd, NULL);
 		curl_multi_assign(m->multi, fd, NULL);
 		if (s != NULL)
 			retire(m, s);
+		notify_unwatched(easy);
 		return (0);
 	}
 	if (what & CURL_POLL_IN)
--- a/packages/front/transfers.h
+++ b/packages/front/transfers.h
@@ -25,9 +25,13 @@
 /**
  * struct curl_transfer - first member of what CURLOPT_PRIVATE points to
  * @done: called when the transfer has ended
+ * @unwatched: called when libcurl waits for nothing from the socket any more,
+ *	before @done or while both directions are paused or have ended; it must
+ *	not call libcurl; NULL for none
  */
 struct curl_transfer {
 	void (*done)(struct curl_transfer *x, CURL *easy, CURLcode result);
+	void (*unwatched)(struct curl_transfer *x);
 };
 
 /**
--- a/tests/unit/test_front_early.c
+++ b/tests/unit/test_front_early.c
@@ -11,6 +11,9 @@
 
 #define BODY_SIZE (32 * 1024 * 1024)
 #define ERROR_BODY_SIZE 1000000
+/* A body, and how much of it the upstream "cutonce" reads. */
+#define CUT_BODY 50000
+#define CUT_AFTER 20000
 #define MAX_GROWTH_BYTES (12 * 1024 * 1024)
 
 static long
@@ -223,6 +226,39 @@
 	rig.shared.protocol = before;
 }
 
+/*
+ * Guards against an attempt that waits for its timeout, because its upstream
+ * closed the connection while the caller had not sent the rest of the body.
+ * Nothing of the body is left unread, so that the connection is not reset.
+ */
+static void
+test_closed_during_upload(void **state)
+{
+	static char body[CUT_BODY];
+	const char *head = "PUT /i/cutonce/clean HTTP/1.1\r\nHost: a\r\n"
+			   "Connection: close\r\nContent-Length: 50000\r\n\r\n";
+	int64_t end_ms = clk_mono_ms() + LONG_TIMEOUT_MS / 2;
+	uint64_t retries;
+	struct reply r;
+	int fd;
+
+	(void)state;
+	rig_fill_retry_budget("a");
+	retries = metrics_get(&rig.metrics, METRICS_RETRIES);
+	memset(body, 'b', sizeof(body));
+	fd = rig_open(head, strlen(head));
+	send(fd, body, CUT_AFTER, MSG_NOSIGNAL);
+	while (metrics_get(&rig.metrics, METRICS_RETRIES) == retries) {
+		assert_true(clk_mono_ms() < end_ms);
+		usleep(1000);
+	}
+	send(fd, body, CUT_BODY - CUT_AFTER, MSG_NOSIGNAL);
+	r = rig_read(fd, false);
+	assert_int_equal(r.status, 200);
+	assert_int_equal(r.body_n, CUT_BODY);
+	rig_reply_free(&r);
+}
+
 int
 main(void)
 {
@@ -233,6 +269,7 @@
 	    cmocka_unit_test(test_error_body_unread),
 	    cmocka_unit_test(test_error_and_close),
 	    cmocka_unit_test(test_incomplete_body),
+	    cmocka_unit_test(test_closed_during_upload),
 	};
 
 	return (cmocka_run_group_tests(tests, rig_setup, rig_teardown));
