Answer requests with large heads, or refuse them before they run

Cause: libmicrohttpd has a fixed memory for each connection, 32 KiB here, for the request head, a copy of its cookies, 64 bytes for each field, cookie and argument, the input behind the head, and the head of the response. If the last does not fit, the connection is closed when the response is ready.

Evidence: the library's own log, "Closing connection (failed to create response header)", and a sum of these parts that agrees with eight shapes of heads.

Change: 64 KiB for each connection. head_memory computes the room beside a request: without any, it is refused with 431 before it runs, and a response head that does not fit ends its attempt with 502. A process keeps at most 2,000 connections of callers, as each one that is kept occupies its whole memory. A response that the library drops counts as "internal". What reads the state of a caller's socket has moved to caller_socket.

--- a/packages/base/error_kind.c
+++ b/packages/base/error_kind.c
@@ -9,6 +9,7 @@
     [ERR_UNKNOWN_ROUTE] = {"unknown-route", 404, ERR_NOT_RUN, 0},
     [ERR_UNAUTHORIZED] = {"unauthorized", 401, ERR_NOT_RUN, 0},
     [ERR_BODY_TOO_LARGE] = {"body-too-large", 413, ERR_NOT_RUN, 0},
+    [ERR_HEAD_TOO_LARGE] = {"head-too-large", 431, ERR_NOT_RUN, 0},
     [ERR_NOT_FRESH] = {"not-fresh", 503, ERR_NOT_RUN, 1},
     [ERR_LEAVING] = {"leaving", 503, ERR_NOT_RUN, 1},
     [ERR_OVERLOADED] = {"overloaded", 503, ERR_NOT_RUN, 1},
--- a/packages/base/error_kind.h
+++ b/packages/base/error_kind.h
@@ -30,6 +30,7 @@
 	ERR_UNKNOWN_ROUTE,
 	ERR_UNAUTHORIZED, /* no valid key of a workspace */
 	ERR_BODY_TOO_LARGE,
+	ERR_HEAD_TOO_LARGE,
 	/* No upstream executed the request. */
 	ERR_NOT_FRESH, /* the data of this VM is stale */
 	ERR_LEAVING,   /* this VM is shutting down */
--- a/packages/camphorhollowd/main.c
+++ b/packages/camphorhollowd/main.c
@@ -26,6 +26,11 @@
 #define EXIT_USAGE 2
 #define EXIT_SETTINGS 3
 #define MAX_WORKERS 64
+/*
+ * Each kept connection of a caller occupies HEADMEM_CONNECTION_BYTES; together
+ * they stay below half of the memory of a VM with 256 MiB.
+ */
+#define MAX_KEPT_CALLERS 2000
 /* Part of the memory that buffers for callers and upstreams may use. */
 #define BUDGET_DIVISOR 4
 #define HANDOVER_TIMEOUT_MS 5000
@@ -355,6 +360,7 @@
 	d->shared.metrics = &d->metrics;
 	d->shared.protocol = proto_own();
 	d->shared.max_keyed_body = (size_t)d->set.max_keyed_body;
+	d->shared.max_kept_callers = MAX_KEPT_CALLERS;
 	budget_init(&d->shared.budget,
 	    ((uint64_t)d->set.memory_mb << 20) / BUDGET_DIVISOR);
 	d->shared.table = rt_table_new(&empty);
--- a/packages/front/call.h
+++ b/packages/front/call.h
@@ -25,6 +25,7 @@
 #include "base/byte_string.h"
 #include "base/error_kind.h"
 #include "front/call_attempt.h"
+#include "front/head_memory.h"
 #include "route/load_choice.h"
 #include "route/routing.h"
 #include "usage/usage_counter.h"
@@ -94,6 +95,8 @@
  * @http10: the caller speaks HTTP/1.0
  * @head_request: HEAD request
  * @must_close: the connection must be closed after the answer
+ * @head_memory: what the request head occupies
+ * @answer_head_max: longest head of an answer that can be passed on, in bytes
  * @idempotent: may be retried after bytes were sent
  * @keyed: carries an idempotency key on a non-idempotent route
  * @owner_decided: the owner of the key's partition decided the claim
@@ -169,6 +172,8 @@
 	bool http10;
 	bool head_request;
 	bool must_close;
+	struct headmem head_memory;
+	size_t answer_head_max;
 	bool idempotent;
 	bool keyed;
 	bool owner_decided;
--- a/packages/front/caller_side.c
+++ b/packages/front/caller_side.c
@@ -2,7 +2,6 @@
 
 #include <errno.h>
 #include <fcntl.h>
-#include <linux/tcp.h>
 #include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -10,8 +9,10 @@
 #include <unistd.h>
 
 #include "front/call_log.h"
+#include "front/caller_socket.h"
 #include "front/claim_filter.h"
 #include "front/filter.h"
+#include "front/head_memory.h"
 #include "front/load_query.h"
 #include "front/request_head.h"
 #include "front/upstream_side.h"
@@ -33,8 +34,6 @@
 /* Time to read the rest of a body after a refusal or the deadline. */
 #define DISCARD_EXTRA_MS 1000
 #define ANSWER_BLOCK (32 * 1024)
-/* Memory of MHD for each connection; see RESPONSE_HEAD_MAX_BYTES. */
-#define CONNECTION_MEMORY (32 * 1024)
 #define CONNECTION_LIMIT 4096
 #define IDLE_TIMEOUT_S 60u
 /* Time for the caller to read the last response before the socket is closed. */
@@ -51,9 +50,6 @@
  * otherwise let grow to some megabytes.
  */
 #define SEND_BUFFER (64 * 1024)
-#define LINGER_BLOCK 4096
-/* Limit on reads from one such connection in each sweep. */
-#define LINGER_READS 16
 
 /**
  * struct caller_side_conn - connection of a caller
@@ -66,6 +62,7 @@
  * @last_answer: this side closes the connection after an answer, and the caller
  *	may have sent further requests
  * @has_read: the caller has taken an answer
+ * @used_bytes: bytes of the heads and bodies that MHD has handed over
  * @acked: bytes that the caller's kernel has acknowledged
  * @acked_us: time at which @acked last changed or nothing waited for the caller
  * @check_us: time of the next check of @acked
@@ -79,6 +76,7 @@
 	bool closing;
 	bool last_answer;
 	bool has_read;
+	uint64_t used_bytes;
 	uint64_t acked;
 	int64_t acked_us;
 	int64_t check_us;
@@ -103,13 +101,25 @@
 	worker_set_mhd_pending(c->w);
 }
 
+/*
+ * Whether there are too many connections to keep this one: each one that is
+ * kept occupies HEADMEM_CONNECTION_BYTES.
+ */
+static bool
+is_crowded(const struct shared_state *shared)
+{
+	return (shared->max_kept_callers != 0 &&
+	    atomic_load(&shared->n_callers) > shared->max_kept_callers);
+}
+
 static enum MHD_Result
 queue(struct call *c, unsigned status, struct MHD_Response *r)
 {
+	const struct shared_state *shared = worker_shared_state(c->w);
 	enum MHD_Result rc;
 
 	if (c->must_close || worker_stopping(c->w) ||
-	    atomic_load(&worker_shared_state(c->w)->unhealthy)) {
+	    atomic_load(&shared->unhealthy) || is_crowded(shared)) {
 		MHD_add_response_header(r, "Connection", "close");
 		c->caller_conn->last_answer = true;
 	}
@@ -281,6 +291,16 @@
 	return (queue(c, a->status, r));
 }
 
+/* Removes the call from all queues and ends its attempts and its claim. */
+static void
+cancel_work(struct call *c)
+{
+	worker_service_leave(c);
+	load_query_leave(c);
+	upstream_side_cancel(c);
+	claim_filter_abandon(c);
+}
+
 /* Queues the answer when it can be started, else suspends the connection. */
 static enum MHD_Result
 answer_or_suspend(struct call *c)
@@ -297,6 +317,11 @@
 		return (queue_replay(c));
 	if (!c->answer_done)
 		upstream_side_choose(c, call_answerable_attempt(c));
+	if (call_current(c)->head.bytes > c->answer_head_max) {
+		cancel_work(c);
+		c->err = ERR_UPSTREAM_ANSWER;
+		return (queue_error(c));
+	}
 	return (queue_answer(c));
 }
 
@@ -373,6 +398,46 @@
 	return (queue_error(c));
 }
 
+/* Bytes that MHD has received behind the request; the most if not known. */
+static uint64_t
+received_behind(const struct caller_side_conn *p)
+{
+	uint64_t taken;
+
+	if (!callersock_taken_bytes(p->source.fd, &taken))
+		return (UINT64_MAX);
+	return (taken > p->used_bytes ? taken - p->used_bytes : 0);
+}
+
+/*
+ * Sets the limit on the head of the answer. What was received behind the
+ * request occupies the same memory. A body that is still to be read does not,
+ * because the answer follows it.
+ */
+static void
+limit_answer_head(struct call *c)
+{
+	struct headmem *m = &c->head_memory;
+
+	headmem_set_behind(m, c->body_done ? UINT64_MAX : 0);
+	c->answer_head_max = headmem_answer_max(m);
+	if (c->body_done && c->answer_head_max < RESPONSE_HEAD_MAX_BYTES) {
+		headmem_set_behind(m, received_behind(c->caller_conn));
+		c->answer_head_max = headmem_answer_max(m);
+	}
+	for (unsigned i = 0; i < CALL_MAX_HELD; i++)
+		c->held[i].head.max_bytes = c->answer_head_max;
+}
+
+/* Refuses a request whose answer might find no room in MHD's memory. */
+static enum MHD_Result
+refuse_head(struct call *c, enum err_kind kind)
+{
+	c->err = kind;
+	c->must_close = true;
+	return (queue_error(c));
+}
+
 static enum MHD_Result
 on_head(struct call *c, const char *method, const char *version)
 {
@@ -380,11 +445,12 @@
 	/* Until the route is known, any request with a key counts as keyed. */
 	c->keyed = MHD_lookup_connection_value(
 		       c->conn, MHD_HEADER_KIND, "Idempotency-Key") != NULL;
-	if (!request_head_read(c, method, version)) {
-		c->err = ERR_BAD_REQUEST;
-		c->must_close = true;
-		return (queue_error(c));
-	}
+	if (!request_head_read(c, method, version))
+		return (refuse_head(c, ERR_BAD_REQUEST));
+	c->caller_conn->used_bytes += c->head_memory.head_bytes;
+	limit_answer_head(c);
+	if (c->answer_head_max == 0)
+		return (refuse_head(c, ERR_HEAD_TOO_LARGE));
 	if (filter_run(c) == FILTER_STOP) {
 		c->caller_conn->read_by_us =
 		    clk_mono_us() + DISCARD_EXTRA_MS * 1000;
@@ -400,6 +466,7 @@
 	if (c->body_done)
 		return;
 	c->body_done = true;
+	limit_answer_head(c);
 	if (c->wait != CALL_WAIT_BODY) {
 		upstream_side_body_ready(c);
 		return;
@@ -416,6 +483,8 @@
     void **ctx)
 {
 	struct call *c = *ctx;
+	enum MHD_Result rc;
+	size_t offered;
 
 	(void)arg;
 	(void)url;
@@ -425,8 +494,12 @@
 		c->conn = conn;
 		return (on_head(c, method, version));
 	}
-	if (*n != 0)
-		return (take_body(c, data, n));
+	if (*n != 0) {
+		offered = *n;
+		rc = take_body(c, data, n);
+		c->caller_conn->used_bytes += offered - *n;
+		return (rc);
+	}
 	on_body_end(c);
 	c->caller_conn->read_by_us = INT64_MAX;
 	return (answer_or_suspend(c));
@@ -447,32 +520,35 @@
 	return (c);
 }
 
+/*
+ * Error kind of a request that MHD ended before its answer was passed on. If
+ * the caller is still there, MHD had no memory for the answer.
+ */
+static enum err_kind
+unanswered_kind(const struct call *c, enum MHD_RequestTerminationCode code)
+{
+	if (code == MHD_REQUEST_TERMINATED_WITH_ERROR && c->answer_started &&
+	    !c->caller_conn->hung_up &&
+	    callersock_is_open(c->caller_conn->source.fd))
+		return (ERR_INTERNAL);
+	return (ERR_CALLER_GONE);
+}
+
 static void
-count_end(struct call *c, enum MHD_RequestTerminationCode code)
+count_end(struct call *c)
 {
 	struct metrics *metrics = worker_shared_state(c->w)->metrics;
 
-	if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK && c->err == ERR_NONE) {
+	if (c->err == ERR_NONE) {
 		metrics_add(metrics, METRICS_CALLS_OK, 1);
 		c->caller_conn->has_read = true;
 		hist_add(
 		    &metrics->latency, (uint64_t)(clk_mono_us() - c->start_us));
 	} else {
-		metrics_error(
-		    metrics, c->err == ERR_NONE ? ERR_CALLER_GONE : c->err);
+		metrics_error(metrics, c->err);
 	}
 }
 
-/* Removes the call from all queues and ends its attempts and its claim. */
-static void
-cancel_work(struct call *c)
-{
-	worker_service_leave(c);
-	load_query_leave(c);
-	upstream_side_cancel(c);
-	claim_filter_abandon(c);
-}
-
 static void
 on_completed(void *arg, struct MHD_Connection *conn, void **ctx,
     enum MHD_RequestTerminationCode code)
@@ -484,9 +560,9 @@
 	*ctx = NULL;
 	if (c == NULL)
 		return;
-	count_end(c, code);
 	if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK && c->err == ERR_NONE)
-		c->err = ERR_CALLER_GONE;
+		c->err = unanswered_kind(c, code);
+	count_end(c);
 	call_log_end(c);
 	cancel_work(c);
 	c->caller_conn->call = NULL;
@@ -514,20 +590,6 @@
 	return (true);
 }
 
-/* Discards input; returns whether the caller may still send or receive. */
-static bool
-lingers(const struct caller_side_conn *p, int64_t now_us)
-{
-	char block[LINGER_BLOCK];
-	ssize_t n = 1;
-
-	for (int i = 0; i < LINGER_READS && n > 0; i++)
-		n = recv(p->source.fd, block, sizeof(block), MSG_DONTWAIT);
-	if (n < 0 && errno != EAGAIN && errno != EINTR)
-		return (false);
-	return (n != 0 && now_us < p->read_by_us);
-}
-
 static void
 free_connection(struct caller_side_conn *p)
 {
@@ -545,7 +607,7 @@
 		struct caller_side_conn *p =
 		    cds_list_entry(node, struct caller_side_conn, link);
 
-		if (lingers(p, now_us))
+		if (now_us < p->read_by_us && callersock_discard(p->source.fd))
 			continue;
 		close(p->source.fd);
 		free_connection(p);
@@ -578,6 +640,7 @@
 	struct caller_side_conn *p = *ctx;
 
 	if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+		atomic_fetch_sub(&worker_shared_state(w)->n_callers, 1);
 		worker_unwatch(w, &p->source);
 		free_unused_call(w, p);
 		if (!linger(w, p))
@@ -588,6 +651,7 @@
 	p = calloc(1, sizeof(*p));
 	if (p == NULL)
 		abort();
+	atomic_fetch_add(&worker_shared_state(w)->n_callers, 1);
 	p->source.kind = WORKER_SRC_CALLER;
 	p->source.fd =
 	    MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD)
@@ -610,8 +674,9 @@
 	    on_completed, w, MHD_OPTION_NOTIFY_CONNECTION, on_connection, w,
 	    MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S,
 	    MHD_OPTION_CONNECTION_LIMIT, (unsigned)CONNECTION_LIMIT,
-	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
-	    MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END));
+	    MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+	    (size_t)HEADMEM_CONNECTION_BYTES, MHD_OPTION_STRICT_FOR_CLIENT, 1,
+	    MHD_OPTION_END));
 }
 
 bool
@@ -713,12 +778,9 @@
 static void
 disconnect(struct worker *w, struct caller_side_conn *p)
 {
-	const struct linger reset = {.l_onoff = 1};
-
 	metrics_add(
 	    worker_shared_state(w)->metrics, METRICS_CALLERS_NOT_READING, 1);
-	setsockopt(p->source.fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
-	shutdown(p->source.fd, SHUT_RDWR);
+	callersock_reset(p->source.fd);
 	p->check_us = INT64_MAX;
 }
 
@@ -731,17 +793,15 @@
 check_progress(
     struct worker *w, struct caller_side_conn *p, int64_t now_us, bool tight)
 {
-	struct tcp_info info = {0};
-	socklen_t len = sizeof(info);
+	struct callersock_sending sending;
 
 	if (now_us < p->check_us)
 		return;
 	p->check_us = now_us + STALL_CHECK_MS * 1000;
-	if (getsockopt(p->source.fd, IPPROTO_TCP, TCP_INFO, &info, &len) != 0)
+	if (!callersock_sending(p->source.fd, &sending))
 		return;
-	if (info.tcpi_bytes_acked != p->acked || info.tcpi_notsent_bytes == 0 ||
-	    p->acked_us == 0) {
-		p->acked = info.tcpi_bytes_acked;
+	if (sending.acked != p->acked || !sending.waiting || p->acked_us == 0) {
+		p->acked = sending.acked;
 		p->acked_us = now_us;
 		return;
 	}
--- a/packages/front/filter.c
+++ b/packages/front/filter.c
@@ -47,7 +47,7 @@
 
 /*
  * Refuses the call when the memory of this VM has no room for it. An idle
- * connection costs memory too (32 KiB after a request), so it is closed.
+ * connection costs memory too (64 KiB after a request), so it is closed.
  */
 static enum filter_verdict
 take_memory(struct filter *f, struct call *c)
--- a/packages/front/request_head.c
+++ b/packages/front/request_head.c
@@ -1,5 +1,6 @@
 #include "front/request_head.h"
 
+#include "front/head_memory.h"
 #include "front/hop_headers.h"
 
 /**
@@ -10,6 +11,7 @@
  * @codings: number of Transfer-Encoding fields
  * @keys: number of Idempotency-Key fields
  * @chunked: the last Transfer-Encoding is "chunked"
+ * @memory: what the head occupies
  */
 struct field_summary {
 	bool bad;
@@ -18,6 +20,7 @@
 	unsigned codings;
 	unsigned keys;
 	bool chunked;
+	struct headmem memory;
 };
 
 static enum MHD_Result
@@ -29,6 +32,7 @@
 	struct bstr v = {value, value == NULL ? 0 : value_n};
 
 	(void)kind;
+	headmem_add_field(&s->memory, k, v);
 	if (!hop_is_token(k) || !hop_is_value(v))
 		s->bad = true;
 	if (bstr_caseeq(k, BSTR("Host")))
@@ -73,6 +77,23 @@
 	return (s->codings == 1 && s->chunked && s->lengths == 0 && !c->http10);
 }
 
+/* Adds the parts of the head that count_field() does not see. */
+static bool
+add_unseen(struct call *c, struct headmem *m)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+	    c->conn, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+	int n = MHD_get_connection_values(c->conn,
+	    (enum MHD_ValueKind)(MHD_COOKIE_KIND | MHD_GET_ARGUMENT_KIND), NULL,
+	    NULL);
+
+	if (info == NULL || n < 0)
+		return (false);
+	m->head_bytes = info->header_size;
+	headmem_add_records(m, (unsigned)n);
+	return (true);
+}
+
 bool
 request_head_read(struct call *c, const char *method, const char *version)
 {
@@ -89,6 +110,9 @@
 		return (false);
 	if (s.lengths != 0 && (!bstr_to_u64(length, &v) || v > INT64_MAX))
 		return (false);
+	if (!add_unseen(c, &s.memory))
+		return (false);
+	c->head_memory = s.memory;
 	c->has_body = s.chunked || v != 0;
 	if (!s.chunked)
 		c->body_len = (int64_t)v;
--- a/packages/front/request_head.h
+++ b/packages/front/request_head.h
@@ -18,8 +18,8 @@
  * @method: request method
  * @version: HTTP version
  *
- * Sets method, head_request, http10, has_body, body_len, body_done and
- * head of @c.
+ * Sets method, head_request, http10, head_memory, has_body, body_len and
+ * body_done of @c.
  *
  * Return: false when the request must be refused and the connection closed.
  */
--- a/packages/front/response_head.c
+++ b/packages/front/response_head.c
@@ -33,6 +33,7 @@
 {
 	bbuf_init(&h->text);
 	h->close_ends_body = false;
+	h->max_bytes = RESPONSE_HEAD_MAX_BYTES;
 	response_head_reset(h, head_request);
 }
 
@@ -140,7 +141,7 @@
 	struct bstr text = line;
 
 	h->bytes += line.n;
-	if (h->bytes > RESPONSE_HEAD_MAX_BYTES)
+	if (h->bytes > h->max_bytes)
 		return (RESPONSE_HEAD_BAD);
 	if (h->final)
 		return (RESPONSE_HEAD_MORE);
--- a/packages/front/response_head.h
+++ b/packages/front/response_head.h
@@ -18,10 +18,7 @@
 
 #include "base/byte_string.h"
 
-/*
- * MHD has 32 KB of memory for each caller's connection; it holds the request
- * and this head.
- */
+/* Longest head, if response_head.max_bytes is not lower. */
 #define RESPONSE_HEAD_MAX_BYTES (16 * 1024)
 #define RESPONSE_HEAD_MAX_FIELDS 100
 
@@ -52,6 +49,7 @@
  * @http10: the response is HTTP/1.0
  * @status: HTTP status of the current head
  * @bytes: bytes read, including trailers
+ * @max_bytes: limit on @bytes; response_head_reset() keeps the value
  * @len: Content-Length, -1 when absent
  * @chunked: Transfer-Encoding: chunked
  * @has_transfer_encoding: a Transfer-Encoding field was read
@@ -68,6 +66,7 @@
 	bool http10;
 	unsigned status;
 	size_t bytes;
+	size_t max_bytes;
 	int64_t len;
 	bool chunked;
 	bool has_transfer_encoding;
--- a/packages/front/shared_state.h
+++ b/packages/front/shared_state.h
@@ -34,6 +34,9 @@
  * @control: queue of the control thread for messages of enum worker_msg_type
  * @metrics: metrics of the process
  * @max_keyed_body: largest body of a keyed request in bytes
+ * @max_kept_callers: connections of callers above which each one is closed
+ *	after its answer, 0 for no limit
+ * @n_callers: connections of callers
  * @protocol: protocol of requests to upstreams and their responses
  * @zone: availability zone of this VM, NULL for none
  * @retry_permille: retries per 1,000 successful calls of a service, used only
@@ -55,6 +58,8 @@
 	struct message_queue *control;
 	struct metrics *metrics;
 	size_t max_keyed_body;
+	uint32_t max_kept_callers;
+	_Atomic uint32_t n_callers;
 	const struct upstream_protocol *protocol;
 	const char *zone;
 	_Atomic uint32_t retry_permille;
--- a/tests/standin/rawup.c
+++ b/tests/standin/rawup.c
@@ -14,7 +14,8 @@
  *	readon-STATUS-FRAMING     begin an answer after the head, then read the
  *	                          body, see answer_and_read_on()
  *
- * Behaviours that begin with "endless" send bytes until the peer closes, see
+ * "fieldsN" answers with N header fields of about 150 bytes. Behaviours that
+ * begin with "endless" send bytes until the peer closes, see
  * endless[]. "seq-A-B" behaves as A for the first complete request of the path
  * and as B for the others; there may be more parts.
  *
@@ -631,6 +632,7 @@
 {
 	const struct canned *k = find_canned(name);
 	bool keep_alive = true;
+	int n;
 
 	if (k != NULL) {
 		send_str(c->fd, k->text);
@@ -654,6 +656,8 @@
 		send_large_head(c, 300);
 	} else if (strcmp(name, "midhead") == 0) {
 		send_large_head(c, 99);
+	} else if (sscanf(name, "fields%d", &n) == 1) {
+		send_large_head(c, n);
 	} else if (strcmp(name, "slow") == 0) {
 		usleep(SLOW_DELAY_US);
 		send_str(c->fd, CANNED_OK);
