Test answers whose status is 000 or out of range

Other systems passed an answer with status 000 on to the caller. This one does not: such a head is malformed, and the caller gets 502, outcome unknown.

--- a/tests/standin/rawup.c
+++ b/tests/standin/rawup.c
@@ -525,6 +525,15 @@
     {"badchunk", true, OK "Transfer-Encoding: chunked\r\n\r\nzz\r\nok\r\n"},
     {"fold", false, OK "X-A: 1\r\n X-B: 2\r\nContent-Length: 2\r\n\r\nok"},
     {"barecr", false, OK "X-A: 1\rX-B: 2\r\nContent-Length: 2\r\n\r\nok"},
+    {"s000", false, "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nok"},
+    {"s000bare", false, "HTTP/1.1 000\r\nContent-Length: 2\r\n\r\nok"},
+    {"s099", false, "HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\nok"},
+    {"s600", false, "HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\nok"},
+    {"s999", false, "HTTP/1.1 999 X\r\nContent-Length: 2\r\n\r\nok"},
+    {"s00", false, "HTTP/1.1 00 X\r\nContent-Length: 2\r\n\r\nok"},
+    {"interim000", false,
+	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 X\r\n"
+	"Content-Length: 2\r\n\r\nok"},
     {"spacename", false, OK "Content-Length : 2\r\n\r\nok"},
 };
 
--- a/tests/unit/test_front_errors.c
+++ b/tests/unit/test_front_errors.c
@@ -59,6 +59,14 @@
     BAD_ANSWER("barecr"),
     BAD_ANSWER("spacename"),
     BAD_ANSWER("switch"),
+    /* An upstream in trouble sent these, and they were passed on as answers. */
+    BAD_ANSWER("s000"),
+    BAD_ANSWER("s000bare"),
+    BAD_ANSWER("s099"),
+    BAD_ANSWER("s600"),
+    BAD_ANSWER("s999"),
+    BAD_ANSWER("s00"),
+    BAD_ANSWER("interim000"),
 };
 
 static struct reply
