Limit the header bytes of a probe

Another system kept the endless bytes of a faulty upstream and ran out of memory. Calls are limited here already (test_front_stream, 16 cases). Of seven kinds of endless answers to a probe, libcurl or the limit on bodies ended six after at most 3.9 MiB; trailers were read until the probe timed out, 205 MiB in 3 s, without being kept. The head, interim heads and trailers of a response now have 16 KiB together.

Before: test_prober fails at "trailers". After: it passes. Probes of this kind are made in the project's own mode only.

--- a/packages/control/prober.c
+++ b/packages/control/prober.c
@@ -10,6 +10,8 @@
 
 #define DEFAULT_TIMEOUT_MS 500
 #define MAX_BODY 4096
+/* Header fields, interim heads and trailers of a response together. */
+#define MAX_HEAD (16 * 1024)
 #define MAX_URL 96
 /* Limits open sockets: a new owner may probe thousands of upstreams at once. */
 #define MAX_CONNECTIONS 256L
@@ -19,6 +21,7 @@
 	struct prober_result r;
 	char url[MAX_URL];
 	struct bbuf body;
+	size_t head_bytes;
 	int64_t start_us;
 	bool quit;
 };
@@ -77,6 +80,9 @@
 	struct bstr line = {data, size * n};
 	uint64_t v;
 
+	p->head_bytes += line.n;
+	if (p->head_bytes > MAX_HEAD)
+		return (0);
 	if (line.n > name.n &&
 	    bstr_caseeq((struct bstr){line.p, name.n}, name)) {
 		line.p += name.n;
