--- a/packages/fleet/store.h
+++ b/packages/fleet/store.h
@@ -21,6 +21,12 @@
 #include "fleet/objects.h"
 #include "usage/usage_duty.h"
 
+/*
+ * The revisions of these operations are ordered over all states of the store,
+ * also when it comes back from an older copy and counts again from a lower
+ * revision. Other VMs use the same order.
+ */
+
 /** enum store_kind - kinds of objects */
 enum store_kind {
 	STORE_CONFIG,
--- a/packages/ops/metrics.c
+++ b/packages/ops/metrics.c
@@ -26,6 +26,7 @@
     [METRICS_USAGE_WINDOW] = "usage_reported_window",
     [METRICS_USAGE_HOLDER] = "usage_holder",
     [METRICS_USAGE_TOKEN] = "usage_token",
+    [METRICS_STORE_EPOCH] = "store_epoch",
     [METRICS_CALLS_IN_PROGRESS] = "calls_in_progress",
 };
 
--- a/packages/ops/metrics.h
+++ b/packages/ops/metrics.h
@@ -71,12 +71,14 @@
  * @METRICS_USAGE_WINDOW: last window known to be reported
  * @METRICS_USAGE_HOLDER: 1 while this VM has the duty of reporting usage
  * @METRICS_USAGE_TOKEN: fencing token of the holder
+ * @METRICS_STORE_EPOCH: epoch of the store, 0 if it has none
  * @METRICS_CALLS_IN_PROGRESS: calls from their request line to their end
  */
 enum metrics_gauge {
 	METRICS_USAGE_WINDOW,
 	METRICS_USAGE_HOLDER,
 	METRICS_USAGE_TOKEN,
+	METRICS_STORE_EPOCH,
 	METRICS_CALLS_IN_PROGRESS,
 	METRICS_GAUGES
 };
--- a/tests/lib/object_store.c
+++ b/tests/lib/object_store.c
@@ -49,6 +49,10 @@
  * @events: the kept history, as struct event in order of revision
  * @stale: objects as of the injection of the fault stale_lists, NULL for none
  * @stale_revision: revision of @stale
+ * @epoch: value of the field Store-Era, 0 for none
+ * @copy: objects that object_store_restore() brings back, NULL for none
+ * @copy_revision: revision of @copy
+ * @n_restores: number of restores; a watch that waits during one gets no answer
  * @calls: kind -> number of calls
  * @exact_lists: kind -> number of lists that may not be stale
  * @reports: receiver of usage reports
@@ -67,6 +71,10 @@
 	GPtrArray *events;
 	GPtrArray *stale;
 	json_int_t stale_revision;
+	unsigned epoch;
+	GPtrArray *copy;
+	json_int_t copy_revision;
+	unsigned n_restores;
 	GHashTable *calls;
 	GHashTable *exact_lists;
 	struct usage_reports *reports;
@@ -284,14 +292,16 @@
     long wait_ms)
 {
 	struct timespec end = after_ms(wait_ms);
+	unsigned n_restores = store->n_restores;
 	json_t *found;
 	int rc = 0;
 
-	if (since < store->history_from)
+	if (since < store->history_from || since > store->revision)
 		return (NULL);
 	found = events_since(store, kind, since);
 	while ((json_array_size(found) == 0 || store->faults.stall_watches) &&
-	    rc != ETIMEDOUT && !store->stopping) {
+	    rc != ETIMEDOUT && !store->stopping &&
+	    n_restores == store->n_restores) {
 		rc =
 		    pthread_cond_timedwait(&store->changed, &store->lock, &end);
 		json_decref(found);
@@ -312,7 +322,8 @@
 };
 
 static enum MHD_Result
-respond(struct MHD_Connection *conn, unsigned status, json_t *value)
+respond(const struct object_store *store, struct MHD_Connection *conn,
+    unsigned status, json_t *value)
 {
 	char *text =
 	    value == NULL ? strdup("{}") : json_dumps(value, JSON_COMPACT);
@@ -321,6 +332,12 @@
 	enum MHD_Result rc;
 
 	MHD_add_response_header(r, "Content-Type", "application/json");
+	if (store->epoch != 0) {
+		char text_epoch[16];
+
+		snprintf(text_epoch, sizeof(text_epoch), "%u", store->epoch);
+		MHD_add_response_header(r, "Store-Era", text_epoch);
+	}
 	rc = MHD_queue_response(conn, status, r);
 	MHD_destroy_response(r);
 	json_decref(value);
@@ -333,19 +350,27 @@
 {
 	const char *since = query_argument(conn, "watch");
 	const char *wait_ms = query_argument(conn, "waitMs");
+	unsigned n_restores;
 	json_t *value;
 
 	if (name[0] != '\0') {
 		const struct object *obj = find(store, kind, name);
 
-		return (obj == NULL ? respond(conn, 404, NULL)
-				    : respond(conn, 200, object_json(obj)));
+		return (obj == NULL
+			? respond(store, conn, 404, NULL)
+			: respond(store, conn, 200, object_json(obj)));
 	}
 	if (since == NULL)
-		return (respond(conn, 200, serve_list(store, conn, kind)));
+		return (
+		    respond(store, conn, 200, serve_list(store, conn, kind)));
+	n_restores = store->n_restores;
 	value = watch(
 	    store, kind, atoll(since), wait_ms == NULL ? 0 : atol(wait_ms));
-	return (respond(conn, value == NULL ? 410 : 200, value));
+	if (n_restores != store->n_restores) {
+		json_decref(value);
+		return (MHD_NO);
+	}
+	return (respond(store, conn, value == NULL ? 410 : 200, value));
 }
 
 /* Whether the object has the revision that the write requires, if any. */
@@ -372,13 +397,13 @@
 	obj = find(store, kind, name[0] != '\0' ? name : new_name);
 	if (strcmp(method, "POST") == 0) {
 		if (obj != NULL)
-			return (respond(conn, 409, object_json(obj)));
+			return (respond(store, conn, 409, object_json(obj)));
 		obj = create(store, kind, new_name);
 	}
 	if (obj == NULL)
-		return (respond(conn, 404, NULL));
+		return (respond(store, conn, 404, NULL));
 	if (!condition_holds(obj, body) && strcmp(method, "PUT") == 0)
-		return (respond(conn, 409, object_json(obj)));
+		return (respond(store, conn, 409, object_json(obj)));
 	if (slash != NULL)
 		replace(store, obj, &obj->status,
 		    json_incref(json_object_get(body, "status")));
@@ -387,7 +412,7 @@
 		    json_incref(json_object_get(body, "spec")));
 	if (store->faults.drop_write_responses)
 		return (MHD_NO);
-	return (respond(conn, 200, object_json(obj)));
+	return (respond(store, conn, 200, object_json(obj)));
 }
 
 static enum MHD_Result
@@ -412,16 +437,18 @@
 	unsigned status;
 
 	if (strcmp(method, "GET") == 0)
-		return (respond(conn, 200, usage_reports_json(store->reports)));
+		return (respond(
+		    store, conn, 200, usage_reports_json(store->reports)));
 	count_call(store->calls, "reports");
 	if (store->faults.report_status != 0)
-		return (respond(conn, store->faults.report_status, NULL));
+		return (
+		    respond(store, conn, store->faults.report_status, NULL));
 	status = usage_reports_receive(store->reports,
 	    header_field(conn, "X-Lease-Holder"),
 	    token == NULL ? 0 : atoll(token), body);
 	if (store->faults.drop_report_responses)
 		return (MHD_NO);
-	return (respond(conn, status, NULL));
+	return (respond(store, conn, status, NULL));
 }
 
 static enum MHD_Result
@@ -432,12 +459,12 @@
 
 	if (strncmp(url, PREFIX, strlen(PREFIX)) != 0 ||
 	    sscanf(url + strlen(PREFIX), "%199[^/]/%199[^\n]", kind, name) < 1)
-		return (respond(conn, 404, NULL));
+		return (respond(store, conn, 404, NULL));
 	count_call(store->calls, kind);
 	if (store->faults.no_response)
 		return (block_until_stop(store));
 	if (store->faults.status != 0)
-		return (respond(conn, store->faults.status, NULL));
+		return (respond(store, conn, store->faults.status, NULL));
 	if (strcmp(method, "GET") == 0)
 		return (serve_read(store, conn, kind, name));
 	return (serve_write(store, conn, method, kind, name, body));
@@ -549,6 +576,8 @@
 	g_hash_table_unref(store->calls);
 	g_hash_table_unref(store->exact_lists);
 	drop_stale(store);
+	if (store->copy != NULL)
+		g_ptr_array_unref(store->copy);
 	usage_reports_free(store->reports);
 	g_free(store);
 }
@@ -612,6 +641,40 @@
 	pthread_mutex_unlock(&store->lock);
 }
 
+void
+object_store_set_epoch(struct object_store *store, unsigned epoch)
+{
+	pthread_mutex_lock(&store->lock);
+	store->epoch = epoch;
+	pthread_mutex_unlock(&store->lock);
+}
+
+void
+object_store_copy(struct object_store *store)
+{
+	pthread_mutex_lock(&store->lock);
+	if (store->copy != NULL)
+		g_ptr_array_unref(store->copy);
+	store->copy = copy_objects(store->objects);
+	store->copy_revision = store->revision;
+	pthread_mutex_unlock(&store->lock);
+}
+
+void
+object_store_restore(struct object_store *store)
+{
+	pthread_mutex_lock(&store->lock);
+	g_ptr_array_unref(store->objects);
+	store->objects = copy_objects(store->copy);
+	store->revision = store->copy_revision;
+	store->history_from = store->revision;
+	g_ptr_array_set_size(store->events, 0);
+	store->epoch++;
+	store->n_restores++;
+	pthread_cond_broadcast(&store->changed);
+	pthread_mutex_unlock(&store->lock);
+}
+
 struct usage_reports *
 object_store_reports(struct object_store *store)
 {
--- a/tests/lib/object_store.h
+++ b/tests/lib/object_store.h
@@ -94,6 +94,22 @@
  */
 void object_store_drop_history(struct object_store *store);
 
+/** object_store_set_epoch() - set the field Store-Era of all answers */
+void object_store_set_epoch(struct object_store *store, unsigned epoch);
+
+/** object_store_copy() - keep a copy of all objects */
+void object_store_copy(struct object_store *store);
+
+/**
+ * object_store_restore() - come back from the copy
+ *
+ * What was written since is lost and its revisions are given out again. The
+ * epoch rises by one, watches that wait are cut off, and watches from a
+ * revision that was not reached again get 410. Writes that are made again are
+ * up to the test.
+ */
+void object_store_restore(struct object_store *store);
+
 /**
  * object_store_status() - copy of an object's status
  *
--- a/tests/unit/test_platform_store.c
+++ b/tests/unit/test_platform_store.c
@@ -20,6 +20,8 @@
 #define WAIT_LIMIT_MS 20000
 /* Above the minimum interval between two requested lists. */
 #define RELIST_INTERVAL_MS 1000
+/* Changes that the store loses when it comes back from an older copy. */
+#define N_LATER_CHANGES 20
 
 /**
  * struct fixture - client, fake store, and what the client reported
@@ -428,6 +430,126 @@
 	    f->client->ops->revision(f->client, STORE_UPSTREAMS) > revision);
 }
 
+/* Raises the revision of the store, and that of the client's watches. */
+static void
+raise_revisions(struct fixture *f)
+{
+	for (int i = 0; i < N_LATER_CHANGES; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "u%d", i);
+		put_upstream(f->store, id, "ready");
+	}
+	put_config(f->store, 4);
+	object_store_put(f->store, "evacuations", "b", "{}");
+	RUN_UNTIL(f,
+	    n_upstreams(f) == N_LATER_CHANGES && config_version(f) == 4 &&
+		g_hash_table_contains(f->view.zones_out, "b"));
+}
+
+/*
+ * Guards against changes that are never seen after the store came back from an
+ * older copy. A watch went on from a revision that was given out again in the
+ * meantime, and missed what was written below it: an availability zone that had
+ * been taken out of service still got requests.
+ */
+static void
+test_older_copy(void **state)
+{
+	struct fixture *f = *state;
+
+	object_store_set_epoch(f->store, 1);
+	RUN_UNTIL(f, view_is_ready(&f->view));
+	object_store_copy(f->store);
+	raise_revisions(f);
+	object_store_restore(f->store);
+	object_store_put(f->store, "evacuations", "a", "{}");
+	for (int i = 0; i < 2 * N_LATER_CHANGES; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "v%d", i);
+		object_store_put(f->store, "others", id, "{}");
+	}
+	RUN_UNTIL(f, g_hash_table_contains(f->view.zones_out, "a"));
+	/* The copy lacks these upstreams; their entries will be back. */
+	assert_int_equal(n_upstreams(f), N_LATER_CHANGES);
+	/* The copy has an older configuration, which is not used. */
+	assert_int_equal(config_version(f), 4);
+	for (int i = 0; i < N_LATER_CHANGES; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "u%d", i);
+		put_upstream(f->store, id, "ready");
+	}
+	put_config(f->store, 5);
+	RUN_UNTIL(f, config_version(f) == 5);
+	assert_int_equal(n_upstreams(f), N_LATER_CHANGES);
+	assert_int_equal(metrics_gauge(&f->metrics, METRICS_STORE_EPOCH), 2);
+}
+
+/* Two drills one after the other; the second before the first was seen. */
+static void
+test_two_older_copies(void **state)
+{
+	struct fixture *f = *state;
+
+	object_store_set_epoch(f->store, 1);
+	RUN_UNTIL(f, view_is_ready(&f->view));
+	object_store_copy(f->store);
+	raise_revisions(f);
+	object_store_restore(f->store);
+	object_store_restore(f->store);
+	object_store_put(f->store, "evacuations", "a", "{}");
+	RUN_UNTIL(f, g_hash_table_contains(f->view.zones_out, "a"));
+	assert_int_equal(metrics_gauge(&f->metrics, METRICS_STORE_EPOCH), 3);
+}
+
+/* Guards against a late answer of an earlier epoch that is taken for the state.
+ */
+static void
+test_answer_of_old_epoch(void **state)
+{
+	struct fixture *f = *state;
+	int64_t end_ms;
+
+	object_store_set_epoch(f->store, 2);
+	put_upstream(f->store, "u1", "ready");
+	RUN_UNTIL(f, view_is_ready(&f->view));
+	object_store_set_epoch(f->store, 1);
+	object_store_remove(f->store, "servers", "u1");
+	put_config(f->store, 4);
+	end_ms = clk_mono_ms() + 2000;
+	RUN_UNTIL(f, clk_mono_ms() > end_ms);
+	assert_int_equal(n_upstreams(f), 1);
+	assert_int_equal(config_version(f), 3);
+	object_store_set_epoch(f->store, 2);
+	RUN_UNTIL(f, n_upstreams(f) == 0 && config_version(f) == 4);
+}
+
+/* An entry of this VM that the copy lacks is written again. */
+static void
+test_member_after_older_copy(void **state)
+{
+	struct fixture *f = *state;
+	const struct obj_member self = {
+	    .id = "vm1", .zone = "a", .address = "127.0.0.1:7"};
+	json_t *status;
+
+	object_store_set_epoch(f->store, 1);
+	object_store_copy(f->store);
+	f->client->ops->write_member(f->client, &self);
+	RUN_UNTIL(f,
+	    (status = object_store_status(f->store, "lbmembers", "vm1")) !=
+		NULL);
+	json_decref(status);
+	RUN_UNTIL(f, view_is_ready(&f->view));
+	object_store_restore(f->store);
+	RUN_UNTIL(f,
+	    (status = object_store_status(f->store, "lbmembers", "vm1")) !=
+		NULL);
+	json_decref(status);
+}
+
 /* An update from another VM postpones the next read of that kind. */
 static void
 test_postponed_read(void **state)
@@ -858,6 +980,10 @@
 	    TEST(test_list_now),
 	    TEST(test_stale_first_config),
 	    TEST(test_stale_list),
+	    TEST(test_older_copy),
+	    TEST(test_two_older_copies),
+	    TEST(test_answer_of_old_epoch),
+	    TEST(test_member_after_older_copy),
 	    TEST(test_postponed_read),
 	    TEST(test_relayed_changes),
 	    TEST(test_elected_reader),
