Split the contents of the fake store from its HTTP server

Cause: the fake of the platform's store kept its objects, revisions, history and copies inside an HTTP server with threads, so no test in virtual time could use them.

Change: tests/lib/stored_objects holds the contents and knows no connections and no time; object_store is the server in front of it (719 -> 459 lines).

--- a/tests/lib/object_store.c
+++ b/tests/lib/object_store.c
@@ -13,6 +13,7 @@
 #include <unistd.h>
 
 #include "base/byte_string.h"
+#include "lib/stored_objects.h"
 #include "lib/usage_reports.h"
 
 #define PREFIX "/v1/objects/"
@@ -20,39 +21,11 @@
 #define DEFAULT_PAGE 500
 #define MAX_NAME_LEN 200
 
-/** struct object - stored object */
-struct object {
-	char *kind;
-	char *name;
-	json_t *spec;
-	json_t *status;
-	json_int_t revision;
-};
-
-/**
- * struct event - change that a watch returns
- * @value: JSON of the event: {"object": ..., "removed": ...}
- */
-struct event {
-	char *kind;
-	json_t *value;
-	json_int_t revision;
-};
-
 /**
  * struct object_store - state of the server
  * @lock: guards all fields that change after the start
  * @changed: signalled after each change of an object, and to stop
- * @revision: revision of the latest change
- * @history_from: watches since an earlier revision get 410
- * @objects: all struct object
- * @events: the kept history, as struct event in order of revision
- * @stale: objects as of the injection of the fault stale_lists, NULL for none
- * @stale_revision: revision of @stale
- * @epoch: value of the field Store-Era, 0 for none
- * @copy: objects that object_store_restore() brings back, NULL for none
- * @copy_revision: revision of @copy
- * @n_restores: number of restores; a watch that waits during one gets no answer
+ * @contents: contents; their epoch is the field Store-Era, 0 for none
  * @calls: kind -> number of calls
  * @exact_lists: kind -> number of lists that may not be stale
  * @reports: receiver of usage reports
@@ -65,165 +38,13 @@
 	uint16_t port;
 	pthread_mutex_t lock;
 	pthread_cond_t changed;
-	json_int_t revision;
-	json_int_t history_from;
-	GPtrArray *objects;
-	GPtrArray *events;
-	GPtrArray *stale;
-	json_int_t stale_revision;
-	unsigned epoch;
-	GPtrArray *copy;
-	json_int_t copy_revision;
-	unsigned n_restores;
+	struct stored_objects contents;
 	GHashTable *calls;
 	GHashTable *exact_lists;
 	struct usage_reports *reports;
 	bool stopping;
 };
 
-static void
-free_object(void *arg)
-{
-	struct object *obj = arg;
-
-	g_free(obj->kind);
-	g_free(obj->name);
-	json_decref(obj->spec);
-	json_decref(obj->status);
-	g_free(obj);
-}
-
-static void
-free_event(void *arg)
-{
-	struct event *e = arg;
-
-	g_free(e->kind);
-	json_decref(e->value);
-	g_free(e);
-}
-
-static GPtrArray *
-copy_objects(const GPtrArray *objects)
-{
-	GPtrArray *copy = g_ptr_array_new_with_free_func(free_object);
-
-	for (guint i = 0; i < objects->len; i++) {
-		const struct object *obj = g_ptr_array_index(objects, i);
-		struct object *o = g_memdup2(obj, sizeof(*obj));
-
-		o->kind = g_strdup(obj->kind);
-		o->name = g_strdup(obj->name);
-		json_incref(o->spec);
-		json_incref(o->status);
-		g_ptr_array_add(copy, o);
-	}
-	return (copy);
-}
-
-static json_t *
-object_json(const struct object *obj)
-{
-	return (json_pack("{s:{s:s,s:I,s:i,s:[],s:b},s:O,s:O}", "metadata",
-	    "name", obj->name, "revision", obj->revision, "createdAt", 1,
-	    "finalizers", "deleting", 0, "spec", obj->spec, "status",
-	    obj->status));
-}
-
-static struct object *
-find(struct object_store *store, const char *kind, const char *name)
-{
-	for (guint i = 0; i < store->objects->len; i++) {
-		struct object *obj = g_ptr_array_index(store->objects, i);
-
-		if (strcmp(obj->kind, kind) == 0 &&
-		    strcmp(obj->name, name) == 0)
-			return (obj);
-	}
-	return (NULL);
-}
-
-/* Adds a change to the history and wakes the waiting watches. */
-static void
-publish(struct object_store *store, const struct object *obj, bool removed)
-{
-	struct event *e = g_new0(struct event, 1);
-
-	e->kind = g_strdup(obj->kind);
-	e->revision = store->revision;
-	e->value = json_pack(
-	    "{s:o,s:b}", "object", object_json(obj), "removed", removed);
-	g_ptr_array_add(store->events, e);
-	pthread_cond_broadcast(&store->changed);
-}
-
-static struct object *
-create(struct object_store *store, const char *kind, const char *name)
-{
-	struct object *obj = g_new0(struct object, 1);
-
-	obj->kind = g_strdup(kind);
-	obj->name = g_strdup(name);
-	obj->spec = json_null();
-	obj->status = json_null();
-	g_ptr_array_add(store->objects, obj);
-	return (obj);
-}
-
-/*
- * Replaces the spec or status of an object. A write of an equal value creates
- * neither a revision nor an event. Takes over the reference to @value; NULL
- * stands for JSON null.
- */
-static void
-replace(struct object_store *store, struct object *obj, json_t **part,
-    json_t *value)
-{
-	if (value == NULL)
-		value = json_null();
-	if (obj->revision != 0 && json_equal(*part, value)) {
-		json_decref(value);
-		return;
-	}
-	json_decref(*part);
-	*part = value;
-	obj->revision = ++store->revision;
-	publish(store, obj, false);
-}
-
-static int
-compare_names(const void *x, const void *y)
-{
-	const struct object *left = *(struct object *const *)x;
-	const struct object *right = *(struct object *const *)y;
-
-	return (strcmp(left->name, right->name));
-}
-
-static json_t *
-list(const struct object_store *store, GPtrArray *objects, json_int_t revision,
-    const char *kind, const char *after)
-{
-	unsigned page = store->desc.page != 0 ? store->desc.page : DEFAULT_PAGE;
-	json_t *items = json_array();
-	bool has_more = false;
-
-	g_ptr_array_sort(objects, compare_names);
-	for (guint i = 0; i < objects->len; i++) {
-		const struct object *obj = g_ptr_array_index(objects, i);
-
-		if (strcmp(obj->kind, kind) != 0 ||
-		    (after != NULL && strcmp(obj->name, after) <= 0))
-			continue;
-		has_more = json_array_size(items) == page;
-		if (has_more)
-			break;
-		json_array_append_new(items, object_json(obj));
-	}
-	return (json_pack("{s:o,s:b,s:I}", "items", items, "hasMore", has_more,
-	    "storeRevision", revision));
-}
-
 static void
 count_call(GHashTable *counts, const char *kind)
 {
@@ -243,29 +64,12 @@
 serve_list(
     struct object_store *store, struct MHD_Connection *conn, const char *kind)
 {
-	const char *after = query_argument(conn, "after");
 	bool may_be_stale = query_argument(conn, "staleOk") != NULL;
 
 	if (!may_be_stale)
 		count_call(store->exact_lists, kind);
-	if (may_be_stale && store->stale != NULL)
-		return (list(
-		    store, store->stale, store->stale_revision, kind, after));
-	return (list(store, store->objects, store->revision, kind, after));
-}
-
-static json_t *
-events_since(struct object_store *store, const char *kind, json_int_t since)
-{
-	json_t *events = json_array();
-
-	for (guint i = 0; i < store->events->len; i++) {
-		const struct event *e = g_ptr_array_index(store->events, i);
-
-		if (e->revision > since && strcmp(e->kind, kind) == 0)
-			json_array_append(events, e->value);
-	}
-	return (events);
+	return (stored_list(&store->contents, kind,
+	    query_argument(conn, "after"), may_be_stale));
 }
 
 static struct timespec
@@ -283,37 +87,36 @@
 	return (t);
 }
 
+static bool
+has_events(const json_t *answer)
+{
+	return (json_array_size(json_object_get(answer, "events")) != 0);
+}
+
 /*
  * Waits until there are events newer than @since or the wait has timed out.
- * Returns NULL if the kept history starts later than @since.
+ * Returns NULL if the kept history starts later than @since, also if it was
+ * dropped during the wait.
  */
 static json_t *
 watch(struct object_store *store, const char *kind, json_int_t since,
     long wait_ms)
 {
 	struct timespec end = after_ms(wait_ms);
-	unsigned n_restores = store->n_restores;
-	json_t *found;
+	unsigned n_restores = store->contents.n_restores;
+	json_t *answer = stored_watch(&store->contents, kind, since);
 	int rc = 0;
 
-	if (since < store->history_from || since > store->revision)
-		return (NULL);
-	found = events_since(store, kind, since);
-	while ((json_array_size(found) == 0 || store->faults.stall_watches) &&
+	while (answer != NULL &&
+	    (!has_events(answer) || store->faults.stall_watches) &&
 	    rc != ETIMEDOUT && !store->stopping &&
-	    n_restores == store->n_restores) {
+	    n_restores == store->contents.n_restores) {
 		rc =
 		    pthread_cond_timedwait(&store->changed, &store->lock, &end);
-		json_decref(found);
-		found = events_since(store, kind, since);
+		json_decref(answer);
+		answer = stored_watch(&store->contents, kind, since);
 	}
-	/* The history may have been dropped during the wait. */
-	if (since < store->history_from) {
-		json_decref(found);
-		return (NULL);
-	}
-	return (json_pack(
-	    "{s:o,s:I}", "events", found, "storeRevision", store->revision));
+	return (answer);
 }
 
 /** struct request - request whose body is being received */
@@ -332,10 +135,11 @@
 	enum MHD_Result rc;
 
 	MHD_add_response_header(r, "Content-Type", "application/json");
-	if (store->epoch != 0) {
+	if (store->contents.epoch != 0) {
 		char text_epoch[16];
 
-		snprintf(text_epoch, sizeof(text_epoch), "%u", store->epoch);
+		snprintf(text_epoch, sizeof(text_epoch), "%u",
+		    store->contents.epoch);
 		MHD_add_response_header(r, "Store-Era", text_epoch);
 	}
 	rc = MHD_queue_response(conn, status, r);
@@ -354,65 +158,36 @@
 	json_t *value;
 
 	if (name[0] != '\0') {
-		const struct object *obj = find(store, kind, name);
-
-		return (obj == NULL
-			? respond(store, conn, 404, NULL)
-			: respond(store, conn, 200, object_json(obj)));
+		value = stored_get(&store->contents, kind, name);
+		return (respond(store, conn, value == NULL ? 404 : 200, value));
 	}
 	if (since == NULL)
 		return (
 		    respond(store, conn, 200, serve_list(store, conn, kind)));
-	n_restores = store->n_restores;
+	n_restores = store->contents.n_restores;
 	value = watch(
 	    store, kind, atoll(since), wait_ms == NULL ? 0 : atol(wait_ms));
-	if (n_restores != store->n_restores) {
+	if (n_restores != store->contents.n_restores) {
 		json_decref(value);
 		return (MHD_NO);
 	}
 	return (respond(store, conn, value == NULL ? 410 : 200, value));
 }
 
-/* Whether the object has the revision that the write requires, if any. */
-static bool
-condition_holds(const struct object *obj, const json_t *body)
-{
-	const json_t *r =
-	    json_object_get(json_object_get(body, "metadata"), "revision");
-
-	return (r == NULL || json_integer_value(r) == obj->revision);
-}
-
 static enum MHD_Result
 serve_write(struct object_store *store, struct MHD_Connection *conn,
-    const char *method, const char *kind, char *name, const json_t *body)
+    const char *method, const char *kind, const char *path, const json_t *body)
 {
-	char *slash = strchr(name, '/');
-	const char *new_name = json_string_value(
-	    json_object_get(json_object_get(body, "metadata"), "name"));
-	struct object *obj;
-
-	if (slash != NULL)
-		*slash = '\0';
-	obj = find(store, kind, name[0] != '\0' ? name : new_name);
-	if (strcmp(method, "POST") == 0) {
-		if (obj != NULL)
-			return (respond(store, conn, 409, object_json(obj)));
-		obj = create(store, kind, new_name);
-	}
-	if (obj == NULL)
-		return (respond(store, conn, 404, NULL));
-	if (!condition_holds(obj, body) && strcmp(method, "PUT") == 0)
-		return (respond(store, conn, 409, object_json(obj)));
-	if (slash != NULL)
-		replace(store, obj, &obj->status,
-		    json_incref(json_object_get(body, "status")));
-	else
-		replace(store, obj, &obj->spec,
-		    json_incref(json_object_get(body, "spec")));
-	if (store->faults.drop_write_responses)
+	json_t *answer;
+	unsigned status =
+	    stored_write(&store->contents, method, kind, path, body, &answer);
+
+	pthread_cond_broadcast(&store->changed);
+	if (status == 200 && store->faults.drop_write_responses) {
+		json_decref(answer);
 		return (MHD_NO);
-	return (respond(store, conn, 200, object_json(obj)));
+	}
+	return (respond(store, conn, status, answer));
 }
 
 static enum MHD_Result
@@ -532,13 +307,12 @@
 	const union MHD_DaemonInfo *info;
 
 	store->desc = *desc;
-	store->revision = 1;
+	stored_init(
+	    &store->contents, desc->page != 0 ? desc->page : DEFAULT_PAGE);
 	inet_pton(AF_INET, desc->addr == NULL ? "127.0.0.1" : desc->addr,
 	    &sin.sin_addr);
 	pthread_mutex_init(&store->lock, NULL);
 	pthread_cond_init(&store->changed, NULL);
-	store->objects = g_ptr_array_new_with_free_func(free_object);
-	store->events = g_ptr_array_new_with_free_func(free_event);
 	store->calls =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	store->exact_lists =
@@ -555,14 +329,6 @@
 	return (store);
 }
 
-static void
-drop_stale(struct object_store *store)
-{
-	if (store->stale != NULL)
-		g_ptr_array_unref(store->stale);
-	store->stale = NULL;
-}
-
 void
 object_store_free(struct object_store *store)
 {
@@ -571,13 +337,9 @@
 	pthread_cond_broadcast(&store->changed);
 	pthread_mutex_unlock(&store->lock);
 	MHD_stop_daemon(store->mhd);
-	g_ptr_array_unref(store->objects);
-	g_ptr_array_unref(store->events);
+	stored_finish(&store->contents);
 	g_hash_table_unref(store->calls);
 	g_hash_table_unref(store->exact_lists);
-	drop_stale(store);
-	if (store->copy != NULL)
-		g_ptr_array_unref(store->copy);
 	usage_reports_free(store->reports);
 	g_free(store);
 }
@@ -594,10 +356,7 @@
 {
 	pthread_mutex_lock(&store->lock);
 	store->faults = *faults;
-	drop_stale(store);
-	if (faults->stale_lists)
-		store->stale = copy_objects(store->objects);
-	store->stale_revision = store->revision;
+	stored_keep_stale(&store->contents, faults->stale_lists);
 	pthread_mutex_unlock(&store->lock);
 }
 
@@ -605,14 +364,9 @@
 object_store_put(struct object_store *store, const char *kind, const char *name,
     const char *spec)
 {
-	struct object *obj;
-
 	pthread_mutex_lock(&store->lock);
-	obj = find(store, kind, name);
-	if (obj == NULL)
-		obj = create(store, kind, name);
-	replace(
-	    store, obj, &obj->spec, json_loads(spec, JSON_DECODE_ANY, NULL));
+	stored_put(&store->contents, kind, name, spec);
+	pthread_cond_broadcast(&store->changed);
 	pthread_mutex_unlock(&store->lock);
 }
 
@@ -620,15 +374,9 @@
 object_store_remove(
     struct object_store *store, const char *kind, const char *name)
 {
-	struct object *obj;
-
 	pthread_mutex_lock(&store->lock);
-	obj = find(store, kind, name);
-	if (obj != NULL) {
-		store->revision++;
-		publish(store, obj, true);
-		g_ptr_array_remove_fast(store->objects, obj);
-	}
+	stored_remove(&store->contents, kind, name);
+	pthread_cond_broadcast(&store->changed);
 	pthread_mutex_unlock(&store->lock);
 }
 
@@ -636,8 +384,7 @@
 object_store_drop_history(struct object_store *store)
 {
 	pthread_mutex_lock(&store->lock);
-	g_ptr_array_set_size(store->events, 0);
-	store->history_from = store->revision;
+	stored_drop_history(&store->contents);
 	pthread_mutex_unlock(&store->lock);
 }
 
@@ -645,7 +392,7 @@
 object_store_set_epoch(struct object_store *store, unsigned epoch)
 {
 	pthread_mutex_lock(&store->lock);
-	store->epoch = epoch;
+	store->contents.epoch = epoch;
 	pthread_mutex_unlock(&store->lock);
 }
 
@@ -653,10 +400,7 @@
 object_store_copy(struct object_store *store)
 {
 	pthread_mutex_lock(&store->lock);
-	if (store->copy != NULL)
-		g_ptr_array_unref(store->copy);
-	store->copy = copy_objects(store->objects);
-	store->copy_revision = store->revision;
+	stored_copy(&store->contents);
 	pthread_mutex_unlock(&store->lock);
 }
 
@@ -664,13 +408,7 @@
 object_store_restore(struct object_store *store)
 {
 	pthread_mutex_lock(&store->lock);
-	g_ptr_array_unref(store->objects);
-	store->objects = copy_objects(store->copy);
-	store->revision = store->copy_revision;
-	store->history_from = store->revision;
-	g_ptr_array_set_size(store->events, 0);
-	store->epoch++;
-	store->n_restores++;
+	stored_restore(&store->contents);
 	pthread_cond_broadcast(&store->changed);
 	pthread_mutex_unlock(&store->lock);
 }
@@ -685,14 +423,16 @@
 object_store_status(
     struct object_store *store, const char *kind, const char *name)
 {
-	const struct object *obj;
-	json_t *copy;
+	json_t *object, *status;
 
 	pthread_mutex_lock(&store->lock);
-	obj = find(store, kind, name);
-	copy = obj == NULL ? NULL : json_deep_copy(obj->status);
+	object = stored_get(&store->contents, kind, name);
 	pthread_mutex_unlock(&store->lock);
-	return (copy);
+	if (object == NULL)
+		return (NULL);
+	status = json_deep_copy(json_object_get(object, "status"));
+	json_decref(object);
+	return (status);
 }
 
 static unsigned
