Split what a VM does with the store from the control thread

Cause: fleet_control joined the reactions to the store and to other VMs with a thread, a queue and a UDP socket, so only real processes could run the election of readers, the relay and the client of the store together.

Result: no change of behaviour intended.

--- a/packages/control/fleet_control.c
+++ b/packages/control/fleet_control.c
@@ -9,9 +9,7 @@
 #include <unistd.h>
 #include <urcu.h>
 
-#include "control/move_runner.h"
-#include "control/update_relay.h"
-#include "control/usage_runner.h"
+#include "control/fleet_node.h"
 #include "front/worker_msg.h"
 #include "ops/ops_server.h"
 #include "peer/update_datagram.h"
@@ -36,19 +34,12 @@
 
 /**
  * struct fleet_control - control thread
- * @sink: receives the store's changes; has to be the first member
- * @usage: valid if @has_usage
- * @has_usage: usage reports are configured
+ * @node: what this VM does with the store and with other VMs
  * @n_members: number of VMs that the limits were last divided by
  */
 struct fleet_control {
-	struct store_sink sink;
 	struct fleet_control_desc desc;
-	struct fleet_view view;
-	struct move_runner moves;
-	struct update_relay relay;
-	struct usage_runner usage;
-	bool has_usage;
+	struct fleet_node node;
 	struct message_queue queue;
 	int udp_fd;
 	pthread_t thread;
@@ -56,98 +47,6 @@
 	uint32_t n_members;
 };
 
-static struct fleet_control *
-fleet_control_of(struct store_sink *s)
-{
-	return ((struct fleet_control *)s);
-}
-
-static void
-on_begin(struct store_sink *s, enum store_kind kind)
-{
-	view_begin(&fleet_control_of(s)->view, kind);
-}
-
-static void
-on_end(struct store_sink *s, enum store_kind kind)
-{
-	view_end(&fleet_control_of(s)->view, kind, clk_mono_us());
-}
-
-static void
-on_config(struct store_sink *s, struct obj_config *c)
-{
-	int64_t version = c->version;
-
-	if (view_set_config(&fleet_control_of(s)->view, c))
-		g_message(
-		    "config: version %lld is in effect", (long long)version);
-}
-
-static void
-on_upstream(struct store_sink *s, const char *id, struct obj_upstream *u)
-{
-	view_set_upstream(&fleet_control_of(s)->view, id, u, clk_mono_us());
-}
-
-static void
-on_move(struct store_sink *s, const char *name, struct obj_move *m)
-{
-	view_set_move(&fleet_control_of(s)->view, name, m);
-}
-
-static void
-on_zone_out(struct store_sink *s, const char *zone, bool out)
-{
-	g_message("zone: %s is %s", zone, out ? "out of service" : "back");
-	view_set_zone_out(&fleet_control_of(s)->view, zone, out);
-}
-
-static void
-on_member(struct store_sink *s, const char *id, struct obj_member *m)
-{
-	struct fleet_control *c = fleet_control_of(s);
-
-	if (m != NULL)
-		update_relay_on_member(&c->relay, id, m, clk_mono_ms());
-	view_set_member(&c->view, id, m);
-}
-
-static void
-on_reachable(struct store_sink *s, bool yes)
-{
-	struct fleet_control *c = fleet_control_of(s);
-
-	g_message("store: %s", yes ? "answers again" : "does not answer");
-	view_on_reachable(&c->view, yes, clk_mono_us());
-	if (c->has_usage)
-		usage_runner_on_reachable(&c->usage, yes);
-}
-
-static void
-on_usage_record(struct store_sink *s, enum usage_record_event event,
-    const struct usage_record *r)
-{
-	usage_runner_on_record(
-	    &fleet_control_of(s)->usage, event, r, clk_mono_ms());
-}
-
-static void
-on_usage_reported(
-    struct store_sink *s, int64_t window, enum usage_report_result result)
-{
-	usage_runner_on_reported(
-	    &fleet_control_of(s)->usage, window, result, clk_mono_ms());
-}
-
-static void
-on_move_written(
-    struct store_sink *s, const char *name, enum store_result result)
-{
-	move_runner_on_written(
-	    &fleet_control_of(s)->moves, name, result, clk_mono_ms());
-}
-
 static bool
 parse_address(const char *text, struct sockaddr_in *out)
 {
@@ -183,58 +82,6 @@
 		    c->desc.shared->metrics, METRICS_PEER_BYTES_OUT, bytes.n);
 }
 
-static void
-on_changes(
-    struct store_sink *s, enum store_kind kind, int64_t base, struct bstr bytes)
-{
-	update_relay_on_changes(&fleet_control_of(s)->relay, kind, base, bytes);
-}
-
-static void
-on_updated(struct store_sink *s, enum store_kind kind, int64_t revision)
-{
-	update_relay_on_updated(
-	    &fleet_control_of(s)->relay, kind, revision, clk_mono_ms());
-}
-
-static const struct store_sink_ops sink_ops = {
-    .begin = on_begin,
-    .end = on_end,
-    .updated = on_updated,
-    .config = on_config,
-    .upstream = on_upstream,
-    .move = on_move,
-    .zone_out = on_zone_out,
-    .member = on_member,
-    .changes = on_changes,
-    .reachable = on_reachable,
-    .move_written = on_move_written,
-    .usage_record = on_usage_record,
-    .usage_reported = on_usage_reported,
-};
-
-static void
-send_all(void *arg, struct bstr bytes)
-{
-	struct fleet_control *c = arg;
-	GHashTableIter it;
-	void *id, *v;
-
-	g_hash_table_iter_init(&it, c->view.members);
-	while (g_hash_table_iter_next(&it, &id, &v)) {
-		if (strcmp(id, c->view.self) != 0)
-			send_datagram(c,
-			    ((struct view_member *)v)->member.address, bytes);
-	}
-}
-
-static int64_t
-wall_ms(void *arg)
-{
-	(void)arg;
-	return (clk_wall_ms());
-}
-
 static int
 open_udp(const struct settings_addr *a)
 {
@@ -250,36 +97,11 @@
 	return (-1);
 }
 
-static void
-init_usage(struct fleet_control *c)
-{
-	const struct settings *s = c->desc.set;
-
-	c->has_usage = s->usage.addr != NULL;
-	if (!c->has_usage)
-		return;
-	usage_runner_init(&c->usage,
-	    &(struct usage_runner_desc){.self = s->id,
-		.boot = c->desc.boot,
-		.window_ms = s->usage_window_ms,
-		.due_ms = s->usage_due_ms,
-		.lease_ms = s->usage_lease_ms,
-		.seed = (uint64_t)s->seed,
-		.view = &c->view,
-		.store = c->desc.store,
-		.shared = c->desc.shared,
-		.send = send_datagram,
-		.send_all = send_all,
-		.wall_ms = wall_ms,
-		.arg = c});
-}
-
 struct fleet_control *
 fleet_control_new(const struct fleet_control_desc *desc, GError **error)
 {
 	struct fleet_control *c = g_new0(struct fleet_control, 1);
 
-	c->sink.ops = &sink_ops;
 	c->desc = *desc;
 	atomic_store(&desc->shared->retry_burst, 1);
 	c->udp_fd = open_udp(&desc->set->peer);
@@ -290,26 +112,13 @@
 		g_free(c);
 		return (NULL);
 	}
-	view_init(&c->view,
-	    &(struct view_desc){
-		.self = desc->set->id, .zone = desc->set->zone});
-	update_relay_init(&c->relay,
-	    &(struct update_relay_desc){.self = desc->set->id,
-		.link_mbps = (uint32_t)desc->set->link_mbps,
-		.view = &c->view,
-		.store = desc->store,
-		.send_all = send_all,
-		.arg = c});
-	move_runner_init(&c->moves,
-	    &(struct move_runner_desc){.self = desc->set->id,
+	fleet_node_init(&c->node,
+	    &(struct fleet_node_desc){.set = desc->set,
 		.boot = desc->boot,
-		.view = &c->view,
 		.store = desc->store,
+		.shared = desc->shared,
 		.send = send_datagram,
-		.send_all = send_all,
-		.wall_ms = wall_ms,
 		.arg = c});
-	init_usage(c);
 	return (c);
 }
 
@@ -344,16 +153,6 @@
 	}
 }
 
-static void
-handle_datagram(struct fleet_control *c, struct bstr bytes, int64_t now_ms)
-{
-	if (update_relay_on_datagram(&c->relay, bytes, now_ms))
-		return;
-	if (!c->has_usage ||
-	    !usage_runner_on_datagram(&c->usage, bytes, now_ms))
-		move_runner_on_datagram(&c->moves, bytes, now_ms);
-}
-
 static void
 receive_datagrams(struct fleet_control *c)
 {
@@ -366,8 +165,8 @@
 			break;
 		metrics_add(c->desc.shared->metrics, METRICS_PEER_BYTES_IN,
 		    (uint64_t)n);
-		handle_datagram(
-		    c, (struct bstr){buf, (size_t)n}, clk_mono_ms());
+		fleet_node_on_datagram(
+		    &c->node, (struct bstr){buf, (size_t)n}, clk_mono_ms());
 	}
 }
 
@@ -375,7 +174,7 @@
 static void
 divide_limits(struct fleet_control *c)
 {
-	uint32_t n = MAX(view_n_members(&c->view), MIN_LIMIT_MEMBERS);
+	uint32_t n = MAX(view_n_members(&c->node.view), MIN_LIMIT_MEMBERS);
 	const struct settings *s = c->desc.set;
 	uint32_t burst =
 	    (uint32_t)(s->retry_burst * RETRY_BURST_PERMILLE / 1000 / n);
@@ -395,31 +194,16 @@
 {
 	int64_t now_us = clk_mono_us();
 
-	if (!view_take_dirty(&c->view, now_us))
+	if (!view_take_dirty(&c->node.view, now_us))
 		return;
-	shared_publish(c->desc.shared, view_table(&c->view, now_us));
-	atomic_store(
-	    &c->desc.shared->metrics->workspaces, c->view.config->n_workspaces);
+	shared_publish(c->desc.shared, view_table(&c->node.view, now_us));
+	atomic_store(&c->desc.shared->metrics->workspaces,
+	    c->node.view.config->n_workspaces);
 	if (atomic_load(&c->desc.shared->fresh_until_us) == 0)
 		g_message("main: ready to route");
 	atomic_store(&c->desc.shared->fresh_until_us, INT64_MAX);
 }
 
-static void
-publish_member(struct fleet_control *c)
-{
-	const struct settings *s = c->desc.set;
-	char *address =
-	    g_strdup_printf("%s:%lld", s->peer.addr, (long long)s->peer.port);
-	struct obj_member m = {.id = s->id,
-	    .zone = s->zone,
-	    .address = address,
-	    .link_mbps = (uint32_t)s->link_mbps};
-
-	c->desc.store->ops->write_member(c->desc.store, &m);
-	g_free(address);
-}
-
 static void *
 run_thread(void *arg)
 {
@@ -428,19 +212,15 @@
 	const int fds[] = {msgq_fd(&c->queue), c->udp_fd};
 
 	rcu_register_thread();
-	update_relay_start(&c->relay, clk_mono_ms());
-	store->ops->start(store, &c->sink);
-	publish_member(c);
+	fleet_node_start(&c->node);
 	while (!atomic_load(&c->stop)) {
 		store->ops->run(store, fds, sizeof(fds) / sizeof(*fds),
-		    move_runner_is_active(&c->moves) ? MOVE_TICK_MS : TICK_MS);
+		    move_runner_is_active(&c->node.moves) ? MOVE_TICK_MS
+							  : TICK_MS);
 		handle_messages(c);
 		receive_datagrams(c);
-		update_relay_tick(&c->relay, clk_mono_ms());
+		fleet_node_tick(&c->node, clk_mono_ms());
 		divide_limits(c);
-		move_runner_tick(&c->moves, clk_mono_ms());
-		if (c->has_usage)
-			usage_runner_tick(&c->usage, clk_mono_ms());
 		publish(c);
 	}
 	rcu_unregister_thread();
@@ -469,11 +249,7 @@
 		free(m);
 	msgq_finish(&c->queue);
 	c->desc.store->ops->free(c->desc.store);
-	if (c->has_usage)
-		usage_runner_finish(&c->usage);
-	move_runner_finish(&c->moves);
-	update_relay_finish(&c->relay);
-	view_finish(&c->view);
+	fleet_node_finish(&c->node);
 	close(c->udp_fd);
 	g_free(c);
 }
