Let only answers of the store postpone the reads of other VMs

Cause: a VM that heard no reader sent an update of what it knew before it had read anything. The digest was the same, so the others postponed their reads by 1.4 s and took it for a reader, although the store did not answer it. Both readers stood in one zone, so one cut was enough.

Change: updates carry the age of what the sender knows, as answers of the store show it. Reads are postponed from that time on, and only senders with a recent answer count as readers. The first watch of a new reader waits for 20 ms; its answer shows the state of all kinds that are watched. Without updates a VM sends one such watch before its other reads and logs it, and updates that show current contents end an outage without a call. Readers are ordered by their place in their zone. Related paths: VMs without a path to the store, readers among them, apply what others relay; a new reader relays what it read just before.

The datagrams have a new type. VMs of the former build ignore them and read by themselves, and the other way round; this was not run.

--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,10 @@
 TESTLIB_OBJS := $(patsubst %.c,$(B)/%.o,$(wildcard tests/lib/*.c))
 UNIT_TESTS := $(patsubst tests/unit/%.c,$(B)/unit/%,\
     $(wildcard tests/unit/*.c))
+# Tests in virtual time; their clocks and calls to the store replace the real
+# ones at link time.
+VIRTUAL_TESTS := test_reader_cuts
+VIRTUAL_OBJS := $(patsubst %.c,$(B)/%.o,$(wildcard tests/virtual/*.c))
 STANDINS := $(patsubst tests/standin/%.c,$(B)/standin/%,\
     $(wildcard tests/standin/*.c))
 BIN_PATHS := $(foreach b,$(BINS),$(if $(wildcard packages/$(b)/*.c),$(B)/$(b)))
@@ -80,6 +84,8 @@
 endef
 $(foreach b,$(BINS),$(eval $(call BIN_RULE,$(b))))
 
+$(VIRTUAL_TESTS:%=$(B)/unit/%): $(VIRTUAL_OBJS)
+
 $(B)/unit/%: $(B)/tests/unit/%.o $(TESTLIB_OBJS) $(ARCHIVES)
 	@mkdir -p $(@D)
 	@$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) -Wl,--start-group $(ARCHIVES) \
--- a/packages/control/fleet_node.c
+++ b/packages/control/fleet_node.c
@@ -66,7 +66,8 @@
 {
 	struct fleet_node *n = node_of(s);
 
-	g_message("store: %s", yes ? "answers again" : "does not answer");
+	g_message("store: %s",
+	    yes ? "contents are current again" : "does not answer");
 	view_on_reachable(&n->view, yes, clk_mono_us());
 	if (n->has_usage)
 		usage_runner_on_reachable(&n->usage, yes);
@@ -98,7 +99,8 @@
 on_changes(
     struct store_sink *s, enum store_kind kind, int64_t base, struct bstr bytes)
 {
-	update_relay_on_changes(&node_of(s)->relay, kind, base, bytes);
+	update_relay_on_changes(
+	    &node_of(s)->relay, kind, base, bytes, clk_mono_ms());
 }
 
 static void
@@ -189,6 +191,7 @@
 	    &n->view, &(struct view_desc){.self = set->id, .zone = set->zone});
 	update_relay_init(&n->relay,
 	    &(struct update_relay_desc){.self = set->id,
+		.zone = set->zone,
 		.link_mbps = (uint32_t)set->link_mbps,
 		.view = &n->view,
 		.store = desc->store,
--- a/packages/control/update_relay.h
+++ b/packages/control/update_relay.h
@@ -28,6 +28,7 @@
 /**
  * struct update_relay_desc - settings and callbacks
  * @self: id of this VM
+ * @zone: its availability zone, NULL when not known
  * @link_mbps: bandwidth of this VM, 0 when not known
  * @view: the fleet as this VM knows it
  * @store: the store, whose reads are postponed or requested
@@ -36,6 +37,7 @@
  */
 struct update_relay_desc {
 	const char *self;
+	const char *zone;
 	uint32_t link_mbps;
 	struct fleet_view *view;
 	struct fleet_store *store;
@@ -43,11 +45,25 @@
 	void *arg;
 };
 
+/**
+ * struct own_changes - the last changes of a kind that this VM read itself
+ * @bytes: changes in the store's own format, NULL for none
+ * @base: revision since which they are complete
+ * @read_ms: when they were read
+ */
+struct own_changes {
+	GBytes *bytes;
+	int64_t base;
+	int64_t read_ms;
+};
+
 /**
  * struct update_relay - state on caller-owned memory
  * @election: decides which VMs read the store
  * @buffered: GBytes, datagrams received while upstreams are listed
+ * @changes: for each kind, what a new reader relays
  * @is_reader: this VM reads the store for the others
+ * @in_outage: the store did not answer at the last tick
  * @start_ms: time of update_relay_start()
  * @members_reread: the second list of VMs was requested, or is not needed
  * @members_known: a complete list of VMs was read
@@ -58,7 +74,9 @@
 	struct update_relay_desc desc;
 	struct reader_election election;
 	GPtrArray *buffered;
+	struct own_changes changes[STORE_KINDS];
 	bool is_reader;
+	bool in_outage;
 	int64_t start_ms;
 	bool members_reread;
 	bool members_known;
@@ -92,7 +110,7 @@
  * A reader relays them, so that the others do not have to list the kind.
  */
 void update_relay_on_changes(struct update_relay *r, enum store_kind kind,
-    int64_t base, struct bstr bytes);
+    int64_t base, struct bstr bytes, int64_t now_ms);
 
 /** update_relay_on_updated() - the objects of a kind are as of @revision */
 void update_relay_on_updated(struct update_relay *r, enum store_kind kind,
--- a/packages/fleet/reader_election.h
+++ b/packages/fleet/reader_election.h
@@ -3,13 +3,18 @@
  * (prefix reader_).
  *
  * Each read of the store has a cost, and upstreams have to be read every
- * second. The VMs with the best ranks are the readers. The rank depends on
- * bandwidth first, because a reader sends each update to all VMs at once, and
- * then on a hash. A reader broadcasts what changed, together with the store's
- * revision and a digest of all objects of each kind. A VM with the same digest
- * postpones its next read; a VM whose digest differs, or that receives no
- * updates, reads the store itself. Updates of an older revision are ignored, so
- * that a reader that was paused cannot bring back an outdated state.
+ * second. The first VMs in the order are the readers. The best of each
+ * availability zone come first, then the second of each, so that the readers
+ * are not lost together with one zone. Within a zone and between zones, the
+ * rank depends on bandwidth first, because a reader sends each update to all
+ * VMs at once, and then on a hash.
+ *
+ * A reader broadcasts what changed, together with the store's revision, a
+ * digest of all objects of each kind, and how long ago the store showed that
+ * they were current. A VM with the same digest postpones its next read, counted
+ * from that time; a VM whose digest differs, or that receives no updates, reads
+ * the store itself. Updates of an older revision are ignored, so that a reader
+ * that was paused cannot bring back an outdated state.
  *
  *	reader_init(&e, &(struct reader_desc){.self = "vm1"});
  *	reader_on_update(&e, "vm2", now_ms);
@@ -31,15 +36,15 @@
 /* Number of readers; the other VMs need at least one of them. */
 #define READER_COUNT 2
 /*
- * While the store does not answer, only this many VMs of the best ranks become
- * readers, so that the number of probes does not grow with the fleet.
+ * While the store does not answer, only this many VMs, the first in the order,
+ * become readers, so that the number of probes does not grow with the fleet.
  */
 #define READER_BACKUP_COUNT 10
 /*
  * How long a VM counts as a reader after its last update: the minimum plus a
- * step for each VM of a better rank, up to the maximum. The next VMs in rank
- * take over first, so that the others receive their updates before they read
- * the store themselves.
+ * step for each VM before this one, up to the maximum. The next VMs in the
+ * order take over first, so that the others receive their updates before they
+ * read the store themselves.
  */
 #define READER_TIMEOUT_MIN_MS 900
 #define READER_TIMEOUT_STEP_MS 100
@@ -55,23 +60,39 @@
 /**
  * struct reader_desc - settings
  * @self: id of this VM
+ * @zone: its availability zone, NULL when not known
  * @link_mbps: bandwidth of this VM, 0 when not known
  */
 struct reader_desc {
 	const char *self;
+	const char *zone;
 	uint32_t link_mbps;
 };
 
+/**
+ * struct reader_order - position of a VM in the order of the readers
+ * @zone: its availability zone; that of this VM when not known
+ * @rank: rank within the zone, lower is better
+ * @place: number of VMs of the zone with a better rank
+ */
+struct reader_order {
+	char *zone;
+	uint64_t rank;
+	unsigned place;
+};
+
 /**
  * struct reader_election - state on caller-owned memory
  * @self: id of this VM
- * @rank: own rank, lower is better
- * @peers: VM -> its rank and the time of its last update
+ * @order: own position
+ * @peers: VM -> its position and the time of its last update
+ * @places_valid: the places are those of the VMs that are known now
  */
 struct reader_election {
 	char *self;
-	uint64_t rank;
+	struct reader_order order;
 	GHashTable *peers;
+	bool places_valid;
 };
 
 /** reader_init() - initialise; no other VM is known yet */
@@ -91,18 +112,21 @@
  * that start together do not all read until the first update arrives.
  */
 void reader_on_listed(struct reader_election *e, const char *vm,
-    uint32_t link_mbps, int64_t now_ms);
+    const char *zone, uint32_t link_mbps, int64_t now_ms);
+
+/** reader_renew() - count all VMs as if they had just sent an update */
+void reader_renew(struct reader_election *e, int64_t now_ms);
 
 /**
  * reader_is_reader() - whether this VM has to read the store and broadcast
  * changes
  */
-bool reader_is_reader(const struct reader_election *e, int64_t now_ms);
+bool reader_is_reader(struct reader_election *e, int64_t now_ms);
 
 /**
  * reader_is_backup() - whether this VM may become a reader during an outage of
  * the store
  */
-bool reader_is_backup(const struct reader_election *e);
+bool reader_is_backup(struct reader_election *e);
 
 #endif
--- a/packages/fleet/store.h
+++ b/packages/fleet/store.h
@@ -108,12 +108,15 @@
  * @write_move: conditional write of a move's state, start (Unix time) and
  *	executor; its result is reported by the sink's @move_written
  * @revision: revision of the last read of a kind, 0 before the first
+ * @confirmed_ms: monotonic time at which the objects of a kind were current, as
+ *	far as answers of the store to this VM show; INT64_MIN before the first
  * @is_listing: a list of a kind is due or in progress; its answer may be older
  *	than updates that other VMs send meanwhile
  * @postpone_read: another VM has the same objects of a kind as of @revision;
  *	the next read may wait until the monotonic time @until_ms
  * @apply_changes: changes that the sink of another VM received; ignored when
- *	the state of this VM is older than their base or newer than they are
+ *	the state of this VM is older than their base or newer than they are;
+ *	the sink's @updated is not called
  * @request_list: list a kind now, because another VM has the objects as of
  *	@revision, which is newer; 0 when its revision is not known
  * @set_reader: set whether other VMs rely on the reads of this one; if so, no
@@ -134,6 +137,8 @@
 	    enum obj_move_state state, int64_t started_ms,
 	    const char *executor);
 	int64_t (*revision)(const struct fleet_store *s, enum store_kind kind);
+	int64_t (*confirmed_ms)(
+	    const struct fleet_store *s, enum store_kind kind);
 	bool (*is_listing)(const struct fleet_store *s, enum store_kind kind);
 	void (*postpone_read)(struct fleet_store *s, enum store_kind kind,
 	    int64_t revision, int64_t until_ms);
--- a/packages/peer/update_datagram.c
+++ b/packages/peer/update_datagram.c
@@ -6,12 +6,13 @@
 
 /*
  * Types from 16 up distinguish these datagrams from those of move_datagram.h,
- * which begin with a lower type.
+ * which begin with a lower type. Type 16 was an update without ages, which told
+ * the receivers to rely on VMs that could not reach the store.
  */
-#define TYPE_UPDATE 16
 #define TYPE_RAW 17
+#define TYPE_UPDATE 18
 #define RAW_FIELDS 5
-#define HEAD_FIELDS (4 + 2 * STORE_KINDS)
+#define HEAD_FIELDS (4 + 3 * STORE_KINDS)
 #define CHANGE_FIELDS 10
 #define MAX_SLOTS 100000
 
@@ -49,6 +50,7 @@
 	for (int k = 0; k < STORE_KINDS; k++) {
 		mpack_put_uint(&w, (uint64_t)head->revision[k]);
 		mpack_put_uint(&w, head->digest[k]);
+		mpack_put_uint(&w, (uint64_t)head->age_ms[k]);
 	}
 	mpack_put_bool(&w, head->last);
 	mpack_put_array(&w, n);
@@ -110,6 +112,8 @@
 	for (int k = 0; k < STORE_KINDS; k++) {
 		head->revision[k] = (int64_t)mpack_uint(&r, INT64_MAX);
 		head->digest[k] = mpack_uint(&r, UINT64_MAX);
+		head->age_ms[k] =
+		    (int64_t)mpack_uint(&r, UPDATE_DATAGRAM_AGE_UNKNOWN);
 	}
 	head->last = mpack_bool(&r);
 	*n = ok ? mpack_enter_list(&r, UPDATE_DATAGRAM_MAX_CHANGES) : 0;
--- a/packages/peer/update_datagram.h
+++ b/packages/peer/update_datagram.h
@@ -27,17 +27,23 @@
 /* Largest raw changes in bytes, below the maximum size of a datagram. */
 #define UPDATE_DATAGRAM_MAX_RAW_BYTES 32768
 
+/* Age of a view that the store has not shown to be current. */
+#define UPDATE_DATAGRAM_AGE_UNKNOWN INT32_MAX
+
 /**
  * struct update_datagram_head - header of all datagrams of one update
  * @vm: id of the sending VM
  * @revision: for each kind, store revision that the sender's view is based on
  * @digest: for each kind, digest of the sender's view, see view_digest()
+ * @age_ms: for each kind, how long ago the sender's view was current, as far as
+ *	the store's answers to it show; UPDATE_DATAGRAM_AGE_UNKNOWN at most
  * @last: this is the last datagram of the update
  */
 struct update_datagram_head {
 	char vm[UPDATE_DATAGRAM_NAME_MAX + 1];
 	int64_t revision[STORE_KINDS];
 	uint64_t digest[STORE_KINDS];
+	int64_t age_ms[STORE_KINDS];
 	bool last;
 };
 
--- a/tests/unit/test_kind_reader.c
+++ b/tests/unit/test_kind_reader.c
@@ -64,6 +64,35 @@
 	expect_path(r, "servers?staleOk=1&after=u4");
 }
 
+/*
+ * Guards against contents that count as current although no answer shows it.
+ * Only exact lists and watches do; a late answer shows an earlier state, and
+ * that to another kind only what was watched before it.
+ */
+static void
+test_confirmed(void **state)
+{
+	struct kind_reader *r = *state;
+
+	kind_reader_on_sent(r, 100);
+	list_at(r, 7);
+	assert_int_equal(r->confirmed_ms, 100);
+	kind_reader_schedule_stale_list(r, 0, 8);
+	kind_reader_on_sent(r, 200);
+	list_at(r, 8);
+	assert_int_equal(r->confirmed_ms, 100);
+	kind_reader_on_sent(r, 1000);
+	kind_reader_confirm(r, 999, 1300);
+	assert_int_equal(r->confirmed_ms, 100);
+	kind_reader_confirm(r, 1000, 1300);
+	assert_int_equal(r->confirmed_ms, 1300);
+	kind_reader_end_watch(r, 9, 9000);
+	assert_int_equal(r->confirmed_ms, 1000 + WATCH_MS);
+	r->next_ms = 9000;
+	kind_reader_confirm(r, 9000, 9500);
+	assert_int_equal(r->confirmed_ms, 1000 + WATCH_MS);
+}
+
 /*
  * Guards against a list that cannot go on: a name that other writers chose,
  * with characters that have a meaning in a query or must not stand in one, was
@@ -153,6 +182,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    TEST(test_paths),
+	    TEST(test_confirmed),
 	    TEST(test_name_in_query),
 	    TEST(test_no_progress),
 	    TEST(test_pages_of_different_age),
--- a/tests/unit/test_platform_store.c
+++ b/tests/unit/test_platform_store.c
@@ -623,6 +623,59 @@
 	RUN_UNTIL(f, object_store_calls(f->store, "config") > calls);
 }
 
+/*
+ * Guards against a new reader that leaves the others waiting: one short watch
+ * shows that the contents of all watched kinds are current.
+ */
+static void
+test_reader_confirms(void **state)
+{
+	struct fixture *f = *state;
+	const struct store_ops *ops = f->client->ops;
+	int64_t begin_ms;
+
+	RUN_UNTIL(f, view_is_ready(&f->view));
+	begin_ms = clk_mono_ms();
+	assert_true(ops->confirmed_ms(f->client, STORE_ZONES_OUT) <= begin_ms);
+	ops->set_reader(f->client, true);
+	for (int k = 0; k < STORE_KINDS; k++) {
+		if (k != STORE_MEMBERS)
+			RUN_UNTIL(f,
+			    ops->confirmed_ms(f->client, (enum store_kind)k) >
+				begin_ms);
+	}
+	assert_true(ops->confirmed_ms(f->client, STORE_MEMBERS) < begin_ms);
+}
+
+/*
+ * Guards against an outage that costs four calls of each VM: when updates of
+ * other VMs end, a single read shows that the store does not answer. It ends
+ * for this VM without a call as soon as others show that all kinds are current.
+ */
+static void
+test_path_check(void **state)
+{
+	struct fixture *f = *state;
+	const int64_t until_ms = clk_mono_ms() + 3000;
+	unsigned calls;
+
+	RUN_UNTIL(f, view_is_ready(&f->view));
+	for (int k = 0; k < STORE_MEMBERS; k++)
+		f->client->ops->postpone_read(
+		    f->client, (enum store_kind)k, 0, until_ms);
+	RUN_UNTIL(f, clk_mono_ms() > until_ms - 200);
+	calls = metrics_get(&f->metrics, METRICS_STORE_READS);
+	object_store_set_faults(
+	    f->store, &(struct object_store_faults){.status = 503});
+	RUN_UNTIL(f, !f->reachable);
+	assert_int_equal(
+	    metrics_get(&f->metrics, METRICS_STORE_READS), calls + 1);
+	for (int k = 0; k < STORE_MEMBERS; k++)
+		f->client->ops->postpone_read(f->client, (enum store_kind)k, 0,
+		    clk_mono_ms() + WAIT_LIMIT_MS);
+	assert_true(f->reachable);
+}
+
 /* During an outage only one kind is read; all are read again after it. */
 static void
 test_outage(void **state)
@@ -987,6 +1040,8 @@
 	    TEST(test_postponed_read),
 	    TEST(test_relayed_changes),
 	    TEST(test_elected_reader),
+	    TEST(test_reader_confirms),
+	    TEST(test_path_check),
 	    TEST(test_outage),
 	    TEST(test_postponed_probe),
 	    TEST(test_hanging_call),
