--- a/packages/control/update_relay.c
+++ b/packages/control/update_relay.c
@@ -365,20 +365,6 @@
 	r->desc.store->ops->request_list(r->desc.store, STORE_MEMBERS, 0);
 }
 
-/*
- * The updates received show which readers are alive. During an outage of the
- * store there are none, and all VMs would become readers.
- */
-static bool
-should_read(struct update_relay *r, int64_t now_ms)
-{
-	if (!r->members_known && now_ms - r->start_ms < MEMBERS_TIMEOUT_MS)
-		return (false);
-	if (r->desc.view->outage && !reader_is_backup(&r->election))
-		return (false);
-	return (reader_is_reader(&r->election, now_ms));
-}
-
 /* Whether the store has answered this VM lately, about any kind. */
 static bool
 was_answered(const struct update_relay *r, int64_t now_ms)
@@ -391,6 +377,22 @@
 	return (false);
 }
 
+/*
+ * The updates received show which readers are alive. While the store answers
+ * nobody there are none, and all VMs would become readers. So only the first in
+ * the order do so before the store has answered them.
+ */
+static bool
+should_read(struct update_relay *r, int64_t now_ms)
+{
+	if (!r->members_known && now_ms - r->start_ms < MEMBERS_TIMEOUT_MS)
+		return (false);
+	if (!reader_is_backup(&r->election) &&
+	    (r->desc.view->outage || !was_answered(r, now_ms)))
+		return (false);
+	return (reader_is_reader(&r->election, now_ms));
+}
+
 /*
  * Other VMs ended the outage for this one. It heard none of them before, so
  * without this it would take over from them at once, and all others would too.
--- a/tests/unit/test_platform_store.c
+++ b/tests/unit/test_platform_store.c
@@ -676,6 +676,31 @@
 	assert_true(f->reachable);
 }
 
+/*
+ * Guards against four lists of each VM when the store drops its history: a VM
+ * that is not a reader waits, and lists nothing if others show that what it
+ * knows is current.
+ */
+static void
+test_dropped_history_followed(void **state)
+{
+	struct fixture *f = *state;
+	const struct store_ops *ops = f->client->ops;
+	unsigned exact;
+
+	RUN_UNTIL(f, view_is_ready(&f->view));
+	RUN_UNTIL(f, object_store_calls(f->store, "evacuations") == 2);
+	exact = object_store_exact_lists(f->store, "evacuations");
+	put_config(f->store, 4);
+	object_store_drop_history(f->store);
+	RUN_UNTIL(f, ops->is_listing(f->client, STORE_ZONES_OUT));
+	ops->postpone_read(f->client, STORE_ZONES_OUT, 0, INT64_MAX - 1);
+	assert_false(ops->is_listing(f->client, STORE_ZONES_OUT));
+	RUN_UNTIL(f, config_version(f) == 4);
+	assert_int_equal(
+	    object_store_exact_lists(f->store, "evacuations"), exact);
+}
+
 /* During an outage only one kind is read; all are read again after it. */
 static void
 test_outage(void **state)
@@ -1042,6 +1067,7 @@
 	    TEST(test_elected_reader),
 	    TEST(test_reader_confirms),
 	    TEST(test_path_check),
+	    TEST(test_dropped_history_followed),
 	    TEST(test_outage),
 	    TEST(test_postponed_probe),
 	    TEST(test_hanging_call),
