--- a/packages/control/fleet_node.h
+++ b/packages/control/fleet_node.h
@@ -34,8 +34,7 @@
 #include "ops/settings.h"
 
 /**
- * struct fleet_node_desc - settings and callbacks; all pointers stay valid
- *until fleet_node_finish()
+ * struct fleet_node_desc - settings and callbacks
  * @set: settings of the process
  * @boot: number that differs for each start of the process
  * @store: the store; the calling code frees it before fleet_node_finish()
@@ -43,6 +42,8 @@
  *	usage is not reported
  * @send: sends a datagram to "ip:port"
  * @arg: argument of @send
+ *
+ * All pointers stay valid until fleet_node_finish().
  */
 struct fleet_node_desc {
 	const struct settings *set;
--- a/tests/lib/stored_objects.h
+++ b/tests/lib/stored_objects.h
@@ -1,7 +1,7 @@
 /*
- * stored_objects - contents of a fake of the platform's object store: objects
- *by kind and name, a revision counter, history for watches, conditional writes,
- * and the return of an older copy (prefix stored_).
+ * stored_objects - contents of a fake of the platform's object store (prefix
+ * stored_): objects by kind and name, a revision counter, history for watches,
+ * conditional writes, and the return of an older copy.
  *
  * It knows no connections and no time; see lib/object_store.h for a server in
  * front of it.
--- a/tests/virtual/virtual_fleet.h
+++ b/tests/virtual/virtual_fleet.h
@@ -1,6 +1,6 @@
 /*
  * virtual_fleet - a fleet of VMs and its store in virtual time (prefix
- *vfleet_).
+ * vfleet_).
  *
  * Each VM is a fleet_node with the real client of the platform's store; the
  * store's contents are lib/stored_objects. VMs can lose their path to the store
