--- a/tests/unit/test_platform_store.c
+++ b/tests/unit/test_platform_store.c
@@ -677,9 +677,9 @@
 }
 
 /*
- * Guards against four lists of each VM when the store drops its history: a VM
- * that is not a reader waits, and lists nothing if others show that what it
- * knows is current.
+ * Guards against lists of each VM when the store drops its history: a list that
+ * is due but was not sent yet is dropped if others show that what the VM knows
+ * is current.
  */
 static void
 test_dropped_history_followed(void **state)
