Review case 11: a config with many hosts exceeds the memory of each VM

A routing table takes 56 bytes for each pair of a route and a host. With 2,800 routes that have a host each (466 KB, the largest value is 1 MB), all three VMs exceed 260 MB at the next change, and again after each restart.

--- a/review/11/case.c
+++ b/review/11/case.c
@@ -1,9 +1,13 @@
 /*
- * A good version of a service is rolled out and completed. Then the store comes
- * back from a copy that is some seconds old, in which the rollout still runs.
- * Counts the share of each kind of request that is served over the whole run,
- * and the states that the VMs write for the rollout.
+ * Three VMs serve deposits (unsafe) and lookups (safe) on kept connections. The
+ * operator sends two versions of the config with 1,400 further routes each, and
+ * three that change the timeout of the lookups. With the trouble each of the
+ * further routes has a host of its own, without it all have the same host. A
+ * process of a VM that exceeds the memory of its machine is killed and started
+ * again, as the platform does. Counts the requests that a server ran and whose
+ * connection was closed without an answer.
  */
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -11,275 +15,240 @@
 #include "lib/object_store.h"
 #include "../lib-3/rig.h"
 
-#define PER_VERSION 6 /* servers of each version of "vagas" */
-#define OTHERS 12     /* servers of "patio" */
-#define MOVED_CLIENTS 36
-#define OTHER_CLIENTS 84
-#define PAUSE_S 0.27 /* of a client between two requests */
-#define TRAFFIC_S 104.0
-#define ORDER_S 2.0
-#define DURATION "12s"
-#define GIVE_UP_S 30.0 /* without "completed" by then the case cannot run */
-/* The store goes so long after "completed", and comes back from a copy. */
-#define DRILL_AFTER_S 2.5
-/* Time without a check-in after which the store drops an entry. */
-#define ENTRY_LIFE_S 4.5
-/* Time from "rolled_back" until the new servers drain, and until they end. */
-#define DRAIN_AFTER_S 3.0
-#define DRAIN_S 2.0
-#define STEP_S 0.25
-
+#define VMS 3
+#define SERVERS 6
+#define CLIENTS 24
+#define CONTACT_S 3.0
 #define READY_S 20.0
 
-static struct rig_server old_version[PER_VERSION], new_version[PER_VERSION];
-static struct rig_server others[OTHERS];
-static struct rig_vm vms[3];
-static struct object_store *store;
-static _Atomic unsigned sent[2], served[2];
-static _Atomic bool stop;
-static double start_s;
-
-static const char config[] =
-    "{\"version\":1,\"routes\":{"
-    "\"look\":{\"host\":\"a.example\",\"pathPrefix\":\"/vagas/\","
-    "\"kind\":\"safe\",\"timeout\":\"2000ms\",\"latencyGoal\":\"600ms\","
-    "\"priority\":2,\"service\":\"vagas\",\"attempts\":2},"
-    "\"yard\":{\"host\":\"a.example\",\"pathPrefix\":\"/patio/\","
-    "\"kind\":\"safe\",\"timeout\":\"2000ms\",\"latencyGoal\":\"600ms\","
-    "\"priority\":2,\"service\":\"patio\",\"attempts\":2}},"
-    "\"services\":{"
-    "\"vagas\":{\"healthPath\":\"/health\",\"maxConnections\":220,"
-    "\"protocol\":\"h1\",\"tls\":false,\"warmup\":\"3s\",\"warmupPerS\":7.8},"
-    "\"patio\":{\"healthPath\":\"/health\",\"maxConnections\":220,"
-    "\"protocol\":\"h1\",\"tls\":false,\"warmup\":\"3s\",\"warmupPerS\":7.8}},"
+#define MORE_ROUTES 1400 /* of each of the two versions */
+#define CHANGES 3        /* further versions */
+#define VALUE_BYTES 1048576
+#define MEMORY_KB (260 * 1024)
+#define MEMORY_CHECK_S 0.005
+#define RESTART_S 0.5
+
+#define BEFORE_S 3.0  /* traffic before the first further version */
+#define BETWEEN_S 4.0 /* between two versions */
+#define AFTER_S 6.0
+
+#define LOST_ALLOWED 3
+
+static struct rig_server servers[SERVERS];
+static struct rig_vm vms[VMS];
+static _Atomic bool over;
+static _Atomic unsigned ends[VMS];
+static _Atomic long peak_kb;
+static _Atomic unsigned sent, served, cut_after_run;
+
+/* %d: timeout of the lookups in milliseconds */
+static const char routes[] =
+    "\"pay\":{\"host\":\"pay.example\",\"pathPrefix\":\"/deposit/\","
+    "\"kind\":\"unsafe\",\"timeout\":\"2500ms\",\"latencyGoal\":\"800ms\","
+    "\"priority\":1,\"service\":\"caixa\",\"attempts\":2},"
+    "\"look\":{\"host\":\"pay.example\",\"pathPrefix\":\"/look/\","
+    "\"kind\":\"safe\",\"timeout\":\"%dms\",\"latencyGoal\":\"600ms\","
+    "\"priority\":1,\"service\":\"caixa\",\"attempts\":2}";
+
+static const char rest[] =
+    "},\"services\":{\"caixa\":{\"healthPath\":\"/health\","
+    "\"maxConnections\":220,\"protocol\":\"h1\",\"tls\":false,"
+    "\"warmup\":\"3s\",\"warmupPerS\":7.8}},"
     "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,"
     "\"headerTimeout\":\"3000ms\",\"idleTimeout\":\"15000ms\"}}";
 
-static void
-write_entry(const struct rig_server *s)
+/* Writes a version with @more further routes. */
+static bool
+send_config(struct object_store *store, int version, int more, int timeout_ms)
 {
-	char entry[512];
-
-	rig_server_entry(s, entry);
-	object_store_put(store, "servers", s->id, entry);
+	char *text = malloc(2 * VALUE_BYTES);
+	size_t n =
+	    (size_t)sprintf(text, "{\"version\":%d,\"routes\":{", version);
+
+	n += (size_t)sprintf(text + n, routes, timeout_ms);
+
+	for (int i = 0; i < more && n < VALUE_BYTES; i++)
+		n += (size_t)sprintf(text + n,
+		    ",\"shop-%d\":{\"host\":\"shop-%04d.example\","
+		    "\"pathPrefix\":\"/shop-%d/\",\"kind\":\"safe\","
+		    "\"timeout\":\"2000ms\",\"latencyGoal\":\"600ms\","
+		    "\"priority\":1,\"service\":\"caixa\",\"attempts\":2}",
+		    i, rig_trouble() ? i : 0, i);
+	n += (size_t)sprintf(text + n, "%s", rest);
+	if (n > VALUE_BYTES) {
+		rig_say("the config does not fit into an object");
+		free(text);
+		return (false);
+	}
+	object_store_put(store, "config", "main", text);
+	rig_say("config version %d: %d further routes, %zu bytes", version,
+	    more, n);
+	free(text);
+	return (true);
 }
 
 static void
-start_servers(struct rig_server *list, int n, const char *name,
-    const char *service, const char *version)
+start_servers(struct object_store *store)
 {
 	static const char *const zones[] = {"serra-a", "serra-b", "serra-c"};
 
-	for (int i = 0; i < n; i++) {
-		struct rig_server *s = &list[i];
+	for (int i = 0; i < SERVERS; i++) {
+		struct rig_server *s = &servers[i];
 
-		snprintf(s->id, sizeof(s->id), "i-%s-%d", name, i);
-		s->service = service;
+		snprintf(s->id, sizeof(s->id), "i-caixa-%d", i);
+		s->service = "caixa";
 		s->zone = zones[i % 3];
-		s->version = version;
+		s->version = "v1";
 		s->slots = 6;
-		s->work_s = 0.02;
+		s->work_s = 0.2;
 		rig_server_start(s);
 	}
-	rig_check_in(store, list, n);
-}
-
-static void
-end_servers(struct rig_server *list, int n)
-{
-	for (int i = 0; i < n; i++) {
-		list[i].up = false;
-		list[i].ready = false;
-	}
-}
-
-static void
-remove_entries(const struct rig_server *list, int n)
-{
-	for (int i = 0; i < n; i++)
-		object_store_remove(store, "servers", list[i].id);
+	rig_check_in(store, servers, SERVERS);
 }
 
 static bool
-start_vms(void)
+start_vms(struct object_store *store)
 {
 	bool ready = true;
 
-	for (int i = 0; i < 3; i++) {
+	for (int i = 0; i < VMS; i++) {
 		char id[32], zone[16];
 
 		snprintf(zone, sizeof(zone), "serra-%c", 'a' + i);
 		snprintf(id, sizeof(id), "edge-%s-1", zone);
 		rig_vm_start(&vms[i], id, zone, object_store_port(store));
 	}
-	for (int i = 0; i < 3; i++)
+	for (int i = 0; i < VMS; i++)
 		ready = ready && rig_vm_wait(&vms[i], READY_S);
 	return (ready);
 }
 
-static void *
-run_client(void *arg)
+/* Memory that a process uses, in KB; 0 if it is gone. */
+static long
+memory_kb(pid_t pid)
 {
-	int n = (int)(intptr_t)arg;
-	int kind = n >= MOVED_CLIENTS;
-	struct rig_call c = {.method = "GET",
-	    .host = "a.example",
-	    .path = kind ? "/patio/1" : "/vagas/1",
-	    .deadline_ms = 4000,
-	    .conn = -1};
-
-	rig_sleep(PAUSE_S * n / (MOVED_CLIENTS + OTHER_CLIENTS));
-	while (!stop) {
-		double at = rig_now();
-
-		rig_call(&vms[n % 3], &c);
-		sent[kind]++;
-		served[kind] += c.status == 200 && c.signature;
-		if (rig_now() - at < PAUSE_S)
-			rig_sleep(PAUSE_S - (rig_now() - at));
+	char path[64], line[256];
+	long kb = 0;
+	FILE *f;
+
+	snprintf(path, sizeof(path), "/proc/%d/status", (int)pid);
+	f = fopen(path, "r");
+	while (f != NULL && fgets(line, sizeof(line), f) != NULL) {
+		if (sscanf(line, "VmRSS: %ld", &kb) == 1)
+			break;
 	}
-	return (NULL);
+	if (f != NULL)
+		fclose(f);
+	return (kb);
 }
 
-/* The state that stands in the status of the rollout, "" for none. */
-static void
-read_state(char *out, size_t size)
-{
-	json_t *status = object_store_status(store, "rollouts", "vagas");
-	const char *state = json_string_value(json_object_get(status, "state"));
-	const char *executor =
-	    json_string_value(json_object_get(status, "executor"));
-	static char last[128];
-	char line[128];
-
-	snprintf(out, size, "%s", state == NULL ? "" : state);
-	snprintf(line, sizeof(line), "%s, written by %s",
-	    state == NULL ? "none" : state,
-	    executor == NULL ? "none" : executor);
-	if (strcmp(line, last) != 0)
-		rig_say("status of the rollout: %s", line);
-	snprintf(last, sizeof(last), "%s", line);
-	json_decref(status);
-}
-
-/* The store comes back from the copy; servers that live check in again. */
-static void
-drill(void)
+/* Kills the process of a VM that has too much memory, and starts it again. */
+static void *
+watch_memory(void *arg)
 {
-	object_store_restore(store);
-	rig_say("the store is back from the copy, Store-Era rises by one");
-	for (int i = 0; i < PER_VERSION; i++)
-		write_entry(&new_version[i]);
-	for (int i = 0; i < OTHERS; i++)
-		write_entry(&others[i]);
+	int i = (int)(intptr_t)arg;
+
+	while (!over) {
+		long kb = memory_kb(vms[i].pid);
+
+		if (kb > peak_kb)
+			peak_kb = kb;
+		if (kb > MEMORY_KB) {
+			rig_vm_kill(&vms[i]);
+			ends[i]++;
+			rig_note("VM %s had %ld KB, killed", vms[i].id, kb);
+			rig_sleep(RESTART_S);
+			rig_vm_restart(&vms[i]);
+		}
+		rig_sleep(MEMORY_CHECK_S);
+	}
+	return (NULL);
 }
 
-/** struct platform - what the platform and the operator do with the rollout */
-struct platform {
-	double completed_s, drill_s, rolled_back_s;
-	bool entries_dropped, draining, ended;
-};
-
 static void
-act(struct platform *p)
+count(const struct rig_call *c)
 {
-	double now = rig_now() - start_s;
-	char state[32];
-
-	read_state(state, sizeof(state));
-	if (strcmp(state, "running") == 0 && p->drill_s == 0)
-		object_store_copy(store);
-	if (strcmp(state, "completed") == 0 && p->completed_s == 0) {
-		p->completed_s = now;
-		end_servers(old_version, PER_VERSION);
-		remove_entries(old_version, PER_VERSION);
-		rig_say("completed: the old servers have stopped");
-	}
-	if (rig_trouble() && p->completed_s != 0 && p->drill_s == 0 &&
-	    now - p->completed_s >= DRILL_AFTER_S) {
-		p->drill_s = now;
-		drill();
-	}
-	if (p->drill_s != 0 && !p->entries_dropped &&
-	    now - p->drill_s >= ENTRY_LIFE_S) {
-		p->entries_dropped = true;
-		remove_entries(old_version, PER_VERSION);
-	}
-	if (strcmp(state, "rolled_back") == 0 && p->rolled_back_s == 0)
-		p->rolled_back_s = now;
-	if (p->rolled_back_s != 0 && !p->draining &&
-	    now - p->rolled_back_s >= DRAIN_AFTER_S) {
-		p->draining = true;
-		for (int i = 0; i < PER_VERSION; i++) {
-			new_version[i].ready = false;
-			write_entry(&new_version[i]);
-		}
-		rig_say("rolled back: the new servers drain");
-	}
-	if (p->draining && !p->ended &&
-	    now - p->rolled_back_s >= DRAIN_AFTER_S + DRAIN_S) {
-		p->ended = true;
-		end_servers(new_version, PER_VERSION);
-		remove_entries(new_version, PER_VERSION);
+	sent++;
+	served += c->status == 200 && c->signature;
+	if (c->cut && rig_was_run(c->id)) {
+		cut_after_run++;
+		rig_note("client: %s was run and its connection ended without "
+			 "an answer",
+		    c->id);
 	}
 }
 
-static int
-judge(const struct platform *p)
+static void *
+run_client(void *arg)
 {
-	double share = (double)served[0] / sent[0];
-	double all = (double)(served[0] + served[1]) / (sent[0] + sent[1]);
+	int n = (int)(intptr_t)arg;
+	struct rig_call pay = {.method = "POST",
+	    .host = "pay.example",
+	    .path = "/deposit/1",
+	    .deadline_ms = 5000,
+	    .conn = -1,
+	    .body_n = 300};
+	struct rig_call look = {.method = "GET",
+	    .host = "pay.example",
+	    .path = "/look/1",
+	    .deadline_ms = 4000,
+	    .conn = -1};
 
-	rig_say("vagas: %u of %u served (%.3f); patio: %u of %u (%.3f); all "
-		"%.3f, a quarter of that %.3f",
-	    served[0], sent[0], share, served[1], sent[1],
-	    (double)served[1] / sent[1], all, all / 4);
-	if (p->completed_s == 0 || (rig_trouble() && p->drill_s == 0))
-		return (RIG_CANNOT_RUN);
-	return (share < all / 4 ? RIG_BROKEN : RIG_HELD);
+	for (int i = 0; !over; i++) {
+		struct rig_call *c = i % 2 == 0 ? &pay : &look;
+
+		rig_call(&vms[n % VMS], c);
+		count(c);
+		rig_sleep(0.05);
+	}
+	return (NULL);
 }
 
 int
 main(int argc, char **argv)
 {
-	pthread_t clients[MOVED_CLIENTS + OTHER_CLIENTS];
-	struct platform p = {0};
-	bool ordered = false;
+	struct object_store *store =
+	    object_store_new(&(struct object_store_desc){0});
+	pthread_t clients[CLIENTS], watchers[VMS];
 
 	rig_record(argc > 1 ? argv[1] : "record.txt");
-	store = object_store_new(&(struct object_store_desc){0});
-	if (store == NULL)
+	if (store == NULL || !send_config(store, 1, 0, 2000))
 		return (RIG_CANNOT_RUN);
-	object_store_set_epoch(store, 1);
-	object_store_put(store, "config", "main", config);
-	start_servers(old_version, PER_VERSION, "old", "vagas", "v1");
-	start_servers(others, OTHERS, "patio", "patio", "v1");
-	if (!start_vms()) {
+	start_servers(store);
+	if (!start_vms(store)) {
 		rig_say("a VM did not become ready");
 		return (RIG_CANNOT_RUN);
 	}
-	start_s = rig_now();
-	for (intptr_t i = 0; i < MOVED_CLIENTS + OTHER_CLIENTS; i++)
+	rig_sleep(CONTACT_S);
+	for (intptr_t i = 0; i < VMS; i++)
+		pthread_create(&watchers[i], NULL, watch_memory, (void *)i);
+	for (intptr_t i = 0; i < CLIENTS; i++)
 		pthread_create(&clients[i], NULL, run_client, (void *)i);
-	while (rig_now() - start_s < TRAFFIC_S) {
-		rig_sleep(STEP_S);
-		if (!ordered && rig_now() - start_s >= ORDER_S) {
-			ordered = true;
-			start_servers(
-			    new_version, PER_VERSION, "new", "vagas", "v2");
-			object_store_put(store, "rollouts", "vagas",
-			    "{\"service\":\"vagas\",\"toVersion\":\"v2\","
-			    "\"duration\":\"" DURATION "\"}");
-			rig_say("rollout ordered: vagas to v2 in " DURATION);
-		}
-		act(&p);
-		if (p.completed_s == 0 && rig_now() - start_s > GIVE_UP_S)
-			break;
+	rig_sleep(BEFORE_S);
+	send_config(store, 2, MORE_ROUTES, 2000);
+	rig_sleep(BETWEEN_S);
+	send_config(store, 3, 2 * MORE_ROUTES, 2000);
+	for (int i = 1; i <= CHANGES; i++) {
+		rig_sleep(BETWEEN_S);
+		send_config(store, 3 + i, 2 * MORE_ROUTES, 2000 + i * 100);
 	}
-	stop = true;
-	for (int i = 0; i < MOVED_CLIENTS + OTHER_CLIENTS; i++)
+	rig_sleep(AFTER_S);
+	over = true;
+	for (int i = 0; i < CLIENTS; i++)
 		pthread_join(clients[i], NULL);
-	for (int i = 0; i < 3; i++)
+	for (int i = 0; i < VMS; i++)
+		pthread_join(watchers[i], NULL);
+	for (int i = 0; i < VMS; i++)
 		rig_vm_end(&vms[i]);
-	return (judge(&p));
+	rig_say(
+	    "most memory of a process %ld KB (allowed %d); ended by it: %u, "
+	    "%u and %u times",
+	    peak_kb, MEMORY_KB, ends[0], ends[1], ends[2]);
+	rig_say(
+	    "%u of %u requests served; run by a server and cut off without an "
+	    "answer: %u (allowed %d)",
+	    served, sent, cut_after_run, LOST_ALLOWED);
+	if (served == 0)
+		return (RIG_CANNOT_RUN);
+	return (cut_after_run > LOST_ALLOWED ? RIG_BROKEN : RIG_HELD);
 }
--- a/review/lib-3/rig.c
+++ b/review/lib-3/rig.c
@@ -456,9 +456,28 @@
 	    s->ready ? "200 OK" : "503 Leaving", s->id, s->running, s->slots);
 }
 
+/* Requests that servers have begun to run, by the number in their id. */
+#define IDS_MAX (1 << 20)
+static _Atomic bool was_run[IDS_MAX];
+
+/* The place of an id, "" or a foreign one has that of number 0. */
+static unsigned
+id_number(const char *id)
+{
+	return (strlen(id) != 16 ? 0
+				 : strtoul(id + 8, NULL, 16) % IDS_MAX);
+}
+
+bool
+rig_was_run(const char *id)
+{
+	return (was_run[id_number(id)]);
+}
+
 static void
 run(struct rig_server *s, int fd, const char *head, const char *id)
 {
+	was_run[id_number(id)] = true;
 	s->running++;
 	s->runs++;
 	rig_sleep(s->work_s);
--- a/review/lib-3/rig.h
+++ b/review/lib-3/rig.h
@@ -74,6 +74,8 @@
 };
 
 void rig_server_start(struct rig_server *s);
+/* Whether a server has begun to run the request with this id of rig_call(). */
+bool rig_was_run(const char *id);
 /* The spec of its entry in the store; @out has room for 512 bytes. */
 void rig_server_entry(const struct rig_server *s, char *out);
 
