Review case 12: uploads to servers that read late are cut off

The VM closes its connection to a server that has not read the request body for 1.5 to 2 s (TCP_USER_TIMEOUT also counts while the peer's window is closed), and the requester gets a closed connection half a second before the route's timeout.

--- a/review/lib-3/rig.c
+++ b/review/lib-3/rig.c
@@ -464,8 +464,7 @@
 static unsigned
 id_number(const char *id)
 {
-	return (strlen(id) != 16 ? 0
-				 : strtoul(id + 8, NULL, 16) % IDS_MAX);
+	return (strlen(id) != 16 ? 0 : strtoul(id + 8, NULL, 16) % IDS_MAX);
 }
 
 bool
@@ -474,13 +473,23 @@
 	return (was_run[id_number(id)]);
 }
 
+/* The work of a request; work_end() answers it. */
 static void
-run(struct rig_server *s, int fd, const char *head, const char *id)
+work(struct rig_server *s, const char *head, const char *id)
 {
+	const char *path = strchr(head, ' ');
+	bool heavy = path != NULL &&
+	    strncmp(path + 1, RIG_HEAVY_PATH, strlen(RIG_HEAVY_PATH)) == 0;
+
 	was_run[id_number(id)] = true;
 	s->running++;
 	s->runs++;
-	rig_sleep(s->work_s);
+	rig_sleep(heavy ? s->heavy_s : s->work_s);
+}
+
+static void
+work_end(struct rig_server *s, int fd, const char *head, const char *id)
+{
 	s->running--;
 	rig_note(
 	    "server %s ran %s %.*s", s->id, id, (int)strcspn(head, "\r"), head);
@@ -519,9 +528,18 @@
 		    s->id, id);
 		return (discard(fd, body - (long)(n - head_n)));
 	}
-	if (!discard(fd, body - (long)(n - head_n)))
+	if (s->reads_late)
+		work(s, head, id);
+	if (!discard(fd, body - (long)(n - head_n))) {
+		s->running -= s->reads_late;
+		rig_note("server %s: the connection of %s ended before the end "
+			 "of its body",
+		    s->id, id);
 		return (false);
-	run(s, fd, head, id);
+	}
+	if (!s->reads_late)
+		work(s, head, id);
+	work_end(s, fd, head, id);
 	return (true);
 }
 
--- a/review/lib-3/rig.h
+++ b/review/lib-3/rig.h
@@ -54,9 +54,13 @@
 /* Listens on a free port of 127.0.0.1; returns the socket. */
 int rig_listen(int *port);
 
+#define RIG_HEAVY_PATH "/deposit/heavy/"
+
 /**
  * struct rig_server - one server ("target")
  * @work_s: time that a request takes
+ * @heavy_s: time that one whose path begins with RIG_HEAVY_PATH takes
+ * @reads_late: reads the body of a request when its work is done
  * @up: accepts connections and answers; false: has ended
  * @ready: its health path says that it is ready
  * @runs: requests that it has run
@@ -65,7 +69,8 @@
 	char id[32];
 	const char *service, *zone, *version;
 	int slots;
-	double work_s;
+	double work_s, heavy_s;
+	bool reads_late;
 	_Atomic bool up, ready;
 	_Atomic int running;
 	_Atomic unsigned runs;
