--- a/review/lib-3/rig.c
+++ b/review/lib-3/rig.c
@@ -305,125 +305,6 @@
 	rmdir(vm->dir);
 }
 
-/* State of the proxy: the sockets of its connections, 0 for a free place. */
-#define PROXY_SOCKETS 8192
-static pthread_mutex_t proxy_lock = PTHREAD_MUTEX_INITIALIZER;
-static int proxy_sockets[PROXY_SOCKETS];
-static int proxy_fd, proxy_store_port;
-static _Atomic bool proxy_down;
-
-/** struct proxy_pair - the two sockets of a connection of the proxy */
-struct proxy_pair {
-	int from, to;
-};
-
-static void
-proxy_track(int fd, int was)
-{
-	pthread_mutex_lock(&proxy_lock);
-	for (int i = 0; i < PROXY_SOCKETS; i++) {
-		if (proxy_sockets[i] != was)
-			continue;
-		proxy_sockets[i] = fd;
-		break;
-	}
-	pthread_mutex_unlock(&proxy_lock);
-}
-
-/* Copies one direction until the connection ends. */
-static void *
-proxy_copy(void *arg)
-{
-	struct proxy_pair *p = arg;
-	char block[65536];
-	ssize_t n;
-
-	while ((n = recv(p->from, block, sizeof(block), 0)) > 0) {
-		if (send(p->to, block, (size_t)n, MSG_NOSIGNAL) != n)
-			break;
-	}
-	shutdown(p->to, SHUT_RDWR);
-	shutdown(p->from, SHUT_RDWR);
-	return (NULL);
-}
-
-static void *
-proxy_serve(void *arg)
-{
-	struct proxy_pair p = {.from = (int)(intptr_t)arg};
-	struct proxy_pair back;
-	pthread_t thread;
-
-	p.to = connect_to(proxy_store_port);
-	if (p.to >= 0) {
-		back = (struct proxy_pair){p.to, p.from};
-		proxy_track(p.from, 0);
-		pthread_create(&thread, NULL, proxy_copy, &back);
-		proxy_copy(&p);
-		pthread_join(thread, NULL);
-		proxy_track(0, p.from);
-		close(p.to);
-	}
-	close(p.from);
-	return (NULL);
-}
-
-static void
-reset(int fd)
-{
-	const struct linger l = {.l_onoff = 1};
-
-	setsockopt(fd, SOL_SOCKET, SO_LINGER, &l, sizeof(l));
-}
-
-static void *
-proxy_accept(void *arg)
-{
-	(void)arg;
-	for (;;) {
-		int fd = accept(proxy_fd, NULL, NULL);
-		pthread_t thread;
-
-		if (fd < 0)
-			return (NULL);
-		if (proxy_down) {
-			reset(fd);
-			close(fd);
-			continue;
-		}
-		pthread_create(
-		    &thread, NULL, proxy_serve, (void *)(intptr_t)fd);
-		pthread_detach(thread);
-	}
-}
-
-int
-rig_proxy_start(int store_port)
-{
-	pthread_t thread;
-	int port;
-
-	proxy_store_port = store_port;
-	proxy_fd = rig_listen(&port);
-	pthread_create(&thread, NULL, proxy_accept, NULL);
-	pthread_detach(thread);
-	return (port);
-}
-
-void
-rig_proxy_set_down(bool down)
-{
-	proxy_down = down;
-	pthread_mutex_lock(&proxy_lock);
-	for (int i = 0; i < PROXY_SOCKETS && down; i++) {
-		if (proxy_sockets[i] == 0)
-			continue;
-		reset(proxy_sockets[i]);
-		shutdown(proxy_sockets[i], SHUT_RDWR);
-	}
-	pthread_mutex_unlock(&proxy_lock);
-}
-
 /** struct server_conn - a connection of a server, served by its own thread */
 struct server_conn {
 	struct rig_server *s;
@@ -619,7 +500,7 @@
 	char entry[512];
 
 	for (int i = 0; i < c->n; i++) {
-		if (!c->list[i].up || proxy_down)
+		if (!c->list[i].up)
 			continue;
 		rig_server_entry(&c->list[i], entry);
 		object_store_put(c->store, "servers", c->list[i].id, entry);
--- a/review/lib-3/rig.h
+++ b/review/lib-3/rig.h
@@ -86,13 +86,6 @@
 
 struct object_store;
 
-/*
- * Forwards connections to the store. While it is down, connections are reset
- * and rig_check_in() writes nothing.
- */
-int rig_proxy_start(int store_port);
-void rig_proxy_set_down(bool down);
-
 /* Writes the entries of all servers that are up, now and every 1.5 s. */
 void rig_check_in(struct object_store *store, struct rig_server *list, int n);
 
