Build the routing table in proportion to what the config says

Evidence: test_table_size counts the bytes on the heap. On the former code, ten times as many hosts (1,000 to 10,000) took 57 MB -> 5.6 GB and 30 ms -> 1.5 s, and 10,000 services with an upstream each more than 9 GB.

Change: one array each for routes, splits, upstreams, versions and counters, of which every host or service has a slice; hosts and services are found through hash tables, goals and priorities are summed up in one pass over the routes, and the VMs of the zone are counted once. An upstream refers to its version; versions without upstreams are dropped after ten minutes, as they grew with the history of the fleet. Each configuration logs the size and time of its table, and two gauges show them.

The file of the builder is split: shares, preferred upstreams and the demand of the routes have files of their own, and the storage of a table is out of route/routing.c.

--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,9 @@
 # ones at link time.
 VIRTUAL_TESTS := test_reader_cuts
 VIRTUAL_OBJS := $(patsubst %.c,$(B)/%.o,$(wildcard tests/virtual/*.c))
+# Tests that count the bytes on the heap.
+HEAP_TESTS := test_table_size
+HEAP_OBJS := $(B)/packages/bench/heap_meter.o $(B)/packages/bench/table_fleet.o
 STANDINS := $(patsubst tests/standin/%.c,$(B)/standin/%,\
     $(wildcard tests/standin/*.c))
 BIN_PATHS := $(foreach b,$(BINS),$(if $(wildcard packages/$(b)/*.c),$(B)/$(b)))
@@ -86,6 +89,8 @@
 
 $(VIRTUAL_TESTS:%=$(B)/unit/%): $(VIRTUAL_OBJS)
 
+$(HEAP_TESTS:%=$(B)/unit/%): $(HEAP_OBJS)
+
 $(B)/unit/%: $(B)/tests/unit/%.o $(TESTLIB_OBJS) $(ARCHIVES)
 	@mkdir -p $(@D)
 	@$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) -Wl,--start-group $(ARCHIVES) \
--- a/packages/base/hash_index.c
+++ b/packages/base/hash_index.c
@@ -70,6 +70,12 @@
 	*h = (struct hash_index){0};
 }
 
+size_t
+hash_index_bytes(const struct hash_index *h)
+{
+	return (((size_t)h->mask + 1) * sizeof(*h->slots));
+}
+
 bool
 hash_index_add(struct hash_index *h, struct bstr key, const void *value)
 {
--- a/packages/base/hash_index.h
+++ b/packages/base/hash_index.h
@@ -15,6 +15,7 @@
 #define BASE_HASH_INDEX_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #include "base/byte_string.h"
@@ -55,6 +56,9 @@
 /** hash_index_finish() - free the slots */
 void hash_index_finish(struct hash_index *h);
 
+/** hash_index_bytes() - memory of the slots */
+size_t hash_index_bytes(const struct hash_index *h);
+
 /**
  * hash_index_add() - add a key
  * @value: not NULL
--- a/packages/control/fleet_control.c
+++ b/packages/control/fleet_control.c
@@ -36,6 +36,7 @@
  * struct fleet_control - control thread
  * @node: what this VM does with the store and with other VMs
  * @n_members: number of VMs that the limits were last divided by
+ * @table_version: version of the configuration in the last routing table
  */
 struct fleet_control {
 	struct fleet_control_desc desc;
@@ -45,6 +46,7 @@
 	pthread_t thread;
 	_Atomic bool stop;
 	uint32_t n_members;
+	int64_t table_version;
 };
 
 static bool
@@ -189,14 +191,37 @@
 	    "fleet: limits divided by %u VMs, retry burst %u per VM", n, burst);
 }
 
+/* Logs the size of the first routing table of each configuration. */
+static void
+record_table(
+    struct fleet_control *c, const struct rt_table *t, int64_t build_us)
+{
+	const struct obj_config *config = c->node.view.config;
+	struct metrics *m = c->desc.shared->metrics;
+
+	metrics_set(m, METRICS_TABLE_BYTES, (int64_t)rt_table_bytes(t));
+	metrics_set(m, METRICS_TABLE_BUILD_US, build_us);
+	if (config->version == c->table_version)
+		return;
+	c->table_version = config->version;
+	g_message("table: built for version %lld with %u routes, %u services "
+		  "and %u upstreams, %zu KB in %lld us",
+	    (long long)config->version, config->n_routes, config->n_services,
+	    g_hash_table_size(c->node.view.upstreams), rt_table_bytes(t) / 1024,
+	    (long long)build_us);
+}
+
 static void
 publish(struct fleet_control *c)
 {
 	int64_t now_us = clk_mono_us();
+	struct rt_table *t;
 
 	if (!view_take_dirty(&c->node.view, now_us))
 		return;
-	shared_publish(c->desc.shared, view_table(&c->node.view, now_us));
+	t = view_table(&c->node.view, now_us);
+	record_table(c, t, clk_mono_us() - now_us);
+	shared_publish(c->desc.shared, t);
 	atomic_store(&c->desc.shared->metrics->workspaces,
 	    c->node.view.config->n_workspaces);
 	if (atomic_load(&c->desc.shared->fresh_until_us) == 0)
--- a/packages/control/move_runner.c
+++ b/packages/control/move_runner.c
@@ -147,20 +147,19 @@
 static struct move_exec_counts
 own_counts(const struct move_runner *r, const char *service, const char *to)
 {
-	size_t n = strlen(service);
 	struct move_exec_counts c = {0};
 	GHashTableIter it;
-	void *key, *tally;
+	void *arg;
 
-	g_hash_table_iter_init(&it, r->desc.view->tallies);
-	while (g_hash_table_iter_next(&it, &key, &tally)) {
-		const char *k = key;
+	g_hash_table_iter_init(&it, r->desc.view->versions);
+	while (g_hash_table_iter_next(&it, NULL, &arg)) {
+		const struct view_version *v = arg;
 
-		if (strncmp(k, service, n) != 0 || k[n] != '\n')
+		if (strcmp(v->service, service) != 0)
 			continue;
-		add_tally(strcmp(k + n + 1, to) == 0 ? &c.new_version
-						     : &c.old_version,
-		    tally);
+		add_tally(
+		    strcmp(v->name, to) == 0 ? &c.new_version : &c.old_version,
+		    v->tally);
 	}
 	return (c);
 }
--- a/packages/fleet/fleet_view.c
+++ b/packages/fleet/fleet_view.c
@@ -1,13 +1,24 @@
-#include "fleet/fleet_view.h"
+#include "fleet/fleet_view_internal.h"
 
 #include <stdlib.h>
 #include <string.h>
 
+static void
+set_version(struct view_upstream *u, struct view_version *v)
+{
+	if (u->version != NULL)
+		u->version->n_upstreams--;
+	u->version = v;
+	if (v != NULL)
+		v->n_upstreams++;
+}
+
 static void
 free_upstream(void *arg)
 {
 	struct view_upstream *u = arg;
 
+	set_version(u, NULL);
 	obj_upstream_finish(&u->entry);
 	rt_stat_unref(u->stat);
 	free(u);
@@ -32,9 +43,14 @@
 }
 
 static void
-free_tally(void *arg)
+free_version(void *arg)
 {
-	rt_tally_unref(arg);
+	struct view_version *v = arg;
+
+	rt_tally_unref(v->tally);
+	g_free(v->service);
+	g_free(v->name);
+	g_free(v);
 }
 
 static void
@@ -60,9 +76,8 @@
 	f->moves = table_new(free_move);
 	f->members = table_new(free_member);
 	cold_owners_init(&f->cold_owners, desc->self);
-	f->tallies = table_new(free_tally);
 	f->usage = table_new(free_usage);
-	f->versions = table_new(g_free);
+	f->versions = table_new(free_version);
 	f->zones_out = table_new(NULL);
 	f->zones_listed = table_new(NULL);
 	f->changed = table_new(NULL);
@@ -84,7 +99,6 @@
 	g_hash_table_unref(f->moves);
 	g_hash_table_unref(f->members);
 	cold_owners_finish(&f->cold_owners);
-	g_hash_table_unref(f->tallies);
 	drop_workspaces(f);
 	g_hash_table_unref(f->usage);
 	g_hash_table_unref(f->versions);
@@ -422,8 +436,10 @@
 		o = add_upstream(f, id);
 	else if (o->entry.start_time_ms != u->start_time_ms)
 		reset_stat(o);
-	if (o->entry.id == NULL || !same_entry(&o->entry, u))
+	if (o->entry.id == NULL || !same_entry(&o->entry, u)) {
 		record_change(f, id);
+		set_version(o, view_version_get(f, u->service, u->version));
+	}
 	if (u->cold_ms > 0)
 		atomic_store(
 		    &o->stat->cold_until_us, now_us + u->cold_ms * 1000);
@@ -596,19 +612,50 @@
 	return (g_strconcat(service, "\n", version, NULL));
 }
 
-struct rt_tally *
-view_tally(struct fleet_view *f, const char *service, const char *version)
+struct view_version *
+view_version_get(struct fleet_view *f, const char *service, const char *version)
 {
 	char *key = pair_key(service, version);
-	struct rt_tally *t = g_hash_table_lookup(f->tallies, key);
+	struct view_version *v = g_hash_table_lookup(f->versions, key);
 
-	if (t != NULL) {
+	if (v != NULL) {
 		g_free(key);
-		return (t);
+		return (v);
 	}
-	t = rt_tally_new();
-	g_hash_table_insert(f->tallies, key, t);
-	return (t);
+	v = g_new0(struct view_version, 1);
+	v->service = g_strdup(service);
+	v->name = g_strdup(version);
+	v->tally = rt_tally_new();
+	v->unused_since_us = INT64_MAX;
+	g_hash_table_insert(f->versions, key, v);
+	return (v);
+}
+
+void
+view_drop_unused_versions(struct fleet_view *f, int64_t now_us)
+{
+	GHashTableIter it;
+	void *arg;
+
+	g_hash_table_iter_init(&it, f->versions);
+	while (g_hash_table_iter_next(&it, NULL, &arg)) {
+		struct view_version *v = arg;
+
+		if (v->n_upstreams != 0)
+			v->unused_since_us = INT64_MAX;
+		else
+			v->unused_since_us = MIN(v->unused_since_us, now_us);
+		if (v->n_upstreams == 0 &&
+		    now_us - v->unused_since_us >= VIEW_UNUSED_VERSION_US &&
+		    !g_hash_table_contains(f->moves, v->service))
+			g_hash_table_iter_remove(&it);
+	}
+}
+
+struct rt_tally *
+view_tally(struct fleet_view *f, const char *service, const char *version)
+{
+	return (view_version_get(f, service, version)->tally);
 }
 
 struct usage_counter *
--- a/packages/fleet/fleet_view.h
+++ b/packages/fleet/fleet_view.h
@@ -38,6 +38,11 @@
  * its order may not have been read yet.
  */
 #define VIEW_NEW_VERSION_US 3000000
+/*
+ * A version without upstreams is forgotten after this time, which is longer
+ * than a move takes, unless its service has a move order.
+ */
+#define VIEW_UNUSED_VERSION_US 600000000
 
 /*
  * A VM that starts routes as soon as it knows this many upstreams. On a large
@@ -45,9 +50,35 @@
  */
 #define VIEW_ENOUGH_UPSTREAMS 256
 
+/**
+ * struct view_version - a version of a service
+ * @service: name of the service
+ * @name: name of the version
+ * @tally: counters of its attempts
+ * @n_upstreams: number of its upstreams
+ * @unused_since_us: when it was found without upstreams, INT64_MAX while it has
+ *	some
+ * @in_table: a routing table has contained it
+ * @first_us: when it was first in a routing table, valid if @in_table
+ * @build: number of the last table that contains it, see fleet_view.n_builds
+ * @index: its index in its service in that table
+ */
+struct view_version {
+	char *service;
+	char *name;
+	struct rt_tally *tally;
+	uint32_t n_upstreams;
+	int64_t unused_since_us;
+	bool in_table;
+	int64_t first_us;
+	uint64_t build;
+	uint32_t index;
+};
+
 /**
  * struct view_upstream - an upstream as this VM knows it
  * @entry: its entry in the store
+ * @version: its version, which it is counted in
  * @stat: load statistics of this process
  * @hash: hash of the entry without the fields that heartbeats change
  * @listed: the list that is being read contains the entry
@@ -58,6 +89,7 @@
  */
 struct view_upstream {
 	struct obj_upstream entry;
+	struct view_version *version;
 	struct rt_stat *stat;
 	uint64_t hash;
 	bool listed;
@@ -116,12 +148,12 @@
  * @members: id -> struct view_member
  * @cold_owners: the VMs that share cold upstreams
  * @members_changed: @cold_owners has to be updated from @members
- * @tallies: service and version -> struct rt_tally
  * @usage: name of a workspace -> struct usage_counter; entries are kept when a
  *	workspace is removed, because its last windows are still to be reported
  * @workspaces: table of the workspaces in @config, shared by the routing tables
  *	that are built from it; NULL before the first one and without workspaces
- * @versions: service and version -> int64_t, when it was first seen
+ * @versions: service and version -> struct view_version
+ * @n_builds: number of routing tables that were begun
  * @known: kinds whose list was read at least once
  * @changed: ids of changed upstreams, see view_take_changed()
  * @outage: the store does not answer
@@ -143,10 +175,10 @@
 	GHashTable *members;
 	struct cold_owners cold_owners;
 	bool members_changed;
-	GHashTable *tallies;
 	GHashTable *usage;
 	struct workspace_table *workspaces;
 	GHashTable *versions;
+	uint64_t n_builds;
 	bool known[STORE_KINDS];
 	GHashTable *changed;
 	bool outage;
@@ -260,7 +292,7 @@
 /**
  * view_tally() - counters of a service's version, created on first use
  *
- * Return: valid until view_finish(); the caller holds no reference.
+ * Return: valid until the next view_table(); the caller holds no reference.
  */
 struct rt_tally *view_tally(
     struct fleet_view *f, const char *service, const char *version);
--- a/packages/fleet/fleet_view_table.c
+++ b/packages/fleet/fleet_view_table.c
@@ -2,33 +2,79 @@
  * fleet_view_table - builds the routing table from the fleet view.
  *
  * Routes are grouped by host: each host becomes a service without upstreams,
- * whose routes are split over the services that have upstreams.
+ * whose routes are split over the services that have upstreams. Memory and time
+ * grow with the sum of what the configuration and the lists name: each array is
+ * shared by all hosts or services, each of which has a slice of it, and names
+ * are found through hash tables.
  */
 #include <stdlib.h>
 #include <string.h>
 
-#include "fleet/fleet_view.h"
+#include "base/hash_index.h"
+#include "fleet/fleet_view_internal.h"
+#include "fleet/preferred_upstreams.h"
+#include "fleet/route_demand.h"
 
-#define PERMILLE 1000u
 /* A request counts as slow above this multiple of its latency goal. */
 #define SLOW_GOAL_FACTOR 1.5
 /* Latency goal of a service when no route to it sets one. */
 #define DEFAULT_GOAL_MS 1000
-/*
- * Number of upstreams per version that a VM prefers; enough to find one with a
- * free slot. They are in its own zone, if that has as many.
+
+/**
+ * struct host_group - the routes of one host
+ * @host: its name in the first of them
+ * @n: number of routes
+ * @routes: slice of table_builder.routes
  */
-#define PREFERRED_UPSTREAMS 16
+struct host_group {
+	const char *host;
+	uint32_t n;
+	struct rt_route *routes;
+};
+
+/**
+ * struct service_draft - a service of the configuration
+ * @settings: its entry there
+ * @demand: what the routes demand of it
+ * @n_upstreams: number of its upstreams
+ * @out: the service in the table
+ */
+struct service_draft {
+	const struct obj_service *settings;
+	struct service_demand demand;
+	uint32_t n_upstreams;
+	struct rt_service *out;
+};
+
+/**
+ * struct placed_upstream - an upstream and the service that it belongs to
+ */
+struct placed_upstream {
+	struct view_upstream *upstream;
+	struct service_draft *draft;
+};
 
 /**
  * struct table_builder - state while a table is built; strings are borrowed
- * @services: struct rt_service, in the order of the configuration
+ * @groups: routes by host, @n_groups of them
+ * @group_of: group of each route
+ * @drafts: services, in the order of the configuration
+ * @by_name: index from the name of a service to its draft
+ * @placed: upstreams whose service is configured, @n_placed of them
+ * @services: the hosts, then the services of @drafts
  * @allocations: arrays that the services refer to, freed at the end
  */
 struct table_builder {
 	struct fleet_view *f;
 	int64_t now_us;
-	GArray *services;
+	struct host_group *groups;
+	uint32_t n_groups;
+	struct host_group **group_of;
+	struct service_draft *drafts;
+	struct hash_index by_name;
+	struct placed_upstream *placed;
+	uint32_t n_placed;
+	struct rt_service *services;
 	GPtrArray *allocations;
 };
 
@@ -43,25 +89,6 @@
 	return (p);
 }
 
-static void
-fill_route(
-    struct table_builder *b, const struct obj_route *from, struct rt_route *to)
-{
-	*to = (struct rt_route){.prefix = bstr_from(from->prefix),
-	    .idempotent = from->idempotent,
-	    .timeout_ms = from->timeout_ms,
-	    .goal_ms = from->goal_ms,
-	    .attempts = from->attempts,
-	    .n_splits = from->n_splits,
-	    .priority = from->priority,
-	    .is_public = from->is_public};
-	to->splits = alloc_array(b, from->n_splits, sizeof(*to->splits));
-	for (uint32_t i = 0; i < from->n_splits; i++) {
-		to->splits[i].service = bstr_from(from->splits[i].service);
-		to->splits[i].weight = from->splits[i].weight;
-	}
-}
-
 _Static_assert(WSTAB_NO_PRIORITY == OBJ_NO_PRIORITY,
     "a workspace without a priority is marked alike in both types");
 
@@ -89,95 +116,6 @@
 	g_free(list);
 }
 
-/** struct priority_range - least and greatest priority of some requests */
-struct priority_range {
-	uint32_t min;
-	uint32_t max;
-};
-
-static const struct priority_range empty_range = {.min = UINT32_MAX};
-
-static void
-add_priority(struct priority_range *r, uint32_t priority)
-{
-	r->min = MIN(r->min, priority);
-	r->max = MAX(r->max, priority);
-}
-
-/* As rt_draw_split() chooses: the first split if no split has a weight. */
-static bool
-is_routed_to(const struct obj_route *r, const char *service)
-{
-	uint32_t total = 0;
-
-	for (uint32_t k = 0; k < r->n_splits; k++) {
-		total += r->splits[k].weight;
-		if (r->splits[k].weight != 0 &&
-		    strcmp(r->splits[k].service, service) == 0)
-			return (true);
-	}
-	return (total == 0 && r->n_splits != 0 &&
-	    strcmp(r->splits[0].service, service) == 0);
-}
-
-/* Adds the priorities of the requests that a route lets through. */
-static void
-add_route_priorities(struct priority_range *out, const struct obj_config *c,
-    const struct obj_route *r)
-{
-	if (!c->has_workspaces || r->is_public)
-		add_priority(out, r->priority);
-	for (uint32_t i = 0; i < c->n_workspaces; i++) {
-		const struct obj_workspace *w = &c->workspaces[i];
-
-		if (w->n_keys != 0)
-			add_priority(out,
-			    w->priority == OBJ_NO_PRIORITY ? r->priority
-							   : w->priority);
-	}
-}
-
-/* Whether requests of different priorities reach a service. */
-static bool
-is_ranked(const struct obj_config *c, const char *service)
-{
-	struct priority_range range = empty_range;
-
-	for (uint32_t i = 0; i < c->n_routes; i++) {
-		if (is_routed_to(&c->routes[i], service))
-			add_route_priorities(&range, c, &c->routes[i]);
-	}
-	return (range.min < range.max);
-}
-
-static bool
-is_host_added(const struct obj_config *c, uint32_t at)
-{
-	for (uint32_t i = 0; i < at; i++) {
-		if (g_ascii_strcasecmp(c->routes[i].host, c->routes[at].host) ==
-		    0)
-			return (true);
-	}
-	return (false);
-}
-
-static void
-add_host(struct table_builder *b, uint32_t first)
-{
-	const struct obj_config *c = b->f->config;
-	const char *host = c->routes[first].host;
-	struct rt_service s = {.name = bstr_from(host), .n_hosts = 1};
-
-	s.hosts = alloc_array(b, 1, sizeof(*s.hosts));
-	s.hosts[0] = bstr_from(host);
-	s.routes = alloc_array(b, c->n_routes, sizeof(*s.routes));
-	for (uint32_t i = first; i < c->n_routes; i++) {
-		if (g_ascii_strcasecmp(c->routes[i].host, host) == 0)
-			fill_route(b, &c->routes[i], &s.routes[s.n_routes++]);
-	}
-	g_array_append_val(b->services, s);
-}
-
 /* Applies changes of the list of VMs to the division of cold upstreams. */
 static void
 update_cold_owners(struct fleet_view *f)
@@ -221,398 +159,317 @@
 	return (RT_READY);
 }
 
-static uint32_t
-version_index(struct rt_service *s, const char *version)
+static void
+group_routes(struct table_builder *b)
 {
-	struct bstr name = bstr_from(version);
+	const struct obj_config *c = b->f->config;
+	struct hash_index hosts;
 
-	for (uint32_t v = 0; v < s->n_versions; v++) {
-		if (bstr_eq(s->versions[v].name, name))
-			return (v);
+	b->groups = alloc_array(b, c->n_routes, sizeof(*b->groups));
+	b->group_of = alloc_array(b, c->n_routes, sizeof(struct host_group *));
+	hash_index_init(&hosts, c->n_routes, true);
+	for (uint32_t i = 0; i < c->n_routes; i++) {
+		struct bstr host = bstr_from(c->routes[i].host);
+		struct host_group *g =
+		    (struct host_group *)hash_index_find(&hosts, host);
+
+		if (g == NULL) {
+			g = &b->groups[b->n_groups++];
+			g->host = c->routes[i].host;
+			hash_index_add(&hosts, host, g);
+		}
+		g->n++;
+		b->group_of[i] = g;
 	}
-	s->versions[s->n_versions].name = name;
-	return (s->n_versions++);
+	hash_index_finish(&hosts);
 }
 
-static void
-fill_upstreams(
-    struct table_builder *b, const struct obj_service *d, struct rt_service *s)
+/* Sets a route; returns the number of elements of @splits that it takes. */
+static uint32_t
+fill_route(
+    const struct obj_route *from, struct rt_route *to, struct rt_split *splits)
 {
-	uint32_t max = g_hash_table_size(b->f->upstreams);
-	uint32_t n_vms = view_n_members(b->f);
-	GHashTableIter it;
-	void *v;
-
-	s->upstreams = alloc_array(b, max, sizeof(*s->upstreams));
-	s->versions = alloc_array(b, max, sizeof(*s->versions));
-	g_hash_table_iter_init(&it, b->f->upstreams);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		struct view_upstream *u = v;
-		const struct obj_upstream *e = &u->entry;
-
-		if (strcmp(e->service, d->name) != 0)
-			continue;
-		s->upstreams[s->n_upstreams++] = (struct rt_upstream){
-		    .id = bstr_from(e->id),
-		    .addr = bstr_from(e->address),
-		    .zone = bstr_from(e->zone),
-		    .version = version_index(s, e->version),
-		    .slots = e->slots,
-		    .state = state_of(b->f, e),
-		    .rank = rank_of(b->f, u),
-		    .n_vms = n_vms,
-		    /* One VM for each request a second that it can get. */
-		    .cold_allowed = rank_of(b->f, u) < (uint32_t)d->cold_per_s,
-		    .stat = u->stat};
+	*to = (struct rt_route){.prefix = bstr_from(from->prefix),
+	    .idempotent = from->idempotent,
+	    .timeout_ms = from->timeout_ms,
+	    .goal_ms = from->goal_ms,
+	    .attempts = from->attempts,
+	    .splits = splits,
+	    .n_splits = from->n_splits,
+	    .priority = from->priority,
+	    .is_public = from->is_public};
+	for (uint32_t i = 0; i < from->n_splits; i++) {
+		splits[i].service = bstr_from(from->splits[i].service);
+		splits[i].weight = from->splits[i].weight;
 	}
+	return (from->n_splits);
 }
 
-/** struct ranked - an upstream and its place in the order of a service */
-struct ranked {
-	uint32_t i;
-	uint64_t rank;
-};
-
-static int
-by_rank(const void *a, const void *b)
+/* Gives each host its slice of @routes, and fills them. */
+static void
+fill_routes(
+    struct table_builder *b, struct rt_route *routes, struct rt_split *splits)
 {
-	const struct ranked *x = a, *y = b;
+	const struct obj_config *c = b->f->config;
 
-	return ((x->rank > y->rank) - (x->rank < y->rank));
-}
+	for (uint32_t i = 0; i < b->n_groups; i++) {
+		b->groups[i].routes = routes;
+		routes += b->groups[i].n;
+		b->groups[i].n = 0;
+	}
+	for (uint32_t i = 0; i < c->n_routes; i++) {
+		struct host_group *g = b->group_of[i];
 
-/**
- * struct preferred_choice - choice of the preferred upstreams of a service
- * @s: service
- * @order: its upstreams, ordered by a hash
- * @n: number of preferred upstreams of each version so far
- */
-struct preferred_choice {
-	struct rt_service *s;
-	struct ranked *order;
-	uint32_t *n;
-};
+		splits += fill_route(&c->routes[i], &g->routes[g->n++], splits);
+	}
+}
 
-static bool
-is_in_zone(const struct rt_upstream *u, struct bstr zone)
+static void
+fill_hosts(struct table_builder *b)
 {
-	return (zone.n == 0 || bstr_eq(u->zone, zone));
+	const struct obj_config *c = b->f->config;
+	struct bstr *hosts = alloc_array(b, b->n_groups, sizeof(*hosts));
+	uint32_t n_splits = 0;
+
+	for (uint32_t i = 0; i < c->n_routes; i++)
+		n_splits += c->routes[i].n_splits;
+	fill_routes(b, alloc_array(b, c->n_routes, sizeof(struct rt_route)),
+	    alloc_array(b, n_splits, sizeof(struct rt_split)));
+	for (uint32_t i = 0; i < b->n_groups; i++) {
+		const struct host_group *g = &b->groups[i];
+
+		hosts[i] = bstr_from(g->host);
+		b->services[i] = (struct rt_service){.name = hosts[i],
+		    .hosts = &hosts[i],
+		    .n_hosts = 1,
+		    .routes = g->routes,
+		    .n_routes = g->n};
+	}
 }
 
-/* Orders the upstreams by a hash that begins with @seed. */
-static void
-order_upstreams(struct preferred_choice *p, uint64_t seed)
+static struct service_draft *
+find_draft(const struct table_builder *b, const char *service)
 {
-	for (uint32_t i = 0; i < p->s->n_upstreams; i++)
-		p->order[i] =
-		    (struct ranked){i, bstr_hash(p->s->upstreams[i].id, seed)};
-	qsort(p->order, p->s->n_upstreams, sizeof(*p->order), by_rank);
+	return ((struct service_draft *)hash_index_find(
+	    &b->by_name, bstr_from(service)));
 }
 
-/*
- * Makes ready upstreams preferred in their order, first those after the first
- * @skip, until each version has @max of them; only those in @zone, unless that
- * is empty.
- */
 static void
-add_preferred(
-    struct preferred_choice *p, struct bstr zone, uint32_t skip, uint32_t max)
+draft_services(struct table_builder *b)
 {
-	uint32_t n = p->s->n_upstreams;
+	const struct obj_config *c = b->f->config;
 
-	for (uint32_t k = 0, seen = 0; k < 2 * n; k++) {
-		struct rt_upstream *u = &p->s->upstreams[p->order[k % n].i];
+	b->drafts = alloc_array(b, c->n_services, sizeof(*b->drafts));
+	hash_index_init(&b->by_name, c->n_services, false);
+	for (uint32_t i = 0; i < c->n_services; i++) {
+		struct service_draft *d = &b->drafts[i];
 
-		if (u->state != RT_READY || !is_in_zone(u, zone))
-			continue;
-		if (seen++ < skip || !u->secondary || p->n[u->version] >= max)
-			continue;
-		u->secondary = false;
-		p->n[u->version]++;
+		*d = (struct service_draft){.settings = &c->services[i],
+		    .demand = SERVICE_DEMAND_NONE,
+		    .out = &b->services[b->n_groups + i]};
+		hash_index_add(&b->by_name, bstr_from(c->services[i].name), d);
 	}
 }
 
-/*
- * Number of upstreams of this VM's zone that come before the preferred ones.
- * The VMs of a zone begin at equal distances, so that each upstream of the zone
- * is primary for about the same number of VMs.
- */
-static uint32_t
-first_preferred_index(const struct fleet_view *f, const struct rt_service *s)
+/* As rt_draw_split() chooses: the first split if no split has a weight. */
+static void
+add_demand_of_route(const struct table_builder *b,
+    const struct route_demand *demand, const struct obj_route *r)
 {
-	uint64_t self = bstr_hash(bstr_from(f->self), 0);
-	uint64_t n_vms = 1, rank = 0, n_upstreams = 0;
-	GHashTableIter it;
-	void *id, *v;
+	uint64_t total = 0;
 
-	for (uint32_t i = 0; i < s->n_upstreams; i++)
-		n_upstreams += s->upstreams[i].state == RT_READY &&
-		    is_in_zone(&s->upstreams[i], bstr_from(f->zone));
-	g_hash_table_iter_init(&it, f->members);
-	while (g_hash_table_iter_next(&it, &id, &v)) {
-		const struct view_member *m = v;
+	for (uint32_t k = 0; k < r->n_splits; k++)
+		total += r->splits[k].weight;
+	for (uint32_t k = 0; k < r->n_splits; k++) {
+		struct service_draft *d = find_draft(b, r->splits[k].service);
+		bool gets_requests =
+		    total == 0 ? k == 0 : r->splits[k].weight != 0;
 
-		if (strcmp(id, f->self) == 0 ||
-		    strcmp(m->member.zone, f->zone) != 0)
-			continue;
-		n_vms++;
-		rank += bstr_hash(bstr_from(id), 0) < self;
+		if (d != NULL)
+			demand_add(demand, &d->demand, r, gets_requests);
 	}
-	return ((uint32_t)(rank * n_upstreams / n_vms));
 }
 
-/*
- * Marks all but PREFERRED_UPSTREAMS ready upstreams of each version as
- * secondary. Those of this VM's zone come first; the rest is filled from all,
- * in an order that depends on this VM's id, so that the connections spread.
- */
 static void
-mark_secondary(struct table_builder *b, struct rt_service *s)
-{
-	struct preferred_choice p = {.s = s,
-	    .order = alloc_array(b, s->n_upstreams, sizeof(*p.order)),
-	    .n = alloc_array(b, s->n_versions, sizeof(*p.n))};
-
-	for (uint32_t i = 0; i < s->n_upstreams; i++)
-		s->upstreams[i].secondary = s->upstreams[i].state == RT_READY;
-	if (b->f->zone[0] != '\0') {
-		order_upstreams(&p, 0);
-		add_preferred(&p, bstr_from(b->f->zone),
-		    first_preferred_index(b->f, s), PREFERRED_UPSTREAMS);
-	}
-	order_upstreams(&p, bstr_hash(bstr_from(b->f->self), 0));
-	add_preferred(&p, (struct bstr){0}, 0, PREFERRED_UPSTREAMS);
-}
-
-static uint32_t
-count_usable(const struct rt_service *s, uint32_t version)
+sum_up_demand(struct table_builder *b)
 {
-	uint32_t n = 0;
-
-	for (uint32_t i = 0; i < s->n_upstreams; i++)
-		n += s->upstreams[i].version == version &&
-		    s->upstreams[i].state == RT_READY;
-	return (n);
-}
+	const struct obj_config *c = b->f->config;
+	struct route_demand demand;
 
-/*
- * Whether a version appeared so recently that its move order may not have been
- * read yet.
- */
-static bool
-is_new_version(
-    struct table_builder *b, const char *service, struct bstr version)
-{
-	char *key =
-	    g_strdup_printf("%s\n%.*s", service, (int)version.n, version.p);
-	int64_t *at = g_hash_table_lookup(b->f->versions, key);
-	int64_t end_us;
-
-	if (at != NULL) {
-		g_free(key);
-	} else {
-		at = g_new(int64_t, 1);
-		*at = b->f->table_built ? b->now_us
-					: b->now_us - VIEW_NEW_VERSION_US;
-		g_hash_table_insert(b->f->versions, key, at);
-	}
-	end_us = *at + VIEW_NEW_VERSION_US;
-	if (b->now_us >= end_us)
-		return (false);
-	if (end_us < b->f->due_us)
-		b->f->due_us = end_us;
-	return (true);
+	demand_init(&demand, c);
+	for (uint32_t i = 0; i < c->n_routes; i++)
+		add_demand_of_route(b, &demand, &c->routes[i]);
 }
 
-/*
- * Distributes @total permille over all versions except @excluded in proportion
- * to their usable upstreams.
- */
+/* Finds the service of each upstream. */
 static void
-distribute(struct rt_service *s, uint32_t total, uint32_t excluded)
+place_upstreams(struct table_builder *b)
 {
-	uint32_t sum = 0, assigned = 0, last = UINT32_MAX;
+	GHashTableIter it;
+	void *v;
 
-	for (uint32_t v = 0; v < s->n_versions; v++)
-		sum += v == excluded ? 0 : count_usable(s, v);
-	for (uint32_t v = 0; v < s->n_versions && sum != 0; v++) {
-		if (v == excluded)
+	b->placed = alloc_array(
+	    b, g_hash_table_size(b->f->upstreams), sizeof(*b->placed));
+	g_hash_table_iter_init(&it, b->f->upstreams);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct view_upstream *u = v;
+		struct service_draft *d = find_draft(b, u->entry.service);
+
+		if (d == NULL)
 			continue;
-		s->versions[v].share = total * count_usable(s, v) / sum;
-		assigned += s->versions[v].share;
-		if (s->versions[v].share != 0)
-			last = v;
+		b->placed[b->n_placed++] = (struct placed_upstream){u, d};
+		d->n_upstreams++;
 	}
-	if (last != UINT32_MAX)
-		s->versions[last].share += total - assigned;
-}
-
-static enum obj_move_state
-move_state(const struct view_move *m)
-{
-	if (m->order.state == OBJ_MOVE_DONE ||
-	    m->order.state == OBJ_MOVE_ROLLED_BACK)
-		return (m->order.state);
-	return (m->outcome);
-}
-
-static uint32_t
-running_share(struct table_builder *b, struct view_move *m)
-{
-	m->applied_share = b->now_us < m->share_until_us ? m->share : 0;
-	return (m->applied_share);
 }
 
 /*
- * Sends no requests to a service: while the list of upstreams is incomplete,
- * its other versions may be missing.
+ * Index of a version in its service, which gets it if it is the first upstream
+ * of the version.
  */
-static void
-hold_upstreams(struct rt_service *s)
-{
-	for (uint32_t i = 0; i < s->n_upstreams; i++)
-		s->upstreams[i].state = RT_DOWN;
-}
-
-/* Sets the shares of a service that is being moved to version @to. */
-static void
-set_move_shares(struct table_builder *b, struct rt_service *s,
-    struct view_move *m, uint32_t to)
-{
-	uint32_t share = 0;
-
-	switch (move_state(m)) {
-	case OBJ_MOVE_DONE:
-		share = PERMILLE;
-		break;
-	case OBJ_MOVE_ROLLED_BACK:
-		break;
-	case OBJ_MOVE_NEW:
-	case OBJ_MOVE_RUNNING:
-		share = running_share(b, m);
-		break;
+static uint32_t
+version_index(
+    struct table_builder *b, struct rt_service *s, struct view_version *v)
+{
+	if (v->build != b->f->n_builds) {
+		v->build = b->f->n_builds;
+		v->index = s->n_versions;
+		s->versions[s->n_versions].name = bstr_from(v->name);
+		s->tallies[s->n_versions] = v->tally;
+		s->n_versions++;
 	}
-	/* All remaining upstreams run the new version. */
-	if (s->n_versions == 1 && b->f->known[STORE_UPSTREAMS])
-		share = PERMILLE;
-	else if (s->n_versions == 1 && share != PERMILLE)
-		hold_upstreams(s);
-	s->versions[to].share = share;
-	distribute(s, PERMILLE - share, to);
+	return (v->index);
 }
 
-/*
- * Without a move order, requests are distributed in proportion to the usable
- * upstreams of each version. A new version gets none until VIEW_NEW_VERSION_US
- * have passed, because a move order for it may follow.
- */
 static void
-set_default_shares(
-    struct table_builder *b, struct rt_service *s, const char *service)
-{
-	uint32_t new_version = UINT32_MAX;
-	bool any_old = false;
-
-	for (uint32_t v = 0; v < s->n_versions; v++) {
-		if (is_new_version(b, service, s->versions[v].name))
-			new_version = v;
-		else
-			any_old = any_old || count_usable(s, v) != 0;
+add_upstream(struct table_builder *b, const struct placed_upstream *p)
+{
+	struct view_upstream *u = p->upstream;
+	const struct obj_upstream *e = &u->entry;
+	struct rt_service *s = p->draft->out;
+	uint32_t rank = rank_of(b->f, u);
+
+	s->upstreams[s->n_upstreams++] =
+	    (struct rt_upstream){.id = bstr_from(e->id),
+		.addr = bstr_from(e->address),
+		.zone = bstr_from(e->zone),
+		.version = version_index(b, s, u->version),
+		.slots = e->slots,
+		.state = state_of(b->f, e),
+		.rank = rank,
+		.n_vms = view_n_members(b->f),
+		/* One VM for each request a second that it can get. */
+		.cold_allowed = rank < (uint32_t)p->draft->settings->cold_per_s,
+		.stat = u->stat};
+}
+
+/* Gives each service its slices of the arrays, and adds its upstreams. */
+static void
+fill_upstreams(struct table_builder *b)
+{
+	struct rt_upstream *upstreams =
+	    alloc_array(b, b->n_placed, sizeof(*upstreams));
+	struct rt_version *versions =
+	    alloc_array(b, b->n_placed, sizeof(*versions));
+	struct rt_tally **tallies =
+	    alloc_array(b, b->n_placed, sizeof(struct rt_tally *));
+
+	for (uint32_t i = 0; i < b->f->config->n_services; i++) {
+		struct service_draft *d = &b->drafts[i];
+
+		d->out->upstreams = upstreams;
+		d->out->versions = versions;
+		d->out->tallies = tallies;
+		upstreams += d->n_upstreams;
+		versions += d->n_upstreams;
+		tallies += d->n_upstreams;
 	}
-	distribute(s, PERMILLE, any_old ? new_version : UINT32_MAX);
+	for (uint32_t i = 0; i < b->n_placed; i++)
+		add_upstream(b, &b->placed[i]);
 }
 
+/* Number of VMs of this VM's zone, and of those that precede it. */
 static void
-fill_shares(struct table_builder *b, struct rt_service *s, const char *service)
+rank_in_zone(const struct fleet_view *f, struct preferred_desc *out)
 {
-	struct view_move *m = g_hash_table_lookup(b->f->moves, service);
-
-	if (m != NULL) {
-		for (uint32_t v = 0; v < s->n_versions; v++) {
-			/*
-			 * Records when the version was first seen. Its age
-			 * does not matter while there is a move order.
-			 */
-			is_new_version(b, service, s->versions[v].name);
-			if (bstr_eq(s->versions[v].name,
-				bstr_from(m->order.to_version))) {
-				set_move_shares(b, s, m, v);
-				return;
-			}
-		}
+	uint64_t self = bstr_hash(bstr_from(f->self), 0);
+	GHashTableIter it;
+	void *id, *v;
+
+	out->zone_vms = 1;
+	g_hash_table_iter_init(&it, f->members);
+	while (g_hash_table_iter_next(&it, &id, &v)) {
+		const struct view_member *m = v;
+
+		if (strcmp(id, f->self) == 0 ||
+		    strcmp(m->member.zone, f->zone) != 0)
+			continue;
+		out->zone_vms++;
+		out->zone_rank += bstr_hash(bstr_from(id), 0) < self;
 	}
-	set_default_shares(b, s, service);
 }
 
 static void
-fill_tallies(struct table_builder *b, struct rt_service *s, const char *service)
-{
-	s->routes = alloc_array(b, 1, sizeof(*s->routes));
-	s->routes[0].prefix = BSTR("/");
-	s->n_routes = 1;
-	s->tallies = alloc_array(b, s->n_versions, sizeof(struct rt_tally *));
-	for (uint32_t v = 0; v < s->n_versions; v++)
-		s->tallies[v] =
-		    view_tally(b->f, service, s->versions[v].name.p);
-}
-
-/* Longest latency goal of the routes that lead to a service. */
-static uint32_t
-goal_ms(const struct obj_config *c, const char *service)
+fill_service(struct table_builder *b, struct service_draft *d,
+    struct preferred *preferred, struct rt_route *route)
 {
-	uint32_t goal = 0;
+	struct rt_service *s = d->out;
+	uint32_t goal_ms =
+	    d->demand.goal_ms != 0 ? d->demand.goal_ms : DEFAULT_GOAL_MS;
 
-	for (uint32_t i = 0; i < c->n_routes; i++) {
-		const struct obj_route *r = &c->routes[i];
-
-		for (uint32_t k = 0; k < r->n_splits; k++) {
-			if (strcmp(r->splits[k].service, service) == 0 &&
-			    r->goal_ms > goal)
-				goal = r->goal_ms;
-		}
-	}
-	return (goal != 0 ? goal : DEFAULT_GOAL_MS);
+	s->name = bstr_from(d->settings->name);
+	s->probe_path = bstr_from(d->settings->probe_path);
+	s->routes = route;
+	s->n_routes = 1;
+	s->ranked = demand_is_ranked(&d->demand);
+	s->slow_us = (int64_t)(SLOW_GOAL_FACTOR * goal_ms) * 1000;
+	preferred_mark(preferred, s);
+	view_fill_shares(b->f, s, d->settings->name, b->now_us);
 }
 
 static void
-add_service(struct table_builder *b, const struct obj_service *d)
+fill_services(struct table_builder *b)
 {
-	struct rt_service s = {
-	    .name = bstr_from(d->name), .probe_path = bstr_from(d->probe_path)};
-
-	fill_upstreams(b, d, &s);
-	mark_secondary(b, &s);
-	fill_shares(b, &s, d->name);
-	fill_tallies(b, &s, d->name);
-	s.ranked = is_ranked(b->f->config, d->name);
-	s.slow_us =
-	    (int64_t)(SLOW_GOAL_FACTOR * goal_ms(b->f->config, d->name)) * 1000;
-	g_array_append_val(b->services, s);
+	const struct fleet_view *f = b->f;
+	struct rt_route *all_paths = alloc_array(b, 1, sizeof(*all_paths));
+	struct preferred_desc desc = {.self = bstr_from(f->self),
+	    .zone = bstr_from(f->zone),
+	    .max_upstreams = b->n_placed};
+	struct preferred preferred;
+
+	all_paths->prefix = BSTR("/");
+	rank_in_zone(f, &desc);
+	preferred_init(&preferred, &desc);
+	for (uint32_t i = 0; i < f->config->n_services; i++)
+		fill_service(b, &b->drafts[i], &preferred, all_paths);
+	preferred_finish(&preferred);
 }
 
 struct rt_table *
 view_table(struct fleet_view *f, int64_t now_us)
 {
-	const struct obj_config *c = f->config;
 	struct table_builder b = {.f = f, .now_us = now_us};
+	uint32_t n_services = f->config->n_services;
 	struct rt_table *t;
 
+	f->n_builds++;
 	update_cold_owners(f);
 	update_workspaces(f);
-	b.services = g_array_new(FALSE, TRUE, sizeof(struct rt_service));
 	b.allocations = g_ptr_array_new_with_free_func(free);
-	for (uint32_t i = 0; i < c->n_routes; i++) {
-		if (!is_host_added(c, i))
-			add_host(&b, i);
-	}
-	for (uint32_t i = 0; i < c->n_services; i++)
-		add_service(&b, &c->services[i]);
-	t = rt_table_new(&(struct rt_desc){
-	    .services = (struct rt_service *)(void *)b.services->data,
-	    .n_services = b.services->len,
+	group_routes(&b);
+	b.services = alloc_array(
+	    &b, (size_t)b.n_groups + n_services, sizeof(*b.services));
+	fill_hosts(&b);
+	draft_services(&b);
+	sum_up_demand(&b);
+	place_upstreams(&b);
+	fill_upstreams(&b);
+	fill_services(&b);
+	t = rt_table_new(&(struct rt_desc){.services = b.services,
+	    .n_services = b.n_groups + n_services,
 	    .workspaces = f->workspaces});
 	f->table_built = true;
-	g_array_unref(b.services);
+	hash_index_finish(&b.by_name);
 	g_ptr_array_unref(b.allocations);
+	view_drop_unused_versions(f, now_us);
 	return (t);
 }
--- a/packages/ops/metrics.c
+++ b/packages/ops/metrics.c
@@ -28,6 +28,8 @@
     [METRICS_USAGE_TOKEN] = "usage_token",
     [METRICS_STORE_EPOCH] = "store_epoch",
     [METRICS_CALLS_IN_PROGRESS] = "calls_in_progress",
+    [METRICS_TABLE_BYTES] = "routing_table_bytes",
+    [METRICS_TABLE_BUILD_US] = "routing_table_build_us",
 };
 
 static const double quantiles[] = {0.5, 0.99, 0.999};
--- a/packages/ops/metrics.h
+++ b/packages/ops/metrics.h
@@ -73,6 +73,8 @@
  * @METRICS_USAGE_TOKEN: fencing token of the holder
  * @METRICS_STORE_EPOCH: epoch of the store, 0 if it has none
  * @METRICS_CALLS_IN_PROGRESS: calls from their request line to their end
+ * @METRICS_TABLE_BYTES: size of the routing table
+ * @METRICS_TABLE_BUILD_US: time that its build took, in microseconds
  */
 enum metrics_gauge {
 	METRICS_USAGE_WINDOW,
@@ -80,6 +82,8 @@
 	METRICS_USAGE_TOKEN,
 	METRICS_STORE_EPOCH,
 	METRICS_CALLS_IN_PROGRESS,
+	METRICS_TABLE_BYTES,
+	METRICS_TABLE_BUILD_US,
 	METRICS_GAUGES
 };
 
--- a/packages/route/routing.c
+++ b/packages/route/routing.c
@@ -4,7 +4,6 @@
 #include <stdlib.h>
 
 #include "route/concurrency_limit.h"
-#include "base/hash_index.h"
 
 /* A sample has the weight 1 / 2^SHIFT in its moving average. */
 #define SERVICE_SHIFT 4
@@ -32,22 +31,6 @@
 #define EJECT_PERMILLE 500
 #define EJECT_PAUSE_US 200000
 
-/**
- * struct rt_table - services and indexes over them
- * @services: services
- * @n: number of services
- * @hosts: index from host to struct rt_service, ignoring ASCII case
- * @names: index from name to struct rt_service
- * @workspaces: workspaces or NULL, a reference is held
- */
-struct rt_table {
-	struct rt_service *services;
-	uint32_t n;
-	struct hash_index hosts;
-	struct hash_index names;
-	struct workspace_table *workspaces;
-};
-
 static void *
 xcalloc(size_t n, size_t size)
 {
@@ -58,18 +41,6 @@
 	return (p);
 }
 
-static struct bstr
-copy_str(struct bstr s)
-{
-	return ((struct bstr){.p = bstr_dup(s), .n = s.n});
-}
-
-static void
-free_str(struct bstr s)
-{
-	free((char *)(uintptr_t)s.p);
-}
-
 struct rt_stat *
 rt_stat_new(void)
 {
@@ -126,193 +97,6 @@
 		free(t);
 }
 
-static void
-copy_tallies(struct rt_service *to, const struct rt_service *from)
-{
-	uint32_t n = from->n_routes * from->n_versions;
-
-	if (from->tallies == NULL)
-		return;
-	to->tallies = xcalloc(n, sizeof(struct rt_tally *));
-	for (uint32_t i = 0; i < n; i++)
-		to->tallies[i] = rt_tally_ref(from->tallies[i]);
-}
-
-static void
-free_tallies(struct rt_service *s)
-{
-	if (s->tallies == NULL)
-		return;
-	for (uint32_t i = 0; i < s->n_routes * s->n_versions; i++)
-		rt_tally_unref(s->tallies[i]);
-	free(s->tallies);
-}
-
-static void
-copy_splits(struct rt_route *to, const struct rt_route *from)
-{
-	to->splits = xcalloc(from->n_splits, sizeof(*to->splits));
-	for (uint32_t i = 0; i < from->n_splits; i++) {
-		to->splits[i].weight = from->splits[i].weight;
-		to->splits[i].service = copy_str(from->splits[i].service);
-	}
-}
-
-static void
-free_splits(struct rt_route *r)
-{
-	for (uint32_t i = 0; i < r->n_splits; i++)
-		free_str(r->splits[i].service);
-	free(r->splits);
-}
-
-static void
-copy_service(struct rt_service *to, const struct rt_service *from)
-{
-	*to = *from;
-	to->name = copy_str(from->name);
-	to->probe_path = copy_str(from->probe_path);
-	to->hosts = xcalloc(from->n_hosts, sizeof(*to->hosts));
-	for (uint32_t i = 0; i < from->n_hosts; i++)
-		to->hosts[i] = copy_str(from->hosts[i]);
-	to->routes = xcalloc(from->n_routes, sizeof(*to->routes));
-	for (uint32_t i = 0; i < from->n_routes; i++) {
-		to->routes[i] = from->routes[i];
-		to->routes[i].prefix = copy_str(from->routes[i].prefix);
-		copy_splits(&to->routes[i], &from->routes[i]);
-	}
-	to->versions = xcalloc(from->n_versions, sizeof(*to->versions));
-	for (uint32_t i = 0; i < from->n_versions; i++) {
-		to->versions[i] = from->versions[i];
-		to->versions[i].name = copy_str(from->versions[i].name);
-	}
-	to->upstreams = xcalloc(from->n_upstreams, sizeof(*to->upstreams));
-	for (uint32_t i = 0; i < from->n_upstreams; i++) {
-		to->upstreams[i] = from->upstreams[i];
-		to->upstreams[i].id = copy_str(from->upstreams[i].id);
-		to->upstreams[i].addr = copy_str(from->upstreams[i].addr);
-		to->upstreams[i].zone = copy_str(from->upstreams[i].zone);
-		rt_stat_ref(to->upstreams[i].stat);
-	}
-	copy_tallies(to, from);
-}
-
-static void
-free_service(struct rt_service *s)
-{
-	free_str(s->name);
-	free_str(s->probe_path);
-	for (uint32_t i = 0; i < s->n_hosts; i++)
-		free_str(s->hosts[i]);
-	for (uint32_t i = 0; i < s->n_routes; i++) {
-		free_str(s->routes[i].prefix);
-		free_splits(&s->routes[i]);
-	}
-	for (uint32_t i = 0; i < s->n_versions; i++)
-		free_str(s->versions[i].name);
-	for (uint32_t i = 0; i < s->n_upstreams; i++) {
-		free_str(s->upstreams[i].id);
-		free_str(s->upstreams[i].addr);
-		free_str(s->upstreams[i].zone);
-		rt_stat_unref(s->upstreams[i].stat);
-	}
-	free_tallies(s);
-	free(s->hosts);
-	free(s->routes);
-	free(s->versions);
-	free(s->upstreams);
-}
-
-/* When services share a host or a name, the first one is indexed. */
-static void
-build_indexes(struct rt_table *t)
-{
-	uint32_t n_hosts = 0;
-
-	for (uint32_t i = 0; i < t->n; i++)
-		n_hosts += t->services[i].n_hosts;
-	hash_index_init(&t->hosts, n_hosts, true);
-	hash_index_init(&t->names, t->n, false);
-	for (uint32_t i = 0; i < t->n; i++) {
-		const struct rt_service *s = &t->services[i];
-
-		hash_index_add(&t->names, s->name, s);
-		for (uint32_t j = 0; j < s->n_hosts; j++)
-			hash_index_add(&t->hosts, s->hosts[j], s);
-	}
-}
-
-struct rt_table *
-rt_table_new(const struct rt_desc *desc)
-{
-	struct rt_table *t = xcalloc(1, sizeof(*t));
-
-	t->n = desc->n_services;
-	t->services = xcalloc(t->n, sizeof(*t->services));
-	for (uint32_t i = 0; i < t->n; i++)
-		copy_service(&t->services[i], &desc->services[i]);
-	build_indexes(t);
-	if (desc->workspaces != NULL)
-		t->workspaces = wstab_ref(desc->workspaces);
-	return (t);
-}
-
-void
-rt_table_free(struct rt_table *t)
-{
-	if (t == NULL)
-		return;
-	for (uint32_t i = 0; i < t->n; i++)
-		free_service(&t->services[i]);
-	hash_index_finish(&t->hosts);
-	hash_index_finish(&t->names);
-	if (t->workspaces != NULL)
-		wstab_unref(t->workspaces);
-	free(t->services);
-	free(t);
-}
-
-const struct rt_service *
-rt_services(const struct rt_table *t, uint32_t *n)
-{
-	*n = t->n;
-	return (t->services);
-}
-
-const struct workspace_table *
-rt_workspaces(const struct rt_table *t)
-{
-	return (t->workspaces);
-}
-
-const struct rt_service *
-rt_find_host(const struct rt_table *t, struct bstr host)
-{
-	return (hash_index_find(&t->hosts, host));
-}
-
-const struct rt_service *
-rt_find_service(const struct rt_table *t, struct bstr name)
-{
-	return (hash_index_find(&t->names, name));
-}
-
-const struct rt_route *
-rt_find_route(const struct rt_service *s, struct bstr path)
-{
-	const struct rt_route *best = NULL;
-
-	for (uint32_t i = 0; i < s->n_routes; i++) {
-		const struct rt_route *r = &s->routes[i];
-
-		if (!bstr_has_prefix(path, r->prefix))
-			continue;
-		if (best == NULL || r->prefix.n > best->prefix.n)
-			best = r;
-	}
-	return (best);
-}
-
 struct rt_tally *
 rt_tally_at(
     const struct rt_service *s, const struct rt_route *route, uint32_t version)
--- a/packages/route/routing.h
+++ b/packages/route/routing.h
@@ -22,6 +22,7 @@
 
 #include <stdatomic.h>
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #include "base/byte_string.h"
@@ -329,6 +330,9 @@
 /** rt_table_free() - free a table that no reader holds; NULL is allowed */
 void rt_table_free(struct rt_table *t);
 
+/** rt_table_bytes() - memory of the table itself, without what it shares */
+size_t rt_table_bytes(const struct rt_table *t);
+
 /** rt_services() - all services of the table; sets @n to their number */
 const struct rt_service *rt_services(const struct rt_table *t, uint32_t *n);
 
--- a/tests/unit/test_fleet_view.c
+++ b/tests/unit/test_fleet_view.c
@@ -326,6 +326,55 @@
 	assert_int_equal(usage_counter_get(view_usage(f, "w0"), 1), 1);
 }
 
+static void
+set_version(struct fleet_view *f, unsigned version, int64_t now_us)
+{
+	struct obj_upstream u = {.id = g_strdup("u0"),
+	    .service = g_strdup("s"),
+	    .address = g_strdup("10.0.0.1:80"),
+	    .zone = g_strdup("a"),
+	    .version = g_strdup_printf("v%u", version),
+	    .slots = 6};
+
+	view_set_upstream(f, "u0", &u, now_us);
+	rt_table_free(view_table(f, now_us));
+}
+
+static bool
+knows_version(const struct fleet_view *f, const char *key)
+{
+	return (g_hash_table_contains(f->versions, key));
+}
+
+/*
+ * Guards against memory that grows with all versions that were ever in use, and
+ * against counters of a move that are lost while it runs.
+ */
+static void
+test_unused_versions(void **state)
+{
+	const int64_t step_us = VIEW_UNUSED_VERSION_US / 10;
+	struct fleet_view *f = *state;
+	struct obj_move m = {.name = g_strdup("s"),
+	    .service = g_strdup("s"),
+	    .to_version = g_strdup("v2")};
+	int64_t now_us = 0;
+
+	add_config(f);
+	for (unsigned v = 0; v < 1000; v++, now_us += step_us)
+		set_version(f, v, now_us);
+	assert_true(g_hash_table_size(f->versions) <= 12);
+	assert_true(knows_version(f, "s\nv999"));
+	assert_true(knows_version(f, "s\nv991"));
+	assert_false(knows_version(f, "s\nv0"));
+	view_set_move(f, "s", &m);
+	set_version(f, 1000, now_us + 2 * VIEW_UNUSED_VERSION_US);
+	assert_true(knows_version(f, "s\nv999"));
+	view_set_move(f, "s", NULL);
+	set_version(f, 1000, now_us + 3 * VIEW_UNUSED_VERSION_US);
+	assert_int_equal(g_hash_table_size(f->versions), 1);
+}
+
 #define TEST(f) cmocka_unit_test_setup_teardown(f, setup, teardown)
 
 int
@@ -337,6 +386,7 @@
 	    TEST(test_short_list),
 	    TEST(test_ranked),
 	    TEST(test_keys),
+	    TEST(test_unused_versions),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
