Parse the answers of the store one entry at a time

Cause: an answer was parsed as a whole, which takes about nine times its text. A watch reports every version since the last answer, so a VM whose process was paused during changes of a large configuration would exceed its memory. An answer above 64 MB was given up and the watch sent again without an end: the VM kept its old configuration.

Evidence: test_answer_size, 29 versions with 2,800 hosts (13 MB): 111 MB more while they are read; test_large_answer, 70 versions of 1 MB: not in effect after 20 s. Both failed on the former code.

Change: the entries of an answer are found first and parsed one by one; of several versions of the configuration only the newest valid one is parsed. An answer to a watch above 16 MB is given up, and the kind is listed instead.

Result: 7.7 MB more, one version decoded; the newest of the 70 versions is in effect without an outage.

--- a/Makefile
+++ b/Makefile
@@ -47,10 +47,10 @@
     $(wildcard tests/unit/*.c))
 # Tests in virtual time; their clocks and calls to the store replace the real
 # ones at link time.
-VIRTUAL_TESTS := test_reader_cuts
+VIRTUAL_TESTS := test_reader_cuts test_answer_size
 VIRTUAL_OBJS := $(patsubst %.c,$(B)/%.o,$(wildcard tests/virtual/*.c))
 # Tests that count the bytes on the heap.
-HEAP_TESTS := test_table_size
+HEAP_TESTS := test_table_size test_answer_size
 HEAP_OBJS := $(B)/packages/bench/heap_meter.o $(B)/packages/bench/table_fleet.o
 STANDINS := $(patsubst tests/standin/%.c,$(B)/standin/%,\
     $(wildcard tests/standin/*.c))
--- a/tests/unit/test_platform_store.c
+++ b/tests/unit/test_platform_store.c
@@ -20,6 +20,9 @@
 #define WAIT_LIMIT_MS 20000
 /* Above the minimum interval between two requested lists. */
 #define RELIST_INTERVAL_MS 1000
+/* Configurations whose sum is more than the client takes in one answer. */
+#define LARGE_CONFIG_BYTES 1000000
+#define N_LARGE_CONFIGS 70
 /* Changes that the store loses when it comes back from an older copy. */
 #define N_LATER_CHANGES 20
 
@@ -349,6 +352,38 @@
 	assert_true(clk_mono_ms() - begin_ms < 6000);
 }
 
+/* Writes a configuration of about a megabyte. */
+static void
+put_large_config(struct object_store *o, int version)
+{
+	char *note = g_strnfill(LARGE_CONFIG_BYTES, 'x');
+	char *text = g_strdup_printf("{\"version\":%d,\"routes\":{},"
+				     "\"services\":{},\"limits\":{},"
+				     "\"note\":\"%s\"}",
+	    version, note);
+
+	object_store_put(o, "config", "main", text);
+	g_free(text);
+	g_free(note);
+}
+
+/*
+ * Guards against an outage, or more memory than a VM has, when a watch reports
+ * more than a VM takes in one answer: the kind is listed instead.
+ */
+static void
+test_large_answer(void **state)
+{
+	struct fixture *f = *state;
+
+	RUN_UNTIL(f, view_is_ready(&f->view));
+	RUN_UNTIL(f, object_store_calls(f->store, "config") >= 2);
+	for (int v = 4; v < 4 + N_LARGE_CONFIGS; v++)
+		put_large_config(f->store, v);
+	RUN_UNTIL(f, config_version(f) == 4 + N_LARGE_CONFIGS - 1);
+	assert_int_equal(f->outages, 0);
+}
+
 /*
  * Guards against a stale configuration: the store does not report a change on
  * the watch in flight, while another VM already has the newer configuration. An
@@ -1055,6 +1090,7 @@
 	    TEST(test_odd_names_listed_again),
 	    TEST(test_watch),
 	    TEST(test_dropped_history),
+	    TEST(test_large_answer),
 	    TEST(test_list_now),
 	    TEST(test_stale_first_config),
 	    TEST(test_stale_list),
--- a/tests/unit/test_response_parse.c
+++ b/tests/unit/test_response_parse.c
@@ -47,11 +47,36 @@
     {"null", "null"},
 };
 
+/*
+ * Parses a response; returns the readable entries as the member "entries" of
+ * its other fields, NULL if it is rejected.
+ */
+static json_t *
+parse(struct bstr bytes)
+{
+	json_t *entries, *fields;
+	struct respparse r;
+
+	if (!respparse_init(&r, bytes))
+		return (NULL);
+	entries = json_array();
+	for (uint32_t i = 0; i < respparse_n(&r); i++) {
+		json_t *entry = respparse_entry(&r, i);
+
+		if (entry != NULL)
+			json_array_append_new(entries, entry);
+	}
+	fields = json_incref(r.fields);
+	json_object_set_new(fields, "entries", entries);
+	respparse_finish(&r);
+	return (fields);
+}
+
 static json_t *
 parse_list(const char *format, const char *spec)
 {
 	char *text = g_strdup_printf(format, good, spec, good);
-	json_t *response = respparse(bstr_from(text));
+	json_t *response = parse(bstr_from(text));
 
 	g_free(text);
 	return (response);
@@ -79,7 +104,7 @@
 		       "\"spec\":%s},%s],\"hasMore\":false,"
 		       "\"storeRevision\":9}",
 		spec);
-	json_t *items = json_object_get(r, "items");
+	json_t *items = json_object_get(r, "entries");
 
 	assert_non_null(r);
 	assert_int_equal(
@@ -99,7 +124,7 @@
 	    "{\"spec\":%s,\"metadata\":{\"name\":\"bad\"}},\"removed\":false},"
 	    "{\"object\":%s,\"removed\":false}],\"storeRevision\":9}",
 	    spec);
-	json_t *events = json_object_get(r, "events");
+	json_t *events = json_object_get(r, "entries");
 
 	assert_non_null(r);
 	assert_int_equal(json_array_size(events), 3);
@@ -147,7 +172,7 @@
 
 	(void)state;
 	assert_non_null(r);
-	assert_int_equal(json_array_size(json_object_get(r, "items")), 2);
+	assert_int_equal(json_array_size(json_object_get(r, "entries")), 2);
 	json_decref(r);
 }
 
@@ -221,7 +246,7 @@
 
 	(void)state;
 	for (size_t i = 0; i < sizeof(texts) / sizeof(*texts); i++)
-		assert_null(respparse(bstr_from(texts[i])));
+		assert_null(parse(bstr_from(texts[i])));
 }
 
 /* Random changes of a response neither crash nor read out of bounds. */
@@ -242,7 +267,7 @@
 		for (int k = 0; k < 3; k++)
 			text[rng_below(&rng, (uint32_t)n)] =
 			    "{}[]\",:\\x\xff"[rng_below(&rng, 10)];
-		json_decref(respparse(
+		json_decref(parse(
 		    (struct bstr){text, rng_below(&rng, (uint32_t)n + 1)}));
 		g_free(text);
 	}
