Index the path prefixes of a service, and measure routing tables

Cause: a request compared its path with every route of its host, 22.8 us a look-up among 5,000 routes of one host.

Change: a service with more than four routes has an index of its prefixes, which takes a look-up for each slash of the path up to the longest prefix. A service with a prefix that does not end in a slash (own mode) is searched as before.

--- a/Makefile
+++ b/Makefile
@@ -141,6 +141,7 @@
 	@tools/bench-fleet $(B)
 	@$(B)/bench
 	@$(B)/bench --routing
+	@$(B)/bench --tables
 
 format:
 	@clang-format -i $(SRCS) $(HDRS)
--- a/packages/bench/main.c
+++ b/packages/bench/main.c
@@ -5,7 +5,8 @@
  *
  * Prints one row for each load, fault and policy, as a table or JSON lines.
  * With --routing it measures the duration of the routing decision instead, with
- * --admission that of the decisions of admission.
+ * --admission that of the decisions of admission, with --tables what it costs
+ * to build and use a routing table.
  */
 #include <getopt.h>
 #include <stdio.h>
@@ -14,6 +15,7 @@
 
 #include "bench/admission_bench.h"
 #include "bench/routing_bench.h"
+#include "bench/table_bench.h"
 #include "model/fleet_model.h"
 
 static const double loads[] = {0.5, 0.7, 0.85, 0.95, 1.5};
@@ -51,12 +53,14 @@
 	    {"json", no_argument, NULL, 'j'},
 	    {"routing", no_argument, NULL, 'r'},
 	    {"admission", no_argument, NULL, 'a'},
+	    {"tables", no_argument, NULL, 't'},
 	    {"help", no_argument, NULL, 'h'},
 	    {0},
 	};
 	struct model_desc d = {.seed = 1, .calls = 200000};
 	static struct model_result r;
 	bool json = false, routing = false, admission = false;
+	bool tables = false;
 	bool calls_given = false;
 	int opt;
 
@@ -84,10 +88,13 @@
 		case 'a':
 			admission = true;
 			break;
+		case 't':
+			tables = true;
+			break;
 		default:
 			printf("usage: bench [--seed N] [--calls N] [--vms N] "
 			       "[--upstreams N] [--routing] [--admission] "
-			       "[--json]\n");
+			       "[--tables] [--json]\n");
 			return (opt == 'h' ? 0 : 2);
 		}
 	}
@@ -104,6 +111,10 @@
 			.json = json});
 		return (0);
 	}
+	if (tables) {
+		table_bench_run(json);
+		return (0);
+	}
 	if (!json)
 		printf("load fault      policy         p50_us   p99_us  "
 		       "p999_us  goodput  failed    late refused  faulty    "
--- a/packages/route/routing.h
+++ b/packages/route/routing.h
@@ -27,6 +27,7 @@
 
 #include "base/byte_string.h"
 #include "base/random.h"
+#include "route/prefix_index.h"
 #include "route/upstream_terms.h"
 #include "workspace/workspace_table.h"
 
@@ -209,6 +210,8 @@
  * @ranked: its requests have different priorities, so that admission ranks
  *	them; without it all are equal
  * @tallies: counters at [route * n_versions + version]; NULL for none
+ * @prefixes: index of the routes, built by rt_table_new() if there are many;
+ *	NULL for none
  */
 struct rt_service {
 	struct bstr name;
@@ -225,6 +228,7 @@
 	struct bstr probe_path;
 	bool ranked;
 	struct rt_tally **tallies;
+	struct prefix_index *prefixes;
 };
 
 struct rt_table;
--- a/packages/route/routing_table.c
+++ b/packages/route/routing_table.c
@@ -11,8 +11,12 @@
 #include "base/hash_index.h"
 #include "route/routing.h"
 
+/* Up to this number of routes, comparing each is as fast as an index. */
+#define LINEAR_ROUTES_MAX 4
+
 /**
  * struct table_counts - numbers of elements in all services
+ * @prefix_indexes: services whose routes are indexed
  * @text: bytes of all strings with their ends
  */
 struct table_counts {
@@ -22,6 +26,7 @@
 	size_t versions;
 	size_t upstreams;
 	size_t tallies;
+	size_t prefix_indexes;
 	size_t text;
 };
 
@@ -43,7 +48,7 @@
 	struct hash_index names;
 	struct workspace_table *workspaces;
 	size_t bytes;
-	void *blocks[7];
+	void *blocks[8];
 	uint32_t n_blocks;
 };
 
@@ -55,6 +60,7 @@
 	struct rt_version *versions;
 	struct rt_upstream *upstreams;
 	struct rt_tally **tallies;
+	struct prefix_index *prefix_indexes;
 	char *text;
 };
 
@@ -74,6 +80,18 @@
 	c->text += s.n + 1;
 }
 
+static bool
+has_prefix_index(const struct rt_service *s)
+{
+	if (s->n_routes <= LINEAR_ROUTES_MAX)
+		return (false);
+	for (uint32_t i = 0; i < s->n_routes; i++) {
+		if (!prefix_index_accepts(s->routes[i].prefix))
+			return (false);
+	}
+	return (true);
+}
+
 static void
 count_routes(struct table_counts *c, const struct rt_service *s)
 {
@@ -119,6 +137,7 @@
 	count_routes(c, s);
 	count_upstreams(c, s);
 	c->tallies += n_tallies(s);
+	c->prefix_indexes += has_prefix_index(s);
 }
 
 static void *
@@ -141,6 +160,8 @@
 	out->versions = add_block(t, c->versions, sizeof(*out->versions));
 	out->upstreams = add_block(t, c->upstreams, sizeof(*out->upstreams));
 	out->tallies = add_block(t, c->tallies, sizeof(struct rt_tally *));
+	out->prefix_indexes =
+	    add_block(t, c->prefix_indexes, sizeof(*out->prefix_indexes));
 	out->text = add_block(t, c->text, 1);
 }
 
@@ -234,6 +255,19 @@
 		to->tallies[i] = rt_tally_ref(from[i]);
 }
 
+static void
+index_routes(struct table_space *space, struct rt_service *s)
+{
+	s->prefixes = NULL;
+	if (!has_prefix_index(s))
+		return;
+	s->prefixes = space->prefix_indexes++;
+	prefix_index_init(s->prefixes, s->n_routes);
+	for (uint32_t i = 0; i < s->n_routes; i++)
+		prefix_index_add(
+		    s->prefixes, s->routes[i].prefix, &s->routes[i]);
+}
+
 static void
 copy_service(struct table_space *space, struct rt_service *to,
     const struct rt_service *from)
@@ -246,6 +280,7 @@
 	copy_versions(space, to, from->versions);
 	copy_upstreams(space, to, from->upstreams);
 	copy_tallies(space, to, from->tallies);
+	index_routes(space, to);
 }
 
 static void
@@ -255,6 +290,8 @@
 		rt_stat_unref(s->upstreams[i].stat);
 	for (uint32_t i = 0; i < n_tallies(s); i++)
 		rt_tally_unref(s->tallies[i]);
+	if (s->prefixes != NULL)
+		prefix_index_finish(s->prefixes);
 }
 
 /* When services share a host or a name, the first one is indexed. */
@@ -267,6 +304,8 @@
 		const struct rt_service *s = &t->services[i];
 
 		hash_index_add(&t->names, s->name, s);
+		if (s->prefixes != NULL)
+			t->bytes += hash_index_bytes(&s->prefixes->prefixes);
 		for (uint32_t j = 0; j < s->n_hosts; j++)
 			hash_index_add(&t->hosts, s->hosts[j], s);
 	}
@@ -347,6 +386,8 @@
 {
 	const struct rt_route *best = NULL;
 
+	if (s->prefixes != NULL)
+		return (prefix_index_find(s->prefixes, path));
 	for (uint32_t i = 0; i < s->n_routes; i++) {
 		const struct rt_route *r = &s->routes[i];
 
