Judge a new version at the load that it will have

Ruled out: lost or late counters.

Change: the share goes to as many upstreams as carry the later load with it; what finds no room there, and retries, go to the old version. The counts are weighed against a 99% bound of the old version's ratio, for the trial, the last step, and before completion; a suspect version does not get all requests yet.

--- a/packages/control/controller_config.c
+++ b/packages/control/controller_config.c
@@ -299,7 +299,7 @@
 	out->n_versions = s->n_versions;
 	for (uint32_t v = 0; v < s->n_versions; v++)
 		out->versions[v] = (struct rt_version){
-		    bstr_from(s->versions[v].name), shares[v]};
+		    .name = bstr_from(s->versions[v].name), .share = shares[v]};
 	g_free(shares);
 }
 
--- a/packages/control/move_runner.c
+++ b/packages/control/move_runner.c
@@ -20,7 +20,6 @@
 #define TAKEOVER_LATE_STEP_MS 20
 /* Interval between two writes of a status. */
 #define STATUS_WRITE_INTERVAL_MS 400
-#define PERMILLE 1000u
 /* Reason of an executor that takes over a move which was rolled back. */
 #define REASON_EARLIER_ROLLBACK "a former executor rolled the move back"
 
@@ -210,11 +209,10 @@
 	bbuf_finish(&b);
 }
 
-/* Usable upstreams of the new version per 1,000 of all other versions. */
-static uint32_t
-capacity(const struct move_runner *r, const struct view_move *m)
+static struct move_exec_upstreams
+count_upstreams(const struct move_runner *r, const struct view_move *m)
 {
-	uint32_t on_new = 0, others = 0;
+	struct move_exec_upstreams n = {0};
 	GHashTableIter it;
 	void *v;
 
@@ -227,11 +225,11 @@
 		    g_hash_table_contains(r->desc.view->zones_out, e->zone))
 			continue;
 		if (strcmp(e->version, m->order.to_version) == 0)
-			on_new++;
+			n.n_new++;
 		else
-			others++;
+			n.n_others++;
 	}
-	return (others == 0 ? PERMILLE : on_new * PERMILLE / others);
+	return (n);
 }
 
 static void
@@ -286,13 +284,14 @@
 execute_move(struct move_runner *r, struct view_move *m, struct local_move *p,
     int64_t now_ms)
 {
+	struct move_exec_upstreams upstreams = count_upstreams(r, m);
 	struct move_exec_counts own =
 	    own_counts(r, m->order.service, m->order.to_version);
 	uint32_t before = p->exec.share;
 	enum obj_move_state state = p->exec.state;
 
 	move_exec_add(&p->exec, r->desc.self, r->desc.boot, &own);
-	move_exec_tick(&p->exec, now_ms, capacity(r, m));
+	move_exec_tick(&p->exec, now_ms, &upstreams);
 	if (p->exec.share != before || p->exec.state != state)
 		g_message("move: %s: share %u -> %u permille, new version "
 			  "%llu calls %llu failed %llu slow, others %llu "
--- a/packages/fleet/fleet_view_shares.c
+++ b/packages/fleet/fleet_view_shares.c
@@ -6,6 +6,8 @@
 #include "fleet/fleet_view_internal.h"
 
 #define PERMILLE 1000u
+/* Seed of the order in which the upstreams of a new version are used. */
+#define CANARY_SEED 1
 
 /**
  * struct share_builder - state while the shares of a service are set
@@ -108,6 +110,67 @@
 		s->upstreams[i].state = RT_DOWN;
 }
 
+/* Whether another version can take the requests. */
+static bool
+others_usable(const struct share_builder *b, uint32_t version)
+{
+	for (uint32_t v = 0; v < b->s->n_versions; v++) {
+		if (v != version && b->usable[v] != 0)
+			return (true);
+	}
+	return (false);
+}
+
+static int
+by_hash(const void *a, const void *b)
+{
+	uint64_t x = *(const uint64_t *)a, y = *(const uint64_t *)b;
+
+	return ((x > y) - (x < y));
+}
+
+/* Order of the upstreams of a new version, the same on all VMs. */
+static uint64_t
+canary_hash(const struct rt_upstream *u)
+{
+	return (bstr_hash(u->id, CANARY_SEED));
+}
+
+/*
+ * While version @to gets @share permille of the requests, as many of its
+ * upstreams get them as will carry the same load once the version has all
+ * requests. A version that fails under load then shows it on few requests.
+ */
+static void
+hold_unused_upstreams(
+    const struct share_builder *b, uint32_t to, uint32_t share)
+{
+	struct rt_service *s = b->s;
+	uint32_t n = b->usable[to], at = 0;
+	uint32_t n_used = MAX((share * n + PERMILLE / 2) / PERMILLE, 1);
+	uint64_t *hashes, last;
+
+	if (n_used >= n)
+		return;
+	hashes = g_new(uint64_t, n);
+	for (uint32_t i = 0; i < s->n_upstreams; i++) {
+		const struct rt_upstream *u = &s->upstreams[i];
+
+		if (u->version == to && u->state == RT_READY)
+			hashes[at++] = canary_hash(u);
+	}
+	qsort(hashes, n, sizeof(*hashes), by_hash);
+	last = hashes[n_used - 1];
+	s->versions[to].on_trial = true;
+	for (uint32_t i = 0; i < s->n_upstreams; i++) {
+		struct rt_upstream *u = &s->upstreams[i];
+
+		if (u->version == to && canary_hash(u) > last)
+			u->state = RT_DOWN;
+	}
+	g_free(hashes);
+}
+
 /* Sets the shares of a service that is being moved to version @to. */
 static void
 set_move_shares(const struct share_builder *b, struct view_move *m, uint32_t to)
@@ -124,6 +187,8 @@
 	case OBJ_MOVE_NEW:
 	case OBJ_MOVE_RUNNING:
 		share = running_share(b, m);
+		if (others_usable(b, to))
+			hold_unused_upstreams(b, to, share);
 		break;
 	}
 	/* All remaining upstreams run the new version. */
--- a/packages/fleet/move_executor.c
+++ b/packages/fleet/move_executor.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 
+#define PERMILLE 1000
 /*
  * Shares of the new version and when they begin, in permille of the duration.
  */
@@ -11,12 +12,14 @@
 } stages[] = {
     {0, 50},
     {450, 100},
-    {560, 300},
+    {640, 300},
     {700, 1000},
 };
 
 #define N_STAGES (sizeof(stages) / sizeof(*stages))
-#define PERMILLE 1000
+
+/* Largest share that the first stage is raised to. */
+#define MAX_FIRST_SHARE 100
 /* Requests of the new version that must end before its share rises. */
 #define MIN_NEW_CALLS 20
 /*
@@ -39,6 +42,15 @@
 #define MIN_BAD_CALLS 6
 #define BAD_RATIO_MARGIN 0.15
 
+/*
+ * Evidence, see canary_evidence(), on which a running move is rolled back, and
+ * on which it is not completed. Between the two, the version is suspect: the
+ * move waits for more requests, at the longest until its time limit.
+ */
+#define EVIDENCE_ROLL_BACK 4.6
+#define EVIDENCE_NO_COMPLETION 3.0
+#define EVIDENCE_SUSPECT 1.0
+
 #define REASON_FAILING "the new version fails more requests"
 #define REASON_SLOW "the new version is slower"
 
@@ -142,6 +154,14 @@
 		2 * ratio(old_bad, old_calls) + BAD_RATIO_MARGIN);
 }
 
+static struct canary_count
+difference(const struct canary_count *a, const struct canary_count *b)
+{
+	return ((struct canary_count){.calls = a->calls - b->calls,
+	    .failed = a->failed - b->failed,
+	    .slow = a->slow - b->slow});
+}
+
 /*
  * Counts of the new version over the last MOVE_EXEC_RECENT_TICKS ticks, which
  * show a version that began to fail recently.
@@ -149,13 +169,35 @@
 static struct canary_count
 recent_counts(const struct move_executor *m)
 {
-	const struct canary_count *n = &m->total.new_version;
-	const struct canary_count *earlier =
-	    &m->recent_totals[m->n_ticks % MOVE_EXEC_RECENT_TICKS];
+	return (difference(&m->total.new_version,
+	    &m->recent_totals[m->n_ticks % MOVE_EXEC_RECENT_TICKS]));
+}
 
-	return ((struct canary_count){.calls = n->calls - earlier->calls,
-	    .failed = n->failed - earlier->failed,
-	    .slow = n->slow - earlier->slow});
+/* Returns the reason why @n is worse than @o by evidence @min, or NULL. */
+static const char *
+weigh_counts(
+    const struct canary_count *n, const struct canary_count *o, double min)
+{
+	if (canary_evidence(n->failed, n->calls, o->failed, o->calls) >= min)
+		return (REASON_FAILING);
+	if (canary_evidence(n->slow, n->calls, o->slow, o->calls) >= min)
+		return (REASON_SLOW);
+	return (NULL);
+}
+
+/*
+ * The same for the calls since the new version gets all requests, which show
+ * how it bears its load.
+ */
+static const char *
+weigh_full_share(const struct move_executor *m, double min)
+{
+	struct canary_count n;
+
+	if (m->full_share_ms == 0)
+		return (NULL);
+	n = difference(&m->total.new_version, &m->before_full);
+	return (weigh_counts(&n, &m->total.old_version, min));
 }
 
 static const char *
@@ -181,6 +223,11 @@
 
 	if (reason == NULL)
 		reason = compare_counts(&recent, old);
+	if (reason == NULL)
+		reason = weigh_counts(
+		    &m->total.new_version, old, EVIDENCE_ROLL_BACK);
+	if (reason == NULL)
+		reason = weigh_full_share(m, EVIDENCE_ROLL_BACK);
 	if (reason == NULL && canary_evaluate(&m->test) == CANARY_FAILING)
 		reason = REASON_FAILING;
 	if (reason == NULL && canary_evaluate(&m->test) == CANARY_SLOW)
@@ -205,26 +252,82 @@
 		roll_back(m, reason);
 }
 
+/*
+ * Whether the new version may be worse, so that it does not get all requests
+ * yet.
+ */
+static bool
+is_suspect(const struct move_executor *m)
+{
+	return (weigh_counts(&m->total.new_version, &m->total.old_version,
+		    EVIDENCE_SUSPECT) != NULL);
+}
+
+/* Whether the new version can take all requests. */
+static bool
+has_capacity(const struct move_exec_upstreams *u)
+{
+	return (u->n_others == 0 ||
+	    u->n_new * PERMILLE / u->n_others >= MIN_CAPACITY);
+}
+
+/*
+ * Share of a stage, such that each of the new version's upstreams in use
+ * carries the load that it will have after the move. A stage that is too small
+ * for one upstream is raised for it, up to MAX_FIRST_SHARE.
+ */
+static uint32_t
+stage_share(uint32_t permille, uint32_t n_new)
+{
+	uint32_t n_used = permille * n_new / PERMILLE;
+
+	if (n_new == 0)
+		return (permille);
+	if (n_used != 0)
+		return (n_used * PERMILLE / n_new);
+	return (MAX(permille, MIN(PERMILLE / n_new, MAX_FIRST_SHARE)));
+}
+
 static void
-raise_share(struct move_executor *m, int64_t elapsed_ms, uint32_t capacity)
+raise_share(struct move_executor *m, int64_t elapsed_ms,
+    const struct move_exec_upstreams *upstreams)
 {
 	for (size_t i = 0; i < N_STAGES; i++) {
+		uint32_t share = stage_share(stages[i].share, upstreams->n_new);
+
 		if (elapsed_ms * PERMILLE <
 		    m->duration_ms * stages[i].at_permille)
 			break;
-		if (stages[i].share <= m->share)
+		if (share <= m->share)
 			continue;
 		if (i != 0 && m->total.new_version.calls < MIN_NEW_CALLS)
 			break;
-		if (stages[i].share == PERMILLE && capacity < MIN_CAPACITY)
+		if (share == PERMILLE &&
+		    (!has_capacity(upstreams) || is_suspect(m)))
 			break;
-		m->share = stages[i].share;
+		m->share = share;
 		break;
 	}
 }
 
+/*
+ * Completes the move, unless the requests since the last stage show a worse
+ * version. The old version's upstreams stop at completion.
+ */
+static void
+complete(struct move_executor *m)
+{
+	const char *reason = weigh_full_share(m, EVIDENCE_NO_COMPLETION);
+
+	if (reason != NULL)
+		roll_back(m, reason);
+	else if (weigh_full_share(m, EVIDENCE_SUSPECT) == NULL)
+		m->state = OBJ_MOVE_DONE;
+}
+
 void
-move_exec_tick(struct move_executor *m, int64_t now_ms, uint32_t capacity)
+move_exec_tick(struct move_executor *m, int64_t now_ms,
+    const struct move_exec_upstreams *upstreams)
 {
 	int64_t elapsed_ms = now_ms - m->start_ms;
 	const char *reason;
@@ -241,11 +344,14 @@
 		roll_back(m, reason);
 		return;
 	}
-	raise_share(m, elapsed_ms, capacity);
-	if (m->share == PERMILLE && m->full_share_ms == 0)
+	raise_share(m, elapsed_ms, upstreams);
+	if (m->share == PERMILLE && m->full_share_ms == 0) {
 		m->full_share_ms = now_ms;
+		m->before_full = m->total.new_version;
+	}
 	if (m->full_share_ms != 0 && now_ms - m->full_share_ms >= DRAIN_MS)
-		m->state = OBJ_MOVE_DONE;
-	else if (elapsed_ms >= m->duration_ms - ROLLBACK_MARGIN_MS)
+		complete(m);
+	if (m->state == OBJ_MOVE_RUNNING &&
+	    elapsed_ms >= m->duration_ms - ROLLBACK_MARGIN_MS)
 		roll_back(m, "the time limit of the move was reached");
 }
--- a/packages/fleet/move_executor.h
+++ b/packages/fleet/move_executor.h
@@ -42,6 +42,16 @@
 	struct canary_count new_version;
 };
 
+/**
+ * struct move_exec_upstreams - usable upstreams of the service
+ * @n_new: those of the new version
+ * @n_others: those of all other versions
+ */
+struct move_exec_upstreams {
+	uint32_t n_new;
+	uint32_t n_others;
+};
+
 /**
  * struct move_exec_desc - settings
  * @duration_ms: time limit of the order
@@ -57,6 +67,7 @@
  * @duration_ms: time limit of the order
  * @start_ms: when the move began
  * @full_share_ms: when the new version began to get all requests, 0 before
+ * @before_full: counts of the new version at that time
  * @rotated_ms: when the window of the test was last rotated
  * @reports: process -> struct move_exec_counts, highest counts received
  * @total: sums over all processes at the last tick
@@ -71,6 +82,7 @@
 	int64_t duration_ms;
 	int64_t start_ms;
 	int64_t full_share_ms;
+	struct canary_count before_full;
 	int64_t rotated_ms;
 	GHashTable *reports;
 	struct move_exec_counts total;
@@ -105,10 +117,9 @@
  */
 void move_exec_roll_back(struct move_executor *m, const char *reason);
 
-/**
- * move_exec_tick() - evaluate the counters and update the share and the state
- * @capacity: usable upstreams of the new version per 1,000 of the others
+/** move_exec_tick() - evaluate the counters and update the share and the state
  */
-void move_exec_tick(struct move_executor *m, int64_t now_ms, uint32_t capacity);
+void move_exec_tick(struct move_executor *m, int64_t now_ms,
+    const struct move_exec_upstreams *upstreams);
 
 #endif
--- a/packages/model/fleet_model.c
+++ b/packages/model/fleet_model.c
@@ -232,7 +232,7 @@
 {
 	struct rt_upstream *upstreams =
 	    xcalloc(m->d.upstreams, sizeof(*upstreams));
-	struct rt_version version = {BSTR("v1"), 1000};
+	struct rt_version version = {.name = BSTR("v1"), .share = 1000};
 	struct rt_service s = {.name = BSTR("s"),
 	    .versions = &version,
 	    .n_versions = 1,
--- a/packages/move/canary_test.c
+++ b/packages/move/canary_test.c
@@ -141,6 +141,24 @@
 	return (r->slow_score >= CUSUM_THRESHOLD ? CANARY_SLOW : CANARY_GOOD);
 }
 
+/* Chernoff bound of the binomial distribution. */
+double
+canary_evidence(
+    uint64_t bad, uint64_t calls, uint64_t old_bad, uint64_t old_calls)
+{
+	double n = (double)calls, p, p0;
+
+	if (bad == 0)
+		return (0);
+	p0 = baseline_ratio(old_bad, old_calls, 0, 0);
+	p = (double)bad / n;
+	if (p <= p0)
+		return (0);
+	if (bad == calls)
+		return (-n * log(p0));
+	return (n * (p * log(p / p0) + (1 - p) * log((1 - p) / (1 - p0))));
+}
+
 bool
 canary_is_suspect(const struct canary_route *r)
 {
--- a/packages/move/canary_test.h
+++ b/packages/move/canary_test.h
@@ -79,6 +79,18 @@
  */
 enum canary_verdict canary_evaluate(const struct canary_route *r);
 
+/**
+ * canary_evidence() - evidence that calls are worse than those of the old
+ * version, from one sample of each
+ * @bad: failed or slow calls among @calls
+ * @old_bad: the same calls among @old_calls of the old version
+ *
+ * Return: x, where a version that is no worse gives as many bad calls or more
+ * with a probability of at most e^-x; 0 if the ratio is not higher.
+ */
+double canary_evidence(
+    uint64_t bad, uint64_t calls, uint64_t old_bad, uint64_t old_calls);
+
 /** canary_is_suspect() - whether a score has reached half of the threshold */
 bool canary_is_suspect(const struct canary_route *r);
 
--- a/packages/route/load_choice.c
+++ b/packages/route/load_choice.c
@@ -140,9 +140,10 @@
 }
 
 /*
- * Returns the version that was drawn. If it has no usable upstream, its
- * requests go to the version with the largest share and never to a smaller one,
- * since the share of a new version is an upper limit.
+ * Returns the version that was drawn. If it has no usable upstream, or is on
+ * trial and had no room for the request, its requests go to the version with
+ * the largest share and never to a smaller one, since the share of a new
+ * version is an upper limit.
  */
 static uint32_t
 choose_version(
@@ -151,7 +152,10 @@
 	uint32_t drawn = rt_version_at(s, req->draw);
 	uint32_t largest = drawn;
 
-	if (version_usable(s, req, drawn, now_us))
+	bool had_no_room =
+	    s->versions[drawn].on_trial && req->include_secondary;
+
+	if (!had_no_room && version_usable(s, req, drawn, now_us))
 		return (drawn);
 	for (uint32_t v = 0; v < s->n_versions; v++) {
 		if (s->versions[v].share > s->versions[largest].share)
--- a/packages/route/routing.h
+++ b/packages/route/routing.h
@@ -160,10 +160,14 @@
  * struct rt_version - one version of a service
  * @name: name
  * @share: share of the requests in permille
+ * @on_trial: only some of its upstreams get requests, so that these carry the
+ *	load that they will have when the version gets all requests; a request
+ *	that finds no room there goes to another version
  */
 struct rt_version {
 	struct bstr name;
 	uint32_t share;
+	bool on_trial;
 };
 
 /**
--- a/tests/lib/rig.c
+++ b/tests/lib/rig.c
@@ -120,7 +120,7 @@
 	    {rig.refusing_port}, {rig.hanging_port},
 	    {rig.refusing_port, rig.upstream_port}, {rig.upstream_port}, {0},
 	    {rig.upstream_port, rig.upstream_port}};
-	struct rt_version version = {BSTR("v1"), 1000};
+	struct rt_version version = {.name = BSTR("v1"), .share = 1000};
 	struct rt_service s[N_SERVICES] = {0};
 	struct rt_upstream ups[N_SERVICES][2] = {0};
 	struct bstr hosts[N_SERVICES];
--- a/tests/unit/test_fleet_view.c
+++ b/tests/unit/test_fleet_view.c
@@ -31,14 +31,15 @@
 }
 
 static void
-add_upstreams(struct fleet_view *f, unsigned from, unsigned to)
+add_version(struct fleet_view *f, const char *version, const char *zone,
+    unsigned from, unsigned to)
 {
 	for (unsigned i = from; i < to; i++) {
 		char id[16];
 		struct obj_upstream u = {.service = g_strdup("s"),
 		    .address = g_strdup("10.0.0.1:80"),
-		    .zone = g_strdup("a"),
-		    .version = g_strdup("v1"),
+		    .zone = g_strdup(zone),
+		    .version = g_strdup(version),
 		    .slots = 6};
 
 		snprintf(id, sizeof(id), "u%u", i);
@@ -47,6 +48,12 @@
 	}
 }
 
+static void
+add_upstreams(struct fleet_view *f, unsigned from, unsigned to)
+{
+	add_version(f, "v1", "a", from, to);
+}
+
 static void
 add_config(struct fleet_view *f)
 {
@@ -326,6 +333,73 @@
 	assert_int_equal(usage_counter_get(view_usage(f, "w0"), 1), 1);
 }
 
+#define TRIAL_UPSTREAMS 13
+
+/* Bits of the upstreams of version v2 that get requests. */
+static unsigned
+on_trial(const char *vm, uint32_t share, enum obj_move_state outcome,
+    bool old_in_service)
+{
+	struct obj_move m = {.name = g_strdup("s"),
+	    .service = g_strdup("s"),
+	    .to_version = g_strdup("v2"),
+	    .state = OBJ_MOVE_RUNNING};
+	struct fleet_view f;
+	struct rt_table *t;
+	const struct rt_service *s;
+	unsigned bits = 0;
+
+	view_init(&f, &(struct view_desc){.self = vm});
+	add_config(&f);
+	add_upstreams(&f, 0, TRIAL_UPSTREAMS);
+	add_version(&f, "v2", "b", TRIAL_UPSTREAMS, 2 * TRIAL_UPSTREAMS);
+	view_set_move(&f, "s", &m);
+	view_end(&f, STORE_UPSTREAMS, 0);
+	view_set_share(&f, "s", share, INT64_MAX, outcome);
+	if (!old_in_service)
+		view_set_zone_out(&f, "a", true);
+	t = view_table(&f, 0);
+	s = rt_find_service(t, BSTR("s"));
+	for (uint32_t i = 0; i < s->n_upstreams; i++) {
+		const struct rt_upstream *u = &s->upstreams[i];
+		const char *number = u->id.p + 1; /* behind the "u" */
+
+		if (!bstr_eq(s->versions[u->version].name, BSTR("v2")))
+			assert_int_equal(
+			    u->state, old_in_service ? RT_READY : RT_DOWN);
+		else if (u->state == RT_READY)
+			bits |= 1u << (atoi(number) - TRIAL_UPSTREAMS);
+	}
+	rt_table_free(t);
+	view_finish(&f);
+	return (bits);
+}
+
+/*
+ * Guards against a version that fails under load and is judged idle: its few
+ * requests go to as many of its upstreams as will have this load later, the
+ * same ones on all VMs.
+ */
+static void
+test_trial(void **state)
+{
+	const unsigned all = (1u << TRIAL_UPSTREAMS) - 1;
+	unsigned one = on_trial("vm1", 76, OBJ_MOVE_RUNNING, true);
+	unsigned three = on_trial("vm1", 230, OBJ_MOVE_RUNNING, true);
+
+	(void)state;
+	assert_int_equal(__builtin_popcount(one), 1);
+	assert_int_equal(on_trial("vm2", 76, OBJ_MOVE_RUNNING, true), one);
+	assert_int_equal(on_trial("vm2", 50, OBJ_MOVE_RUNNING, true), one);
+	assert_int_equal(__builtin_popcount(three), 3);
+	assert_int_equal(three & one, one);
+	assert_int_equal(on_trial("vm2", 230, OBJ_MOVE_RUNNING, true), three);
+	assert_int_equal(on_trial("vm1", 1000, OBJ_MOVE_RUNNING, true), all);
+	assert_int_equal(on_trial("vm1", 1000, OBJ_MOVE_DONE, true), all);
+	/* Without the old version, one upstream must not get everything. */
+	assert_int_equal(on_trial("vm1", 76, OBJ_MOVE_RUNNING, false), all);
+}
+
 static void
 set_version(struct fleet_view *f, unsigned version, int64_t now_us)
 {
@@ -387,6 +461,7 @@
 	    TEST(test_ranked),
 	    TEST(test_keys),
 	    TEST(test_unused_versions),
+	    TEST(test_trial),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
--- a/tests/unit/test_front_late.c
+++ b/tests/unit/test_front_late.c
@@ -40,7 +40,7 @@
 		.goal_ms = LONG_TIMEOUT_MS},
 	};
 	struct bstr hosts[] = {BSTR("pair"), BSTR("trio")};
-	struct rt_version version = {BSTR("v1"), 1000};
+	struct rt_version version = {.name = BSTR("v1"), .share = 1000};
 	struct rt_upstream ups[2][MAX_UPSTREAMS] = {0};
 	struct rt_service s[2] = {0};
 
--- a/tests/unit/test_front_ranked.c
+++ b/tests/unit/test_front_ranked.c
@@ -172,7 +172,7 @@
 	    .idempotent = true,
 	    .goal_ms = 2000,
 	    .timeout_ms = LONG_TIMEOUT_MS};
-	struct rt_version version = {BSTR("v1"), 1000};
+	struct rt_version version = {.name = BSTR("v1"), .share = 1000};
 	struct rt_upstream up = {.stat = rt_stat_new(), .slots = slots};
 	struct rt_service s = {.name = host,
 	    .hosts = &host,
--- a/tests/unit/test_front_wait.c
+++ b/tests/unit/test_front_wait.c
@@ -115,7 +115,7 @@
 	struct rt_route route = {.prefix = BSTR("/"),
 	    .idempotent = true,
 	    .timeout_ms = LONG_TIMEOUT_MS};
-	struct rt_version version = {BSTR("v1"), 1000};
+	struct rt_version version = {.name = BSTR("v1"), .share = 1000};
 	struct rt_upstream up = {.stat = rt_stat_new()};
 	struct rt_service s = {.name = host,
 	    .hosts = &host,
--- a/tests/unit/test_load_choice.c
+++ b/tests/unit/test_load_choice.c
@@ -32,6 +32,7 @@
 	rng_init(&rng, 11);
 	versions[0].share = 1000;
 	versions[1].share = 0;
+	versions[1].on_trial = false;
 	for (uint32_t i = 0; i < N_UP; i++) {
 		struct load_choice_report r = {.pace = 100};
 
@@ -424,6 +425,33 @@
 }
 
 /* Upstreams that answer probes without their load are used without probes. */
+/*
+ * Guards against callers who wait for the few upstreams of a version on trial,
+ * or are sent to it more than its share allows.
+ */
+static void
+test_version_on_trial(void **state)
+{
+	struct rt_request req = {.draw = 990};
+
+	(void)state;
+	versions[0].share = 950;
+	versions[1].share = 50;
+	for (int i = 4; i < N_UP; i++) {
+		upstreams[i].version = 1;
+		upstreams[i].state = i == 4 ? RT_READY : RT_DOWN;
+	}
+	versions[1].on_trial = true;
+	assert_int_equal(pick(&req, NOW_US), 4);
+	report(4, SLOTS, SLOTS, 100);
+	assert_int_equal(pick(&req, NOW_US), RT_FULL);
+	req.include_secondary = true;
+	assert_true(pick(&req, NOW_US) < 4);
+	/* Without a trial the request waits for its version. */
+	versions[1].on_trial = false;
+	assert_int_equal(pick(&req, NOW_US), RT_FULL);
+}
+
 static void
 test_no_report(void **state)
 {
@@ -562,6 +590,7 @@
 	    TEST(test_secondary),
 	    TEST(test_probe_backoff),
 	    TEST(test_versions),
+	    TEST(test_version_on_trial),
 	    TEST(test_no_report),
 	    TEST(test_no_report_ended_calls),
 	    TEST(test_no_report_old_response),
--- a/tests/unit/test_move_executor.c
+++ b/tests/unit/test_move_executor.c
@@ -26,18 +26,24 @@
 #define EXPOSURE_SHARE 0.1
 #define EXPOSURE_SLACK 50
 
+/* As many upstreams of the new version as of the old one. */
+static const struct move_exec_upstreams equal = {100, 100};
+
 /**
  * struct behaviour - behaviour of the new version
  * @fail: ratio of failed requests while it is bad
  * @slow: ratio of slow requests while it is bad
  * @late_ms: time after the start of the move before which it is good
  * @load_permille: share of the requests below which it is good
+ * @upstream_load: load of an upstream below which it is good, relative to that
+ *	after the move
  */
 struct behaviour {
 	double fail;
 	double slow;
 	int64_t late_ms;
 	uint32_t load_permille;
+	double upstream_load;
 };
 
 /**
@@ -53,13 +59,26 @@
 	uint64_t bad_after;
 };
 
+/*
+ * Load of the upstreams that the new version uses at a share, as fleet_view
+ * chooses their number, relative to that after the move.
+ */
+static double
+upstream_load(uint32_t share, uint32_t n_new)
+{
+	uint32_t n_used = MAX((share * n_new + 500) / 1000, 1);
+
+	return ((double)share * n_new / (1000.0 * n_used));
+}
+
 static void
 one_call(struct move_exec_counts *c, const struct behaviour *p, uint32_t share,
-    int64_t now_ms, struct random *rng, struct result *out)
+    double load, int64_t now_ms, struct random *rng, struct result *out)
 {
 	bool is_new = rng_below(rng, 1000) < share;
 	struct canary_count *n = is_new ? &c->new_version : &c->old_version;
-	bool bad = is_new && now_ms >= p->late_ms && share >= p->load_permille;
+	bool bad = is_new && now_ms >= p->late_ms &&
+	    share >= p->load_permille && load >= p->upstream_load;
 
 	out->all++;
 	out->exposed += is_new;
@@ -71,7 +90,8 @@
 }
 
 static struct result
-simulate_move(const struct behaviour *p, uint32_t capacity, uint64_t seed)
+simulate_move(const struct behaviour *p,
+    const struct move_exec_upstreams *upstreams, uint64_t seed)
 {
 	struct move_exec_counts counts[N_VMS] = {0};
 	struct move_exec_desc d = {.duration_ms = DURATION_MS};
@@ -85,7 +105,8 @@
 	for (int64_t now = 0; now < DURATION_MS; now += STEP_MS) {
 		for (due += CALLS_PER_S * STEP_MS / 1000.0; due >= 1; due--)
 			one_call(&counts[rng_below(&rng, N_VMS)], p, m.share,
-			    now, &rng, &r);
+			    upstream_load(m.share, upstreams->n_new), now, &rng,
+			    &r);
 		if (now % ROUND_MS != 0)
 			continue;
 		for (int i = 0; i < N_VMS; i++) {
@@ -96,7 +117,7 @@
 			if (rng_below(&rng, 10) != 0)
 				move_exec_add(&m, name, 1, &counts[i]);
 		}
-		move_exec_tick(&m, now, capacity);
+		move_exec_tick(&m, now, upstreams);
 		if (m.state != OBJ_MOVE_RUNNING && r.end_ms == 0)
 			r.end_ms = now;
 	}
@@ -113,7 +134,7 @@
 
 	(void)state;
 	for (uint64_t seed = 1; seed <= 200; seed++) {
-		struct result r = simulate_move(&good, 1000, seed);
+		struct result r = simulate_move(&good, &equal, seed);
 
 		assert_int_equal(r.state, OBJ_MOVE_DONE);
 		assert_true(r.end_ms <= DURATION_MS - 1000);
@@ -124,7 +145,7 @@
 expect_rolled_back(const struct behaviour *p)
 {
 	for (uint64_t seed = 1; seed <= 200; seed++) {
-		struct result r = simulate_move(p, 1000, seed);
+		struct result r = simulate_move(p, &equal, seed);
 
 		assert_int_equal(r.state, OBJ_MOVE_ROLLED_BACK);
 		assert_true((double)r.exposed <=
@@ -168,6 +189,38 @@
 	    &(struct behaviour){.fail = 0.4, .load_permille = 1000});
 }
 
+/*
+ * The new version fails some requests at an upstream that carries the load
+ * which it will have after the move. Guards against a version that is completed
+ * as it was judged at a lower load or only at its last stage, when its requests
+ * are more than a bad version may get.
+ */
+static void
+test_loaded_upstreams(void **state)
+{
+	static const uint32_t counts[] = {12, 13, 20, 50, 100, 200};
+	const struct behaviour p = {.fail = 0.25, .upstream_load = 0.9};
+	unsigned completed = 0, exposed = 0, moves = 0;
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(counts) / sizeof(*counts); i++) {
+		struct move_exec_upstreams n = {counts[i], counts[i]};
+
+		for (uint64_t seed = 1; seed <= 200; seed++) {
+			struct result r = simulate_move(&p, &n, seed);
+
+			moves++;
+			completed += r.state != OBJ_MOVE_ROLLED_BACK;
+			exposed += (double)r.exposed >
+			    EXPOSURE_SHARE * (double)r.all + EXPOSURE_SLACK;
+		}
+	}
+	print_message("of %u moves %u completed, %u over the exposure\n", moves,
+	    completed, exposed);
+	assert_int_equal(completed, 0);
+	assert_int_equal(exposed, 0);
+}
+
 /*
  * A move with too few upstreams of the new version is rolled back within its
  * duration.
@@ -176,7 +229,8 @@
 test_no_capacity(void **state)
 {
 	const struct behaviour good = {.late_ms = INT64_MAX};
-	struct result r = simulate_move(&good, 300, 5);
+	struct result r =
+	    simulate_move(&good, &(struct move_exec_upstreams){30, 100}, 5);
 
 	(void)state;
 	assert_int_equal(r.state, OBJ_MOVE_ROLLED_BACK);
@@ -196,7 +250,7 @@
 	(void)state;
 	move_exec_init(&m, &d, 100000);
 	move_exec_add(&m, "vm1", 1, &c);
-	move_exec_tick(&m, 100000 + DURATION_MS - 5000 - 100, 1000);
+	move_exec_tick(&m, 100000 + DURATION_MS - 5000 - 100, &equal);
 	assert_int_equal(m.state, OBJ_MOVE_ROLLED_BACK);
 	move_exec_finish(&m);
 }
@@ -217,7 +271,7 @@
 	move_exec_add(&m, "vm1", 1, &c);
 	move_exec_add(&m, "vm1", 2, &c);
 	move_exec_add(&m, "vm1", 2, &(struct move_exec_counts){0});
-	move_exec_tick(&m, 100, 1000);
+	move_exec_tick(&m, 100, &equal);
 	assert_int_equal(m.total.new_version.calls, 20);
 	assert_int_equal(m.state, OBJ_MOVE_ROLLED_BACK);
 	move_exec_finish(&m);
@@ -232,6 +286,7 @@
 	    cmocka_unit_test(test_slow),
 	    cmocka_unit_test(test_late),
 	    cmocka_unit_test(test_under_load),
+	    cmocka_unit_test(test_loaded_upstreams),
 	    cmocka_unit_test(test_no_capacity),
 	    cmocka_unit_test(test_takeover),
 	    cmocka_unit_test(test_restart),
