Pass on idempotency keys where nothing grants claims

Callers with an Idempotency-Key on a non-idempotent route waited to the timeout and got 502; 0 of 240 requests reached an upstream, and the worker kept an entry for each.

Change: workers claim keys only if the control thread grants claims, as in the own mode. Elsewhere the field is passed on, and the request is sent as any other non-idempotent one. A message that the control thread does not handle goes to worker_msg_refuse(), which answers a claim as unavailable.

--- a/packages/camphorhollowd/main.c
+++ b/packages/camphorhollowd/main.c
@@ -162,6 +162,7 @@
 		return (false);
 	}
 	d->shared.control = ctl_queue(d->ctl);
+	d->shared.has_claims = true;
 	return (true);
 }
 
--- a/packages/control/fleet_control.c
+++ b/packages/control/fleet_control.c
@@ -151,7 +151,7 @@
 			ops_answer_error(ops_request_of(m), ERR_NOT_FOUND,
 			    "operators use the platform's store here");
 		else
-			free(m);
+			worker_msg_refuse(m);
 	}
 }
 
--- a/packages/front/caller_side.c
+++ b/packages/front/caller_side.c
@@ -443,8 +443,7 @@
 {
 	metrics_add(worker_shared_state(c->w)->metrics, METRICS_CALLS, 1);
 	/* Until the route is known, any request with a key counts as keyed. */
-	c->keyed = MHD_lookup_connection_value(
-		       c->conn, MHD_HEADER_KIND, "Idempotency-Key") != NULL;
+	c->keyed = claim_filter_has_key(c);
 	if (!request_head_read(c, method, version))
 		return (refuse_head(c, ERR_BAD_REQUEST));
 	c->caller_conn->used_bytes += c->head_memory.head_bytes;
--- a/packages/front/claim_filter.c
+++ b/packages/front/claim_filter.c
@@ -25,6 +25,14 @@
 	return (g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free));
 }
 
+bool
+claim_filter_has_key(const struct call *c)
+{
+	return (worker_shared_state(c->w)->has_claims &&
+	    MHD_lookup_connection_value(
+		c->conn, MHD_HEADER_KIND, "Idempotency-Key") != NULL);
+}
+
 static enum filter_verdict
 stop(struct call *c, enum err_kind kind)
 {
--- a/packages/front/claim_filter.h
+++ b/packages/front/claim_filter.h
@@ -32,6 +32,9 @@
 	struct worker_msg_key key;
 };
 
+/** claim_filter_has_key() - whether the head has a key that can be claimed */
+bool claim_filter_has_key(const struct call *c);
+
 /**
  * claim_filter_table_new() - new table of pending claims by reference; free it
  * with g_hash_table_unref()
--- a/packages/front/filter.c
+++ b/packages/front/filter.c
@@ -133,9 +133,7 @@
 		c->ranked = is_ranked(t, s, c->service_state);
 		if (c->ranked)
 			c->admission.route = (uint32_t)bstr_hash(r->prefix, 0);
-		c->keyed = !r->idempotent &&
-		    MHD_lookup_connection_value(
-			c->conn, MHD_HEADER_KIND, "Idempotency-Key") != NULL;
+		c->keyed = !r->idempotent && claim_filter_has_key(c);
 		c->deadline_us = c->start_us + (int64_t)r->timeout_ms * 1000;
 		authenticate_read(c, t, r);
 	}
--- a/packages/front/shared_state.h
+++ b/packages/front/shared_state.h
@@ -33,6 +33,8 @@
  * @leaving: this VM shuts down and refuses new requests
  * @control: queue of the control thread for messages of enum worker_msg_type
  * @metrics: metrics of the process
+ * @has_claims: the control thread grants claims of idempotency keys. Without it
+ *	the keys are passed on to the upstreams and not looked at.
  * @max_keyed_body: largest body of a keyed request in bytes
  * @max_kept_callers: connections of callers above which each one is closed
  *	after its answer, 0 for no limit
@@ -57,6 +59,7 @@
 	_Atomic bool leaving;
 	struct message_queue *control;
 	struct metrics *metrics;
+	bool has_claims;
 	size_t max_keyed_body;
 	uint32_t max_kept_callers;
 	_Atomic uint32_t n_callers;
--- a/packages/front/worker_msg.h
+++ b/packages/front/worker_msg.h
@@ -148,4 +148,12 @@
 	enum rt_state state;
 };
 
+/**
+ * worker_msg_refuse() - free a message that the control thread does not handle
+ *
+ * A claim is answered with WORKER_MSG_UNAVAILABLE, so that no request waits for
+ * its reply. Its worker has to exist still.
+ */
+void worker_msg_refuse(struct msgq_msg *m);
+
 #endif
--- a/tests/lib/rig.c
+++ b/tests/lib/rig.c
@@ -317,6 +317,7 @@
 	msgq_init(&rig.control);
 	rig.shared.control = &rig.control;
 	rig.shared.metrics = &rig.metrics;
+	rig.shared.has_claims = true;
 	rig.shared.max_keyed_body = 100000;
 	rig.shared.protocol = proto_own();
 	atomic_store(&rig.shared.fresh_until_us, INT64_MAX);
--- a/tests/unit/test_front_claim.c
+++ b/tests/unit/test_front_claim.c
@@ -190,6 +190,60 @@
 	free(text);
 }
 
+/*
+ * Guards against requests that wait for a claim which nothing grants: on the
+ * platform each request with a key on a non-idempotent route ended at its
+ * deadline and never reached an upstream. Without claims the key is passed on,
+ * whatever its length, also with a body that is larger than a keyed one may be.
+ */
+static void
+test_without_claims(void **state)
+{
+	static const char *const keys[] = {"unavailable-2", "progress-2", ""};
+	const size_t max_keyed_body = rig.shared.max_keyed_body;
+	struct reply r;
+
+	(void)state;
+	rig.shared.has_claims = false;
+	rig.shared.max_keyed_body = 3;
+	for (size_t i = 0; i < sizeof(keys) / sizeof(*keys); i++)
+		rig_expect_body(keyed("/p/ok/n1", keys[i], "body"), "ok");
+	assert_int_equal(rig_request_count("/p/ok/n1"), 3);
+	r = keyed("/p/echohead/n2", "grant-n2", NULL);
+	assert_int_equal(r.status, 200);
+	assert_non_null(strstr(r.p, "Idempotency-Key: grant-n2"));
+	rig_reply_free(&r);
+	rig.shared.has_claims = true;
+	rig.shared.max_keyed_body = max_keyed_body;
+}
+
+/* Guards against a claim that is freed without an answer. */
+static void
+test_refused_claim(void **state)
+{
+	struct worker_msg_claim *claim = calloc(1, sizeof(*claim));
+	struct worker_msg_finish *finish = calloc(1, sizeof(*finish));
+	struct worker_msg_claim_reply *r;
+	struct message_queue q;
+
+	(void)state;
+	msgq_init(&q);
+	claim->m.type = WORKER_MSG_CLAIM;
+	claim->reply_to = &q;
+	claim->ref = 42;
+	worker_msg_refuse(&claim->m);
+	r = (struct worker_msg_claim_reply *)msgq_pop(&q);
+	assert_non_null(r);
+	assert_int_equal(r->m.type, WORKER_MSG_CLAIM_REPLY);
+	assert_int_equal(r->ref, 42);
+	assert_int_equal(r->verdict, WORKER_MSG_UNAVAILABLE);
+	free(r);
+	finish->m.type = WORKER_MSG_FINISH;
+	worker_msg_refuse(&finish->m);
+	assert_null(msgq_pop(&q));
+	msgq_finish(&q);
+}
+
 int
 main(void)
 {
@@ -201,6 +255,8 @@
 	    cmocka_unit_test(test_late_grant),
 	    cmocka_unit_test(test_caller_gone),
 	    cmocka_unit_test(test_limits),
+	    cmocka_unit_test(test_without_claims),
+	    cmocka_unit_test(test_refused_claim),
 	};
 
 	return (cmocka_run_group_tests(tests, rig_setup, rig_teardown));
