Correct comments on moves

The comment on the evidence thresholds described one of them for another, and that of move_exec_tick() lacked its argument.

--- a/packages/fleet/move_executor.c
+++ b/packages/fleet/move_executor.c
@@ -43,9 +43,11 @@
 #define BAD_RATIO_MARGIN 0.15
 
 /*
- * Evidence, see canary_evidence(), on which a running move is rolled back, and
- * on which it is not completed. Between the two, the version is suspect: the
- * move waits for more requests, at the longest until its time limit.
+ * Evidence that the new version is worse, see canary_evidence(): from
+ * EVIDENCE_ROLL_BACK on the move is rolled back at any time, from
+ * EVIDENCE_NO_COMPLETION on when it is due to be completed. From
+ * EVIDENCE_SUSPECT on the move waits for more requests before the new version
+ * gets all of them and before completion, at the longest until its time limit.
  */
 #define EVIDENCE_ROLL_BACK 4.6
 #define EVIDENCE_NO_COMPLETION 3.0
--- a/packages/fleet/move_executor.h
+++ b/packages/fleet/move_executor.h
@@ -117,7 +117,9 @@
  */
 void move_exec_roll_back(struct move_executor *m, const char *reason);
 
-/** move_exec_tick() - evaluate the counters and update the share and the state
+/**
+ * move_exec_tick() - evaluate the counters and update the share and the state
+ * @upstreams: usable upstreams now
  */
 void move_exec_tick(struct move_executor *m, int64_t now_ms,
     const struct move_exec_upstreams *upstreams);
